Split the instance and the command line by part

Each task of the instance and each group of commands has its own module now; load and demand of an instance are typed messages with counters that only rise, so that a lost one loses nothing.

Ruled out: one event per request for demand (a lost one would be lost demand).

--- /dev/null
+++ b/src/marjoramstage/_commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module for each group."""
--- /dev/null
+++ b/src/marjoramstage/_commands/standin.py
@@ -0,0 +1,94 @@
+"""``standin`` runs one stand-in, ``demo`` the whole system in one process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+import aiohttp
+
+from marjoramstage import logs
+from marjoramstage._commands import exits
+from marjoramstage._commands.running import run_until_signal
+from marjoramstage.demo import Demo
+from marjoramstage.protocol.messages import Target, TargetKind
+from marjoramstage.settings import Listen
+from marjoramstage.standins.engine import EngineFaults, EngineStandin
+from marjoramstage.standins.platform import PlatformStandin
+from marjoramstage.standins.service import ServiceStandin
+from marjoramstage.state.targets import slice_of_target
+from marjoramstage.transport.platform import HttpPlatform
+
+
+def add(commands) -> None:
+    """Add the commands to the parser."""
+    parser = commands.add_parser("standin", help="run one stand-in")
+    parser.add_argument("kind", choices=["platform", "engine", "service"])
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--listen", default="127.0.0.1:0", help="ip:port")
+    parser.add_argument("--platform", help="platform to register at, ip:port")
+    parser.add_argument("--data-centre", default="local")
+    parser.add_argument("--namespace", default="marjoramstage")
+    parser.add_argument("--memory-mb", type=int, default=48_000)
+    parser.add_argument("--slots", type=int, default=16)
+    parser.add_argument("--ignore-fencing", action="store_true")
+    parser.add_argument("--load-ms", type=float, default=0.0)
+    parser.add_argument("--token-ms", type=float, default=0.0)
+    parser.set_defaults(run=_standin)
+    parser = commands.add_parser("demo", help="the whole system in one process")
+    parser.add_argument("--callers", default="127.0.0.1:8080", help="ip:port")
+    parser.add_argument("--operators", default="127.0.0.1:8081", help="ip:port")
+    parser.set_defaults(run=_demo)
+
+
+def _standin(args: argparse.Namespace) -> int:
+    logs.configure("info", args.name)
+    asyncio.run(_run_standin(args))
+    return exits.OK
+
+
+def _demo(args: argparse.Namespace) -> int:
+    logs.configure("warning", "demo")
+    listen = Listen(callers=args.callers, operators=args.operators)
+    asyncio.run(_run_demo(Demo(listen)))
+    return exits.OK
+
+
+async def _run_demo(demo: Demo) -> None:
+    async def announce() -> None:
+        await demo.serving()
+        print(demo.help_text(), flush=True)
+
+    await run_until_signal(demo, announce)
+
+
+async def _run_standin(args: argparse.Namespace) -> None:
+    if args.kind == "platform":
+        await run_until_signal(PlatformStandin(args.listen))
+        return
+    if args.kind == "service":
+        standin = ServiceStandin(args.name, args.listen, args.slots)
+    else:
+        faults = EngineFaults(load_s=args.load_ms / 1000, token_s=args.token_ms / 1000)
+        standin = EngineStandin(
+            args.name,
+            args.listen,
+            args.memory_mb,
+            args.slots,
+            not args.ignore_fencing,
+            faults,
+        )
+    await run_until_signal(standin, lambda: _register(args, standin))
+
+
+async def _register(
+    args: argparse.Namespace, standin: EngineStandin | ServiceStandin
+) -> None:
+    """List a stand-in as a target at the platform."""
+    if args.platform is None:
+        return
+    kind = TargetKind(args.kind)
+    target = Target(args.name, args.data_centre, kind, standin.address)
+    async with aiohttp.ClientSession() as session:
+        platform = HttpPlatform(session, args.platform, args.namespace)
+        await platform.create(slice_of_target(target))
--- /dev/null
+++ b/src/marjoramstage/_instance/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of an instance, one module for each."""
--- /dev/null
+++ b/src/marjoramstage/_instance/placing.py
@@ -0,0 +1,104 @@
+"""Carries out what placement asks for: ledger writes and orders."""
+
+from __future__ import annotations
+
+from result import Err, Ok
+
+from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.mailbox import Mailbox
+from marjoramstage.coordination.placement import Placer
+from marjoramstage.logs import part_logger
+from marjoramstage.protocol.events import (
+    Effect,
+    Event,
+    LedgerRead,
+    LedgerWriteFailed,
+    OrderEnded,
+    ReadLedger,
+    SendOrder,
+    WriteLedger,
+)
+from marjoramstage.protocol.messages import Order
+from marjoramstage.protocol.objects import (
+    LEDGER,
+    Platform,
+    PlatformFault,
+    PlatformObject,
+)
+from marjoramstage.state.ledger import Ledger, ledger_from_data, ledger_to_data
+from marjoramstage.transport.targets import HttpTargets
+
+log = part_logger("placing")
+
+ORDER_TIMEOUT_S = 60.0
+
+
+class PlacementDesk:
+    """The placer's mailbox and the calls that its effects need."""
+
+    def __init__(
+        self,
+        placer: Placer,
+        platform: Platform,
+        targets: HttpTargets,
+        tasks: TaskGroup,
+        clock: Clock,
+    ):
+        self.placer = placer
+        self._platform = platform
+        self._targets = targets
+        self._tasks = tasks
+        self._mailbox = Mailbox(placer, self._perform, clock)
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the placer."""
+        self._mailbox.post(event)
+
+    async def run(self) -> None:
+        """Drive the placer until cancelled."""
+        await self._mailbox.run()
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case ReadLedger(target):
+                self._tasks.spawn(self._read_ledger(target))
+            case WriteLedger(ledger):
+                self._tasks.spawn(self._write_ledger(ledger))
+            case SendOrder(order, address):
+                self._tasks.spawn(self._send_order(order, address))
+
+    async def _read_ledger(self, target: str) -> None:
+        match await self._platform.get(LEDGER, target):
+            case Ok(obj):
+                ledger = ledger_from_data(target, obj.version, obj.spec)
+                self.post(LedgerRead(ledger))
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                self.post(LedgerRead(Ledger(target, "", 0)))
+            case Err(_):
+                log.warning("ledger not read", extra={"target": target})
+                self.post(LedgerWriteFailed(target))
+
+    async def _write_ledger(self, ledger: Ledger) -> None:
+        obj = PlatformObject(
+            LEDGER, ledger.target, ledger_to_data(ledger), version=ledger.version
+        )
+        call = self._platform.update if ledger.version else self._platform.create
+        match await call(obj):
+            case Ok(obj):
+                ledger = ledger_from_data(ledger.target, obj.version, obj.spec)
+                self.post(LedgerRead(ledger))
+            case Err(error):
+                extra = {"target": ledger.target, "fault": error.fault.value}
+                log.warning("ledger not written", extra=extra)
+                self.post(LedgerWriteFailed(ledger.target))
+
+    async def _send_order(self, order: Order, address: str) -> None:
+        answer = await self._targets.send_order(address, order, ORDER_TIMEOUT_S)
+        extra = {
+            "target": order.target,
+            "item": str(order.item),
+            "outcome": answer.outcome.value,
+        }
+        log.info("order ended", extra=extra)
+        self.post(OrderEnded(answer))
--- /dev/null
+++ b/src/marjoramstage/_instance/reporting.py
@@ -0,0 +1,49 @@
+"""Reads the reports of the targets at a steady pace."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from marjoramstage.clock import Clock
+from marjoramstage.protocol.events import Event, TargetReported
+from marjoramstage.protocol.messages import Target
+from marjoramstage.transport.targets import HttpTargets
+
+REPORT_EVERY_S = 0.25
+
+
+class Reporter:
+    """Polls every listed target.
+
+    Parameters
+    ----------
+    listed : callable
+        Gives the targets to poll, by name.
+    post : callable
+        Takes each report.
+    """
+
+    def __init__(
+        self,
+        targets: HttpTargets,
+        listed: Callable[[], Mapping[str, Target]],
+        post: Callable[[Event], None],
+        clock: Clock,
+    ):
+        self._targets = targets
+        self._listed = listed
+        self._post = post
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            found = list(self._listed().values())
+            await asyncio.gather(*(self._read(target) for target in found))
+            await self._clock.sleep(REPORT_EVERY_S)
+
+    async def _read(self, target: Target) -> None:
+        report = await self._targets.report(target.address)
+        if report is not None:
+            self._post(TargetReported(report))
--- /dev/null
+++ b/src/marjoramstage/_instance/requests.py
@@ -0,0 +1,97 @@
+"""Requests that wait for the scheduler's decision."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.admission import Scheduler
+from marjoramstage.coordination.mailbox import Mailbox
+from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.metrics import Metrics
+from marjoramstage.protocol.events import (
+    AttemptEnded,
+    Dispatch,
+    Effect,
+    Event,
+    Refuse,
+    RequestCancelled,
+    RequestSubmitted,
+    RetryAsked,
+)
+from marjoramstage.protocol.messages import AttemptEnd, Request
+
+
+class RequestDesk:
+    """The scheduler's mailbox and the callers' tasks that wait for it."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock, metrics: Metrics):
+        self.scheduler = scheduler
+        self._metrics = metrics
+        self._mailbox = Mailbox(scheduler, self._perform, clock)
+        self._waiting: dict[str, asyncio.Future[Dispatch]] = {}
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the scheduler."""
+        self._mailbox.post(event)
+
+    async def run(self) -> None:
+        """Drive the scheduler until cancelled."""
+        await self._mailbox.run()
+
+    async def submit(self, request: Request) -> Dispatch:
+        """Wait for a target; raise `RequestError` if the request is refused."""
+        self._metrics.count("callers.requests")
+        return await self._ask(RequestSubmitted(request), request)
+
+    async def retry(self, request: Request, failed: tuple[str, ...]) -> Dispatch:
+        """Wait for another target after an attempt that has not run."""
+        self._metrics.count("routing.retries")
+        return await self._ask(RetryAsked(request, failed), request)
+
+    def ended(self, end: AttemptEnd) -> None:
+        """Note the end of an attempt."""
+        self._metrics.count(f"attempts.{end.verdict.value}")
+        self.post(AttemptEnded(end))
+
+    async def _ask(
+        self, event: RequestSubmitted | RetryAsked, request: Request
+    ) -> Dispatch:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[request.id] = fut
+        self.post(event)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self.post(RequestCancelled(request.id))
+            raise
+        finally:
+            self._waiting.pop(request.id, None)
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Dispatch():
+                self._dispatched(effect)
+            case Refuse():
+                self._refused(effect)
+
+    def _dispatched(self, effect: Dispatch) -> None:
+        fut = self._waiting.get(effect.request.id)
+        if fut is None or fut.done():
+            end = AttemptEnd(effect.request, effect.target, Verdict.NOT_RUN, False)
+            self.ended(end)
+            return
+        fut.set_result(effect)
+
+    def _refused(self, effect: Refuse) -> None:
+        fut = self._waiting.get(effect.request.id)
+        if fut is None or fut.done():
+            return
+        error = RequestError(
+            effect.status,
+            effect.code,
+            effect.message,
+            Verdict.NOT_RUN,
+            effect.retry_after_s,
+        )
+        fut.set_exception(error)
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -34,10 +34,16 @@
 
     A load is reserved in the target's ledger first; its order is sent only
     after the platform took the write.
+
+    Parameters
+    ----------
+    data_centre : str
+        Whose targets are placed on; other targets are only seen.
     """
 
-    def __init__(self, fence: int = 0):
-        self._fence = fence
+    def __init__(self, data_centre: str):
+        self._data_centre = data_centre
+        self._fence = 0
         self._inventory = Inventory()
         self._targets: dict[str, Target] = {}
         self._reports: dict[str, TargetReport] = {}
--- a/src/marjoramstage/protocol/events.py
+++ b/src/marjoramstage/protocol/events.py
@@ -7,6 +7,7 @@
 
 from marjoramstage.protocol.messages import (
     AttemptEnd,
+    InstanceLoad,
     Item,
     Order,
     OrderAnswer,
@@ -140,12 +141,25 @@
 
 
 @dataclass(frozen=True)
-class DemandSeen:
-    """Requests that arrived for an item since the last such event."""
+class InstanceLoaded:
+    """What this or another instance tells of its load; late and with gaps."""
 
+    load: InstanceLoad
+
+
+@dataclass(frozen=True)
+class InstanceGone:
+    """An instance is dead or has left."""
+
+    instance: str
+
+
+@dataclass(frozen=True)
+class AdapterAsked:
+    """An instance wants an adapter on a target that holds its model."""
+
+    target: str
     item: Item
-    requests: int
-    tokens: int
 
 
 Event = (
@@ -164,7 +178,9 @@
     | LedgerRead
     | LedgerWriteFailed
     | OrderEnded
-    | DemandSeen
+    | InstanceLoaded
+    | InstanceGone
+    | AdapterAsked
 )
 
 
@@ -226,7 +242,18 @@
     address: str
 
 
-Effect = Dispatch | Refuse | ReadLedger | WriteLedger | SendOrder
+@dataclass(frozen=True)
+class AskAdapter:
+    """Ask the lease holder of a target to load an adapter there.
+
+    The holder takes it in as `AdapterAsked`; asking again does no harm.
+    """
+
+    target: str
+    item: Item
+
+
+Effect = Dispatch | Refuse | ReadLedger | WriteLedger | SendOrder | AskAdapter
 
 
 class Machine(Protocol):
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from marjoramstage.exceptions import Verdict
@@ -227,3 +228,47 @@
     tokens: int = 0
     first_token_s: float | None = None
     reason: str = field(default="", compare=False)
+
+
+@dataclass(frozen=True)
+class ItemDemand:
+    """Demand for an item at one instance.
+
+    Attributes
+    ----------
+    requests, tokens : int
+        Arrived since the instance started; only rise, so that a lost message
+        loses nothing.
+    waiting : int
+        Requests in the queue now.
+    """
+
+    item: Item
+    requests: int
+    tokens: int
+    waiting: int = 0
+
+
+@dataclass(frozen=True)
+class InstanceLoad:
+    """What an instance tells its peers of its load.
+
+    Attributes
+    ----------
+    incarnation : str
+        New at each start of the instance.
+    sequence : int
+        Rises with each message of one incarnation.
+    in_flight : Mapping
+        Attempts of the instance by target.
+    shards : tuple of str
+        Shards of targets whose lease it holds.
+    """
+
+    instance: str
+    data_centre: str
+    incarnation: str
+    sequence: int
+    in_flight: Mapping[str, int] = field(default_factory=dict)
+    demand: tuple[ItemDemand, ...] = ()
+    shards: tuple[str, ...] = ()
--- a/src/marjoramstage/state/inventory.py
+++ b/src/marjoramstage/state/inventory.py
@@ -111,12 +111,21 @@
         The most urgent class that a customer may ask for, by customer.
     overnight_deadline_s : float
         Deadline of overnight work that names none, in seconds.
+    loads_per_s : float
+        Model loads that the weight store allows a second, for the deployment.
+    loads_at_once : int
+        Model loads that it serves at once at full speed.
+    adapters_in_transit : int
+        Adapter loads at once that do not slow each other.
     """
 
     max_class: dict[
         Name, Annotated[str, Field(pattern="^(urgent|interactive|overnight)$")]
     ] = Field(default_factory=dict)
     overnight_deadline_s: Rate = 28_800.0
+    loads_per_s: Rate = 2.0
+    loads_at_once: Annotated[int, Field(gt=0)] = 8
+    adapters_in_transit: Annotated[int, Field(gt=0)] = 60
 
 
 @dataclass(frozen=True, config=STRICT)
--- a/src/marjoramstage/transport/callers.py
+++ b/src/marjoramstage/transport/callers.py
@@ -8,50 +8,34 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Protocol
 
 import xxhash
 from aiohttp import web
 
 from marjoramstage.clock import Clock
-from marjoramstage.exceptions import RequestError, TargetError, Verdict
+from marjoramstage.exceptions import RequestError, Verdict
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import Metrics
 from marjoramstage.protocol.events import Dispatch
 from marjoramstage.protocol.messages import (
-    AttemptEnd,
     Request,
     RequestClass,
     TargetKind,
 )
 from marjoramstage.settings import Limits
 from marjoramstage.state.inventory import Customer, Inventory, Service
-from marjoramstage.transport.targets import HttpTargets, TargetCall
+from marjoramstage.transport.relay import HEADER_REQUEST_ID, HEADER_VERDICT, Relay
+from marjoramstage.transport.targets import TargetCall
 
 log = part_logger("callers")
 
 HEADER_CLASS = "X-Request-Class"
 HEADER_DEADLINE = "X-Deadline-Ms"
-HEADER_REQUEST_ID = "X-Request-Id"
-HEADER_VERDICT = "X-Verdict"
 CHARS_PER_TOKEN = 4
 DEFAULT_OUTPUT_TOKENS = 128
 PREFIX_CHARS = 512
 
 
-class Router(Protocol):
-    """Admission and routing as the callers' port uses it."""
-
-    async def submit(self, request: Request) -> Dispatch:
-        """Wait for a target; raise `RequestError` if the request is refused."""
-
-    async def retry(self, request: Request, failed: tuple[str, ...]) -> Dispatch:
-        """Wait for another target after an attempt that has not run."""
-
-    def ended(self, end: AttemptEnd) -> None:
-        """Note the end of an attempt."""
-
-
 @dataclass(frozen=True)
 class EngineBody:
     """The checked body of a completion request.
@@ -82,15 +66,13 @@
 
     def __init__(
         self,
-        router: Router,
-        targets: HttpTargets,
+        relay: Relay,
         inventory: Callable[[], Inventory],
         limits: Limits,
         clock: Clock,
         metrics: Metrics,
     ):
-        self._router = router
-        self._targets = targets
+        self._relay = relay
         self._inventory = inventory
         self._limits = limits
         self._clock = clock
@@ -167,7 +149,7 @@
             repeatable="Idempotency-Key" not in req.headers,
             prefix=xxhash.xxh3_64_intdigest(body.prompt[:PREFIX_CHARS].encode()),
         )
-        return await self._serve(
+        return await self._relay.serve(
             req,
             request,
             lambda dispatch: _engine_call(
@@ -185,7 +167,7 @@
         request = self._request(req, customer, TargetKind.SERVICE, name)
         path = "/" + req.match_info["tail"]
         request = replace(request, repeatable=is_repeatable(service, req.method, path))
-        return await self._serve(
+        return await self._relay.serve(
             req,
             request,
             lambda dispatch: TargetCall(
@@ -236,57 +218,6 @@
     def _time_left(self, request: Request) -> float:
         return max(0.001, request.deadline_s - self._clock.now())
 
-    async def _serve(
-        self,
-        req: web.Request,
-        request: Request,
-        call_for: Callable[[Dispatch], TargetCall],
-    ) -> web.StreamResponse:
-        """Dispatch a request and relay its answer; try again only if not run."""
-        failed: tuple[str, ...] = ()
-        dispatch = await self._router.submit(request)
-        while True:
-            try:
-                return await self._attempt(req, request, dispatch, call_for(dispatch))
-            except TargetError as exc:
-                log.warning(
-                    "attempt failed",
-                    extra={
-                        "request": request.id,
-                        "target": dispatch.target,
-                        "reason": str(exc),
-                        "verdict": exc.verdict.value,
-                    },
-                )
-                if exc.verdict is not Verdict.NOT_RUN:
-                    text = "The target's answer was lost."
-                    raise RequestError(502, "target", text, exc.verdict) from exc
-                failed = (*failed, dispatch.target)
-                dispatch = await self._router.retry(request, failed)
-
-    async def _attempt(
-        self, req: web.Request, request: Request, dispatch: Dispatch, call: TargetCall
-    ) -> web.StreamResponse:
-        verdict, ok = Verdict.MAY_HAVE_RUN, False
-        try:
-            async with self._targets.open(call) as upstream:
-                resp = web.StreamResponse(status=upstream.status)
-                resp.content_type = upstream.content_type
-                resp.headers[HEADER_REQUEST_ID] = request.id
-                resp.headers[HEADER_VERDICT] = Verdict.RAN.value
-                await resp.prepare(req)
-                async for block in upstream.content.iter_any():
-                    await resp.write(block)
-                await resp.write_eof()
-                verdict, ok = Verdict.RAN, True
-                return resp
-        except TargetError as exc:
-            verdict = exc.verdict
-            raise
-        finally:
-            end = AttemptEnd(request, dispatch.target, verdict, ok)
-            self._router.ended(end)
-
 
 def _engine_call(
     req: web.Request,
