--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from marjoramstage.coordination.routing import TargetView
-from marjoramstage.state.ledger import ledger_to_data
+from marjoramstage.state.ledger_data import ledger_to_data
 
 
 def dump_target(view: TargetView) -> dict[str, Any]:
@@ -33,6 +33,8 @@
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
         "queues": scheduler.queue_lengths(),
+        "leases": instance.leasing.dump(),
+        "orders": instance.placing.placer.order_states(),
         "ledgers": {name: ledger_to_data(item) for name, item in ledgers.items()},
         "counters": dict(instance.metrics.counters),
     }
--- /dev/null
+++ b/src/marjoramstage/_instance/leasing.py
@@ -0,0 +1,185 @@
+"""Keeps the leases of this data centre's shards in the platform."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
+from typing import Any
+
+from result import Err, Ok
+
+from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.leases import (
+    TERM_S,
+    LeaseEffect,
+    LeaseKeeper,
+    LeaseRecord,
+    ReadLease,
+    WriteLease,
+)
+from marjoramstage.coordination.shards import rendezvous, shard_names
+from marjoramstage.logs import part_logger
+from marjoramstage.protocol.events import Event, InstanceGone, InstanceLoaded, LeaseLost
+from marjoramstage.protocol.objects import (
+    LEASE,
+    OWN_GROUP,
+    Platform,
+    PlatformFault,
+    PlatformObject,
+)
+
+log = part_logger("leasing")
+
+LEASE_TICK_S = 0.25
+PEER_LIVE_S = 10.0
+LABEL_RENEWALS = f"{OWN_GROUP}/renewals"
+
+
+class LeaseDesk:
+    """The lease keepers of one instance and the calls that they need.
+
+    Parameters
+    ----------
+    post : callable
+        Takes `LeaseHeld` and `LeaseLost`.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        platform: Platform,
+        post: Callable[[Event], None],
+        tasks: TaskGroup,
+        clock: Clock,
+        shards: int = 1,
+    ):
+        self._instance = instance
+        self._data_centre = data_centre
+        self._platform = platform
+        self._post = post
+        self._tasks = tasks
+        self._clock = clock
+        self._peers_s: dict[str, float] = {}
+        identity = f"{instance}/{uuid.uuid4().hex}"
+        names = shard_names(data_centre, shards)
+        self.keepers = {name: LeaseKeeper(name, identity) for name in names}
+
+    def heard(self, event: Event) -> None:
+        """Note which instances of the data centre are alive."""
+        match event:
+            case InstanceLoaded(load) if load.data_centre == self._data_centre:
+                self._peers_s[load.instance] = self._clock.now()
+            case InstanceGone(name):
+                self._peers_s.pop(name, None)
+
+    async def run(self) -> None:
+        """Take and renew leases until cancelled."""
+        while True:
+            for keeper in self.keepers.values():
+                rank = self._rank(keeper.shard)
+                self._perform(keeper, keeper.tick(rank, self._clock.now()))
+            await self._clock.sleep(LEASE_TICK_S)
+
+    async def stop(self) -> None:
+        """Give every lease up, so that a peer can take it at once."""
+        for keeper in self.keepers.values():
+            for effect in keeper.stop(self._clock.now()):
+                if isinstance(effect, WriteLease):
+                    await self._write(keeper, effect.record)
+                elif isinstance(effect, LeaseLost):
+                    self._post(effect)
+
+    def held(self) -> tuple[str, ...]:
+        """Return the shards whose lease is valid now."""
+        now_s = self._clock.now()
+        keepers = self.keepers.values()
+        return tuple(k.shard for k in keepers if now_s < k.valid_until_s)
+
+    def dump(self) -> list[dict[str, Any]]:
+        """Return the state of the leases as JSON data."""
+        now_s = self._clock.now()
+        return [_keeper_to_data(k, now_s) for k in self.keepers.values()]
+
+    def _rank(self, shard: str) -> int:
+        now_s = self._clock.now()
+        live = {n for n, at_s in self._peers_s.items() if now_s - at_s < PEER_LIVE_S}
+        order = rendezvous(shard, sorted(live | {self._instance}))
+        return order.index(self._instance)
+
+    def _perform(self, keeper: LeaseKeeper, effects: list[LeaseEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case ReadLease():
+                    self._tasks.spawn(self._read(keeper))
+                case WriteLease(record):
+                    self._tasks.spawn(self._write(keeper, record))
+                case _:
+                    extra = {"shard": keeper.shard, "state": keeper.state}
+                    if isinstance(effect, LeaseLost):
+                        log.warning("lease lost", extra=extra)
+                    self._post(effect)
+
+    async def _read(self, keeper: LeaseKeeper) -> None:
+        found = await self._platform.get(LEASE, keeper.shard)
+        now_s = self._clock.now()
+        match found:
+            case Ok(obj):
+                effects = keeper.read(_record(obj), now_s)
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                effects = keeper.read(None, now_s)
+            case _:
+                effects = keeper.failed(now_s)
+        self._perform(keeper, effects)
+
+    async def _write(self, keeper: LeaseKeeper, record: LeaseRecord) -> None:
+        obj = _object(record, self._clock.wall())
+        call = self._platform.update if record.version else self._platform.create
+        written = await call(obj)
+        now_s = self._clock.now()
+        match written:
+            case Ok(found):
+                effects = keeper.written(_record(found), now_s)
+            case Err(error) if error.fault in (
+                PlatformFault.CONFLICT,
+                PlatformFault.EXISTS,
+            ):
+                effects = keeper.refused(now_s)
+            case _:
+                effects = keeper.failed(now_s)
+        self._perform(keeper, effects)
+
+
+def _record(obj: PlatformObject) -> LeaseRecord:
+    return LeaseRecord(
+        shard=obj.name,
+        holder=obj.spec.get("holderIdentity") or "",
+        fence=int(obj.spec.get("leaseTransitions", 0)),
+        renewals=int(obj.labels.get(LABEL_RENEWALS, 0)),
+        version=obj.version,
+    )
+
+
+def _object(record: LeaseRecord, wall_s: float) -> PlatformObject:
+    renewed = datetime.fromtimestamp(wall_s, UTC).isoformat(timespec="microseconds")
+    spec = {
+        "holderIdentity": record.holder,
+        "leaseDurationSeconds": int(TERM_S),
+        "leaseTransitions": record.fence,
+        "renewTime": renewed,
+    }
+    labels = {LABEL_RENEWALS: str(record.renewals)}
+    return PlatformObject(LEASE, record.shard, spec, record.version, labels)
+
+
+def _keeper_to_data(keeper: LeaseKeeper, now_s: float) -> Mapping[str, Any]:
+    return {
+        "shard": keeper.shard,
+        "state": keeper.state,
+        "holder": keeper.record.holder if keeper.record else "",
+        "fence": keeper.fence,
+        "valid_for_s": round(max(0.0, keeper.valid_until_s - now_s), 3),
+        "frozen": keeper.valid_until_s <= now_s,
+    }
--- a/src/marjoramstage/_instance/placing.py
+++ b/src/marjoramstage/_instance/placing.py
@@ -19,14 +19,15 @@
     SendOrder,
     WriteLedger,
 )
-from marjoramstage.protocol.messages import Order
+from marjoramstage.protocol.messages import Order, OrderAnswer, OrderOutcome
 from marjoramstage.protocol.objects import (
     LEDGER,
     Platform,
     PlatformFault,
     PlatformObject,
 )
-from marjoramstage.state.ledger import Ledger, ledger_from_data, ledger_to_data
+from marjoramstage.state.ledger import Ledger
+from marjoramstage.state.ledger_data import ledger_from_data, ledger_to_data
 from marjoramstage.transport.targets import HttpTargets
 
 log = part_logger("placing")
@@ -49,6 +50,7 @@
         self._platform = platform
         self._targets = targets
         self._tasks = tasks
+        self._clock = clock
         self._mailbox = Mailbox(placer, self._perform, clock)
 
     def post(self, event: Event) -> None:
@@ -94,6 +96,10 @@
                 self.post(LedgerWriteFailed(ledger.target))
 
     async def _send_order(self, order: Order, address: str) -> None:
+        if not self.placer.may_order(order.target, self._clock.now()):
+            answer = OrderAnswer(order, OrderOutcome.REFUSED, "lease ended")
+            self.post(OrderEnded(answer))
+            return
         answer = await self._targets.send_order(address, order, ORDER_TIMEOUT_S)
         extra = {
             "target": order.target,
--- /dev/null
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -0,0 +1,143 @@
+"""Targets for the models that are held nowhere.
+
+Every holder of a lease computes the same assignment from much the same view,
+so that each missing model is loaded by one of them and none has to ask. When
+views differ for a moment, the worst that follows is one copy too many.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sortedcontainers import SortedDict
+
+from marjoramstage.coordination._eviction import Evictions
+from marjoramstage.coordination._wanted import Wanted, WantedItem
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.inventory import Inventory
+from marjoramstage.state.residency import Residency
+
+GRACE_S = 10.0
+MODELS_PER_PLAN = 64
+EVICTIONS_PER_PLAN = 2
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """Where a missing model is to be loaded, and since when."""
+
+    target: str
+    memory_mb: int
+    since_s: float
+
+
+class Assignments:
+    """Missing models, the largest first, and the targets chosen for them."""
+
+    def __init__(self, data_centre: str, residency: Residency, demand: Demand):
+        self._data_centre = data_centre
+        self._residency = residency
+        self._wanted = Wanted(Inventory())
+        self._evictions = Evictions(residency, demand)
+        self._missing: SortedDict = SortedDict()
+        self._chosen: dict[Item, Assignment] = {}
+        self._promised_mb: dict[str, int] = {}
+
+    @property
+    def waiting(self) -> bool:
+        """Whether some model is held nowhere."""
+        return bool(self._missing)
+
+    def accepted(self, wanted: Wanted) -> None:
+        """Take in a new inventory; items that changed are looked at later."""
+        for item, known in self._wanted.models.items():
+            if wanted.models.get(item) != known:
+                self._found(item)
+        self._wanted = wanted
+        self._evictions.accepted(wanted)
+
+    def holders_changed(self, item: Item) -> None:
+        """Look again at a wanted model that a target gained or lost."""
+        wanted = self._wanted.models[item]
+        if self._residency.holders(item):
+            self._found(item)
+            return
+        self._missing[-wanted.memory_mb, item] = wanted
+
+    def plan(self, now_s: float) -> Iterator[tuple[str, WantedItem, list[Item]]]:
+        """Give own targets for missing models, with what has to go first."""
+        evictions = EVICTIONS_PER_PLAN
+        for wanted in list(self._missing.values()[:MODELS_PER_PLAN]):
+            chosen = self._choice(wanted, now_s)
+            evicted: list[Item] = []
+            if chosen is None and evictions > 0:
+                evictions -= 1
+                room = self._evictions.room_for(wanted, now_s)
+                if room is None:
+                    continue
+                chosen, evicted = room
+                self._choose(wanted, chosen, now_s)
+            if chosen is None:
+                continue
+            space = self._residency.spaces[chosen]
+            if space.data_centre != self._data_centre:
+                continue
+            if not evicted and space.free_mb < wanted.memory_mb:
+                continue
+            yield chosen, wanted, evicted
+
+    def _choice(self, wanted: WantedItem, now_s: float) -> str | None:
+        """Return the target chosen before, or choose one with free memory."""
+        chosen = self._chosen.get(wanted.item)
+        elsewhere = True
+        if chosen is not None:
+            space = self._residency.spaces.get(chosen.target)
+            fits = space is not None and space.open
+            fits = fits and space.free_mb + space.coming_mb >= wanted.memory_mb
+            late = now_s - chosen.since_s >= GRACE_S
+            if fits and not late:
+                return chosen.target
+            elsewhere = not late
+            self._release(wanted.item)
+        target = self._most_free(wanted.memory_mb, elsewhere)
+        if target is None and not elsewhere:
+            target = self._most_free(wanted.memory_mb, True)
+        if target is not None:
+            self._choose(wanted, target, now_s)
+        return target
+
+    def _most_free(self, memory_mb: int, elsewhere: bool) -> str | None:
+        """Return the target with the most memory that is not promised."""
+        best, best_mb = None, memory_mb - 1
+        for free_mb, name in reversed(self._residency.by_free()):
+            if free_mb <= best_mb:
+                break
+            space = self._residency.spaces[name]
+            if not elsewhere and space.data_centre != self._data_centre:
+                continue
+            left_mb = free_mb - self._promised_mb.get(name, 0)
+            if left_mb > best_mb:
+                best, best_mb = name, left_mb
+        return best
+
+    def _choose(self, wanted: WantedItem, target: str, now_s: float) -> None:
+        self._release(wanted.item)
+        self._chosen[wanted.item] = Assignment(target, wanted.memory_mb, now_s)
+        promised_mb = self._promised_mb.get(target, 0) + wanted.memory_mb
+        self._promised_mb[target] = promised_mb
+
+    def _release(self, item: Item) -> None:
+        chosen = self._chosen.pop(item, None)
+        if chosen is None:
+            return
+        left_mb = self._promised_mb[chosen.target] - chosen.memory_mb
+        if left_mb > 0:
+            self._promised_mb[chosen.target] = left_mb
+        else:
+            del self._promised_mb[chosen.target]
+
+    def _found(self, item: Item) -> None:
+        self._release(item)
+        self._missing.pop((-self._wanted.models[item].memory_mb, item), None)
--- /dev/null
+++ b/src/marjoramstage/coordination/_eviction.py
@@ -0,0 +1,101 @@
+"""What has to leave a target so that a model fits."""
+
+from __future__ import annotations
+
+from marjoramstage.coordination._wanted import Wanted, WantedItem
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.inventory import Inventory
+from marjoramstage.state.residency import Residency, TargetSpace
+
+
+class Evictions:
+    """Values of residents, and the cheapest set of them to give up."""
+
+    def __init__(self, residency: Residency, demand: Demand):
+        self._residency = residency
+        self._demand = demand
+        self._wanted = Wanted(Inventory())
+
+    def accepted(self, wanted: Wanted) -> None:
+        """Take in a new inventory."""
+        self._wanted = wanted
+
+    def load_of(self, item: Item, now_s: float) -> float:
+        """Return the predicted demand for a model, in requests at once."""
+        wanted = self._wanted.models.get(item)
+        if wanted is None:
+            return 0.0
+        running = self._demand.tokens_per_s(item, now_s) / wanted.decode_tokens_per_s
+        return running + self._demand.waiting(item)
+
+    def room_for(
+        self, wanted: WantedItem, now_s: float
+    ) -> tuple[str, list[Item]] | None:
+        """Return the target where room costs least, and what has to go there.
+
+        Only copies that another target holds ready are given up.
+        """
+        best = None
+        for space in self._residency.spaces.values():
+            if not space.open or wanted.item in space.items:
+                continue
+            found = self.victims(space, wanted.memory_mb, now_s)
+            if found is None:
+                continue
+            cost, items = found
+            if best is None or (cost, space.target) < best[:2]:
+                best = (cost, space.target, items)
+        return None if best is None else best[1:]
+
+    def victims(
+        self, space: TargetSpace, needed_mb: int, now_s: float
+    ) -> tuple[float, list[Item]] | None:
+        """Return the lost value and the items to unload, or None."""
+        missing_mb = needed_mb - space.free_mb - space.coming_mb
+        if missing_mb <= 0:
+            return 0.0, []
+        options = []
+        for item in space.ready:
+            value = self._value(space, item, now_s)
+            if value is not None:
+                options.append((value, item))
+        cost, chosen = 0.0, []
+        for value, item in sorted(options):
+            if missing_mb <= 0:
+                break
+            group = self._with_adapters(space, item, chosen)
+            missing_mb -= sum(space.items[member] for member in group)
+            chosen += group
+            cost += value
+        return (cost, chosen) if missing_mb <= 0 else None
+
+    def _value(self, space: TargetSpace, item: Item, now_s: float) -> float | None:
+        """Return what giving up this copy loses; None if it has to stay."""
+        if self._wanted.get(item) is None:
+            successor = self._wanted.successor(item)
+            if successor is None or self._residency.ready_at(successor):
+                return 0.0
+            return None
+        if item in self._wanted.adapters:
+            base = self._wanted.adapters[item].base
+            if base in space.items:
+                return None
+            return 0.0
+        others = len(self._residency.ready_at(item) - {space.target})
+        if others == 0:
+            return None
+        return self.load_of(item, now_s) / others
+
+    def _with_adapters(
+        self, space: TargetSpace, item: Item, chosen: list[Item]
+    ) -> list[Item]:
+        """Return the item and the adapters there that only work with it."""
+        group = [] if item in chosen else [item]
+        for other in space.ready:
+            adapter = self._wanted.adapters.get(other)
+            if adapter is None or other in chosen or other == item:
+                continue
+            if adapter.base == item:
+                group.append(other)
+        return group
--- /dev/null
+++ b/src/marjoramstage/coordination/_planning.py
@@ -0,0 +1,237 @@
+"""The moves that placement wants next, one at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from marjoramstage.coordination._assignment import Assignments
+from marjoramstage.coordination._replicas import Replicas
+from marjoramstage.coordination._wanted import Wanted, WantedItem
+from marjoramstage.coordination.adapters import adapters_to_evict
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.coordination.moves import LoadBudget
+from marjoramstage.coordination.shards import rendezvous
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.inventory import Inventory
+from marjoramstage.state.residency import Residency
+
+SETTLE_S = 1.0
+ASK_S = 5.0
+OBSOLETE_S = 30.0
+ADAPTERS_PER_PLAN = 64
+
+CanChange = Callable[[str], bool]
+
+
+@dataclass(frozen=True)
+class Move:
+    """One load or one unload on an own target."""
+
+    target: str
+    load: WantedItem | None = None
+    unload: Item | None = None
+
+
+class Planner:
+    """Chooses moves from what is wanted, where it is and what is asked for.
+
+    It keeps only what changed since the last plan, so that a plan costs time
+    in proportion to the change.
+    """
+
+    def __init__(self, data_centre: str, residency: Residency, demand: Demand):
+        self._data_centre = data_centre
+        self._residency = residency
+        self._demand = demand
+        self._wanted = Wanted(Inventory())
+        self._budget = LoadBudget()
+        self._assignments = Assignments(data_centre, residency, demand)
+        self._replicas = Replicas(data_centre, residency, demand)
+        self._missing_adapters: dict[Item, None] = {}
+        self._asked: dict[tuple[str, Item], float] = {}
+        self._unwanted: set[Item] = set()
+        self._obsolete_s: dict[Item, float] = {}
+        self._settled_at_s = 0.0
+
+    def accepted(self, wanted: Wanted, now_s: float) -> None:
+        """Take in a new inventory."""
+        known, self._wanted = self._wanted, wanted
+        self._assignments.accepted(wanted)
+        self._replicas.accepted(wanted)
+        self._settled_at_s = now_s + SETTLE_S
+        self._share_budget()
+        self.holders_changed(_differences(known, wanted))
+        self._unwanted.update(self._residency.items() - wanted.items())
+
+    def fleet_changed(self, now_s: float) -> None:
+        """Wait a moment: a target was heard of for the first time."""
+        self._settled_at_s = now_s + SETTLE_S
+
+    def holders_changed(self, items: set[Item]) -> None:
+        """Look again at items that a target gained or lost."""
+        for item in items:
+            if item in self._wanted.models:
+                self._assignments.holders_changed(item)
+                self._replicas.look_at(item)
+            elif item in self._wanted.adapters:
+                if self._residency.holders(item):
+                    self._missing_adapters.pop(item, None)
+                else:
+                    self._missing_adapters[item] = None
+            else:
+                self._missing_adapters.pop(item, None)
+                self._unwanted.add(item)
+
+    def demand_changed(self, items: set[Item]) -> None:
+        """Look again at items whose demand changed."""
+        for item in items:
+            if item in self._wanted.models:
+                self._replicas.look_at(item)
+
+    def adapter_asked(self, target: str, item: Item, now_s: float) -> None:
+        """Note that an instance wants an adapter on a target."""
+        self._asked.setdefault((target, item), now_s)
+
+    def plan(
+        self, loading: list[Item], can_change: CanChange, now_s: float
+    ) -> Iterator[Move]:
+        """Give moves; each has to be carried out before the next is asked for.
+
+        Parameters
+        ----------
+        loading : list of Item
+            Items that are on their way into own targets.
+        can_change : callable
+            Whether the ledger of a target can be changed now.
+        """
+        self._budget.advance(now_s)
+        models = sum(item in self._wanted.models for item in loading)
+        adapters = len(loading) - models
+        if now_s >= self._settled_at_s:
+            self._share_budget()
+            yield from self._model_moves(models, can_change, now_s)
+            yield from self._obsolete_moves(can_change, now_s)
+        yield from self._adapter_moves(adapters, can_change, now_s)
+
+    def _model_moves(
+        self, loading: int, can_change: CanChange, now_s: float
+    ) -> Iterator[Move]:
+        for target, wanted, evicted in self._assignments.plan(now_s):
+            if not can_change(target):
+                continue
+            for item in evicted:
+                yield Move(target, unload=item)
+            if evicted or not self._budget.may_load(loading):
+                continue
+            yield Move(target, load=wanted)
+            self._budget.model_load_begun()
+            loading += 1
+        if self._assignments.waiting or not self._budget.may_load(loading):
+            return
+        for target, wanted, evicted in self._replicas.plan(now_s):
+            if not can_change(target):
+                continue
+            for item in evicted:
+                yield Move(target, unload=item)
+            if evicted:
+                continue
+            yield Move(target, load=wanted)
+            self._budget.model_load_begun()
+            loading += 1
+            if not self._budget.may_load(loading):
+                return
+
+    def _obsolete_moves(self, can_change: CanChange, now_s: float) -> Iterator[Move]:
+        """Unload what is no longer wanted, after its successor can serve."""
+        if not self._wanted.models:
+            return
+        for item in self._unwanted:
+            self._obsolete_s.setdefault(item, now_s)
+        self._unwanted.clear()
+        for item, since_s in list(self._obsolete_s.items()):
+            if self._wanted.get(item) is not None:
+                del self._obsolete_s[item]
+                continue
+            successor = self._wanted.successor(item)
+            ready = successor is None or self._residency.ready_at(successor)
+            if now_s - since_s < OBSOLETE_S or not ready:
+                continue
+            held = self._residency.holders(item)
+            if not held:
+                del self._obsolete_s[item]
+                continue
+            for target in sorted(held):
+                if self._is_own(target) and can_change(target):
+                    yield Move(target, unload=item)
+
+    def _adapter_moves(
+        self, loading: int, can_change: CanChange, now_s: float
+    ) -> Iterator[Move]:
+        for (target, item), since_s in list(self._asked.items()):
+            if not self._budget.may_load_adapter(loading):
+                return
+            if now_s - since_s > ASK_S or not self._may_hold(target, item):
+                del self._asked[target, item]
+                continue
+            if not can_change(target):
+                continue
+            for move in self._adapter_onto(target, item, now_s):
+                yield move
+                loading += move.load is not None
+        for item in list(self._missing_adapters)[:ADAPTERS_PER_PLAN]:
+            if not self._budget.may_load_adapter(loading):
+                return
+            del self._missing_adapters[item]
+            self._missing_adapters[item] = None
+            target = self._adapter_target(item)
+            if target is None or not can_change(target):
+                continue
+            yield Move(target, load=self._wanted.adapters[item])
+            loading += 1
+
+    def _adapter_onto(self, target: str, item: Item, now_s: float) -> Iterator[Move]:
+        """Load an adapter that was asked for, or make room for it first."""
+        space = self._residency.spaces[target]
+        wanted = self._wanted.adapters[item]
+        if space.free_mb >= wanted.memory_mb:
+            del self._asked[target, item]
+            yield Move(target, load=wanted)
+            return
+        evicted = adapters_to_evict(
+            space, wanted.memory_mb, self._wanted, self._demand, now_s
+        )
+        for victim in evicted or ():
+            yield Move(target, unload=victim)
+
+    def _may_hold(self, target: str, item: Item) -> bool:
+        """Whether an adapter can be loaded on a target, room aside."""
+        space = self._residency.spaces.get(target)
+        wanted = self._wanted.adapters.get(item)
+        if space is None or wanted is None or not space.open:
+            return False
+        return item not in space.items and wanted.base in space.ready
+
+    def _adapter_target(self, item: Item) -> str | None:
+        """Return the own target for an adapter that is held nowhere."""
+        wanted = self._wanted.adapters[item]
+        for target in rendezvous(
+            str(item), sorted(self._residency.ready_at(wanted.base))
+        ):
+            if self._residency.spaces[target].free_mb >= wanted.memory_mb:
+                return target if self._is_own(target) else None
+        return None
+
+    def _is_own(self, target: str) -> bool:
+        return self._residency.spaces[target].data_centre == self._data_centre
+
+    def _share_budget(self) -> None:
+        spaces = self._residency.spaces.values()
+        data_centres = {space.data_centre for space in spaces}
+        self._budget.share(self._wanted.rules, len(data_centres))
+
+
+def _differences(known: Wanted, wanted: Wanted) -> set[Item]:
+    """Return the items that are new, no longer wanted or wanted otherwise."""
+    items = known.items() | wanted.items()
+    return {item for item in items if known.get(item) != wanted.get(item)}
--- /dev/null
+++ b/src/marjoramstage/coordination/_replicas.py
@@ -0,0 +1,106 @@
+"""Further copies of models in demand, where they win back their cost."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from marjoramstage.coordination._eviction import Evictions
+from marjoramstage.coordination._wanted import Wanted, WantedItem
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.inventory import Inventory
+from marjoramstage.state.residency import Residency
+
+MODELS_PER_PLAN = 64
+SECOND_COPY_AT = 0.2
+MORE_COPIES_AT = 4.0
+SWAP_AT = 6.0
+SWAP_GAIN = 3.0
+SWAP_AGAIN_S = 30.0
+FREE_SHARE = 0.05
+
+
+class Replicas:
+    """Chooses further copies of models, and what may be given up for them."""
+
+    def __init__(self, data_centre: str, residency: Residency, demand: Demand):
+        self._data_centre = data_centre
+        self._residency = residency
+        self._wanted = Wanted(Inventory())
+        self._evictions = Evictions(residency, demand)
+        self._changed: dict[Item, None] = {}
+        self._swapped_s: dict[str, float] = {}
+
+    def accepted(self, wanted: Wanted) -> None:
+        """Take in a new inventory."""
+        self._wanted = wanted
+        self._evictions.accepted(wanted)
+
+    def look_at(self, item: Item) -> None:
+        """Consider a model in the next plans."""
+        self._changed[item] = None
+
+    def plan(self, now_s: float) -> Iterator[tuple[str, WantedItem, list[Item]]]:
+        """Give own targets for further copies, the most needed first."""
+        loads = []
+        for item in list(self._changed)[:MODELS_PER_PLAN]:
+            del self._changed[item]
+            wanted = self._wanted.models.get(item)
+            copies = len(self._residency.holders(item))
+            if wanted is None or copies == 0:
+                continue
+            load = self._evictions.load_of(item, now_s) / copies
+            if load >= (SECOND_COPY_AT if copies == 1 else MORE_COPIES_AT):
+                loads.append((load, item))
+        for load, item in sorted(loads, reverse=True):
+            self._changed[item] = None
+            found = self._target_for(self._wanted.models[item], load, now_s)
+            if found is not None:
+                yield found
+
+    def _target_for(
+        self, wanted: WantedItem, load: float, now_s: float
+    ) -> tuple[str, WantedItem, list[Item]] | None:
+        target = self._free_target(wanted)
+        if target is not None:
+            if not self._is_own(target):
+                return None
+            return target, wanted, []
+        if load < SWAP_AT:
+            return None
+        return self._swap(wanted, load, now_s)
+
+    def _free_target(self, wanted: WantedItem) -> str | None:
+        """Return the target with the most free memory that lacks the model."""
+        for free_mb, name in reversed(self._residency.by_free()):
+            if free_mb < wanted.memory_mb:
+                return None
+            space = self._residency.spaces[name]
+            if wanted.item in space.items:
+                continue
+            if free_mb - wanted.memory_mb >= space.capacity_mb * FREE_SHARE:
+                return name
+        return None
+
+    def _swap(
+        self, wanted: WantedItem, load: float, now_s: float
+    ) -> tuple[str, WantedItem, list[Item]] | None:
+        """Give up copies that are worth much less, on a target not just used."""
+        room = self._evictions.room_for(wanted, now_s)
+        if room is None or not self._is_own(room[0]):
+            return None
+        target, evicted = room
+        if now_s - self._swapped_s.get(target, -SWAP_AGAIN_S) < SWAP_AGAIN_S:
+            return None
+        lost = sum(
+            self._evictions.load_of(item, now_s)
+            for item in evicted
+            if item in self._wanted.models
+        )
+        if load < SWAP_GAIN * lost:
+            return None
+        self._swapped_s[target] = now_s
+        return target, wanted, evicted
+
+    def _is_own(self, target: str) -> bool:
+        return self._residency.spaces[target].data_centre == self._data_centre
--- /dev/null
+++ b/src/marjoramstage/coordination/_spaces.py
@@ -0,0 +1,55 @@
+"""Spaces of targets, from own ledgers and from reports of the others."""
+
+from __future__ import annotations
+
+from marjoramstage.protocol.messages import ResidentState, Target, TargetReport
+from marjoramstage.state.ledger import EntryState, Ledger
+from marjoramstage.state.residency import TargetSpace
+
+
+def own_space(target: Target, report: TargetReport, ledger: Ledger) -> TargetSpace:
+    """Return the space of a target whose ledger this instance keeps."""
+    items = {
+        entry.item: entry.memory_mb
+        for entry in ledger.entries.values()
+        if entry.state is not EntryState.REMOVING
+    }
+    return TargetSpace(
+        target=target.name,
+        data_centre=target.data_centre,
+        capacity_mb=ledger.capacity_mb,
+        free_mb=ledger.free_mb,
+        slots=report.slots,
+        items=items,
+        ready=_ready(report) & items.keys(),
+        coming_mb=ledger.removing_mb,
+        open=not target.leaving and ledger.incarnation == report.incarnation,
+    )
+
+
+def foreign_space(target: Target, report: TargetReport) -> TargetSpace:
+    """Return the space of a target as it reports it."""
+    items = {
+        resident.item: resident.memory_mb
+        for resident in report.residents
+        if resident.state is not ResidentState.UNLOADING
+    }
+    used_mb = sum(resident.memory_mb for resident in report.residents)
+    return TargetSpace(
+        target=target.name,
+        data_centre=target.data_centre,
+        capacity_mb=report.memory_mb,
+        free_mb=report.memory_mb - used_mb,
+        slots=report.slots,
+        items=items,
+        ready=_ready(report),
+        open=not target.leaving,
+    )
+
+
+def _ready(report: TargetReport) -> frozenset:
+    return frozenset(
+        resident.item
+        for resident in report.residents
+        if resident.state is ResidentState.READY
+    )
--- /dev/null
+++ b/src/marjoramstage/coordination/_wanted.py
@@ -0,0 +1,106 @@
+"""What the accepted inventory asks to be resident."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.inventory import Adapter, Inventory, Model
+
+
+@dataclass(frozen=True)
+class WantedItem:
+    """A model or an adapter that has to stay reachable.
+
+    Attributes
+    ----------
+    base : Item or None
+        The model under an adapter.
+    payers : frozenset of str
+        Customers that paid for it.
+    decode_tokens_per_s : float
+        Speed of one request; 0 for an adapter.
+    """
+
+    item: Item
+    memory_mb: int
+    base: Item | None = None
+    payers: frozenset[str] = frozenset()
+    decode_tokens_per_s: float = 0.0
+
+
+class Wanted:
+    """The wanted items of one inventory, indexed.
+
+    A model is wanted if a customer paid for it or for an adapter on it; in an
+    inventory without customers everything is.
+    """
+
+    def __init__(self, inventory: Inventory):
+        self.rules = inventory.rules
+        self._weights = {c.name: c.weight for c in inventory.customers}
+        self.models: dict[Item, WantedItem] = {}
+        self.adapters: dict[Item, WantedItem] = {}
+        self.adapters_of: dict[Item, list[WantedItem]] = {}
+        payers = _payers(inventory)
+        everything = not inventory.customers
+        for adapter in inventory.adapters:
+            if everything or adapter.name in payers:
+                self._add_adapter(inventory, adapter, payers)
+        needed = {wanted.base for wanted in self.adapters.values()}
+        for model in inventory.models:
+            item = model_item(model)
+            if everything or model.name in payers or item in needed:
+                self._add_model(model, payers)
+        self._by_name = {item.name: item for item in (*self.models, *self.adapters)}
+
+    def get(self, item: Item) -> WantedItem | None:
+        """Return what is wanted of ``item``, or None if it is not wanted."""
+        return self.models.get(item) or self.adapters.get(item)
+
+    def items(self) -> set[Item]:
+        """Return every wanted item."""
+        return {*self.models, *self.adapters}
+
+    def weight(self, customer: str) -> float:
+        """Return the share of a customer in the fairness between customers."""
+        return self._weights.get(customer, 1.0)
+
+    def successor(self, item: Item) -> Item | None:
+        """Return the wanted version of a name."""
+        return self._by_name.get(item.name)
+
+    def _add_model(self, model: Model, payers: dict[str, frozenset[str]]) -> None:
+        item = model_item(model)
+        self.models[item] = WantedItem(
+            item,
+            model.memory_mb,
+            payers=payers.get(model.name, frozenset()),
+            decode_tokens_per_s=model.decode_tokens_per_s,
+        )
+
+    def _add_adapter(
+        self,
+        inventory: Inventory,
+        adapter: Adapter,
+        payers: dict[str, frozenset[str]],
+    ) -> None:
+        base = model_item(inventory.model_by_name[adapter.model])
+        item = Item(adapter.name, adapter.version)
+        paid = payers.get(adapter.name, frozenset())
+        wanted = WantedItem(item, adapter.memory_mb, base, paid)
+        self.adapters[item] = wanted
+        self.adapters_of.setdefault(base, []).append(wanted)
+
+
+def model_item(model: Model) -> Item:
+    """Return the item that is resident for a model."""
+    return Item(model.name, model.version)
+
+
+def _payers(inventory: Inventory) -> dict[str, frozenset[str]]:
+    payers: dict[str, set[str]] = {}
+    for customer in inventory.customers:
+        for name in customer.paid:
+            payers.setdefault(name, set()).add(customer.name)
+    return {name: frozenset(found) for name, found in payers.items()}
--- /dev/null
+++ b/src/marjoramstage/coordination/adapters.py
@@ -0,0 +1,65 @@
+"""Which adapters give way when one more is needed on a target."""
+
+from __future__ import annotations
+
+from marjoramstage.coordination._wanted import Wanted
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.protocol.messages import Item
+from marjoramstage.state.residency import TargetSpace
+
+KEEP_S = 5.0
+
+
+def customer_memory(space: TargetSpace, wanted: Wanted) -> dict[str, float]:
+    """Return the adapter memory by customer, in MB over the customer's weight.
+
+    An adapter that several customers paid for counts to each in part.
+    """
+    shares: dict[str, float] = {}
+    for item, memory_mb in space.items.items():
+        adapter = wanted.adapters.get(item)
+        if adapter is None or not adapter.payers:
+            continue
+        for name in adapter.payers:
+            part = memory_mb / len(adapter.payers) / wanted.weight(name)
+            shares[name] = shares.get(name, 0.0) + part
+    return shares
+
+
+def adapters_to_evict(
+    space: TargetSpace,
+    needed_mb: int,
+    wanted: Wanted,
+    demand: Demand,
+    now_s: float,
+) -> list[Item] | None:
+    """Return adapters of the target to unload for ``needed_mb``, or None.
+
+    Adapters that nobody wants go first; then those of the customer that holds
+    the most for its weight, the least recently used of them first. What was
+    used within `KEEP_S` stays.
+    """
+    shares = customer_memory(space, wanted)
+
+    def preference(item: Item) -> tuple[float, float, Item]:
+        adapter = wanted.adapters.get(item)
+        if adapter is None:
+            return (float("-inf"), demand.used_s(item), item)
+        share = max((shares[name] for name in adapter.payers), default=0.0)
+        return (-share, demand.used_s(item), item)
+
+    candidates = [
+        item
+        for item in space.ready
+        if item not in wanted.models
+        and item in wanted.adapters
+        and now_s - demand.used_s(item) >= KEEP_S
+    ]
+    missing_mb = needed_mb - space.free_mb - space.coming_mb
+    chosen: list[Item] = []
+    for item in sorted(candidates, key=preference):
+        if missing_mb <= 0:
+            break
+        chosen.append(item)
+        missing_mb -= space.items[item]
+    return chosen if missing_mb <= 0 else None
--- /dev/null
+++ b/src/marjoramstage/coordination/demand.py
@@ -0,0 +1,142 @@
+"""Demand for models and adapters, from what the instances tell."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
+
+FAST_S = 15.0
+SLOW_S = 180.0
+
+
+@dataclass
+class ItemRate:
+    """Arrival rates of one item, decayed up to ``at_s``.
+
+    Attributes
+    ----------
+    fast, slow : float
+        Tokens a second over `FAST_S` and `SLOW_S`.
+    fast_requests, slow_requests : float
+        Requests a second over the same times.
+    """
+
+    at_s: float
+    fast: float = 0.0
+    slow: float = 0.0
+    fast_requests: float = 0.0
+    slow_requests: float = 0.0
+
+    def advance(self, now_s: float) -> None:
+        """Decay up to ``now_s``."""
+        passed_s = max(0.0, now_s - self.at_s)
+        fast = math.exp(-passed_s / FAST_S)
+        slow = math.exp(-passed_s / SLOW_S)
+        self.fast *= fast
+        self.fast_requests *= fast
+        self.slow *= slow
+        self.slow_requests *= slow
+        self.at_s = max(self.at_s, now_s)
+
+    def add(self, requests: int, tokens: int) -> None:
+        """Take in arrivals."""
+        self.fast += tokens / FAST_S
+        self.fast_requests += requests / FAST_S
+        self.slow += tokens / SLOW_S
+        self.slow_requests += requests / SLOW_S
+
+
+@dataclass
+class _Seen:
+    """The latest message of one instance."""
+
+    incarnation: str
+    sequence: int
+    counted: dict[Item, ItemDemand]
+
+
+class Demand:
+    """Rates by item over all instances that are heard."""
+
+    def __init__(self):
+        self._seen: dict[str, _Seen] = {}
+        self._rates: dict[Item, ItemRate] = {}
+        self._waiting: dict[Item, int] = {}
+        self._used_s: dict[Item, float] = {}
+
+    def loaded(self, load: InstanceLoad, now_s: float) -> set[Item]:
+        """Take in a message; return the items whose demand it changed."""
+        seen = self._seen.get(load.instance)
+        if seen is None or seen.incarnation != load.incarnation:
+            self.gone(load.instance)
+            seen = _Seen(load.incarnation, -1, {})
+            self._seen[load.instance] = seen
+        if load.sequence <= seen.sequence:
+            return set()
+        seen.sequence = load.sequence
+        changed = set()
+        for demand in load.demand:
+            known = seen.counted.get(demand.item)
+            if demand == known:
+                continue
+            seen.counted[demand.item] = demand
+            self._count(demand, known, now_s)
+            changed.add(demand.item)
+        return changed
+
+    def gone(self, instance: str) -> None:
+        """Forget the queue of an instance that ended."""
+        seen = self._seen.pop(instance, None)
+        if seen is None:
+            return
+        for demand in seen.counted.values():
+            self._wait(demand.item, -demand.waiting)
+
+    def requests_per_s(self, item: Item, now_s: float) -> float:
+        """Return the predicted arrivals a second."""
+        rate = self._rate(item, now_s)
+        return 0.0 if rate is None else max(rate.fast_requests, rate.slow_requests)
+
+    def tokens_per_s(self, item: Item, now_s: float) -> float:
+        """Return the predicted tokens a second."""
+        rate = self._rate(item, now_s)
+        return 0.0 if rate is None else max(rate.fast, rate.slow)
+
+    def waiting(self, item: Item) -> int:
+        """Return the requests that wait for the item, over all instances."""
+        return self._waiting.get(item, 0)
+
+    def used_s(self, item: Item) -> float:
+        """Return when the item was last asked for; -inf for never."""
+        return self._used_s.get(item, -math.inf)
+
+    def _rate(self, item: Item, now_s: float) -> ItemRate | None:
+        rate = self._rates.get(item)
+        if rate is not None:
+            rate.advance(now_s)
+        return rate
+
+    def _count(
+        self, demand: ItemDemand, known: ItemDemand | None, now_s: float
+    ) -> None:
+        known = known or ItemDemand(demand.item, 0, 0)
+        self._wait(demand.item, demand.waiting - known.waiting)
+        requests = max(0, demand.requests - known.requests)
+        tokens = max(0, demand.tokens - known.tokens)
+        if requests == 0 and tokens == 0:
+            return
+        rate = self._rate(demand.item, now_s)
+        if rate is None:
+            rate = ItemRate(now_s)
+            self._rates[demand.item] = rate
+        rate.add(requests, tokens)
+        self._used_s[demand.item] = now_s
+
+    def _wait(self, item: Item, change: int) -> None:
+        waiting = self._waiting.get(item, 0) + change
+        if waiting > 0:
+            self._waiting[item] = waiting
+        else:
+            self._waiting.pop(item, None)
--- /dev/null
+++ b/src/marjoramstage/coordination/leases.py
@@ -0,0 +1,251 @@
+"""The lease of a shard of targets, kept by conditional updates."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from transitions import Machine
+
+from marjoramstage.protocol.events import LeaseHeld, LeaseLost
+
+TERM_S = 9.0
+RENEW_S = 3.0
+CLOCK_MARGIN_S = 0.5
+STAGGER_S = 1.0
+READ_AGAIN_S = 1.0
+CLOSE_RANKS = 3
+FAR_READ_S = 30.0
+
+WATCHING = "watching"
+TAKING = "taking"
+HOLDING = "holding"
+RELEASED = "released"
+
+STATES = [WATCHING, TAKING, HOLDING, RELEASED]
+TRANSITIONS = [
+    {"trigger": "take", "source": WATCHING, "dest": TAKING},
+    {"trigger": "win", "source": TAKING, "dest": HOLDING},
+    {"trigger": "miss", "source": TAKING, "dest": WATCHING},
+    {"trigger": "lapse", "source": HOLDING, "dest": WATCHING},
+    {"trigger": "displace", "source": HOLDING, "dest": WATCHING},
+    {"trigger": "release", "source": [WATCHING, TAKING, HOLDING], "dest": RELEASED},
+]
+
+
+@dataclass(frozen=True)
+class LeaseRecord:
+    """A lease as the platform holds it.
+
+    Attributes
+    ----------
+    holder : str
+        Identity of the holding process; empty when it was given up.
+    fence : int
+        Rises with each change of holder.
+    renewals : int
+        Rises with each write of one holding; tells a write whose answer was
+        lost from the one before it.
+    version : str
+        Resource version; empty before the first write.
+    """
+
+    shard: str
+    holder: str
+    fence: int
+    renewals: int = 0
+    version: str = ""
+
+
+@dataclass(frozen=True)
+class ReadLease:
+    """Read the lease of a shard."""
+
+    shard: str
+
+
+@dataclass(frozen=True)
+class WriteLease:
+    """Write a lease by conditional update, or creation without a version."""
+
+    record: LeaseRecord
+
+
+LeaseEffect = ReadLease | WriteLease | LeaseHeld | LeaseLost
+
+
+class LeaseKeeper:
+    """One instance's part in the lease of one shard.
+
+    The holder counts validity from before its write was sent; a taker waits
+    a full term after it first saw the version that it replaces. Both use
+    their own monotonic clocks, so the clocks need the same rate only.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard and of its lease.
+    identity : str
+        Unique for each start of a process.
+    """
+
+    def __init__(self, shard: str, identity: str):
+        self.shard = shard
+        self.identity = identity
+        self.until_s = 0.0
+        self.record: LeaseRecord | None = None
+        self._seen_s = 0.0
+        self._read_s = 0.0
+        self._sent: LeaseRecord | None = None
+        self._sent_s = 0.0
+        self._calling = False
+        self._next_call_s = 0.0
+        self._machine = Machine(
+            model=self,
+            states=STATES,
+            transitions=TRANSITIONS,
+            initial=WATCHING,
+            auto_transitions=False,
+        )
+
+    @property
+    def valid_until_s(self) -> float:
+        """When validity ends; 0 while the lease is not held."""
+        return self.until_s if self.state == HOLDING else 0.0
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of the last record that was seen."""
+        return self.record.fence if self.record is not None else 0
+
+    def tick(self, rank: int, now_s: float) -> list[LeaseEffect]:
+        """Let time pass.
+
+        Parameters
+        ----------
+        rank : int
+            Place of this instance among the live ones in the shard's order of
+            preference; 0 is the first.
+        """
+        effects: list[LeaseEffect] = []
+        if self.state == HOLDING and now_s >= self.until_s:
+            self.lapse()
+            effects.append(LeaseLost(self.shard))
+        if self._calling or self.state == RELEASED:
+            return effects
+        if self._sent is None and self._may_take(rank):
+            self.take()
+            return [*effects, self._write(self._taken_over(), now_s)]
+        if now_s < self._next_call_s:
+            return effects
+        if self._sent is None and self.state == HOLDING:
+            renewed = replace(self.record, renewals=self.record.renewals + 1)
+            return [*effects, self._write(renewed, now_s)]
+        self._next_call_s = now_s + _read_interval(rank)
+        return [*effects, self._read()]
+
+    def read(self, record: LeaseRecord | None, now_s: float) -> list[LeaseEffect]:
+        """Take in what the platform holds; None if there is no lease yet."""
+        self._calling = False
+        if self.state == RELEASED:
+            return []
+        found = record or LeaseRecord(self.shard, "", 0)
+        if found != self.record:
+            self._seen_s = now_s
+        self._read_s = now_s
+        self.record = found
+        sent, self._sent = self._sent, None
+        if sent is not None and record is not None and _same_write(sent, record):
+            return self._proved(record, now_s)
+        if self.state == TAKING:
+            self.miss()
+        if self.state == HOLDING and not self._is_own(record):
+            self.displace()
+            return [LeaseLost(self.shard)]
+        return []
+
+    def written(self, record: LeaseRecord, now_s: float) -> list[LeaseEffect]:
+        """Take in a write that the platform confirmed."""
+        self._calling = False
+        self._sent = None
+        if self.state == RELEASED:
+            return []
+        self.record = record
+        self._seen_s = now_s
+        self._read_s = now_s
+        return self._proved(record, now_s)
+
+    def failed(self, now_s: float) -> list[LeaseEffect]:
+        """Take in a failed call; a write may have taken effect all the same."""
+        self._calling = False
+        self._next_call_s = now_s + READ_AGAIN_S
+        return []
+
+    def refused(self, now_s: float) -> list[LeaseEffect]:
+        """Take in a write that lost against another one; read what won."""
+        self._calling = False
+        self._next_call_s = now_s
+        return []
+
+    def stop(self, now_s: float) -> list[LeaseEffect]:
+        """Give the lease up; a taker need not wait after that."""
+        held = self.state == HOLDING and now_s < self.until_s
+        self.release()
+        if not held:
+            return []
+        given_up = replace(self.record, holder="", renewals=self.record.renewals + 1)
+        return [LeaseLost(self.shard), WriteLease(given_up)]
+
+    def _proved(self, record: LeaseRecord, now_s: float) -> list[LeaseEffect]:
+        """Hold on from the time at which the proved write was sent."""
+        self.until_s = self._sent_s + TERM_S - CLOCK_MARGIN_S
+        self._next_call_s = self._sent_s + RENEW_S
+        if now_s >= self.until_s:
+            if self.state == TAKING:
+                self.miss()
+            return []
+        if self.state == TAKING:
+            self.win()
+        if self.state != HOLDING:
+            return []
+        return [LeaseHeld(self.shard, record.fence, self.until_s)]
+
+    def _taken_over(self) -> LeaseRecord:
+        record = self.record
+        return LeaseRecord(
+            self.shard, self.identity, record.fence + 1, version=record.version
+        )
+
+    def _may_take(self, rank: int) -> bool:
+        """Whether the last read still showed a version seen long ago."""
+        record = self.record
+        if record is None or self.state != WATCHING:
+            return False
+        waited_s = self._read_s - self._seen_s
+        if record.holder in ("", self.identity):
+            return waited_s >= rank * STAGGER_S
+        return waited_s >= TERM_S + rank * STAGGER_S
+
+    def _is_own(self, record: LeaseRecord | None) -> bool:
+        return record is not None and record.holder == self.identity
+
+    def _read(self) -> ReadLease:
+        self._calling = True
+        return ReadLease(self.shard)
+
+    def _write(self, record: LeaseRecord, now_s: float) -> WriteLease:
+        self._calling = True
+        self._sent = record
+        self._sent_s = now_s
+        return WriteLease(record)
+
+
+def _read_interval(rank: int) -> float:
+    return RENEW_S if rank < CLOSE_RANKS else FAR_READ_S
+
+
+def _same_write(sent: LeaseRecord, found: LeaseRecord) -> bool:
+    return (
+        sent.holder == found.holder
+        and sent.fence == found.fence
+        and sent.renewals == found.renewals
+    )
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -2,163 +2,330 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, replace
+
+from marjoramstage.coordination._book import TargetBook
+from marjoramstage.coordination._planning import Planner
+from marjoramstage.coordination._spaces import foreign_space, own_space
+from marjoramstage.coordination._wanted import Wanted
+from marjoramstage.coordination.demand import Demand
+from marjoramstage.coordination.shards import shard_of
 from marjoramstage.protocol.events import (
+    AdapterAsked,
     Effect,
     Event,
+    InstanceGone,
+    InstanceLoaded,
     InventoryAccepted,
+    LeaseHeld,
+    LeaseLost,
     LedgerRead,
     LedgerWriteFailed,
     OrderEnded,
     ReadLedger,
     SendOrder,
     TargetGone,
+    TargetLeaving,
     TargetListed,
     TargetReported,
     Tick,
     WriteLedger,
 )
-from marjoramstage.protocol.messages import (
-    Item,
-    OrderAnswer,
-    OrderOutcome,
-    Target,
-    TargetKind,
-    TargetReport,
-)
+from marjoramstage.protocol.messages import Target, TargetKind, TargetReport
 from marjoramstage.state.inventory import Inventory
-from marjoramstage.state.ledger import Ledger, load_order, reserve
+from marjoramstage.state.ledger import Ledger
+from marjoramstage.state.residency import Residency
+
+
+@dataclass(frozen=True)
+class HeldLease:
+    """A lease of a shard, as this instance last proved it.
+
+    Attributes
+    ----------
+    until_s : float
+        Reading of the monotonic clock at which validity ends.
+    """
+
+    fence: int
+    until_s: float
 
 
 class Placer:
     """Placement on the targets of one data centre.
 
-    A load is reserved in the target's ledger first; its order is sent only
-    after the platform took the write.
+    It sees the targets of the whole deployment and acts only on those whose
+    shard's lease is held. A load is reserved in the target's ledger first;
+    its order is sent only after the platform took the write.
 
     Parameters
     ----------
     data_centre : str
         Whose targets are placed on; other targets are only seen.
+    shards : int, default=1
+        Shards of the data centre's targets.
     """
 
-    def __init__(self, data_centre: str):
+    def __init__(self, data_centre: str, shards: int = 1):
         self._data_centre = data_centre
-        self._fence = 0
-        self._inventory = Inventory()
+        self._shards = shards
+        self._leases: dict[str, HeldLease] = {}
         self._targets: dict[str, Target] = {}
         self._reports: dict[str, TargetReport] = {}
-        self._ledgers: dict[str, Ledger] = {}
-        self._writing: dict[str, Item] = {}
-        self._ordered: set[tuple[str, Item]] = set()
+        self._books: dict[str, TargetBook] = {}
+        self._active: set[str] = set()
+        self._residency = Residency()
+        self._demand = Demand()
+        self._planner = Planner(data_centre, self._residency, self._demand)
 
     @property
     def ledgers(self) -> dict[str, Ledger]:
         """Ledgers as last read from the platform, by target."""
-        return self._ledgers
+        return {
+            name: book.ledger
+            for name, book in self._books.items()
+            if book.ledger is not None
+        }
+
+    @property
+    def leases(self) -> dict[str, HeldLease]:
+        """Leases that this instance took for its own, by shard."""
+        return dict(self._leases)
+
+    def order_states(self) -> dict[str, list[str]]:
+        """Return the orders that are not settled, by target."""
+        return {
+            name: [f"{track.order.number} {track.state}" for track in book.orders]
+            for name, book in self._books.items()
+            if book.orders
+        }
+
+    def may_order(self, target: str, now_s: float) -> bool:
+        """Return whether the lease of the target's shard is proved now."""
+        lease = self._lease_of(target)
+        return lease is not None and now_s < lease.until_s
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
-        """Take one event in; return ledger writes and orders."""
+        """Take one event in; return ledger calls and orders."""
         match event:
             case InventoryAccepted(_, inventory):
-                self._inventory = inventory
+                self._accepted(inventory, now_s)
             case TargetListed(target) if target.kind is TargetKind.ENGINE:
-                self._targets[target.name] = target
+                self._listed(target, now_s)
             case TargetGone(name):
-                self._targets.pop(name, None)
-                self._ledgers.pop(name, None)
-            case TargetReported(report) if report.target in self._targets:
-                self._reports[report.target] = report
-                if report.target not in self._ledgers:
-                    return [ReadLedger(report.target)]
+                self._gone(name)
+            case TargetLeaving(name):
+                self._leaving(name)
+            case TargetReported(report):
+                self._reported(report, now_s)
+            case LeaseHeld(shard, fence, until_s):
+                self._lease_held(shard, HeldLease(fence, until_s))
+            case LeaseLost(shard):
+                self._lease_lost(shard)
             case LedgerRead(ledger):
-                return self._ledger_read(ledger)
-            case LedgerWriteFailed(name):
-                self._writing.pop(name, None)
-                return [ReadLedger(name)]
-            case OrderEnded(answer):
-                self._order_ended(answer)
+                return self._ledger_read(ledger, now_s)
+            case LedgerWriteFailed(name) if name in self._books:
+                self._books[name].failed(now_s)
+                self._active.add(name)
+            case OrderEnded(answer) if answer.order.target in self._books:
+                self._books[answer.order.target].ended(answer, now_s)
+                self._active.add(answer.order.target)
+            case InstanceLoaded(load):
+                self._planner.demand_changed(self._demand.loaded(load, now_s))
+            case InstanceGone(instance):
+                self._demand.gone(instance)
+            case AdapterAsked(target, item):
+                self._planner.adapter_asked(target, item, now_s)
             case Tick():
-                return self._plan()
+                return self._tick(now_s)
         return []
 
-    def _ledger_read(self, ledger: Ledger) -> list[Effect]:
-        report = self._reports.get(ledger.target)
-        if report is None:
-            return []
-        if ledger.incarnation != report.incarnation:
-            ledger = Ledger(
-                target=ledger.target,
-                incarnation=report.incarnation,
-                capacity_mb=report.memory_mb,
-                next_order=ledger.next_order,
-                version=ledger.version,
-            )
-            return [WriteLedger(ledger)]
-        self._ledgers[ledger.target] = ledger
-        item = self._writing.pop(ledger.target, None)
-        if item is None or item not in ledger.entries:
-            return []
-        return self._order(ledger, item)
+    def _accepted(self, inventory: Inventory, now_s: float) -> None:
+        self._planner.accepted(Wanted(inventory), now_s)
+        self._active.update(self._books)
+
+    def _listed(self, target: Target, now_s: float) -> None:
+        known = self._targets.get(target.name)
+        if known is None:
+            self._planner.fleet_changed(now_s)
+        leaving = target.leaving or (known is not None and known.leaving)
+        self._targets[target.name] = replace(target, leaving=leaving)
+        if self._lease_of(target.name) is not None:
+            self._books.setdefault(target.name, TargetBook(target.name))
+        self._put_space(target.name)
 
-    def _order(self, ledger: Ledger, item: Item) -> list[Effect]:
-        target = self._targets.get(ledger.target)
+    def _gone(self, name: str) -> None:
+        self._targets.pop(name, None)
+        self._reports.pop(name, None)
+        self._books.pop(name, None)
+        self._active.discard(name)
+        self._planner.holders_changed(self._residency.remove(name))
+
+    def _leaving(self, name: str) -> None:
+        target = self._targets.get(name)
+        if target is None or target.leaving:
+            return
+        self._targets[name] = replace(target, leaving=True)
+        self._put_space(name)
+
+    def _reported(self, report: TargetReport, now_s: float) -> None:
+        target = self._targets.get(report.target)
         if target is None:
-            return []
-        self._ordered.add((ledger.target, item))
-        return [SendOrder(load_order(ledger, item, self._fence), target.address)]
+            return
+        known = self._reports.get(report.target)
+        if known is not None and not _is_later(report, known):
+            return
+        if known is None:
+            self._planner.fleet_changed(now_s)
+        elif known.incarnation != report.incarnation:
+            self._targets[report.target] = replace(target, leaving=False)
+        self._reports[report.target] = report
+        if report.leaving:
+            self._leaving(report.target)
+        if known is not None and _same_memory(report, known):
+            return
+        self._put_space(report.target)
+        self._active.add(report.target)
+
+    def _lease_held(self, shard: str, lease: HeldLease) -> None:
+        known = self._leases.get(shard)
+        if known is not None and known.fence > lease.fence:
+            return
+        self._leases[shard] = lease
+        if known is not None and known.fence == lease.fence:
+            return
+        for name in self._targets:
+            if self._shard(name) == shard:
+                self._books[name] = TargetBook(name)
+                self._active.add(name)
 
-    def _order_ended(self, answer: OrderAnswer) -> None:
-        if answer.outcome is not OrderOutcome.DONE:
-            self._ordered.discard((answer.order.target, answer.order.item))
+    def _lease_lost(self, shard: str) -> None:
+        self._leases.pop(shard, None)
+        for name in [name for name in self._books if self._shard(name) == shard]:
+            del self._books[name]
+            self._active.discard(name)
+            self._put_space(name)
 
-    def _plan(self) -> list[Effect]:
+    def _ledger_read(self, ledger: Ledger, now_s: float) -> list[Effect]:
+        name = ledger.target
+        book = self._books.get(name)
+        if book is None:
+            return []
         effects: list[Effect] = []
-        wanted = [
-            (Item(m.name, m.version), m.memory_mb) for m in self._inventory.models
-        ]
-        wanted += [
-            (Item(a.name, a.version), a.memory_mb) for a in self._inventory.adapters
-        ]
-        for item, memory_mb in wanted:
-            holders = [
-                ledger
-                for ledger in self._ledgers.values()
-                if item in ledger.entries or self._writing.get(ledger.target) == item
-            ]
-            if holders:
+        for track in book.taken(ledger, now_s):
+            if not self.may_order(name, now_s):
+                track.withhold()
                 continue
-            effects += self._reserve_somewhere(item, memory_mb)
-        return effects + self._repeat_orders()
-
-    def _reserve_somewhere(self, item: Item, memory_mb: int) -> list[Effect]:
-        base = self._base_of(item)
-        best = None
-        for ledger in self._ledgers.values():
-            if ledger.target in self._writing or ledger.free_mb < memory_mb:
+            track.send()
+            effects.append(SendOrder(track.order, self._targets[name].address))
+        self._active.add(name)
+        self._put_space(name)
+        return effects
+
+    def _tick(self, now_s: float) -> list[Effect]:
+        effects = self._reads(now_s)
+        touched = []
+        for name in list(self._active):
+            if self._begin(name, now_s):
+                touched.append(name)
+        touched += self._plan(now_s)
+        for name in dict.fromkeys(touched):
+            ledger = self._books[name].close()
+            if ledger is not None:
+                effects.append(WriteLedger(ledger))
+            elif not self._books[name].unsettled:
+                self._active.discard(name)
+        return effects
+
+    def _reads(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for name in self._active:
+            if name not in self._books or name not in self._reports:
                 continue
-            if base is not None and base not in ledger.entries:
+            if not self.may_order(name, now_s):
                 continue
-            if best is None or ledger.free_mb > best.free_mb:
-                best = ledger
-        if best is None:
+            if self._books[name].read_due(now_s):
+                effects.append(ReadLedger(name))
+        return effects
+
+    def _begin(self, name: str, now_s: float) -> bool:
+        """Draft the next ledger of a target; return whether it may be changed."""
+        book, report = self._books.get(name), self._reports.get(name)
+        if book is None or report is None or not self.may_order(name, now_s):
+            return False
+        if book.open:
+            return True
+        if not book.begin(report, self._lease_of(name).fence, now_s):
+            return False
+        self._put_space(name)
+        return True
+
+    def _plan(self, now_s: float) -> list[str]:
+        """Draft what the planner asks for; return the targets it touched."""
+        if not any(now_s < lease.until_s for lease in self._leases.values()):
             return []
-        self._writing[best.target] = item
-        return [WriteLedger(reserve(best, item, memory_mb))]
+        touched = []
+        loading = [item for n in self._active for item in self._books[n].loading()]
+        moves = self._planner.plan(loading, self._can_change(now_s), now_s)
+        for move in moves:
+            name = move.target
+            fence = self._lease_of(name).fence
+            if move.load is not None:
+                wanted = move.load
+                report = self._reports[name]
+                self._books[name].load(
+                    wanted.item, wanted.memory_mb, fence, report, wanted.base
+                )
+            if move.unload is not None:
+                self._books[name].unload(move.unload, fence)
+            touched.append(name)
+            self._put_space(name)
+        return touched
+
+    def _can_change(self, now_s: float):
+        """Return a test whether a target's draft can be changed now."""
 
-    def _base_of(self, item: Item) -> Item | None:
-        adapter = self._inventory.adapter_by_name.get(item.name)
-        if adapter is None:
+        def check(name: str) -> bool:
+            return self._begin(name, now_s)
+
+        return check
+
+    def _put_space(self, name: str) -> None:
+        target, report = self._targets.get(name), self._reports.get(name)
+        if target is None or report is None:
+            return
+        book = self._books.get(name)
+        ledger = book and (book.draft or book.ledger)
+        if ledger:
+            space = own_space(target, report, ledger)
+        else:
+            space = foreign_space(target, report)
+        self._planner.holders_changed(self._residency.put(space))
+
+    def _lease_of(self, name: str) -> HeldLease | None:
+        target = self._targets.get(name)
+        if target is None or target.data_centre != self._data_centre:
             return None
-        model = self._inventory.model_by_name[adapter.model]
-        return Item(model.name, model.version)
+        return self._leases.get(self._shard(name))
 
-    def _repeat_orders(self) -> list[Effect]:
-        """Order again what is reserved but neither reported nor on its way."""
-        effects: list[Effect] = []
-        for ledger in self._ledgers.values():
-            held = {r.item for r in self._reports[ledger.target].residents}
-            for item in ledger.entries:
-                if item in held or (ledger.target, item) in self._ordered:
-                    continue
-                effects += self._order(ledger, item)
-        return effects
+    def _shard(self, name: str) -> str:
+        target = self._targets.get(name)
+        if target is None or target.data_centre != self._data_centre:
+            return ""
+        return shard_of(name, self._data_centre, self._shards)
+
+
+def _is_later(report: TargetReport, known: TargetReport) -> bool:
+    if report.incarnation == known.incarnation:
+        return report.sequence > known.sequence
+    return report.started_s >= known.started_s
+
+
+def _same_memory(report: TargetReport, known: TargetReport) -> bool:
+    return (
+        report.incarnation == known.incarnation
+        and report.residents == known.residents
+        and report.last_orders == known.last_orders
+        and report.highest_fence == known.highest_fence
+        and report.memory_mb == known.memory_mb
+    )
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -9,6 +9,7 @@
 
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
+from marjoramstage._instance.leasing import LeaseDesk
 from marjoramstage._instance.placing import PlacementDesk
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
@@ -59,11 +60,16 @@
         self._wire()
         for server in self._servers:
             await server.start()
-        for part in (self.requests, self.placing, self.follower, self.reporter):
+        for part in self._parts():
             self._tasks.spawn(part.run())
         self._tasks.spawn(self._tick())
         log.info("started", extra={"callers": self.caller_address})
 
+    def _parts(self) -> tuple:
+        """Return the parts that run until the instance stops."""
+        desks = (self.requests, self.placing, self.leasing)
+        return (*desks, self.follower, self.reporter)
+
     def _wire(self) -> None:
         """Build every part."""
         cfg, clock = self.settings, self._clock
@@ -74,6 +80,14 @@
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
+        self.leasing = LeaseDesk(
+            cfg.name,
+            cfg.data_centre,
+            self.platform,
+            self.placing.post,
+            self._tasks,
+            clock,
+        )
         self.follower = Follower(self.platform, self._post, clock)
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
@@ -91,6 +105,7 @@
     async def stop(self) -> None:
         """Finish what is in flight, then end every task."""
         self._draining = True
+        await self.leasing.stop()
         for server in self._servers:
             await server.stop()
         await self._tasks.stop()
@@ -136,6 +151,7 @@
         """Hand an event to every machine."""
         self.requests.post(event)
         self.placing.post(event)
+        self.leasing.heard(event)
 
 
 def _metrics(settings: Settings) -> LocalMetrics:
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -143,6 +143,12 @@
         Highest fencing number that it has seen.
     last_orders : tuple of int
         Numbers of the latest orders that it finished.
+    expiry : bool
+        Whether it refuses orders that are past their ``expires_s``.
+    clock_s : float
+        Reading of its own clock at the report, in seconds.
+    started_s : float
+        When the incarnation started; rises with each start.
     """
 
     target: str
@@ -157,6 +163,9 @@
     leaving: bool = False
     highest_fence: int = 0
     last_orders: tuple[int, ...] = ()
+    expiry: bool = False
+    clock_s: float = 0.0
+    started_s: float = 0.0
 
 
 class OrderAction(enum.Enum):
@@ -180,6 +189,9 @@
         Incarnation of the target that the order is meant for.
     base : Item or None
         The model under an adapter.
+    expires_s : float
+        Reading of the target's clock after which it is to refuse the order;
+        0 for none.
     """
 
     target: str
@@ -190,6 +202,7 @@
     item: Item
     memory_mb: int
     base: Item | None = None
+    expires_s: float = 0.0
 
 
 class OrderOutcome(enum.Enum):
--- a/src/marjoramstage/standins/engine.py
+++ b/src/marjoramstage/standins/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 import uuid
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field, replace
@@ -95,6 +96,7 @@
         self._running = 0
         self._sequence = 0
         self._incarnation = uuid.uuid4().hex
+        self._started_s = time.time()
         self._streams: OrderedDict[str, Stream] = OrderedDict()
         self._last_report: dict = {}
         self._tasks: set[asyncio.Task] = set()
@@ -152,6 +154,7 @@
             fencing=self.memory.fencing,
             highest_fence=self.memory.highest_fence,
             last_orders=self.memory.last_orders,
+            started_s=self._started_s,
         )
         self._last_report = report_to_data(report)
         return web.json_response(self._last_report)
@@ -286,6 +289,7 @@
         action=OrderAction(data["action"]),
         item=Item(data["name"], data["version"]),
         memory_mb=data["memory_mb"],
+        expires_s=data.get("expires_s", 0.0),
     )
 
 
--- /dev/null
+++ b/src/marjoramstage/state/residency.py
@@ -0,0 +1,106 @@
+"""Which target holds what, over all data centres of the deployment."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedList
+
+from marjoramstage.protocol.messages import Item
+
+
+@dataclass(frozen=True)
+class TargetSpace:
+    """Memory of one target, as placement takes it to be.
+
+    Attributes
+    ----------
+    items : Mapping
+        Memory of each item that is there or on its way in, in MB.
+    ready : frozenset of Item
+        Items that can serve.
+    coming_mb : int
+        Memory that unload orders are about to free, in MB.
+    open : bool
+        Whether items may be added: reported, and not leaving.
+    """
+
+    target: str
+    data_centre: str
+    capacity_mb: int
+    free_mb: int
+    slots: int = 0
+    items: Mapping[Item, int] = field(default_factory=dict)
+    ready: frozenset[Item] = frozenset()
+    coming_mb: int = 0
+    open: bool = True
+
+
+class Residency:
+    """The spaces by target, indexed by item and by free memory.
+
+    A change costs time in proportion to the items that it touches.
+    """
+
+    def __init__(self):
+        self.spaces: dict[str, TargetSpace] = {}
+        self._holders: dict[Item, set[str]] = {}
+        self._ready: dict[Item, set[str]] = {}
+        self._by_free: SortedList = SortedList()
+
+    def put(self, space: TargetSpace) -> set[Item]:
+        """Take in the space of a target; return the items it gained or lost."""
+        old = self.spaces.get(space.target)
+        if old == space:
+            return set()
+        changed = self._drop(old) if old is not None else set()
+        self.spaces[space.target] = space
+        if not space.open:
+            return changed
+        self._by_free.add((space.free_mb, space.target))
+        for item in space.items:
+            self._holders.setdefault(item, set()).add(space.target)
+        for item in space.ready:
+            self._ready.setdefault(item, set()).add(space.target)
+        return changed ^ set(space.items)
+
+    def remove(self, target: str) -> set[Item]:
+        """Forget a target; return the items that it held."""
+        old = self.spaces.pop(target, None)
+        return self._drop(old) if old is not None else set()
+
+    def holders(self, item: Item) -> set[str]:
+        """Return the targets where the item is or is on its way in."""
+        return self._holders.get(item, set())
+
+    def ready_at(self, item: Item) -> set[str]:
+        """Return the targets where the item can serve."""
+        return self._ready.get(item, set())
+
+    def items(self) -> set[Item]:
+        """Return every item that is held somewhere."""
+        return {item for item, targets in self._holders.items() if targets}
+
+    def by_free(self) -> SortedList:
+        """Return ``(free_mb, target)`` of the open targets, in rising order."""
+        return self._by_free
+
+    def _drop(self, space: TargetSpace) -> set[Item]:
+        if not space.open:
+            return set()
+        self._by_free.remove((space.free_mb, space.target))
+        for item in space.items:
+            _discard(self._holders, item, space.target)
+        for item in space.ready:
+            _discard(self._ready, item, space.target)
+        return set(space.items)
+
+
+def _discard(index: dict[Item, set[str]], item: Item, target: str) -> None:
+    targets = index.get(item)
+    if targets is None:
+        return
+    targets.discard(target)
+    if not targets:
+        del index[item]
--- a/src/marjoramstage/state/targets.py
+++ b/src/marjoramstage/state/targets.py
@@ -89,6 +89,9 @@
         "leaving": report.leaving,
         "highest_fence": report.highest_fence,
         "last_orders": list(report.last_orders),
+        "expiry": report.expiry,
+        "clock_s": report.clock_s,
+        "started_s": report.started_s,
     }
 
 
@@ -121,4 +124,7 @@
         leaving=bool(data.get("leaving", False)),
         highest_fence=int(data.get("highest_fence", 0)),
         last_orders=tuple(int(number) for number in data.get("last_orders", ())),
+        expiry=bool(data.get("expiry", False)),
+        clock_s=float(data.get("clock_s", 0.0)),
+        started_s=float(data.get("started_s", 0.0)),
     )
--- a/src/marjoramstage/transport/targets.py
+++ b/src/marjoramstage/transport/targets.py
@@ -142,4 +142,5 @@
         "version": order.item.version,
         "memory_mb": order.memory_mb,
         "base": str(order.base) if order.base else None,
+        "expires_s": order.expires_s,
     }
