Check the memory model with two holders and every delivery left open

Cause: no test drove the ledger through lost, late and repeated deliveries. Found and mended by it: an item that was on its way out was reserved twice (ValueError in the placer), and a draft equal to the ledger stayed open, so that answers never reached the ledger.

--- /dev/null
+++ b/features/memory_model.feature
@@ -0,0 +1,23 @@
+Feature: Memory of an engine is never overcommitted
+  A model check with two placers, lost, late and repeated deliveries, paused
+  holders and restarts. Memory is counted by the engine itself.
+
+  Scenario Outline: memory model of an engine that <engine>
+    When the memory model is checked with an engine that <engine>
+    Then the memory model finds no overcommitment
+
+    Examples:
+      | engine          |
+      | honours fencing |
+      | ignores fencing |
+      | honours expiry  |
+
+  Scenario Outline: memory model notices a ledger without <rule>
+    Given a ledger without <rule>
+    When the memory model is checked with an engine that ignores fencing
+    Then the memory model finds an overcommitment
+
+    Examples:
+      | rule                        |
+      | the reservation             |
+      | the rule on orders in doubt |
--- /dev/null
+++ b/features/steps/memory_model.py
@@ -0,0 +1,83 @@
+"""Steps of the model check; MEMORY_MODEL_EXAMPLES asks for a longer run."""
+
+import os
+from dataclasses import replace
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features.memory_machine import MACHINES
+from marjoramstage.state import ledger as ledgers
+
+EXAMPLES = 80
+EXAMPLES_WITH_A_FAULT = 2000
+STEPS = 50
+
+
+def _used_without_reservations(ledger):
+    return sum(
+        entry.memory_mb
+        for entry in ledger.entries.values()
+        if entry.state is not ledgers.EntryState.RESERVED
+    )
+
+
+def _unload_without_doubt(ledger, item, lease_fence):
+    ledger = ledgers.unload(ledger, item, lease_fence)
+    entry = replace(ledger.entries[item], loads=(), conclusive=True)
+    return replace(ledger, entries={**ledger.entries, item: entry})
+
+
+FAULTS = {
+    "the reservation": (
+        "marjoramstage.state.ledger.Ledger.used_mb",
+        property(_used_without_reservations),
+    ),
+    "the rule on orders in doubt": (
+        "marjoramstage.coordination._book.unload",
+        _unload_without_doubt,
+    ),
+}
+
+
+@given("a ledger without {rule}")
+def break_ledger(context, rule):
+    patch = mock.patch(*FAULTS[rule])
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.examples = EXAMPLES_WITH_A_FAULT
+
+
+@when("the memory model is checked with an engine that {engine}")
+def check_model(context, engine):
+    examples = getattr(context, "examples", EXAMPLES)
+    asked = os.environ.get("MEMORY_MODEL_EXAMPLES")
+    if asked is not None:
+        examples = int(asked)
+    checked = settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        derandomize=asked is None,
+        phases=(Phase.generate,),
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    context.found = None
+    try:
+        run_state_machine_as_test(MACHINES[engine], settings=checked)
+    except AssertionError as exc:
+        context.found = exc
+
+
+@then("the memory model finds no overcommitment")
+def check_none(context):
+    if context.found is not None:
+        raise context.found
+
+
+@then("the memory model finds an overcommitment")
+def check_found(context):
+    assert context.found is not None, "the model check missed the fault"
--- a/src/marjoramstage/coordination/_book.py
+++ b/src/marjoramstage/coordination/_book.py
@@ -168,9 +168,21 @@
         report: TargetReport,
         base: Item | None = None,
     ) -> None:
-        """Reserve memory for ``item`` in the draft and number its order."""
+        """Reserve memory for ``item`` in the draft and number its order.
+
+        An entry that is on its way out is taken back if it is large enough;
+        else it has to go first.
+        """
         expires_s = _expiry(report)
-        self.draft = reserve(self.draft, item, memory_mb, lease_fence, expires_s, base)
+        entry = self.draft.entries.get(item)
+        if entry is None:
+            self.draft = reserve(
+                self.draft, item, memory_mb, lease_fence, expires_s, base
+            )
+        elif entry.memory_mb < memory_mb or len(entry.loads) >= MAX_UNSETTLED_LOADS:
+            return
+        else:
+            self.draft = load_again(self.draft, item, lease_fence, expires_s)
         self._note_load(item)
 
     def unload(self, item: Item, lease_fence: int) -> None:
@@ -181,7 +193,10 @@
 
     def close(self) -> Ledger | None:
         """Return the draft if it has to be written, and note that it is."""
-        if not self.open or self.draft == self.ledger:
+        if not self.open:
+            return None
+        if self.draft == self.ledger:
+            self.draft = None
             return None
         self.writing = True
         return self.draft
--- a/src/marjoramstage/coordination/_planning.py
+++ b/src/marjoramstage/coordination/_planning.py
@@ -62,7 +62,8 @@
         self._settled_at_s = now_s + SETTLE_S
         self._share_budget()
         self.holders_changed(_differences(known, wanted))
-        self._unwanted.update(self._residency.items() - wanted.items())
+        for item in self._residency.items() - wanted.items():
+            self._obsolete_s.setdefault(item, now_s)
 
     def fleet_changed(self, now_s: float) -> None:
         """Wait a moment: a target was heard of for the first time."""
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -74,6 +74,7 @@
         self._reports: dict[str, TargetReport] = {}
         self._books: dict[str, TargetBook] = {}
         self._active: set[str] = set()
+        self._begun: dict[str, None] = {}
         self._residency = Residency()
         self._demand = Demand()
         self._planner = Planner(data_centre, self._residency, self._demand)
@@ -224,17 +225,16 @@
 
     def _tick(self, now_s: float) -> list[Effect]:
         effects = self._reads(now_s)
-        touched = []
         for name in list(self._active):
-            if self._begin(name, now_s):
-                touched.append(name)
-        touched += self._plan(now_s)
-        for name in dict.fromkeys(touched):
+            self._begin(name, now_s)
+        self._plan(now_s)
+        for name in self._begun:
             ledger = self._books[name].close()
             if ledger is not None:
                 effects.append(WriteLedger(ledger))
             elif not self._books[name].unsettled:
                 self._active.discard(name)
+        self._begun.clear()
         return effects
 
     def _reads(self, now_s: float) -> list[Effect]:
@@ -257,14 +257,14 @@
             return True
         if not book.begin(report, self._lease_of(name).fence, now_s):
             return False
+        self._begun[name] = None
         self._put_space(name)
         return True
 
-    def _plan(self, now_s: float) -> list[str]:
-        """Draft what the planner asks for; return the targets it touched."""
+    def _plan(self, now_s: float) -> None:
+        """Draft what the planner asks for."""
         if not any(now_s < lease.until_s for lease in self._leases.values()):
-            return []
-        touched = []
+            return
         loading = [item for n in self._active for item in self._books[n].loading()]
         moves = self._planner.plan(loading, self._can_change(now_s), now_s)
         for move in moves:
@@ -278,9 +278,7 @@
                 )
             if move.unload is not None:
                 self._books[name].unload(move.unload, fence)
-            touched.append(name)
             self._put_space(name)
-        return touched
 
     def _can_change(self, now_s: float):
         """Return a test whether a target's draft can be changed now."""
--- a/src/marjoramstage/standins/_memory.py
+++ b/src/marjoramstage/standins/_memory.py
@@ -27,11 +27,14 @@
         Accelerator memory in MB.
     fencing : bool
         Whether orders with an old fencing number are refused.
+    expiry : bool, default=False
+        Whether orders past their ``expires_s`` are refused.
     """
 
-    def __init__(self, capacity_mb: int, fencing: bool):
+    def __init__(self, capacity_mb: int, fencing: bool, expiry: bool = False):
         self.capacity_mb = capacity_mb
         self.fencing = fencing
+        self.expiry = expiry
         self.highest_fence = 0
         self.overcommits = 0
         self.residents: dict[Item, Resident] = {}
@@ -42,10 +45,18 @@
         """Memory held, in MB."""
         return sum(resident.memory_mb for resident in self.residents.values())
 
-    def accept(self, order: Order) -> bool:
-        """Begin an order; return whether its fencing number is accepted."""
+    def accept(self, order: Order, clock_s: float = 0.0) -> bool:
+        """Begin an order; return whether it is accepted.
+
+        Parameters
+        ----------
+        clock_s : float
+            Reading of the engine's clock.
+        """
         if self.fencing and order.fence < self.highest_fence:
             return False
+        if self.expiry and 0 < order.expires_s < clock_s:
+            return False
         self.highest_fence = max(self.highest_fence, order.fence)
         if order.action is OrderAction.LOAD:
             self._begin_load(order)
