Answer bad input with a typed error and go on serving

Cause: settings were checked by type only, and the callers' port trusted what it parsed.

What changed: settings rules run on the raw file beside the type check, so that one pass finds everything; aliases are refused, because a short file with them stands for a huge one. The callers' port checks the head, the body and the path in modules of their own, and malformed HTTP gets the same JSON error, without repeating or logging what was sent. An answer that was begun is broken off, not followed by a second one. Readers that stall are ended after limits.reader_stall_s; the write buffer is bounded by limits.stream_buffer_bytes.

Ruled out: ending a slow reader at its deadline, since a late answer must still arrive whole; the kernel's TCP_USER_TIMEOUT, since a test cannot see it on a virtual clock.

--- /dev/null
+++ b/features/bad_requests.py
@@ -0,0 +1,111 @@
+"""Caller requests that must be refused, as bytes, by name."""
+
+import gzip
+import json
+
+from features.raw_http import chunked_bytes, request_bytes
+
+CREDENTIAL = ("Authorization", "Bearer demo-credential")
+CHAT = "/v1/chat/completions"
+BOOKINGS = "/services/booking/bookings"
+BODY_BYTES = 262_144
+HEADER_BYTES = 8_192
+GOOD_BODY = {"model": "assistant", "prompt": "Which halls are free?", "max_tokens": 2}
+
+
+def body_bytes(**changes):
+    """Return the good body with changes; a value of None leaves the key out."""
+    data = {**GOOD_BODY, **changes}
+    kept = {key: value for key, value in data.items() if value is not None}
+    return json.dumps(kept).encode()
+
+
+def chat(body=None, *headers):
+    payload = body_bytes() if body is None else body
+    return request_bytes("POST", CHAT, (CREDENTIAL, *headers), payload)
+
+
+def get(path, *headers):
+    return request_bytes("GET", path, (CREDENTIAL, *headers))
+
+
+def stranger(*headers):
+    return request_bytes("POST", CHAT, headers, body_bytes())
+
+
+def deadline(text):
+    return chat(None, ("X-Deadline-Ms", text))
+
+
+def twice(name, value):
+    return chat(None, (name, value), (name, value))
+
+
+LARGE = b"x" * (BODY_BYTES + 1)
+NESTED = b'{"model": "assistant", "prompt": "x", "deep": ' + b"[" * 100_000
+HALF_BODY = request_bytes("POST", BOOKINGS, (CREDENTIAL,), b'{"hall"', length=100)
+BAD_CHUNK = chunked_bytes("POST", BOOKINGS, (CREDENTIAL,), [b"{}"])
+MANY = [(f"X-Filler-{number}", "x" * 1000) for number in range(20)]
+
+GOOD_REQUEST = get("/services/booking/availability")
+
+BAD_REQUESTS = {
+    "no credential": stranger(),
+    "unknown credential": stranger(("Authorization", "Bearer nobody")),
+    "credential not ASCII": stranger(("Authorization", "Bearer \xe9\xff")),
+    "basic credential": stranger(("Authorization", "Basic demo-credential")),
+    "credential twice": chat(None, CREDENTIAL),
+    "deadline twice": twice("X-Deadline-Ms", "1000"),
+    "class twice": twice("X-Request-Class", "overnight"),
+    "key twice": twice("Idempotency-Key", "k1"),
+    "deadline 0": deadline("0"),
+    "deadline negative": deadline("-5"),
+    "deadline a word": deadline("soon"),
+    "deadline a fraction": deadline("10.5"),
+    "deadline too late": deadline("86400001"),
+    "deadline of 5000 digits": deadline("9" * 5000),
+    "unknown class": chat(None, ("X-Request-Class", "royal")),
+    "class above the rule": chat(None, ("X-Request-Class", "urgent")),
+    "empty key": chat(None, ("Idempotency-Key", "")),
+    "key of 256 characters": chat(None, ("Idempotency-Key", "k" * 256)),
+    "key not ASCII": chat(None, ("Idempotency-Key", "k\xe9")),
+    "not JSON": chat(b"model=assistant"),
+    "empty body": chat(b""),
+    "JSON list": chat(b"[1, 2]"),
+    "NaN": chat(b'{"model": "assistant", "prompt": "x", "top_p": NaN}'),
+    "not UTF-8": chat(b'{"model": "assistant", "prompt": "\xff"}'),
+    "half a surrogate pair": chat(b'{"model": "assistant", "prompt": "\\ud800"}'),
+    "nested 100000 deep": chat(NESTED),
+    "no model": chat(body_bytes(model=None)),
+    "model a number": chat(body_bytes(model=7)),
+    "no prompt": chat(body_bytes(prompt=None)),
+    "prompt a list": chat(body_bytes(prompt=["x"])),
+    "message without content": chat(body_bytes(messages=[{"role": "user"}])),
+    "max_tokens 0": chat(body_bytes(max_tokens=0)),
+    "max_tokens huge": chat(body_bytes(max_tokens=10**12)),
+    "max_tokens true": chat(body_bytes(max_tokens=True)),
+    "stream a word": chat(body_bytes(stream="yes")),
+    "unknown model": chat(body_bytes(model="nothing")),
+    "another's model": chat(body_bytes(model="scores")),
+    "another's adapter": chat(body_bytes(model="assistant:parts")),
+    "unknown version": chat(body_bytes(model="assistant@9")),
+    "adapter of another model": chat(body_bytes(model="summaries:rooms")),
+    "another's service": get("/services/exchange/list"),
+    "unknown service": get("/services/nothing/list"),
+    "dot segment": get("/services/booking/../exchange/list"),
+    "encoded dot segment": get("/services/booking/%2e%2e/exchange/list"),
+    "encoded slash": get("/services/booking/availability%2fx"),
+    "unknown path": get("/v2/models"),
+    "unknown method": request_bytes("DELETE", "/v1/models", (CREDENTIAL,)),
+    "large body": request_bytes("POST", BOOKINGS, (CREDENTIAL,), LARGE),
+    "large chunked body": chunked_bytes("POST", BOOKINGS, (CREDENTIAL,), [LARGE]),
+    "compressed body": chat(gzip.compress(body_bytes()), ("Content-Encoding", "gzip")),
+    "half a body": HALF_BODY,
+    "bad chunk size": BAD_CHUNK.replace(b"\r\n2\r\n", b"\r\nzz\r\n"),
+    "large header": get("/v1/models", ("X-Filler", "x" * (HEADER_BYTES + 1))),
+    "many headers": get("/v1/models", *MANY),
+    "long request line": get("/v1/" + "x" * (HEADER_BYTES + 1)),
+    "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "header without colon": b"GET /v1/models HTTP/1.1\r\nHost: m\r\nnonsense\r\n\r\n",
+    "two lengths": get("/v1/models", ("Content-Length", "3"), ("Content-Length", "4")),
+}
--- /dev/null
+++ b/features/raw_http.py
@@ -0,0 +1,56 @@
+"""HTTP as bytes on a socket, for requests that a library would not send."""
+
+import http.client
+import json
+import socket
+from dataclasses import dataclass
+
+from marjoramstage.addresses import split_address
+
+ANSWER_TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True)
+class RawAnswer:
+    """What came back on the socket."""
+
+    status: int
+    headers: http.client.HTTPMessage
+    body: bytes
+
+    def error(self):
+        return json.loads(self.body)["error"]
+
+
+def exchange(address, payload):
+    """Send bytes and read one answer; the timeout only ends a hung run."""
+    with socket.create_connection(split_address(address), ANSWER_TIMEOUT_S) as sock:
+        try:
+            sock.sendall(payload)
+        except OSError:
+            pass  # the answer may come before everything is sent
+        resp = http.client.HTTPResponse(sock)
+        resp.begin()
+        return RawAnswer(resp.status, resp.headers, resp.read())
+
+
+def request_bytes(method, path, headers=(), body=b"", length=None):
+    """Return one request; ``headers`` is a sequence of name and value pairs."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: marjoramstage"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    size = len(body) if length is None else length
+    if size or method in ("POST", "PUT"):
+        lines.append(f"Content-Length: {size}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + body
+
+
+def chunked_bytes(method, path, headers, blocks):
+    """Return one request with a chunked body and no length."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: marjoramstage"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append("Transfer-Encoding: chunked")
+    payload = ("\r\n".join(lines) + "\r\n\r\n").encode()
+    for block in blocks:
+        payload += f"{len(block):x}\r\n".encode() + block + b"\r\n"
+    return payload + b"0\r\n\r\n"
--- a/src/marjoramstage/_documents.py
+++ b/src/marjoramstage/_documents.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import re
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -29,11 +31,14 @@
         Plain mappings, lists and scalars.
     lines : dict
         First line of each path, counted from 1.
+    problems : tuple of str
+        Faults that the parser found, such as repeated keys.
     """
 
     source: str
     data: Any
     lines: dict[tuple[str | int, ...], int]
+    problems: tuple[str, ...] = ()
 
     def where(self, path: tuple[str | int, ...]) -> str:
         """Return ``file:line: path`` for the nearest known parent of ``path``."""
@@ -76,25 +81,36 @@
     Raises
     ------
     ConfigError
-        The text is too long or not YAML, or repeats a key.
+        The text is too long or not YAML, or holds an alias.
     """
     if len(text) > MAX_FILE_BYTES:
         raise ConfigError((f"{source}:1: longer than {MAX_FILE_BYTES} bytes",))
+    lines: dict[tuple[str | int, ...], int] = {}
+    problems: list[str] = []
     try:
+        _refuse_aliases(text, source)
         node = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
-    except (yaml.YAMLError, UnicodeDecodeError, RecursionError, ValueError) as exc:
+        if node is not None:
+            _record_lines(node, (), source, lines, problems)
+    except (yaml.YAMLError, UnicodeDecodeError, ValueError) as exc:
         mark = getattr(exc, "problem_mark", None)
         line = mark.line + 1 if mark else 1
         problem = getattr(exc, "problem", None) or str(exc).split("\n", 1)[0]
         raise ConfigError((f"{source}:{line}: not YAML: {problem}",)) from exc
-    lines: dict[tuple[str | int, ...], int] = {}
-    problems: list[str] = []
-    if node is not None:
-        _record_lines(node, (), source, lines, problems)
-    if problems:
-        raise ConfigError(tuple(problems))
-    return Document(source, data, lines)
+    except RecursionError as exc:
+        raise ConfigError((f"{source}:1: nested too deeply",)) from exc
+    return Document(source, data, lines, tuple(problems))
+
+
+def _refuse_aliases(text: bytes | str, source: str) -> None:
+    """Refuse aliases: a short text with them can stand for a huge document."""
+    for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        if not isinstance(event, yaml.AliasEvent):
+            continue
+        line = event.start_mark.line + 1
+        problem = f"{source}:{line}: alias *{event.anchor}: aliases are not allowed"
+        raise ConfigError((problem,))
 
 
 def _record_lines(node, path, source, lines, problems) -> None:
@@ -113,25 +129,50 @@
         if key.value in seen:
             problems.append(f"{source}:{line}: {dotted(child_path)}: repeated key")
         seen.add(key.value)
-        lines[child_path] = line
+        lines.setdefault(child_path, line)
         _record_lines(child, child_path, source, lines, problems)
 
 
-def checked(document: Document, adapter: TypeAdapter[T]) -> T:
+def checked(
+    document: Document,
+    adapter: TypeAdapter[T],
+    rules: Callable[[Document], Iterable[str]] | None = None,
+) -> T:
     """Build the dataclass of ``adapter`` from ``document``.
 
+    Parameters
+    ----------
+    rules : callable, optional
+        Gives the faults that types alone do not show. It is asked also when
+        types are wrong, so that one pass finds everything.
+
     Raises
     ------
     ConfigError
-        With every fault that one pass found.
+        With every fault that one pass found, in the order of the lines.
     """
     if not isinstance(document.data, dict):
         raise ConfigError((f"{document.source}:1: (top): a mapping is needed",))
+    problems = list(document.problems)
+    if rules is not None:
+        problems += rules(document)
+    value = None
     try:
         # Strict checking takes a mapping for a dataclass only in JSON mode.
-        return adapter.validate_json(json.dumps(document.data, default=str))
+        value = adapter.validate_json(json.dumps(document.data, default=str))
     except ValidationError as exc:
-        raise ConfigError(tuple(_problems(document, exc))) from exc
+        problems += _problems(document, exc)
+    except RecursionError:
+        problems.append(f"{document.source}:1: nested too deeply")
+    if problems:
+        raise ConfigError(tuple(sorted(problems, key=_line)))
+    return value
+
+
+def _line(problem: str) -> int:
+    """Return the line number of ``file:line: ...``."""
+    found = re.match(r".*?:(\d+): ", problem)
+    return int(found[1]) if found else 0
 
 
 def _problems(document: Document, exc: ValidationError) -> list[str]:
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -13,6 +13,7 @@
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
@@ -21,9 +22,9 @@
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
 from marjoramstage.protocol.events import Event, Tick
 from marjoramstage.protocol.objects import PlatformError
-from marjoramstage.settings import Settings, split_address
+from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
-from marjoramstage.transport._server import HttpServer
+from marjoramstage.transport._server import HttpServer, ServerLimits
 from marjoramstage.transport.callers import CallerPort
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
@@ -61,6 +62,7 @@
             await server.start()
         for part in (self.requests, self.placing, self.follower, self.reporter):
             self._tasks.spawn(part.run())
+        self._tasks.spawn(self._callers.readers.run())
         self._tasks.spawn(self._tick())
         log.info("started", extra={"callers": self.caller_address})
 
@@ -79,12 +81,16 @@
             targets, lambda: self.follower.targets, self._post, clock
         )
         relay = Relay(self.requests, targets, clock)
-        callers = CallerPort(
+        self._callers = CallerPort(
             relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
         )
         operators = OperatorPort(self, cfg.secret)
         self._servers = (
-            HttpServer(callers.app(), cfg.listen.callers),
+            HttpServer(
+                self._callers.app(),
+                cfg.listen.callers,
+                ServerLimits(header_bytes=cfg.limits.header_bytes),
+            ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
 
--- a/src/marjoramstage/settings.py
+++ b/src/marjoramstage/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from pathlib import Path
 from typing import Annotated
 
@@ -10,6 +9,8 @@
 from pydantic.dataclasses import dataclass
 
 from marjoramstage._documents import checked, parse_document, read_document
+from marjoramstage._settings_rules import LISTEN_DEFAULTS, settings_problems
+from marjoramstage.addresses import split_address
 
 STRICT = ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
@@ -18,39 +19,25 @@
 Seconds = Annotated[float, Field(gt=0)]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP text and port of ``ip:port`` or ``[ip6]:port``.
-
-    Raises
-    ------
-    ValueError
-        The text is not an IP address with a port.
-    """
-    host, _, port = address.rpartition(":")
-    ip = ipaddress.ip_address(host.strip("[]"))
-    if not port.isdecimal() or not 0 <= int(port) <= 65535:
-        raise ValueError("an address is written ip:port")
-    return str(ip), int(port)
-
-
 def _address(value: str) -> str:
     try:
         split_address(value)
     except ValueError as exc:
-        raise ValueError("an address is written ip:port") from exc
+        raise ValueError("an address is written ip:port or [ip6]:port") from exc
     return value
 
 
 Address = Annotated[str, AfterValidator(_address)]
+Secret = Annotated[str, Field(pattern="^[!-~]{16,256}$")]
 
 
 @dataclass(frozen=True, config=STRICT)
 class Listen:
     """Addresses that the instance listens on, each ``ip:port``."""
 
-    callers: Address = "127.0.0.1:8080"
-    operators: Address = "127.0.0.1:8081"
-    peers: Address = "127.0.0.1:8082"
+    callers: Address = LISTEN_DEFAULTS["callers"]
+    operators: Address = LISTEN_DEFAULTS["operators"]
+    peers: Address = LISTEN_DEFAULTS["peers"]
 
 
 @dataclass(frozen=True, config=STRICT)
@@ -69,6 +56,10 @@
         Deadline of a request that names none, in seconds.
     max_deadline_s : float
         Latest deadline that a caller may ask for, in seconds.
+    body_timeout_s : float
+        How long a caller may take to send a request, in seconds.
+    reader_stall_s : float
+        How long a caller may read nothing of its answer, in seconds.
     drain_s : float
         Bound of a planned stop, in seconds.
     """
@@ -79,6 +70,8 @@
     stream_buffer_bytes: Count = 262_144
     default_deadline_s: Seconds = 30.0
     max_deadline_s: Seconds = 86_400.0
+    body_timeout_s: Seconds = 10.0
+    reader_stall_s: Seconds = 30.0
     drain_s: Seconds = 60.0
 
 
@@ -113,9 +106,7 @@
     listen: Listen = Field(default_factory=Listen)
     limits: Limits = Field(default_factory=Limits)
     peers: tuple[Address, ...] = ()
-    secret: Annotated[str, Field(min_length=16)] | None = Field(
-        default=None, repr=False
-    )
+    secret: Secret | None = Field(default=None, repr=False)
     statsd: Address | None = None
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
@@ -131,9 +122,9 @@
     ConfigError
         With every fault of the file.
     """
-    return checked(read_document(path), _ADAPTER)
+    return checked(read_document(path), _ADAPTER, settings_problems)
 
 
 def parse_settings(text: str, source: str = "settings") -> Settings:
     """Read settings from YAML text; errors as for `load_settings`."""
-    return checked(parse_document(text, source), _ADAPTER)
+    return checked(parse_document(text, source), _ADAPTER, settings_problems)
--- /dev/null
+++ b/src/marjoramstage/transport/_errors.py
@@ -0,0 +1,33 @@
+"""The JSON answer of an error."""
+
+from __future__ import annotations
+
+import math
+
+from aiohttp import web
+
+from marjoramstage.exceptions import RequestError, Verdict
+
+HEADER_REQUEST_ID = "X-Request-Id"
+HEADER_VERDICT = "X-Verdict"
+
+CODE_OF_STATUS = {404: "path", 405: "method", 413: "body-size"}
+
+
+def error_response(exc: RequestError, request_id: str = "") -> web.Response:
+    """Return the answer of an error, its verdict in body and header."""
+    error = {"code": exc.code, "message": exc.message, "verdict": exc.verdict.value}
+    headers = {HEADER_VERDICT: exc.verdict.value}
+    if request_id:
+        error["request_id"] = request_id
+        headers[HEADER_REQUEST_ID] = request_id
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after_s)))
+        error["retry_after_ms"] = round(exc.retry_after_s * 1000)
+    return web.json_response({"error": error}, status=exc.status, headers=headers)
+
+
+def error_of_http(exc: web.HTTPException) -> RequestError:
+    """Return the error of a request that the HTTP library refused."""
+    code = CODE_OF_STATUS.get(exc.status, "http")
+    return RequestError(exc.status, code, f"{exc.reason}.", Verdict.NOT_RUN)
--- /dev/null
+++ b/src/marjoramstage/transport/_readers.py
@@ -0,0 +1,90 @@
+"""Ends the connections of callers that stopped reading their answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from marjoramstage.clock import Clock
+from marjoramstage.logs import part_logger
+from marjoramstage.metrics import Metrics
+
+log = part_logger("callers")
+
+CHECKS_PER_STALL = 4
+
+
+@dataclass
+class Reader:
+    """A caller that is being answered.
+
+    Attributes
+    ----------
+    unsent_bytes : int
+        Size of the write buffer at the last check.
+    since_s : float
+        When it was last seen to change.
+    """
+
+    request_id: str
+    unsent_bytes: int
+    since_s: float
+
+
+class ReaderWatch:
+    """Bounds what is buffered for slow readers, and for how long.
+
+    Parameters
+    ----------
+    buffer_bytes : int
+        Write buffer above which the answer waits for its reader.
+    stall_s : float
+        Time without progress after which the connection is ended, in seconds.
+    """
+
+    def __init__(
+        self, buffer_bytes: int, stall_s: float, clock: Clock, metrics: Metrics
+    ):
+        self._buffer_bytes = buffer_bytes
+        self._stall_s = stall_s
+        self._clock = clock
+        self._metrics = metrics
+        self._readers: dict[asyncio.Transport, Reader] = {}
+
+    @contextmanager
+    def watching(
+        self, transport: asyncio.Transport | None, request_id: str
+    ) -> Iterator[None]:
+        """Watch a caller while its answer is written."""
+        if transport is None:
+            yield
+            return
+        transport.set_write_buffer_limits(high=self._buffer_bytes)
+        self._readers[transport] = Reader(request_id, 0, self._clock.now())
+        try:
+            yield
+        finally:
+            self._readers.pop(transport, None)
+
+    async def run(self) -> None:
+        """Check every reader until cancelled."""
+        while True:
+            await self._clock.sleep(self._stall_s / CHECKS_PER_STALL)
+            self.check()
+
+    def check(self) -> None:
+        """End the connections that made no progress for too long."""
+        now_s = self._clock.now()
+        for transport, reader in list(self._readers.items()):
+            unsent_bytes = transport.get_write_buffer_size()
+            if unsent_bytes == 0 or unsent_bytes != reader.unsent_bytes:
+                reader.unsent_bytes = unsent_bytes
+                reader.since_s = now_s
+                continue
+            if now_s - reader.since_s < self._stall_s:
+                continue
+            self._metrics.count("callers.stalled")
+            log.warning("caller stopped reading", extra={"request": reader.request_id})
+            transport.abort()
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -2,9 +2,39 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+import asyncio
+import ssl
+from dataclasses import dataclass
+from http import HTTPStatus
 
-from marjoramstage.settings import split_address
+from aiohttp import http_exceptions, web
+from aiohttp.web_protocol import RequestHandler
+
+from marjoramstage.addresses import join_address, split_address
+from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.transport._errors import error_response
+
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Bounds of one connection.
+
+    Attributes
+    ----------
+    header_bytes : int
+        Longest request line and longest header.
+    head_timeout_s : float
+        How long a new connection may take for its first request head, in
+        seconds.
+    keepalive_s : float
+        How long a connection may rest between requests, in seconds.
+    """
+
+    header_bytes: int = 16_384
+    head_timeout_s: float = 10.0
+    keepalive_s: float = 75.0
 
 
 class HttpServer:
@@ -16,11 +46,23 @@
         What to serve.
     address : str
         ``ip:port``; port 0 lets the kernel choose.
+    limits : ServerLimits, optional
+        Bounds of each connection.
+    tls : ssl.SSLContext, optional
+        Certificate and key; plain HTTP without.
     """
 
-    def __init__(self, app: web.Application, address: str):
+    def __init__(
+        self,
+        app: web.Application,
+        address: str,
+        limits: ServerLimits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ):
         self._app = app
         self._address = address
+        self._limits = limits or ServerLimits()
+        self._tls = tls
         self._runner: web.AppRunner | None = None
 
     @property
@@ -31,14 +73,89 @@
     async def start(self) -> None:
         """Listen."""
         host, port = split_address(self._address)
-        self._runner = web.AppRunner(self._app, access_log=None)
+        self._runner = _Runner(
+            self._app,
+            head_timeout_s=self._limits.head_timeout_s,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=self._limits.keepalive_s,
+            max_line_size=self._limits.header_bytes,
+            max_field_size=self._limits.header_bytes,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, shutdown_timeout=1.0)
+        site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
         await site.start()
-        bound = site._server.sockets[0].getsockname()
-        self._address = f"{host}:{bound[1]}"
+        bound = self._runner.addresses[0]
+        self._address = join_address(host, bound[1])
 
     async def stop(self) -> None:
         """Close the listening socket and every connection."""
         if self._runner is not None:
             await self._runner.cleanup()
+
+
+class _Runner(web.AppRunner):
+    """A runner whose connections answer malformed HTTP with a typed error."""
+
+    def __init__(self, app: web.Application, *, head_timeout_s: float, **kwargs):
+        super().__init__(app, **kwargs)
+        self._head_timeout_s = head_timeout_s
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        server.__class__ = _Server
+        server.head_timeout_s = self._head_timeout_s
+        return server
+
+
+class _Server(web.Server):
+    """Makes the handlers of new connections."""
+
+    head_timeout_s: float
+
+    def __call__(self) -> RequestHandler:
+        handler = _Connection(self, loop=self._loop, **self._kwargs)
+        handler.head_timeout_s = self.head_timeout_s
+        return handler
+
+
+class _Connection(RequestHandler):
+    """One connection; it never logs what a caller sent."""
+
+    head_timeout_s: float
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._loop.call_later(self.head_timeout_s, self._close_without_request)
+
+    def _close_without_request(self) -> None:
+        if self._request_count == 0:
+            self.force_close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer what could not be read as HTTP."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer was begun")
+        error = _protocol_error(status, exc)
+        resp = error_response(error)
+        resp.force_close()
+        return resp
+
+
+def _protocol_error(status: int, exc: BaseException | None) -> RequestError:
+    if isinstance(exc, http_exceptions.LineTooLong):
+        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        text = "The request line or a header is too long."
+        return RequestError(status, "header-size", text, Verdict.NOT_RUN)
+    if status == HTTPStatus.BAD_REQUEST:
+        text = "The request is not HTTP."
+        return RequestError(status, "http", text, Verdict.NOT_RUN)
+    text = "The instance failed."
+    return RequestError(status, "internal", text, Verdict.MAY_HAVE_RUN)
--- a/src/marjoramstage/transport/relay.py
+++ b/src/marjoramstage/transport/relay.py
@@ -12,13 +12,11 @@
 from marjoramstage.logs import part_logger
 from marjoramstage.protocol.events import Dispatch
 from marjoramstage.protocol.messages import AttemptEnd, Request
+from marjoramstage.transport._errors import HEADER_REQUEST_ID, HEADER_VERDICT
 from marjoramstage.transport.targets import HttpTargets, TargetCall
 
 log = part_logger("relay")
 
-HEADER_REQUEST_ID = "X-Request-Id"
-HEADER_VERDICT = "X-Verdict"
-
 
 class Router(Protocol):
     """Admission and routing as the relay uses it."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -33,35 +34,64 @@
     return code, json.loads(text or "[]")
 
 
+@dataclass(frozen=True)
+class Scenario:
+    """One scenario that ran.
+
+    Attributes
+    ----------
+    name : str
+        Name of its feature and its own.
+    status : str
+        behave's word; anything but ``passed`` is a failure.
+    seen : str
+        What the failed step reported.
+    """
+
+    name: str
+    status: str
+    seen: str
+
+
 def scenario_results(features):
-    """Return name and status of every scenario."""
+    """Return every scenario that ran."""
     found = []
     for feature in features:
         for element in feature.get("elements", []):
             if element.get("type") == "background":
                 continue
-            name = f"{feature['name']} / {element['name']}"
-            found.append((name, element.get("status", "failed")))
+            name = f"{feature['name']} / {element['name']}".strip()
+            status = element.get("status", "failed")
+            found.append(Scenario(name, status, error_text(element)))
     return found
 
 
+def error_text(element):
+    """Return what the failed steps of a scenario reported."""
+    texts = []
+    for step in element.get("steps", []):
+        message = step.get("result", {}).get("error_message", "")
+        texts.append(message if isinstance(message, str) else "\n".join(message))
+    return "\n".join(text for text in texts if text)
+
+
 def main():
     """Run the tests; return the exit code."""
     code, features = run_behave(sys.argv[1:])
     red = known_red()
     passed, failed, listed = 0, 0, 0
-    for name, status in scenario_results(features):
-        if name in red:
+    for scenario in scenario_results(features):
+        if scenario.name in red:
             listed += 1
-            print(f"known red: {name}: {status}")
-            if status == "passed":
+            print(f"known red: {scenario.name}: {scenario.status}")
+            if scenario.status == "passed":
                 print("it passes again: take it out of KNOWN-RED.txt")
                 failed += 1
             continue
-        if status == "passed":
+        if scenario.status == "passed":
             passed += 1
             continue
-        print(f"failed: {name}: {status}")
+        print(f"{scenario.status}: {scenario.name}\n{scenario.seen}")
         failed += 1
     if code != 0 and failed == 0 and listed == 0:
         print("behave failed outside a scenario")
