Show settings and open requests in the dump, and no secret anywhere

Cause: the dump lacked settings, open requests and gauges; lines of libraries had no prefix and could repeat what a caller sent; an operators' secret outside ASCII gave 500; a metrics server on IPv6 could not be named, and a full UDP buffer could have held the loop up.

Every log line has a prefix, also those of libraries. The statsd socket does not block.

--- /dev/null
+++ b/features/steps/observing.py
@@ -0,0 +1,227 @@
+"""Steps about logs, the state dump, metrics and slow readers."""
+
+import hashlib
+import json
+import socket
+from importlib import resources
+
+from behave import given, then, when
+
+from features.processes import Deployment, call, free_address, wait_for
+from features.raw_http import exchange, request_bytes
+from marjoramstage.addresses import split_address
+from marjoramstage.clock import VirtualClock
+from marjoramstage.metrics import LocalMetrics, StatsdMetrics
+from marjoramstage.transport._readers import ReaderWatch
+
+CREDENTIAL = "demo-credential"
+STRANGER = "stranger-credential-1234"
+SECRET = "operators-secret-5678"
+SECRETS = {
+    "the customer's credential": CREDENTIAL,
+    "the stranger's credential": STRANGER,
+    "the operators' secret": SECRET,
+}
+SETTINGS = (
+    f"secret: {SECRET}\nlog_level: debug\nstatsd: {{statsd}}\n"
+    "limits: {{stream_buffer_bytes: 16384, reader_stall_s: 1.0}}\n"
+)
+LONG_TOKENS = 300_000
+PROMPT = {"model": "assistant", "prompt": "Which halls are free?", "max_tokens": 2}
+
+
+def bearer(secret):
+    return ("Authorization", f"Bearer {secret}")
+
+
+def post(path, body, secret=CREDENTIAL):
+    payload = json.dumps(body).encode()
+    return request_bytes("POST", path, [bearer(secret)], payload)
+
+
+CALLER_CALLS = {
+    "whole": post("/v1/completions", PROMPT),
+    "booking": post("/services/booking/bookings", {"hall": "A1"}),
+    "unpaid": post("/v1/completions", {**PROMPT, "model": "other"}),
+    "stranger": post("/v1/completions", PROMPT, STRANGER),
+    "broken HTTP": f"GET / HTTP/1.1\r\nHost: m\r\n{STRANGER}\r\n\r\n".encode(),
+}
+OPERATOR_CALLS = {
+    "dump": request_bytes("GET", "/dump", [bearer(SECRET)]),
+    "dump without secret": request_bytes("GET", "/dump"),
+    "dump, wrong secret": request_bytes("GET", "/dump", [bearer(STRANGER)]),
+    "dump, not ASCII secret": request_bytes("GET", "/dump", [bearer("\xe9\xff")]),
+    "health without secret": request_bytes("GET", "/healthz"),
+}
+
+
+@given("an observed instance with a secret and a metrics server that is away")
+def start_observed(context):
+    context.deployment = deployment = Deployment()
+    deployment.start_platform()
+    deployment.start_target("engine", "e1")
+    deployment.start_target("service", "s1")
+    deployment.start_instance("i1", extra=SETTINGS.format(statsd=free_address()))
+    operators = deployment.operators["i1"]
+    wait_for(lambda: call(operators, "/healthz").status == 200, "instance listens")
+    text = resources.files("marjoramstage").joinpath("demo.yaml").read_bytes()
+    headers = dict([bearer(SECRET)])
+    assert call(operators, "/inventory", "POST", text, headers).status == 200
+    for name in ("whole", "booking"):
+        wait_for(lambda name=name: _caller(context, name).status < 300, name)
+
+
+def _caller(context, name):
+    return exchange(context.deployment.addresses["i1"], CALLER_CALLS[name])
+
+
+def _dump(context):
+    operators = context.deployment.operators["i1"]
+    return json.loads(exchange(operators, OPERATOR_CALLS["dump"]).body)
+
+
+@when("good and bad callers and operators call the observed instance")
+def call_observed(context):
+    context.observed = {name: _caller(context, name) for name in CALLER_CALLS}
+    operators = context.deployment.operators["i1"]
+    for name, payload in OPERATOR_CALLS.items():
+        context.observed[name] = exchange(operators, payload)
+    path = context.deployment.folder / "i1.log"
+    context.log_text = path.read_text()
+
+
+@then("every observed answer has its status")
+def check_statuses(context):
+    seen = {name: answer.status for name, answer in context.observed.items()}
+    assert seen == {row["call"]: int(row["status"]) for row in context.table}, seen
+
+
+@then("no observed log line, dump or error answer holds a secret")
+def check_secrets(context):
+    texts = {name: answer.body.decode() for name, answer in context.observed.items()}
+    texts["log"] = context.log_text
+    for row in context.table:
+        secret = SECRETS[row["secret"]]
+        digest = hashlib.sha256(secret.encode()).hexdigest()
+        for name, text in texts.items():
+            assert secret not in text, f"{name} holds {row['secret']}"
+            assert digest not in text, f"{name} holds the hash of {row['secret']}"
+
+
+@then(
+    "each observed log line is JSON with a prefix, and refusals carry their request id"
+)
+def check_log(context):
+    lines = [json.loads(line) for line in context.log_text.splitlines()]
+    assert lines
+    for line in lines:
+        part, _, sentence = line["message"].partition(": ")
+        assert part.isalpha() and sentence, line
+        assert line["instance"] == "i1" and line["time"] and line["level"], line
+    logged = {line.get("request") for line in lines}
+    for name in ("unpaid", "stranger"):
+        assert context.observed[name].headers["X-Request-Id"] in logged, name
+
+
+@then(
+    "the dump names its settings, generation, targets, ledgers, queues, requests "
+    "and counters"
+)
+def check_dump(context):
+    dump = json.loads(context.observed["dump"].body)
+    assert dump["settings"]["limits"]["reader_stall_s"] == 1.0, dump["settings"]
+    assert "secret" not in dump["settings"]
+    assert dump["generation"] == 1
+    assert {target["name"] for target in dump["targets"]} == {"e1", "s1"}
+    assert "e1" in dump["ledgers"]
+    assert dump["queues"] == {} and dump["requests"] == []
+    assert dump["counters"]["callers.errors.model"] == 1, dump["counters"]
+
+
+@when("a caller asks the observed instance for a long stream and reads nothing")
+def stop_reading(context):
+    body = {**PROMPT, "stream": True, "max_tokens": LONG_TOKENS}
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(split_address(context.deployment.addresses["i1"]))
+    sock.sendall(post("/v1/completions", body))
+    context.stalled = sock
+    wait_for(lambda: _stalled(context) == 1, "the stalled connection is ended")
+
+
+def _stalled(context):
+    return _dump(context)["counters"].get("callers.stalled", 0)
+
+
+@then("the observed instance ends that connection and goes on serving")
+def check_ended(context):
+    wait_for(lambda: _dump(context)["requests"] == [], "no request is open")
+    assert _caller(context, "booking").status == 201
+
+
+@then("the observed instance has buffered less than {most_bytes:d} bytes for it")
+def check_buffered(context, most_bytes):
+    log = (context.deployment.folder / "i1.log").read_text()
+    lines = [json.loads(line) for line in log.splitlines()]
+    found = [line for line in lines if "unsent_bytes" in line]
+    assert len(found) == 1, lines
+    assert 0 < found[0]["unsent_bytes"] < most_bytes, found
+    context.stalled.close()
+
+
+class FakeTransport:
+    """A connection whose reader takes what the test says."""
+
+    def __init__(self):
+        self.unsent_bytes = 0
+        self.aborted = False
+
+    def set_write_buffer_limits(self, high):
+        self.high = high
+
+    def get_write_buffer_size(self):
+        return self.unsent_bytes
+
+    def abort(self):
+        self.aborted = True
+
+
+@given("a reader watch of {stall_s:d} s")
+def make_watch(context, stall_s):
+    context.clock = VirtualClock()
+    context.watch = ReaderWatch(1000, stall_s, context.clock, LocalMetrics())
+
+
+@when('the reader\'s unsent bytes at steps of {step_s:d} s are "{unsent}"')
+def run_watch(context, step_s, unsent):
+    context.transport = FakeTransport()
+    with context.watch.watching(context.transport, "r1"):
+        for text in unsent.split():
+            context.transport.unsent_bytes = int(text)
+            context.clock.advance(step_s)
+            context.watch.check()
+
+
+@then("the watched connection is {end}")
+def check_watch(context, end):
+    assert context.transport.aborted == (end == "ended")
+    assert context.transport.high == 1000
+
+
+@given('metrics for the address "{host}"')
+def make_metrics(context, host):
+    context.metrics = StatsdMetrics(host, split_address(free_address())[1])
+
+
+@when("a thousand figures of each kind are sent")
+def send_figures(context):
+    for number in range(1000):
+        context.metrics.count("a.counter")
+        context.metrics.gauge("a.gauge", number)
+        context.metrics.timing("a.timing", number)
+
+
+@then("nothing is raised and the counters hold them")
+def check_figures(context):
+    assert context.metrics.counters["a.counter"] == 1000
+    assert context.metrics.gauges["a.gauge"] == 999
--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from marjoramstage._instance.dumped import to_data
 from marjoramstage.coordination.routing import TargetView
 from marjoramstage.state.ledger import ledger_to_data
 
@@ -30,9 +31,12 @@
         "instance": instance.settings.name,
         "data_centre": instance.settings.data_centre,
         "generation": instance.follower.generation,
+        "settings": to_data(instance.settings),
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
+        "requests": to_data(instance.callers.dump()),
         "queues": scheduler.queue_lengths(),
         "ledgers": {name: ledger_to_data(item) for name, item in ledgers.items()},
         "counters": dict(instance.metrics.counters),
+        "gauges": dict(instance.metrics.gauges),
     }
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -62,7 +62,7 @@
             await server.start()
         for part in (self.requests, self.placing, self.follower, self.reporter):
             self._tasks.spawn(part.run())
-        self._tasks.spawn(self._callers.readers.run())
+        self._tasks.spawn(self.callers.readers.run())
         self._tasks.spawn(self._tick())
         log.info("started", extra={"callers": self.caller_address})
 
@@ -81,13 +81,13 @@
             targets, lambda: self.follower.targets, self._post, clock
         )
         relay = Relay(self.requests, targets, clock)
-        self._callers = CallerPort(
+        self.callers = CallerPort(
             relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
         )
         operators = OperatorPort(self, cfg.secret)
         self._servers = (
             HttpServer(
-                self._callers.app(),
+                self.callers.app(),
                 cfg.listen.callers,
                 ServerLimits(header_bytes=cfg.limits.header_bytes),
             ),
--- a/src/marjoramstage/logs.py
+++ b/src/marjoramstage/logs.py
@@ -27,6 +27,17 @@
     return PartLogger(logging.getLogger(f"{ROOT}.{part}"), {"part": part})
 
 
+class LibraryPrefix(logging.Filter):
+    """Puts a prefix before the lines of libraries, so that every line has one."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Add the prefix; no line is dropped."""
+        if not record.name.startswith(ROOT):
+            record.msg = f"library: {record.getMessage()}"
+            record.args = ()
+        return True
+
+
 def configure(level: str, instance: str) -> None:
     """Send log lines to standard error as JSON.
 
@@ -44,7 +55,6 @@
         static_fields={"instance": instance},
     )
     handler.setFormatter(formatter)
-    root = logging.getLogger(ROOT)
-    root.handlers[:] = [handler]
-    root.propagate = False
-    root.setLevel(level.upper())
+    handler.addFilter(LibraryPrefix())
+    logging.getLogger().handlers[:] = [handler]
+    logging.getLogger(ROOT).setLevel(level.upper())
--- a/src/marjoramstage/metrics.py
+++ b/src/marjoramstage/metrics.py
@@ -53,7 +53,8 @@
 
     def __init__(self, host: str, port: int):
         super().__init__()
-        self._client = statsd.StatsClient(host, port, prefix=PREFIX)
+        self._client = statsd.StatsClient(host, port, PREFIX, ipv6=":" in host)
+        self._client._sock.setblocking(False)
 
     def count(self, name: str, value: int = 1) -> None:
         """Add ``value`` to the counter ``name``."""
--- a/src/marjoramstage/transport/_readers.py
+++ b/src/marjoramstage/transport/_readers.py
@@ -86,5 +86,6 @@
             if now_s - reader.since_s < self._stall_s:
                 continue
             self._metrics.count("callers.stalled")
-            log.warning("caller stopped reading", extra={"request": reader.request_id})
+            extra = {"request": reader.request_id, "unsent_bytes": unsent_bytes}
+            log.warning("caller stopped reading", extra=extra)
             transport.abort()
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -64,6 +64,7 @@
         self._limits = limits or ServerLimits()
         self._tls = tls
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     @property
     def address(self) -> str:
@@ -84,11 +85,17 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
-        await site.start()
+        self._site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
+        await self._site.start()
         bound = self._runner.addresses[0]
         self._address = join_address(host, bound[1])
 
+    async def close_listener(self) -> None:
+        """Accept no new connections; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
     async def stop(self) -> None:
         """Close the listening socket and every connection."""
         if self._runner is not None:
--- a/src/marjoramstage/transport/callers.py
+++ b/src/marjoramstage/transport/callers.py
@@ -5,7 +5,7 @@
 import asyncio
 import uuid
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import xxhash
 from aiohttp import web
@@ -15,7 +15,7 @@
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import Metrics
 from marjoramstage.protocol.events import Dispatch
-from marjoramstage.protocol.messages import Request, TargetKind
+from marjoramstage.protocol.messages import Request, RequestClass, TargetKind
 from marjoramstage.settings import Limits
 from marjoramstage.state.inventory import Customer, Inventory, Service
 from marjoramstage.transport._bodies import EngineBody, parse_engine_body
@@ -42,6 +42,25 @@
 PREFIX_CHARS = 512
 
 
+@dataclass(frozen=True)
+class OpenRequest:
+    """A request that is being served, for the state dump.
+
+    Attributes
+    ----------
+    age_s, left_s : float
+        Time since it arrived and time to its deadline, in seconds.
+    """
+
+    id: str
+    customer: str
+    model: str
+    adapter: str | None
+    request_class: RequestClass
+    age_s: float
+    left_s: float
+
+
 class CallerPort:
     """Handlers of the callers' port.
 
@@ -64,6 +83,7 @@
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
+        self._open: dict[str, Request] = {}
         self.readers = ReaderWatch(
             limits.stream_buffer_bytes, limits.reader_stall_s, clock, metrics
         )
@@ -79,6 +99,24 @@
         app.router.add_route("*", "/services/{service}/{tail:.*}", self._service)
         return app
 
+    def dump(self) -> list[OpenRequest]:
+        """Return the requests that have no whole answer yet, oldest first."""
+        now_s = self._clock.now()
+        found = []
+        for request in self._open.values():
+            found.append(
+                OpenRequest(
+                    id=request.id,
+                    customer=request.customer,
+                    model=request.model,
+                    adapter=request.adapter,
+                    request_class=request.request_class,
+                    age_s=round(now_s - request.arrived_s, 3),
+                    left_s=round(request.deadline_s - now_s, 3),
+                )
+            )
+        return found
+
     @web.middleware
     async def _errors(self, req: web.Request, handler) -> web.StreamResponse:
         """Give every request an id, and every error a verdict."""
@@ -204,8 +242,12 @@
         call_for: Callable[[Dispatch], TargetCall],
     ) -> web.StreamResponse:
         """Relay the answer to a caller that keeps reading."""
-        with self.readers.watching(req.transport, request.id):
-            return await self._relay.serve(req, request, call_for)
+        self._open[request.id] = request
+        try:
+            with self.readers.watching(req.transport, request.id):
+                return await self._relay.serve(req, request, call_for)
+        finally:
+            del self._open[request.id]
 
     def _check_paid(self, customer: Customer, body: EngineBody) -> None:
         inventory = self._inventory()
--- a/src/marjoramstage/transport/operators.py
+++ b/src/marjoramstage/transport/operators.py
@@ -63,7 +63,8 @@
     async def _guard(self, req: web.Request, handler) -> web.StreamResponse:
         if self._secret is not None and req.path not in ("/healthz", "/readyz"):
             given = req.headers.get("Authorization", "").removeprefix("Bearer ")
-            if not hmac.compare_digest(given.encode(), self._secret.encode()):
+            data = given.encode("utf-8", "surrogateescape")
+            if not hmac.compare_digest(data, self._secret.encode()):
                 return web.json_response({"error": "secret"}, status=401)
         return await handler(req)
 
