--- a/features/processes.py
+++ b/features/processes.py
@@ -86,7 +86,8 @@
         self.start(name, "standin", kind, *common, *options)
         self.addresses[name] = address
 
-    def start_instance(self, name, data_centre="local", extra=""):
+    def write_settings(self, name, data_centre="local", extra=""):
+        """Write the settings of an instance; return their path."""
         callers, operators, peers = (free_address() for _ in range(3))
         path = self.folder / f"{name}.yaml"
         path.write_text(
@@ -94,9 +95,13 @@
             f"listen:\n  callers: {callers}\n  operators: {operators}\n"
             f"  peers: {peers}\n{extra}"
         )
-        self.start(name, "serve", "--settings", str(path))
         self.addresses[name] = callers
         self.operators[name] = operators
+        return path
+
+    def start_instance(self, name, data_centre="local", extra=""):
+        path = self.write_settings(name, data_centre, extra)
+        self.start(name, "serve", "--settings", str(path))
 
     def dump(self, name):
         return call(self.operators[name], "/dump").json()
