Check leases by a model and by take-overs on a virtual clock

Cause: nothing tested that two holders are never valid at once. Found: a stop given twice failed; a taker that read just before the term ended waited for its next steady read (15 s instead of 14 after a kill). It now reads again when the term is over.

--- /dev/null
+++ b/features/lease_machine.py
@@ -0,0 +1,156 @@
+"""Three lease keepers and a platform, with every call left open.
+
+The keepers' clocks run at the same rate from different origins. What is
+checked is that no two leases are valid at one moment.
+"""
+
+from dataclasses import dataclass, replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from marjoramstage.coordination.leases import LeaseKeeper, ReadLease, WriteLease
+from marjoramstage.protocol.events import LeaseHeld
+
+SHARD = "centre"
+ORIGINS_S = {"a": 0.0, "b": 1000.0, "c": 50.0}
+NAMES = sorted(ORIGINS_S)
+
+
+class StoredLease:
+    """The lease in the platform, with conditional updates."""
+
+    def __init__(self):
+        self.record = None
+        self.version = 0
+
+    def write(self, record):
+        """Return the stored record, or None if the version has moved on."""
+        current = self.record.version if self.record is not None else ""
+        if record.version != current:
+            return None
+        self.version += 1
+        self.record = replace(record, version=str(self.version))
+        return self.record
+
+
+@dataclass(frozen=True)
+class Call:
+    """A call of a keeper that the platform has not taken yet."""
+
+    name: str
+    effect: ReadLease | WriteLease
+    given_up: bool = False
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """The model check of the leases."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 100.0
+        self.store = StoredLease()
+        self.keepers = {name: LeaseKeeper(SHARD, name) for name in NAMES}
+        self.calls = []
+        self.answers = []
+        self.fences = []
+
+    def clock(self, name):
+        return self.now_s + ORIGINS_S[name]
+
+    def _take(self, name, effects):
+        for effect in effects:
+            if isinstance(effect, ReadLease | WriteLease):
+                self.calls.append(Call(name, effect))
+            elif isinstance(effect, LeaseHeld):
+                self.fences.append((effect.fence, name))
+
+    def _carry_out(self, call):
+        """Let the platform take a call; return what its answer does."""
+        keeper = self.keepers[call.name]
+        if isinstance(call.effect, ReadLease):
+            record = self.store.record
+            return call.name, lambda: keeper.read(record, self.clock(call.name))
+        stored = self.store.write(call.effect.record)
+        if stored is None:
+            return call.name, lambda: keeper.refused(self.clock(call.name))
+        return call.name, lambda: keeper.written(stored, self.clock(call.name))
+
+    @rule(name=st.sampled_from(NAMES), rank=st.integers(0, 2))
+    def ticks(self, name, rank):
+        self._take(name, self.keepers[name].tick(rank, self.clock(name)))
+
+    @rule(name=st.sampled_from(NAMES))
+    def goes_on(self, name):
+        """A keeper runs without a fault for a moment."""
+        for _ in range(4):
+            self._take(name, self.keepers[name].tick(0, self.clock(name)))
+            mine = [call for call in self.calls if call.name == name]
+            for call in mine:
+                self.calls.remove(call)
+                _, answer = self._carry_out(call)
+                if not call.given_up:
+                    self._take(name, answer())
+            self.now_s += 0.25
+
+    @rule(delay_s=st.sampled_from([0.25, 1.0, 3.0, 5.0, 9.5]))
+    def time_passes(self, delay_s):
+        self.now_s += delay_s
+
+    @precondition(lambda self: self.calls)
+    @rule(data=st.data())
+    def platform_takes_a_call(self, data):
+        call = self.calls.pop(data.draw(st.integers(0, len(self.calls) - 1)))
+        answer = self._carry_out(call)
+        if not call.given_up:
+            self.answers.append(answer)
+
+    @precondition(lambda self: self.answers)
+    @rule(data=st.data(), lost=st.booleans())
+    def platform_answers(self, data, lost):
+        """A lost answer: the write took effect all the same."""
+        place = data.draw(st.integers(0, len(self.answers) - 1))
+        name, answer = self.answers.pop(place)
+        if lost:
+            self._take(name, self.keepers[name].failed(self.clock(name)))
+        else:
+            self._take(name, answer())
+
+    @precondition(lambda self: self.calls)
+    @rule(data=st.data(), late=st.booleans())
+    def call_is_given_up(self, data, late):
+        """The caller gives up; the platform may take the call later."""
+        place = data.draw(st.integers(0, len(self.calls) - 1))
+        call = self.calls.pop(place)
+        if late:
+            self.calls.append(replace(call, given_up=True))
+        if not call.given_up:
+            now_s = self.clock(call.name)
+            self._take(call.name, self.keepers[call.name].failed(now_s))
+
+    @rule(name=st.sampled_from(NAMES))
+    def restarts(self, name):
+        """A new process of the same instance; nothing of the old one is left."""
+        identity = f"{name}-{len(self.fences)}-{self.now_s}"
+        self.keepers[name] = LeaseKeeper(SHARD, identity)
+        self.calls = [call for call in self.calls if call.name != name]
+        self.answers = [answer for answer in self.answers if answer[0] != name]
+
+    @rule(name=st.sampled_from(NAMES))
+    def gives_up(self, name):
+        self._take(name, self.keepers[name].stop(self.clock(name)))
+
+    @invariant()
+    def at_most_one_is_valid(self):
+        valid = [
+            name
+            for name, keeper in self.keepers.items()
+            if self.clock(name) < keeper.valid_until_s
+        ]
+        assert len(valid) <= 1, f"valid at once: {valid}"
+
+    @invariant()
+    def fences_rise_with_each_holder(self):
+        holders = {}
+        for fence, name in self.fences:
+            assert holders.setdefault(fence, name) == name, self.fences
--- /dev/null
+++ b/features/leases.feature
@@ -0,0 +1,49 @@
+Feature: Leases of a shard of targets
+  One holder at a time, by conditional updates and monotonic clocks.
+
+  Scenario: lease model holds under every fault
+    When the lease model is checked
+    Then the lease model finds one valid holder at most
+
+  Scenario: lease model notices takers that do not wait
+    Given lease keepers with takers that do not wait for a term
+    When the lease model is checked
+    Then the lease model finds two valid holders
+
+  Scenario Outline: lease validity counts from before the write was sent
+    When the answer of a lease write comes <delay> s after it was sent
+    Then the lease is valid for <valid> s after the write was sent
+
+    Examples:
+      | delay | valid |
+      | 0     | 8.5   |
+      | 5     | 8.5   |
+      | 9     | 0     |
+
+  Scenario Outline: a lease passes on when its holder is <fault>
+    Given lease keepers a and b, and a holds the lease
+    When the lease holder a is <fault>
+    Then lease keeper b holds within <bound> s with a higher fence
+    And the lease of a was not valid any more by then
+
+    Examples:
+      | fault             | bound |
+      | killed            | 14    |
+      | paused            | 14    |
+      | cut off           | 14    |
+      | stopped           | 5     |
+
+  Scenario Outline: a lease write whose answer is lost is settled by reading
+    Given lease keepers a and b, and a holds the lease
+    When the answer of a lease renewal of a is lost and it <effect>
+    Then lease keeper a still holds with the same fence
+
+    Examples:
+      | effect       |
+      | took effect  |
+      | was lost too |
+
+  Scenario: an operator sees that placement is frozen without the platform
+    Given a lease desk whose platform goes down after it held its lease
+    Then its lease dump says frozen after the term
+    And its lease dump says held again when the platform is back
--- /dev/null
+++ b/features/steps/leases.py
@@ -0,0 +1,247 @@
+"""Steps of the leases: the model check, take-overs and lost answers."""
+
+import asyncio
+import os
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+from result import Err, Ok
+
+from features.lease_machine import SHARD, LeaseMachine, StoredLease
+from marjoramstage._instance.leasing import LEASE_TICK_S, LeaseDesk
+from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.clock import VirtualClock
+from marjoramstage.coordination import leases
+from marjoramstage.coordination.leases import TERM_S, LeaseKeeper, ReadLease
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.objects import PlatformError, PlatformFault
+
+EXAMPLES = 150
+EXAMPLES_WITH_A_FAULT = 3000
+STEPS = 60
+
+
+def _takes_at_once(keeper, rank):
+    return keeper.record is not None and keeper.state == leases.WATCHING
+
+
+FAULTS = {
+    "takers that do not wait for a term": ("_may_take", _takes_at_once),
+}
+
+
+@given("lease keepers with {fault}")
+def break_keepers(context, fault):
+    patch = mock.patch.object(LeaseKeeper, *FAULTS[fault])
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.examples = EXAMPLES_WITH_A_FAULT
+
+
+@when("the lease model is checked")
+def check_model(context):
+    asked = os.environ.get("LEASE_MODEL_EXAMPLES")
+    examples = int(asked) if asked else getattr(context, "examples", EXAMPLES)
+    checked = settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        derandomize=asked is None,
+        phases=(Phase.generate,),
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    context.found = None
+    try:
+        run_state_machine_as_test(LeaseMachine, settings=checked)
+    except AssertionError as exc:
+        context.found = exc
+
+
+@then("the lease model finds one valid holder at most")
+def check_one(context):
+    if context.found is not None:
+        raise context.found
+
+
+@then("the lease model finds two valid holders")
+def check_two(context):
+    assert "valid at once" in str(context.found), context.found
+
+
+class Pair:
+    """Two keepers on one virtual clock; calls are answered at once."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.store = StoredLease()
+        self.keepers = {name: LeaseKeeper(SHARD, name) for name in ("a", "b")}
+        self.silent = set()
+        self.lose = None
+
+    def run(self, until):
+        """Tick until ``until`` holds; return the seconds that it took."""
+        start_s = self.now_s
+        while not until():
+            assert self.now_s - start_s < 60, "never happened"
+            for name, keeper in self.keepers.items():
+                if name not in self.silent:
+                    self.perform(keeper, keeper.tick(name == "b", self.now_s))
+            self.now_s += LEASE_TICK_S
+        return self.now_s - start_s
+
+    def perform(self, keeper, effects):
+        for effect in effects:
+            if isinstance(effect, ReadLease):
+                self.perform(keeper, keeper.read(self.store.record, self.now_s))
+            elif isinstance(effect, leases.WriteLease):
+                self.perform(keeper, self._write(keeper, effect.record))
+
+    def _write(self, keeper, record):
+        lose, self.lose = self.lose, None
+        if lose == "was lost too":
+            return keeper.failed(self.now_s)
+        stored = self.store.write(record)
+        if lose is not None:
+            return keeper.failed(self.now_s)
+        if stored is None:
+            return keeper.refused(self.now_s)
+        return keeper.written(stored, self.now_s)
+
+    def holds(self, name):
+        return self.now_s < self.keepers[name].valid_until_s
+
+
+@given("lease keepers a and b, and a holds the lease")
+def start_pair(context):
+    context.pair = Pair()
+    context.pair.run(lambda: context.pair.holds("a"))
+    context.pair.run(lambda: context.pair.keepers["b"].record is not None)
+    context.fence = context.pair.keepers["a"].fence
+
+
+@when("the lease holder a is {fault}")
+def stop_holder(context, fault):
+    pair = context.pair
+    if fault == "stopped":
+        pair.perform(pair.keepers["a"], pair.keepers["a"].stop(pair.now_s))
+    else:
+        pair.silent.add("a")
+    context.until_s = pair.keepers["a"].valid_until_s
+
+
+@then("lease keeper b holds within {bound:d} s with a higher fence")
+def check_taken(context, bound):
+    passed_s = context.pair.run(lambda: context.pair.holds("b"))
+    assert passed_s <= bound, passed_s
+    assert context.pair.keepers["b"].fence > context.fence
+
+
+@then("the lease of a was not valid any more by then")
+def check_lapsed(context):
+    assert context.until_s < context.pair.now_s
+
+
+@when("the answer of a lease renewal of a is lost and it {effect}")
+def lose_answer(context, effect):
+    context.pair.lose = effect
+    context.pair.run(lambda: context.pair.lose is None)
+
+
+@then("lease keeper a still holds with the same fence")
+def check_held(context):
+    pair = context.pair
+    end_s = pair.now_s + 2 * TERM_S
+    pair.run(lambda: pair.now_s >= end_s)
+    assert pair.holds("a")
+    assert pair.keepers["a"].fence == context.fence
+
+
+@when("the answer of a lease write comes {delay_s:d} s after it was sent")
+def answer_late(context, delay_s):
+    keeper, store = LeaseKeeper(SHARD, "late"), StoredLease()
+    keeper.tick(0, 100.0)
+    keeper.read(None, 100.0)
+    (write,) = keeper.tick(0, 100.0)
+    keeper.written(store.write(write.record), 100.0 + delay_s)
+    keeper.tick(0, 100.0 + delay_s)
+    context.keeper = keeper
+
+
+@then("the lease is valid for {valid_s:g} s after the write was sent")
+def check_validity(context, valid_s):
+    assert context.keeper.valid_until_s in (100.0 + valid_s, valid_s), valid_s
+
+
+class LeasePlatform:
+    """Keeps one lease object; fails every call while it is down."""
+
+    def __init__(self):
+        self.down = False
+        self.obj = None
+        self.version = 0
+
+    async def get(self, kind, name):
+        if self.down:
+            return self._failure(PlatformFault.UNAVAILABLE)
+        if self.obj is None:
+            return self._failure(PlatformFault.NOT_FOUND)
+        return Ok(self.obj)
+
+    async def create(self, obj):
+        return await self.update(obj)
+
+    async def update(self, obj):
+        if self.down:
+            return self._failure(PlatformFault.UNAVAILABLE)
+        current = self.obj.version if self.obj is not None else ""
+        if obj.version != current:
+            return self._failure(PlatformFault.CONFLICT)
+        self.version += 1
+        self.obj = _at_version(obj, str(self.version))
+        return Ok(self.obj)
+
+    def _failure(self, fault):
+        return Err(PlatformError(fault, Verdict.NOT_RUN))
+
+
+def _at_version(obj, version):
+    return type(obj)(obj.kind, obj.name, obj.spec, version, obj.labels)
+
+
+async def _run_desk(desk, clock, seconds):
+    """Let a desk run for virtual seconds; return whether it froze and held."""
+    task = asyncio.create_task(desk.run())
+    for _ in range(int(seconds / LEASE_TICK_S)):
+        await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return desk.dump()[0]["frozen"]
+
+
+@given("a lease desk whose platform goes down after it held its lease")
+def start_desk(context):
+    async def run():
+        clock, platform, tasks = VirtualClock(), LeasePlatform(), TaskGroup()
+        desk = LeaseDesk("i1", SHARD, platform, lambda event: None, tasks, clock)
+        seen = [await _run_desk(desk, clock, 2 * TERM_S)]
+        platform.down = True
+        seen.append(await _run_desk(desk, clock, TERM_S))
+        platform.down = False
+        seen.append(await _run_desk(desk, clock, 2 * TERM_S))
+        await tasks.stop()
+        return seen
+
+    context.frozen = asyncio.run(run())
+
+
+@then("its lease dump says frozen after the term")
+def check_frozen(context):
+    assert context.frozen[:2] == [False, True], context.frozen
+
+
+@then("its lease dump says held again when the platform is back")
+def check_back(context):
+    assert context.frozen[2] is False, context.frozen
--- a/src/marjoramstage/coordination/leases.py
+++ b/src/marjoramstage/coordination/leases.py
@@ -99,6 +99,7 @@
         self._sent_s = 0.0
         self._calling = False
         self._next_call_s = 0.0
+        self._again_s = 0.0
         self._machine = Machine(
             model=self,
             states=STATES,
@@ -135,7 +136,7 @@
         if self._sent is None and self._may_take(rank):
             self.take()
             return [*effects, self._write(self._taken_over(), now_s)]
-        if now_s < self._next_call_s:
+        if now_s < self._next_call_s and not self._due(rank, now_s):
             return effects
         if self._sent is None and self.state == HOLDING:
             renewed = replace(self.record, renewals=self.record.renewals + 1)
@@ -177,7 +178,8 @@
     def failed(self, now_s: float) -> list[LeaseEffect]:
         """Take in a failed call; a write may have taken effect all the same."""
         self._calling = False
-        self._next_call_s = now_s + READ_AGAIN_S
+        self._again_s = now_s + READ_AGAIN_S
+        self._next_call_s = self._again_s
         return []
 
     def refused(self, now_s: float) -> list[LeaseEffect]:
@@ -188,6 +190,8 @@
 
     def stop(self, now_s: float) -> list[LeaseEffect]:
         """Give the lease up; a taker need not wait after that."""
+        if self.state == RELEASED:
+            return []
         held = self.state == HOLDING and now_s < self.until_s
         self.release()
         if not held:
@@ -220,10 +224,19 @@
         record = self.record
         if record is None or self.state != WATCHING:
             return False
-        waited_s = self._read_s - self._seen_s
-        if record.holder in ("", self.identity):
-            return waited_s >= rank * STAGGER_S
-        return waited_s >= TERM_S + rank * STAGGER_S
+        return self._read_s - self._seen_s >= self._wait_s(rank)
+
+    def _wait_s(self, rank: int) -> float:
+        """How long a version has to be unchanged before it is replaced."""
+        free = self.record.holder in ("", self.identity)
+        return rank * STAGGER_S + (0.0 if free else TERM_S)
+
+    def _due(self, rank: int, now_s: float) -> bool:
+        """Whether one more read could show that the lease can be taken."""
+        if self.record is None or self.state != WATCHING:
+            return False
+        due_s = self._seen_s + self._wait_s(rank)
+        return self._read_s < due_s <= now_s and now_s >= self._again_s
 
     def _is_own(self, record: LeaseRecord | None) -> bool:
         return record is not None and record.holder == self.identity
