Admit by deadline, class and fair share; route by shared credits

Cause: the first scheduler was a FIFO per model that dispatched to the target with the most free slots of its own, learned nothing from peers, and refused only after the deadline. Now: queues by class, customer and latest start; a virtual token counter for each customer; predicted wait from the work ahead; refusal on arrival or as soon as the latest start passes; slots of a target shared among instances by gossiped load, lapsing to an even share; breaker, retry budget, rendezvous preference for prompt prefixes; targets indexed by item. Ruled out: a counter by customer and model (a customer with more models would get more); report.running as the free-slot count (it lags, so instances herd).

--- a/src/marjoramstage/_instance/requests.py
+++ b/src/marjoramstage/_instance/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from marjoramstage.clock import Clock
 from marjoramstage.coordination.admission import Scheduler
@@ -10,6 +11,7 @@
 from marjoramstage.exceptions import RequestError, Verdict
 from marjoramstage.metrics import Metrics
 from marjoramstage.protocol.events import (
+    AskAdapter,
     AttemptEnded,
     Dispatch,
     Effect,
@@ -19,14 +21,27 @@
     RequestSubmitted,
     RetryAsked,
 )
-from marjoramstage.protocol.messages import AttemptEnd, Request
+from marjoramstage.protocol.messages import AttemptEnd, AttemptReason, Request
 
 
 class RequestDesk:
-    """The scheduler's mailbox and the callers' tasks that wait for it."""
+    """The scheduler's mailbox and the callers' tasks that wait for it.
 
-    def __init__(self, scheduler: Scheduler, clock: Clock, metrics: Metrics):
+    Parameters
+    ----------
+    ask_adapter : callable
+        Passes a wish for an adapter on to the lease holder of its target.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        clock: Clock,
+        metrics: Metrics,
+        ask_adapter: Callable[[AskAdapter], None],
+    ):
         self.scheduler = scheduler
+        self._ask_adapter = ask_adapter
         self._metrics = metrics
         self._mailbox = Mailbox(scheduler, self._perform, clock)
         self._waiting: dict[str, asyncio.Future[Dispatch]] = {}
@@ -74,12 +89,22 @@
                 self._dispatched(effect)
             case Refuse():
                 self._refused(effect)
+            case AskAdapter():
+                self._metrics.count("routing.adapters_asked")
+                self._ask_adapter(effect)
 
     def _dispatched(self, effect: Dispatch) -> None:
         fut = self._waiting.get(effect.request.id)
         if fut is None or fut.done():
-            end = AttemptEnd(effect.request, effect.target, Verdict.NOT_RUN, False)
-            self.ended(end)
+            self.ended(
+                AttemptEnd(
+                    effect.request,
+                    effect.target,
+                    Verdict.NOT_RUN,
+                    ok=False,
+                    reason=AttemptReason.CANCELLED,
+                )
+            )
             return
         fut.set_result(effect)
 
--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -2,22 +2,32 @@
 
 from __future__ import annotations
 
-from collections import deque
+import random
+from collections import Counter
 
+from marjoramstage.coordination import refusals
+from marjoramstage.coordination.attempts import Attempts
+from marjoramstage.coordination.backlog import predicted_wait_s
+from marjoramstage.coordination.credits import PeerLoads
+from marjoramstage.coordination.fairness import CustomerCounters
+from marjoramstage.coordination.prediction import ServiceTimes
+from marjoramstage.coordination.queues import Lane, Queues, Waiting
+from marjoramstage.coordination.retries import RetryBudget
 from marjoramstage.coordination.routing import (
     TargetTable,
-    candidates,
-    least_loaded,
+    TargetView,
     needed_items,
     served_as,
 )
+from marjoramstage.coordination.selection import Selector
 from marjoramstage.protocol.events import (
     AttemptEnded,
     Dispatch,
     Effect,
     Event,
+    InstanceGone,
+    InstanceLoaded,
     InventoryAccepted,
-    Refuse,
     RequestCancelled,
     RequestSubmitted,
     RetryAsked,
@@ -27,10 +37,19 @@
     TargetReported,
     Tick,
 )
-from marjoramstage.protocol.messages import Request
+from marjoramstage.protocol.messages import (
+    AttemptEnd,
+    InstanceLoad,
+    Item,
+    ItemDemand,
+    Request,
+    RequestClass,
+    TargetKind,
+)
 from marjoramstage.state.inventory import Inventory
 
-RETRY_AFTER_S = 1.0
+AGEING_LEAD_S = 60.0
+WAIT_TRUST = 0.8
 
 
 class Scheduler:
@@ -39,14 +58,39 @@
     Parameters
     ----------
     queue_requests : int
-        Longest queue of one model.
+        Longest queue of one model or service.
+    instance, data_centre, incarnation : str
+        Who this is, for the load that it tells its peers.
+    rng : random.Random, optional
+        Source of jitter and of samples.
     """
 
-    def __init__(self, queue_requests: int):
-        self._queue_requests = queue_requests
+    def __init__(
+        self,
+        queue_requests: int,
+        instance: str = "",
+        data_centre: str = "",
+        incarnation: str = "",
+        rng: random.Random | None = None,
+    ):
+        self._instance = instance
+        self._data_centre = data_centre
+        self._incarnation = incarnation
+        self._rng = rng or random.Random(0)
         self._inventory = Inventory()
+        self._sequence = 0
+        self._requests: Counter[Item] = Counter()
+        self._tokens: Counter[Item] = Counter()
+        self._counters = CustomerCounters()
+        self._queues = Queues(queue_requests, self._counters)
+        self._times = ServiceTimes()
         self._table = TargetTable()
-        self._queues: dict[str, deque[tuple[Request, tuple[str, ...]]]] = {}
+        self._peers = PeerLoads(instance)
+        self._selector = Selector(
+            self._table, self._peers, instance, data_centre, self._rng
+        )
+        self._attempts = Attempts(self._counters, self._times, self._rng)
+        self._budget = RetryBudget()
 
     @property
     def table(self) -> TargetTable:
@@ -55,24 +99,47 @@
 
     def queue_lengths(self) -> dict[str, int]:
         """Return the number of waiting requests by model or service."""
-        return {name: len(queue) for name, queue in self._queues.items() if queue}
+        return {name: count for name, count in self._queues.lengths.items() if count}
+
+    def own_load(self, now_s: float) -> InstanceLoad:
+        """Return what this instance tells its peers of its load."""
+        self._sequence += 1
+        waiting: Counter[Item] = Counter()
+        for lane in self._queues.lanes.values():
+            for item in lane.items or (_service_item(lane.name),):
+                waiting[item] += lane.count
+        demand = [
+            ItemDemand(item, count, self._tokens[item], waiting[item])
+            for item, count in self._requests.items()
+        ]
+        in_flight = {
+            name: view.in_flight
+            for name, view in self._table.views.items()
+            if view.in_flight
+        }
+        return InstanceLoad(
+            instance=self._instance,
+            data_centre=self._data_centre,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            in_flight=in_flight,
+            demand=tuple(demand),
+        )
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
-        """Take one event in; return dispatches and refusals."""
+        """Take one event in; return dispatches, refusals and adapter requests."""
         match event:
             case RequestSubmitted(request):
+                self._budget.earn()
                 return self._submit(request, (), now_s)
             case RetryAsked(request, failed):
-                return self._submit(request, failed, now_s)
+                return self._retry(request, failed, now_s)
             case RequestCancelled(request_id):
-                self._forget(request_id)
-                return []
+                self._cancelled(request_id)
             case AttemptEnded(end):
-                view = self._table.views.get(end.target)
-                if view is not None:
-                    view.in_flight -= 1
+                return self._ended(end, now_s)
             case InventoryAccepted(_, inventory):
-                self._inventory = inventory
+                return self._accepted(inventory, now_s)
             case TargetListed(target):
                 self._table.listed(target)
             case TargetGone(name):
@@ -80,57 +147,172 @@
             case TargetLeaving(name):
                 self._table.leaving(name)
             case TargetReported(report):
-                self._table.reported(report)
+                view = self._table.reported(report)
+                return [] if view is None else self._serve_target(view, now_s)
+            case InstanceLoaded(load):
+                self._peers.heard(load, now_s)
+            case InstanceGone(instance):
+                self._peers.gone(instance)
             case Tick():
-                pass
-            case _:
-                return []
-        return self._drain_queues(now_s)
+                return self._tick(now_s)
+        return []
 
     def _submit(
         self, request: Request, failed: tuple[str, ...], now_s: float
     ) -> list[Effect]:
-        effect = self._dispatch(request, failed)
-        if effect is not None:
-            return [effect]
-        queue = self._queues.setdefault(request.model, deque())
-        if len(queue) >= self._queue_requests:
-            return [_refusal(request, 429, "queue-full", "The queue is full.")]
-        queue.append((request, failed))
-        return []
+        try:
+            items = needed_items(request, self._inventory)
+        except KeyError:
+            return [refusals.unknown_model(request)]
+        if not failed:
+            self._count_demand(request, items)
+        expected = self._times.predict(request, self._inventory)
+        waiting = Waiting(
+            request=request,
+            items=items,
+            failed=failed,
+            work_s=expected.total_s,
+            latest_start_s=request.deadline_s - expected.safe_s,
+            level=request.request_class,
+        )
+        if waiting.latest_start_s < now_s:
+            return [refusals.too_late(request, expected.safe_s, self._rng)]
+        effects = self._make_room(request)
+        if effects is None:
+            return [refusals.queue_full(request, self._wait_s(waiting), self._rng)]
+        lane = self._queues.push(waiting, self._ageing_at_s(waiting))
+        effects += self._serve_lane(lane, now_s)
+        if waiting.gone:
+            return effects
+        return effects + self._keep_waiting(waiting, lane, now_s)
 
-    def _dispatch(self, request: Request, failed: tuple[str, ...]) -> Dispatch | None:
-        items = needed_items(request, self._inventory)
-        view = least_loaded(candidates(self._table, request, items, failed))
-        if view is None:
+    def _make_room(self, request: Request) -> list[Effect] | None:
+        """Give up a less urgent request for a new one if the queue is full."""
+        if not self._queues.full(request.model):
+            return []
+        victim = self._queues.displaced_by(request)
+        if victim is None:
             return None
-        view.in_flight += 1
-        name, address = view.target.name, view.target.address
-        return Dispatch(request, name, address, served_as(request, items))
+        wait_s = self._wait_s(victim)
+        self._queues.remove(victim)
+        return [refusals.queue_full(victim.request, wait_s, self._rng)]
+
+    def _keep_waiting(self, waiting: Waiting, lane: Lane, now_s: float) -> list[Effect]:
+        """Let a request wait if it can be served in time, else refuse it."""
+        wait_s = self._wait_s(waiting)
+        slack_s = waiting.latest_start_s - now_s
+        if wait_s * WAIT_TRUST > slack_s:
+            self._queues.remove(waiting)
+            late_s = wait_s - slack_s
+            return [refusals.overload(waiting.request, late_s, self._rng)]
+        return self._selector.ask_adapter(lane, now_s)
+
+    def _wait_s(self, waiting: Waiting) -> float:
+        return predicted_wait_s(
+            waiting, self._queues, self._counters, self._selector.holders
+        )
+
+    def _ageing_at_s(self, waiting: Waiting) -> float | None:
+        if waiting.level is not RequestClass.OVERNIGHT:
+            return None
+        return waiting.latest_start_s - AGEING_LEAD_S - waiting.work_s
+
+    def _retry(
+        self, request: Request, failed: tuple[str, ...], now_s: float
+    ) -> list[Effect]:
+        if self._attempts.was_refused(request.id) or self._budget.spend():
+            return self._submit(request, failed, now_s)
+        return [refusals.retry_budget(request, self._rng)]
+
+    def _cancelled(self, request_id: str) -> None:
+        waiting = self._queues.find(request_id)
+        if waiting is not None:
+            self._queues.remove(waiting)
 
-    def _drain_queues(self, now_s: float) -> list[Effect]:
+    def _ended(self, end: AttemptEnd, now_s: float) -> list[Effect]:
+        view = self._attempts.ended(end, self._inventory, now_s)
+        return [] if view is None else self._serve_target(view, now_s)
+
+    def _accepted(self, inventory: Inventory, now_s: float) -> list[Effect]:
+        self._inventory = inventory
+        self._selector.inventory = inventory
+        weights = {customer.name: customer.weight for customer in inventory.customers}
+        self._counters.set_weights(weights)
+        return self._tick(now_s)
+
+    def _tick(self, now_s: float) -> list[Effect]:
+        self._peers.forget_silent(now_s)
+        self._attempts.forget_old(now_s)
+        self._queues.raise_aged(now_s)
         effects: list[Effect] = []
-        for queue in self._queues.values():
-            for _ in range(len(queue)):
-                request, failed = queue.popleft()
-                if request.deadline_s <= now_s:
-                    text = "The deadline passed in the queue."
-                    effects.append(_refusal(request, 503, "deadline", text))
+        views: dict[str, TargetView] = {}
+        for lane in self._queues.lanes.values():
+            for view in self._table.holders(lane.items):
+                views[view.name] = view
+        for view in views.values():
+            effects += self._serve_target(view, now_s)
+        for waiting in self._queues.pop_hopeless(now_s):
+            effects.append(refusals.expired(waiting.request, self._rng))
+        for lane in list(self._queues.lanes.values()):
+            effects += self._selector.ask_adapter(lane, now_s)
+        return effects
+
+    def _serve_lane(self, lane: Lane, now_s: float) -> list[Effect]:
+        """Dispatch from the head of a lane while a target has a free slot."""
+        effects: list[Effect] = []
+        while lane.count:
+            _, waiting = lane.head(self._counters)
+            view = self._selector.choose(waiting, now_s)
+            if view is None:
+                break
+            effects.append(self._dispatch(waiting, view, now_s))
+        return effects
+
+    def _serve_target(self, view: TargetView, now_s: float) -> list[Effect]:
+        """Dispatch what is next in order among all that a target could serve."""
+        effects: list[Effect] = []
+        while view.open_to(now_s) and self._selector.free_slots(view, now_s) > 0:
+            waiting = self._next_for(view, now_s)
+            if waiting is None:
+                break
+            if waiting.latest_start_s < now_s:
+                self._queues.remove(waiting)
+                effects.append(refusals.expired(waiting.request, self._rng))
+                continue
+            effects.append(self._dispatch(waiting, view, now_s))
+        return effects
+
+    def _next_for(self, view: TargetView, now_s: float) -> Waiting | None:
+        free = self._selector.free_slots(view, now_s)
+        most = RequestClass.OVERNIGHT
+        if free <= view.reserve():
+            most = RequestClass.INTERACTIVE
+        service = view.target.kind is TargetKind.SERVICE
+        best = None
+        for base in (None,) if service else view.ready:
+            for lane in self._queues.lanes_of(base):
+                if not view.holds(lane.items, now_s):
                     continue
-                effect = self._dispatch(request, failed)
-                if effect is None:
-                    queue.append((request, failed))
+                head = lane.head(self._counters, most)
+                if head is None or not self._selector.accepts(view, head[1]):
                     continue
-                effects.append(effect)
-        return effects
+                if best is None or head[0] < best[0]:
+                    best = head
+        return None if best is None else best[1]
+
+    def _dispatch(self, waiting: Waiting, view: TargetView, now_s: float) -> Dispatch:
+        self._queues.remove(waiting)
+        self._attempts.began(waiting, view, now_s)
+        name, address = view.target.name, view.target.address
+        request = waiting.request
+        return Dispatch(request, name, address, served_as(request, waiting.items))
 
-    def _forget(self, request_id: str) -> None:
-        for queue in self._queues.values():
-            for entry in queue:
-                if entry[0].id == request_id:
-                    queue.remove(entry)
-                    return
+    def _count_demand(self, request: Request, items: tuple[Item, ...]) -> None:
+        tokens = request.prompt_tokens + request.output_tokens
+        for item in items or (_service_item(request.model),):
+            self._requests[item] += 1
+            self._tokens[item] += tokens
 
 
-def _refusal(request: Request, status: int, code: str, message: str) -> Refuse:
-    return Refuse(request, status, code, message, RETRY_AFTER_S)
+def _service_item(name: str) -> Item:
+    return Item(name, "")
--- /dev/null
+++ b/src/marjoramstage/coordination/attempts.py
@@ -0,0 +1,107 @@
+"""Attempts that this instance has under way, and what their ends teach."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from marjoramstage.coordination.fairness import CustomerCounters, request_cost
+from marjoramstage.coordination.prediction import ServiceTimes
+from marjoramstage.coordination.queues import Waiting
+from marjoramstage.coordination.routing import TargetView
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.messages import AttemptEnd, AttemptReason, Item
+from marjoramstage.state.inventory import Inventory
+
+BUSY_PAUSE_S = (0.02, 0.1)
+DENIED_S = 0.5
+REFUSAL_KEPT_S = 5.0
+
+_REFUSED = frozenset(
+    {AttemptReason.BUSY, AttemptReason.NOT_RESIDENT, AttemptReason.REFUSED}
+)
+_NO_FAULT = frozenset({*_REFUSED, AttemptReason.DEADLINE, AttemptReason.CANCELLED})
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    view: TargetView
+    items: tuple[Item, ...]
+    began_s: float
+    cost: float
+
+
+class Attempts:
+    """Attempts under way, by request."""
+
+    def __init__(
+        self, counters: CustomerCounters, times: ServiceTimes, rng: random.Random
+    ):
+        self._counters = counters
+        self._times = times
+        self._rng = rng
+        self._under_way: dict[str, _Attempt] = {}
+        self._refused_at_s: dict[str, float] = {}
+
+    def began(self, waiting: Waiting, view: TargetView, now_s: float) -> None:
+        """Note a dispatch and charge the customer for it."""
+        request = waiting.request
+        cost = request_cost(request.prompt_tokens, request.output_tokens)
+        self._counters.charge(request.customer, cost)
+        view.in_flight += 1
+        view.breaker.dispatched()
+        self._under_way[request.id] = _Attempt(view, waiting.items, now_s, cost)
+
+    def ended(
+        self, end: AttemptEnd, inventory: Inventory, now_s: float
+    ) -> TargetView | None:
+        """Note an end; return the view with a free slot, None if unknown."""
+        attempt = self._under_way.get(end.request.id)
+        if attempt is None or attempt.view.name != end.target:
+            return None
+        del self._under_way[end.request.id]
+        attempt.view.in_flight -= 1
+        if end.ok:
+            self._succeeded(end, attempt, inventory, now_s)
+        elif end.verdict is Verdict.NOT_RUN:
+            self._not_run(end, attempt, now_s)
+        elif end.reason not in _NO_FAULT:
+            attempt.view.breaker.failed(now_s, self._rng)
+        else:
+            attempt.view.breaker.probing = False
+        return attempt.view
+
+    def was_refused(self, request_id: str) -> bool:
+        """Return whether a target refused the latest attempt without work."""
+        return self._refused_at_s.pop(request_id, None) is not None
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget refusals that were not followed by a retry."""
+        for request_id, at_s in list(self._refused_at_s.items()):
+            if now_s - at_s < REFUSAL_KEPT_S:
+                break
+            del self._refused_at_s[request_id]
+
+    def _succeeded(
+        self, end: AttemptEnd, attempt: _Attempt, inventory: Inventory, now_s: float
+    ) -> None:
+        attempt.view.breaker.succeeded()
+        self._times.learn(end.request, inventory, now_s - attempt.began_s)
+        if end.tokens:
+            used = request_cost(end.request.prompt_tokens, end.tokens)
+            self._counters.charge(end.request.customer, used - attempt.cost)
+
+    def _not_run(self, end: AttemptEnd, attempt: _Attempt, now_s: float) -> None:
+        view = attempt.view
+        self._counters.charge(end.request.customer, -attempt.cost)
+        if end.reason in _REFUSED:
+            self._refused_at_s[end.request.id] = now_s
+        if end.reason == AttemptReason.BUSY:
+            view.blocked_until_s = now_s + self._rng.uniform(*BUSY_PAUSE_S)
+        elif end.reason == AttemptReason.NOT_RESIDENT:
+            for item in attempt.items:
+                view.denied_until_s[item] = now_s + DENIED_S
+        elif end.reason not in _NO_FAULT:
+            view.breaker.failed(now_s, self._rng)
+            return
+        view.breaker.probing = False
--- /dev/null
+++ b/src/marjoramstage/coordination/backlog.py
@@ -0,0 +1,73 @@
+"""Prediction of the wait in the queue from the work that goes before."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from marjoramstage.coordination.fairness import CustomerCounters
+from marjoramstage.coordination.queues import Lane, Queues, Waiting
+from marjoramstage.coordination.routing import TargetView
+from marjoramstage.protocol.messages import Item, RequestClass
+
+Holders = Callable[[tuple[Item, ...]], Sequence[TargetView]]
+
+
+def predicted_wait_s(
+    waiting: Waiting, queues: Queues, counters: CustomerCounters, holders: Holders
+) -> float:
+    """Return the time until a slot is free for ``waiting``, in seconds.
+
+    Work of a more urgent level goes before it, and so does the earlier work
+    of its own customer. Each other customer's work at its level counts up to
+    the fair share of it: as much as the customer's own, by weight. The slots
+    are those that this instance may use at the targets that hold the items;
+    the wait is 0 when nothing holds them, as nothing can be told then.
+    """
+    views = [view for view in holders(waiting.items) if not view.target.leaving]
+    slots = sum(max(1, view.limit) for view in views)
+    if not slots:
+        return 0.0
+    ahead_s, own_s = 0.0, 0.0
+    others_s: Counter[str] = Counter()
+    for lane, share in _competing(waiting, views, queues, holders):
+        own_s += share * lane.own_work_before_s(waiting)
+        for (level, customer), work_s in lane.work_s.items():
+            if level < waiting.level:
+                ahead_s += share * work_s
+            elif level is waiting.level and customer != waiting.request.customer:
+                others_s[customer] += share * work_s
+    fair_s = _fair_part_s(waiting, own_s, others_s, counters)
+    return (ahead_s + own_s + fair_s) / slots
+
+
+def _fair_part_s(
+    waiting: Waiting,
+    own_s: float,
+    others_s: Counter[str],
+    counters: CustomerCounters,
+) -> float:
+    """Return the work of other customers that goes before ``waiting``."""
+    if waiting.level is RequestClass.URGENT:
+        return 0.0
+    due_s = (own_s + waiting.work_s) / counters.weight(waiting.request.customer)
+    total_s = 0.0
+    for customer, work_s in others_s.items():
+        total_s += min(work_s, due_s * counters.weight(customer))
+    return total_s
+
+
+def _competing(
+    waiting: Waiting, views: Sequence[TargetView], queues: Queues, holders: Holders
+) -> list[tuple[Lane, float]]:
+    """Return the lanes served by ``views``, with the share that they serve."""
+    names = {view.name for view in views}
+    bases = {item for view in views for item in view.ready} if waiting.items else {None}
+    found = []
+    for base in bases:
+        for lane in queues.lanes_of(base):
+            others = holders(lane.items)
+            common = sum(other.name in names for other in others)
+            if common:
+                found.append((lane, common / len(others)))
+    return found
--- /dev/null
+++ b/src/marjoramstage/coordination/breaker.py
@@ -0,0 +1,51 @@
+"""Circuit breaker of one target."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+FAILURES_TO_OPEN = 3
+FIRST_OPEN_S = 0.5
+LONGEST_OPEN_S = 15.0
+
+
+@dataclass
+class Breaker:
+    """Keeps new work from a target that fails time after time.
+
+    After the pause one attempt is let through; its end closes the breaker or
+    opens it for twice as long.
+    """
+
+    failures: int = 0
+    open_until_s: float = 0.0
+    open_s: float = 0.0
+    probing: bool = False
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether an attempt may be made."""
+        if self.open_s == 0.0:
+            return True
+        return now_s >= self.open_until_s and not self.probing
+
+    def dispatched(self) -> None:
+        """Note an attempt; in an open breaker it is the one that probes."""
+        if self.open_s > 0.0:
+            self.probing = True
+
+    def succeeded(self) -> None:
+        """Note that the target answered."""
+        self.failures = 0
+        self.open_s = 0.0
+        self.probing = False
+
+    def failed(self, now_s: float, rng: random.Random) -> None:
+        """Note that the target could not be reached or broke off."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_OPEN and not self.probing:
+            return
+        self.probing = False
+        longer_s = self.open_s * 2 if self.open_s else FIRST_OPEN_S
+        self.open_s = min(longer_s, LONGEST_OPEN_S)
+        self.open_until_s = now_s + self.open_s * rng.uniform(0.8, 1.2)
--- /dev/null
+++ b/src/marjoramstage/coordination/queues.py
@@ -0,0 +1,278 @@
+"""Queues of waiting requests: by class, customer and deadline."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from marjoramstage.coordination.fairness import CustomerCounters
+from marjoramstage.protocol.messages import Item, Request, RequestClass
+
+LEVELS = tuple(RequestClass)
+
+
+@dataclass
+class Waiting:
+    """One waiting request.
+
+    Attributes
+    ----------
+    items : tuple of Item
+        What its target must hold; the model first, none for a service.
+    failed : tuple of str
+        Targets to avoid.
+    work_s : float
+        Predicted time in a slot, in seconds.
+    latest_start_s : float
+        Latest dispatch that meets the deadline.
+    level : RequestClass
+        Its class; overnight work is raised when its time runs short.
+    gone : bool
+        Whether it has left the queue.
+    """
+
+    request: Request
+    items: tuple[Item, ...]
+    failed: tuple[str, ...]
+    work_s: float
+    latest_start_s: float
+    level: RequestClass
+    gone: bool = False
+
+
+Order = tuple[int, float, float]
+
+
+@dataclass
+class Lane:
+    """Waiting requests that need the same items.
+
+    Attributes
+    ----------
+    name : str
+        Name of the model or service.
+    items : tuple of Item
+        What a target must hold.
+    work_s : Counter
+        Predicted slot time that waits, by level and customer.
+    """
+
+    name: str
+    items: tuple[Item, ...]
+    work_s: Counter = field(default_factory=Counter)
+    count: int = 0
+    heaps: dict[RequestClass, dict[str, list]] = field(default_factory=dict)
+
+    def push(self, waiting: Waiting, number: int) -> None:
+        """Add a waiting request; ``number`` breaks ties."""
+        by_customer = self.heaps.setdefault(waiting.level, {})
+        heap = by_customer.setdefault(waiting.request.customer, [])
+        heapq.heappush(heap, (waiting.latest_start_s, number, waiting))
+        self.work_s[waiting.level, waiting.request.customer] += waiting.work_s
+        self.count += 1
+
+    def removed(self, waiting: Waiting) -> None:
+        """Note that a request no longer waits at its level."""
+        self.work_s[waiting.level, waiting.request.customer] -= waiting.work_s
+        self.count -= 1
+
+    def own_work_before_s(self, waiting: Waiting) -> float:
+        """Return the slot time that goes before ``waiting`` by its deadline.
+
+        At the urgent level that of every customer, else of its own.
+        """
+        by_customer = self.heaps.get(waiting.level, {})
+        names = [waiting.request.customer]
+        if waiting.level is RequestClass.URGENT:
+            names = list(by_customer)
+        total_s = 0.0
+        for name in names:
+            for latest_start_s, _, other in by_customer.get(name, ()):
+                if latest_start_s < waiting.latest_start_s and not other.gone:
+                    total_s += other.work_s
+        return total_s
+
+    def head(
+        self, counters: CustomerCounters, most: RequestClass = RequestClass.OVERNIGHT
+    ) -> tuple[Order, Waiting] | None:
+        """Return the request to serve next, and its place in the order."""
+        for level in LEVELS:
+            if level > most:
+                return None
+            best = self._head_of_level(level, counters)
+            if best is not None:
+                return best
+        return None
+
+    def _head_of_level(
+        self, level: RequestClass, counters: CustomerCounters
+    ) -> tuple[Order, Waiting] | None:
+        by_customer = self.heaps.get(level)
+        if not by_customer:
+            return None
+        best = None
+        for customer, heap in list(by_customer.items()):
+            while heap and heap[0][2].gone:
+                heapq.heappop(heap)
+            if not heap:
+                del by_customer[customer]
+                continue
+            waiting = heap[0][2]
+            order = _order(level, waiting, counters)
+            if best is None or order < best[0]:
+                best = (order, waiting)
+        return best
+
+
+def _order(level: RequestClass, waiting: Waiting, counters: CustomerCounters) -> Order:
+    if level is RequestClass.URGENT:
+        return (level, waiting.request.deadline_s, 0.0)
+    return (level, counters.served(waiting.request.customer), waiting.latest_start_s)
+
+
+class Queues:
+    """All waiting requests of an instance, with a bound for each model."""
+
+    def __init__(self, bound: int, counters: CustomerCounters):
+        self.lanes: dict[tuple, Lane] = {}
+        self.lengths: Counter[str] = Counter()
+        self._bound = bound
+        self._counters = counters
+        self._by_id: dict[str, Waiting] = {}
+        self._by_base: dict[Item | None, dict[tuple, Lane]] = {}
+        self._numbers = itertools.count()
+        self._expiry: list[tuple[float, int, Waiting]] = []
+        self._ageing: list[tuple[float, int, Waiting]] = []
+
+    def full(self, name: str) -> bool:
+        """Return whether the queue of a model or service is at its bound."""
+        return self.lengths[name] >= self._bound
+
+    def lanes_of(self, base: Item | None) -> list[Lane]:
+        """Return the lanes that need model ``base``; None for services."""
+        return list(self._by_base.get(base, {}).values())
+
+    def lane_of(self, waiting: Waiting) -> Lane:
+        """Return the lane of a waiting request."""
+        return self.lanes[_key(waiting)]
+
+    def push(self, waiting: Waiting, age_at_s: float | None = None) -> Lane:
+        """Add a request.
+
+        Parameters
+        ----------
+        age_at_s : float or None
+            When overnight work is raised to the interactive level.
+        """
+        key = _key(waiting)
+        lane = self.lanes.get(key)
+        if lane is None:
+            lane = Lane(waiting.request.model, waiting.items)
+            self.lanes[key] = lane
+            self._by_base.setdefault(_base(waiting), {})[key] = lane
+        number = next(self._numbers)
+        lane.push(waiting, number)
+        self._by_id[waiting.request.id] = waiting
+        self.lengths[waiting.request.model] += 1
+        self._counters.joined(waiting.request.customer)
+        heapq.heappush(self._expiry, (waiting.latest_start_s, number, waiting))
+        if age_at_s is not None:
+            heapq.heappush(self._ageing, (age_at_s, number, waiting))
+        return lane
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out, whatever becomes of it."""
+        waiting.gone = True
+        self._by_id.pop(waiting.request.id, None)
+        self.lengths[waiting.request.model] -= 1
+        self._counters.left(waiting.request.customer)
+        key = _key(waiting)
+        lane = self.lanes[key]
+        lane.removed(waiting)
+        if lane.count == 0:
+            del self.lanes[key]
+            del self._by_base[_base(waiting)][key]
+
+    def find(self, request_id: str) -> Waiting | None:
+        """Return a waiting request by its id."""
+        return self._by_id.get(request_id)
+
+    def pop_hopeless(self, now_s: float) -> Iterator[Waiting]:
+        """Take out every request whose latest start has passed."""
+        while self._expiry and self._expiry[0][0] < now_s:
+            _, _, waiting = heapq.heappop(self._expiry)
+            if waiting.gone:
+                continue
+            self.remove(waiting)
+            yield waiting
+
+    def raise_aged(self, now_s: float) -> list[Waiting]:
+        """Raise overnight work whose time runs short; return what was raised."""
+        raised = []
+        while self._ageing and self._ageing[0][0] <= now_s:
+            _, number, waiting = heapq.heappop(self._ageing)
+            if waiting.gone:
+                continue
+            lane = self.lane_of(waiting)
+            lane.removed(waiting)
+            _drop(lane, waiting)
+            waiting.level = RequestClass.INTERACTIVE
+            lane.push(waiting, number)
+            raised.append(waiting)
+        return raised
+
+    def displaced_by(self, request: Request) -> Waiting | None:
+        """Return what a full queue gives up for ``request``, if anything.
+
+        Less urgent work goes first; at the same level, that of the customer
+        with the most waiting for its weight.
+        """
+        counts: Counter[tuple[RequestClass, str]] = Counter()
+        for waiting in self._of_model(request.model):
+            counts[waiting.level, waiting.request.customer] += 1
+        level = max(level for level, _ in counts)
+        if request.request_class > level:
+            return None
+        shares = {
+            customer: count / self._counters.weight(customer)
+            for (at, customer), count in counts.items()
+            if at is level
+        }
+        largest = max(sorted(shares), key=shares.__getitem__)
+        if request.request_class is level:
+            own = counts[level, request.customer] + 1
+            if own / self._counters.weight(request.customer) >= shares[largest]:
+                return None
+        return self._last_of(request.model, level, largest)
+
+    def _last_of(self, model: str, level: RequestClass, customer: str) -> Waiting:
+        last = None
+        for waiting in self._of_model(model):
+            if waiting.level is not level or waiting.request.customer != customer:
+                continue
+            if last is None or waiting.latest_start_s >= last.latest_start_s:
+                last = waiting
+        return last
+
+    def _of_model(self, model: str) -> Iterator[Waiting]:
+        for waiting in self._by_id.values():
+            if waiting.request.model == model:
+                yield waiting
+
+
+def _drop(lane: Lane, waiting: Waiting) -> None:
+    """Take a request out of its heap; its lane goes on holding it."""
+    heap = lane.heaps[waiting.level][waiting.request.customer]
+    heap[:] = [entry for entry in heap if entry[2] is not waiting]
+    heapq.heapify(heap)
+
+
+def _key(waiting: Waiting) -> tuple:
+    return (waiting.request.model, *waiting.items)
+
+
+def _base(waiting: Waiting) -> Item | None:
+    return waiting.items[0] if waiting.items else None
--- /dev/null
+++ b/src/marjoramstage/coordination/refusals.py
@@ -0,0 +1,55 @@
+"""Refusals of requests that have not run, with a time to come back."""
+
+from __future__ import annotations
+
+import random
+
+from marjoramstage.protocol.events import Refuse
+from marjoramstage.protocol.messages import Request
+
+LEAST_RETRY_S = 0.2
+LONGEST_RETRY_S = 300.0
+NOT_RESIDENT_RETRY_S = 5.0
+JITTER = (0.8, 1.4)
+
+
+def unknown_model(request: Request) -> Refuse:
+    """Refuse a model, adapter or service that is no longer in the inventory."""
+    text = "The accepted inventory no longer has it."
+    return Refuse(request, 404, "model", text, LEAST_RETRY_S)
+
+
+def too_late(request: Request, total_s: float, rng: random.Random) -> Refuse:
+    """Refuse a request that could not end in time on a free target either."""
+    text = "It cannot be served within its deadline."
+    return Refuse(request, 503, "deadline", text, _jittered(total_s, rng))
+
+
+def overload(request: Request, late_s: float, rng: random.Random) -> Refuse:
+    """Refuse a request that would wait beyond its deadline by ``late_s``."""
+    text = "The queue is too long for its deadline."
+    return Refuse(request, 503, "overload", text, _jittered(late_s, rng))
+
+
+def queue_full(request: Request, wait_s: float, rng: random.Random) -> Refuse:
+    """Refuse a request that finds no room in its queue."""
+    text = "The queue is full."
+    return Refuse(request, 429, "queue-full", text, _jittered(wait_s, rng))
+
+
+def expired(request: Request, rng: random.Random) -> Refuse:
+    """Refuse a waiting request as soon as its deadline cannot be met."""
+    text = "Its deadline can no longer be met."
+    wait_s = min(NOT_RESIDENT_RETRY_S, request.deadline_s - request.arrived_s)
+    return Refuse(request, 503, "deadline", text, _jittered(wait_s, rng))
+
+
+def retry_budget(request: Request, rng: random.Random) -> Refuse:
+    """Refuse another attempt: too many requests are being retried."""
+    text = "The attempt failed and the retry budget is used up."
+    return Refuse(request, 503, "retry-budget", text, _jittered(1.0, rng))
+
+
+def _jittered(wait_s: float, rng: random.Random) -> float:
+    bounded_s = min(max(wait_s, LEAST_RETRY_S), LONGEST_RETRY_S)
+    return bounded_s * rng.uniform(*JITTER)
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 
+import xxhash
+
+from marjoramstage.coordination.breaker import Breaker
 from marjoramstage.protocol.messages import (
     Item,
     Request,
@@ -14,8 +19,16 @@
 )
 from marjoramstage.state.inventory import Inventory
 
+SAMPLED = 2
+SCANNED = 8
+REMOTE_S = 0.003
+LOAD_SHARE = 0.1
+PREFIX_SHARE = 0.5
+OVERNIGHT_RESERVE_SHARE = 8
+KEPT_INCARNATIONS = 4
+
 
-@dataclass
+@dataclass(eq=False)
 class TargetView:
     """What one instance knows about a target.
 
@@ -23,67 +36,164 @@
     ----------
     in_flight : int
         Attempts of this instance at the target.
+    limit : int
+        Attempts that this instance may have there.
+    blocked_until_s : float
+        Until when it gets no new work, as it was full.
+    denied_until_s : dict
+        Items that it lacked although it reported them, and until when that is
+        believed.
     """
 
     target: Target
     report: TargetReport | None = None
     in_flight: int = 0
     ready: frozenset[Item] = field(default_factory=frozenset)
+    limit: int = 0
+    limit_epoch: int = -1
+    limit_at_s: float = 0.0
+    own_at_report: int = 0
+    blocked_until_s: float = 0.0
+    denied_until_s: dict[Item, float] = field(default_factory=dict)
+    breaker: Breaker = field(default_factory=Breaker)
+    told_leaving: bool = False
+    listed_leaving: bool = False
+    earlier: tuple[str, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.target.name
 
     @property
     def free_slots(self) -> int:
-        """Slots that this instance takes for free."""
-        if self.report is None:
-            return 0
-        return self.report.slots - self.in_flight
+        """Slots that this instance may still take."""
+        return self.limit - self.in_flight
+
+    def holds(self, items: tuple[Item, ...], now_s: float) -> bool:
+        """Return whether every one of ``items`` is ready, as far as known."""
+        for item in items:
+            if item not in self.ready:
+                return False
+            if self.denied_until_s.get(item, 0.0) > now_s:
+                return False
+        return True
+
+    def open_to(self, now_s: float) -> bool:
+        """Return whether the target may get new work at all."""
+        if self.target.leaving or self.report is None:
+            return False
+        return self.blocked_until_s <= now_s and self.breaker.allows(now_s)
+
+    def reserve(self) -> int:
+        """Return the slots that overnight work leaves free."""
+        return max(1, self.report.slots // OVERNIGHT_RESERVE_SHARE)
+
+    def set_leaving(self) -> None:
+        """Bring ``target.leaving`` in line with what was heard."""
+        leaving = self.told_leaving or self.listed_leaving
+        if self.target.leaving != leaving:
+            self.target = replace(self.target, leaving=leaving)
 
 
 class TargetTable:
-    """The targets that an instance knows."""
+    """The targets that an instance knows, indexed by what they hold."""
 
     def __init__(self):
         self.views: dict[str, TargetView] = {}
+        self._by_item: dict[Item, list[TargetView]] = {}
+        self._services: list[TargetView] = []
+
+    def holders(self, items: tuple[Item, ...]) -> Sequence[TargetView]:
+        """Return the targets that hold the last of ``items``.
+
+        Without items, the targets that run plain services.
+        """
+        if not items:
+            return self._services
+        return self._by_item.get(items[-1], ())
 
     def listed(self, target: Target) -> None:
         """Add a target, or take over what its listing says."""
         view = self.views.get(target.name)
         if view is None:
-            self.views[target.name] = TargetView(target)
-            return
-        leaving = view.target.leaving or target.leaving
-        view.target = replace(target, leaving=leaving)
+            view = TargetView(target)
+            self.views[target.name] = view
+            if target.kind is TargetKind.SERVICE:
+                self._services.append(view)
+        view.target = target
+        view.listed_leaving = target.leaving
+        view.told_leaving = view.told_leaving or target.leaving
+        view.set_leaving()
 
     def gone(self, name: str) -> None:
         """Forget a target."""
-        self.views.pop(name, None)
+        view = self.views.pop(name, None)
+        if view is None:
+            return
+        self._index(view, frozenset())
+        if view in self._services:
+            self._services.remove(view)
 
     def leaving(self, name: str) -> None:
-        """Give a target no new work."""
+        """Give a target no new work in its present incarnation."""
         view = self.views.get(name)
         if view is not None:
-            view.target = replace(view.target, leaving=True)
+            view.told_leaving = True
+            view.set_leaving()
 
-    def reported(self, report: TargetReport) -> None:
-        """Take in a report unless a newer one of its incarnation is known."""
+    def reported(self, report: TargetReport) -> TargetView | None:
+        """Take in a report; return the view unless the report is outdated."""
         view = self.views.get(report.target)
-        if view is None:
-            return
+        if view is None or report.incarnation in view.earlier:
+            return None
         known = view.report
-        same = known is not None and known.incarnation == report.incarnation
-        if same and known.sequence >= report.sequence:
-            return
+        if known is not None and known.incarnation == report.incarnation:
+            if known.sequence >= report.sequence:
+                return None
+        elif known is not None:
+            self._restarted(view, known.incarnation)
         view.report = report
-        view.ready = frozenset(
+        view.own_at_report = view.in_flight
+        view.limit_epoch = -1
+        ready = frozenset(
             resident.item
             for resident in report.residents
             if resident.state is ResidentState.READY
         )
+        if ready != view.ready:
+            self._index(view, ready)
         if report.leaving:
             self.leaving(report.target)
+        return view
+
+    def _restarted(self, view: TargetView, earlier: str) -> None:
+        """Begin anew with a target that runs a new incarnation."""
+        view.earlier = (*view.earlier, earlier)[-KEPT_INCARNATIONS:]
+        view.told_leaving = False
+        view.breaker = Breaker()
+        view.denied_until_s = {}
+        view.set_leaving()
+
+    def _index(self, view: TargetView, ready: frozenset[Item]) -> None:
+        for item in view.ready - ready:
+            views = self._by_item[item]
+            views.remove(view)
+            if not views:
+                del self._by_item[item]
+        for item in ready - view.ready:
+            self._by_item.setdefault(item, []).append(view)
+        view.ready = ready
 
 
 def needed_items(request: Request, inventory: Inventory) -> tuple[Item, ...]:
-    """Return what a target must hold to serve ``request``."""
+    """Return what a target must hold to serve ``request``.
+
+    Raises
+    ------
+    KeyError
+        The inventory no longer has the model or the adapter.
+    """
     if request.kind is TargetKind.SERVICE:
         return ()
     model = inventory.model_by_name[request.model]
@@ -101,31 +211,57 @@
     return ":".join(str(item) for item in items)
 
 
-def candidates(
-    table: TargetTable,
-    request: Request,
-    items: tuple[Item, ...],
-    failed: tuple[str, ...] = (),
+def sample(
+    views: Sequence[TargetView],
+    usable: Callable[[TargetView], bool],
+    rng: random.Random,
 ) -> list[TargetView]:
-    """Return the targets that could serve ``request`` now or later."""
-    found = []
-    for view in table.views.values():
-        if view.target.kind is not request.kind or view.target.leaving:
-            continue
-        if view.target.name in failed or view.report is None:
-            continue
-        if not all(item in view.ready for item in items):
-            continue
-        found.append(view)
-    return found
-
-
-def least_loaded(views: list[TargetView]) -> TargetView | None:
-    """Return the view with the most free slots, or None if none has any."""
-    best = None
-    for view in views:
-        if view.free_slots <= 0:
-            continue
-        if best is None or view.free_slots > best.free_slots:
-            best = view
-    return best
+    """Return up to `SAMPLED` usable views, drawn at random.
+
+    A few views are looked at each; of many, random ones are tried first.
+    """
+    if len(views) > SCANNED:
+        drawn = [view for view in rng.sample(views, SCANNED) if usable(view)]
+        if drawn:
+            return drawn[:SAMPLED]
+    found = [view for view in views if usable(view)]
+    if len(found) <= SAMPLED:
+        return found
+    return rng.sample(found, SAMPLED)
+
+
+def preferred(views: Sequence[TargetView], prefix: int) -> TargetView | None:
+    """Return the view that all instances choose for a prompt prefix.
+
+    Rendezvous hashing, so that no table of prefixes has to be shared and late
+    or lost cache events do no harm.
+    """
+    if not prefix or not views:
+        return None
+    key = prefix.to_bytes(8, "big", signed=False)
+    return max(
+        views, key=lambda view: xxhash.xxh3_64_intdigest(view.name.encode() + key)
+    )
+
+
+def cost_s(
+    view: TargetView,
+    peers_in_flight: int,
+    data_centre: str,
+    total_s: float,
+    prefix_s: float,
+) -> float:
+    """Return what a free slot of a target costs a request, in seconds.
+
+    Parameters
+    ----------
+    total_s : float
+        Predicted time of the request.
+    prefix_s : float
+        Prefill time saved at this target, as far as its cache holds.
+    """
+    busy = max(view.in_flight + peers_in_flight, view.report.running)
+    cost = busy / max(1, view.report.slots) * LOAD_SHARE * total_s
+    if view.target.data_centre != data_centre:
+        cost += REMOTE_S
+    return cost - PREFIX_SHARE * prefix_s
--- /dev/null
+++ b/src/marjoramstage/coordination/selection.py
@@ -0,0 +1,144 @@
+"""Choice of a target for one waiting request, within the shared credits."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from marjoramstage.coordination.credits import PeerLoads, own_limit
+from marjoramstage.coordination.prediction import nominal_times
+from marjoramstage.coordination.queues import Lane, Waiting
+from marjoramstage.coordination.routing import (
+    TargetTable,
+    TargetView,
+    cost_s,
+    preferred,
+    sample,
+)
+from marjoramstage.protocol.events import AskAdapter, Effect
+from marjoramstage.protocol.messages import Item, RequestClass, TargetKind
+from marjoramstage.state.inventory import Inventory
+
+LIMIT_KEPT_S = 0.5
+ASK_AGAIN_S = 1.0
+LEAST_SHARE = 4
+
+
+class Selector:
+    """Chooses targets; keeps each target's limit until something changes."""
+
+    def __init__(
+        self,
+        table: TargetTable,
+        peers: PeerLoads,
+        instance: str,
+        data_centre: str,
+        rng: random.Random,
+    ):
+        self.inventory = Inventory()
+        self._table = table
+        self._peers = peers
+        self._instance = instance
+        self._data_centre = data_centre
+        self._rng = rng
+        self._asked_at_s: dict[tuple[str, Item], float] = {}
+
+    def free_slots(self, view: TargetView, now_s: float) -> int:
+        """Return the slots of a target that this instance may take now."""
+        kept = now_s - view.limit_at_s <= LIMIT_KEPT_S
+        if view.limit_epoch != self._peers.epoch or not kept:
+            view.limit = self._limit(view, now_s)
+            view.limit_epoch = self._peers.epoch
+            view.limit_at_s = now_s
+        return view.free_slots
+
+    def holders(self, items: tuple[Item, ...]) -> Sequence[TargetView]:
+        """Return the targets that could serve ``items``; models only, if none.
+
+        A target that holds the model can be asked for the adapter.
+        """
+        return self._table.holders(items) or self._table.holders(items[:1])
+
+    def accepts(self, view: TargetView, waiting: Waiting) -> bool:
+        """Return whether a target is no second choice for a retried request."""
+        if view.name not in waiting.failed:
+            return True
+        others = self._table.holders(waiting.items)
+        return all(other.name in waiting.failed for other in others)
+
+    def choose(self, waiting: Waiting, now_s: float) -> TargetView | None:
+        """Return the best of a few random targets with a free slot, or None."""
+        views = self._table.holders(waiting.items)
+
+        def usable(view: TargetView) -> bool:
+            return self._usable(view, waiting, now_s)
+
+        found = sample(views, usable, self._rng)
+        if not found:
+            return None
+        request = waiting.request
+        first_s, _ = nominal_times(request, self.inventory)
+        cached = preferred(views, request.prefix)
+        if cached is not None and cached not in found and usable(cached):
+            found.append(cached)
+        best, best_s = None, 0.0
+        for view in found:
+            peers = self._peers.in_flight(view.name)
+            saved_s = first_s if view is cached else 0.0
+            found_s = cost_s(view, peers, self._data_centre, waiting.work_s, saved_s)
+            if best is None or found_s < best_s:
+                best, best_s = view, found_s
+        return best
+
+    def ask_adapter(self, lane: Lane, now_s: float) -> list[Effect]:
+        """Ask for the adapter of a waiting lane where its model has free slots."""
+        if len(lane.items) < 2:
+            return []
+        adapter = lane.items[-1]
+        nowhere = not self._table.holders(lane.items)
+        best, most = None, 0
+        for view in self._table.holders(lane.items[:1]):
+            if adapter in view.ready or not view.open_to(now_s):
+                continue
+            free = self.free_slots(view, now_s)
+            if free > most or (nowhere and best is None):
+                best, most = view, free
+        if best is None:
+            return []
+        key = (best.name, adapter)
+        if now_s - self._asked_at_s.get(key, -ASK_AGAIN_S) < ASK_AGAIN_S:
+            return []
+        self._asked_at_s[key] = now_s
+        return [AskAdapter(best.name, adapter)]
+
+    def _usable(self, view: TargetView, waiting: Waiting, now_s: float) -> bool:
+        if not view.open_to(now_s) or not view.holds(waiting.items, now_s):
+            return False
+        free = self.free_slots(view, now_s)
+        if waiting.level is RequestClass.OVERNIGHT:
+            free -= view.reserve()
+        return free > 0 and self.accepts(view, waiting)
+
+    def _limit(self, view: TargetView, now_s: float) -> int:
+        if view.report is None:
+            return 0
+        slots = view.report.slots
+        uses = self._peers.uses(view.name, self._served_items(view), now_s)
+        if uses:
+            return own_limit(slots, self._instance, view.name, uses)
+        unknown = view.report.running - view.own_at_report
+        return max(slots - max(0, unknown), slots // LEAST_SHARE, 1)
+
+    def _served_items(self, view: TargetView) -> dict[Item, int]:
+        """Return the number of holders of each item that a target serves."""
+        if view.target.kind is TargetKind.SERVICE:
+            count = len(self._table.holders(()))
+            return {
+                Item(service.name, ""): count for service in self.inventory.services
+            }
+        models = self.inventory.model_by_name
+        return {
+            item: len(self._table.holders((item,)))
+            for item in view.ready
+            if item.name in models
+        }
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+import uuid
 from typing import Any
 
 import aiohttp
@@ -19,7 +21,7 @@
 from marjoramstage.coordination.releases import Release, accept
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import Event, Tick
+from marjoramstage.protocol.events import AdapterAsked, AskAdapter, Event, Tick
 from marjoramstage.protocol.objects import PlatformError
 from marjoramstage.settings import Settings, split_address
 from marjoramstage.state.inventory import Inventory
@@ -69,8 +71,14 @@
         cfg, clock = self.settings, self._clock
         self.platform = HttpPlatform(self._session, cfg.platform, cfg.namespace)
         targets = HttpTargets(self._session)
-        scheduler = Scheduler(cfg.limits.queue_requests)
-        self.requests = RequestDesk(scheduler, clock, self.metrics)
+        scheduler = Scheduler(
+            cfg.limits.queue_requests,
+            instance=cfg.name,
+            data_centre=cfg.data_centre,
+            incarnation=uuid.uuid4().hex,
+            rng=random.Random(),
+        )
+        self.requests = RequestDesk(scheduler, clock, self.metrics, self._ask_adapter)
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
@@ -132,6 +140,10 @@
             self._post(Tick())
             await self._clock.sleep(TICK_EVERY_S)
 
+    def _ask_adapter(self, effect: AskAdapter) -> None:
+        """Pass a wish for an adapter on to the placer."""
+        self.placing.post(AdapterAsked(effect.target, effect.item))
+
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -209,6 +209,18 @@
     reason: str = ""
 
 
+class AttemptReason(enum.StrEnum):
+    """Why an attempt ended without its answer."""
+
+    BUSY = "busy"
+    NOT_RESIDENT = "not-resident"
+    REFUSED = "refused"
+    CONNECT = "connect"
+    BROKEN = "broken"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+
+
 @dataclass(frozen=True)
 class AttemptEnd:
     """The end of one attempt at a target.
@@ -219,6 +231,8 @@
         Output tokens that the attempt delivered.
     first_token_s : float or None
         Time from dispatch to the first token, in seconds.
+    reason : str
+        An `AttemptReason` when the attempt failed, else empty.
     """
 
     request: Request
