Let overnight work give way: withdraw attempts for live work

A burst of equal deadlines was refused only at its expiry, as equal deadlines did not count as work ahead; they do now. Ruled out: a larger reserve of slots (idle at night).

--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -36,6 +36,7 @@
     TargetListed,
     TargetReported,
     Tick,
+    Withdraw,
 )
 from marjoramstage.protocol.messages import (
     AttemptEnd,
@@ -105,11 +106,13 @@
         """Return what this instance tells its peers of its load."""
         self._sequence += 1
         waiting: Counter[Item] = Counter()
+        live: Counter[Item] = Counter()
         for lane in self._queues.lanes.values():
             for item in lane.items or (_service_item(lane.name),):
                 waiting[item] += lane.count
+                live[item] += lane.live
         demand = [
-            ItemDemand(item, count, self._tokens[item], waiting[item])
+            ItemDemand(item, count, self._tokens[item], waiting[item], live[item])
             for item, count in self._requests.items()
         ]
         in_flight = {
@@ -150,7 +153,7 @@
                 view = self._table.reported(report)
                 return [] if view is None else self._serve_target(view, now_s)
             case InstanceLoaded(load):
-                self._peers.heard(load, now_s)
+                return self._heard(load, now_s)
             case InstanceGone(instance):
                 self._peers.gone(instance)
             case Tick():
@@ -199,6 +202,9 @@
 
     def _keep_waiting(self, waiting: Waiting, lane: Lane, now_s: float) -> list[Effect]:
         """Let a request wait if it can be served in time, else refuse it."""
+        effects = self._withdraw_for(waiting, now_s)
+        if effects:
+            return effects
         wait_s = self._wait_s(waiting)
         slack_s = waiting.latest_start_s - now_s
         if wait_s * WAIT_TRUST > slack_s:
@@ -207,6 +213,34 @@
             return [refusals.overload(waiting.request, late_s, self._rng)]
         return self._selector.ask_adapter(lane, now_s)
 
+    def _withdraw_for(self, waiting: Waiting, now_s: float) -> list[Effect]:
+        """Free a slot for live work by giving up an overnight attempt."""
+        if waiting.level is RequestClass.OVERNIGHT:
+            return []
+        for view in self._table.holders(waiting.items):
+            if not view.open_to(now_s):
+                continue
+            request = self._attempts.withdraw(view.name, now_s)
+            if request is not None:
+                return [Withdraw(request, view.name)]
+        return []
+
+    def _heard(self, load: InstanceLoad, now_s: float) -> list[Effect]:
+        """Give up overnight attempts whose slots a peer needs for live work."""
+        if not self._peers.heard(load, now_s):
+            return []
+        effects: list[Effect] = []
+        for name in self._attempts.yielding_targets():
+            view = self._table.views.get(name)
+            if view is None or view.report is None:
+                continue
+            for _ in range(self._selector.excess(view, now_s)):
+                request = self._attempts.withdraw(name, now_s)
+                if request is None:
+                    break
+                effects.append(Withdraw(request, name))
+        return effects
+
     def _wait_s(self, waiting: Waiting) -> float:
         return predicted_wait_s(
             waiting, self._queues, self._counters, self._selector.holders
--- a/src/marjoramstage/coordination/attempts.py
+++ b/src/marjoramstage/coordination/attempts.py
@@ -10,7 +10,13 @@
 from marjoramstage.coordination.queues import Waiting
 from marjoramstage.coordination.routing import TargetView
 from marjoramstage.exceptions import Verdict
-from marjoramstage.protocol.messages import AttemptEnd, AttemptReason, Item
+from marjoramstage.protocol.messages import (
+    AttemptEnd,
+    AttemptReason,
+    Item,
+    Request,
+    RequestClass,
+)
 from marjoramstage.state.inventory import Inventory
 
 BUSY_PAUSE_S = (0.02, 0.1)
@@ -25,6 +31,7 @@
 
 @dataclass(frozen=True)
 class _Attempt:
+    request: Request
     view: TargetView
     items: tuple[Item, ...]
     began_s: float
@@ -42,6 +49,7 @@
         self._rng = rng
         self._under_way: dict[str, _Attempt] = {}
         self._refused_at_s: dict[str, float] = {}
+        self._yielding: dict[str, dict[str, _Attempt]] = {}
 
     def began(self, waiting: Waiting, view: TargetView, now_s: float) -> None:
         """Note a dispatch and charge the customer for it."""
@@ -50,7 +58,10 @@
         self._counters.charge(request.customer, cost)
         view.in_flight += 1
         view.breaker.dispatched()
-        self._under_way[request.id] = _Attempt(view, waiting.items, now_s, cost)
+        attempt = _Attempt(request, view, waiting.items, now_s, cost)
+        self._under_way[request.id] = attempt
+        if waiting.level is RequestClass.OVERNIGHT and request.repeatable:
+            self._yielding.setdefault(view.name, {})[request.id] = attempt
 
     def ended(
         self, end: AttemptEnd, inventory: Inventory, now_s: float
@@ -60,6 +71,7 @@
         if attempt is None or attempt.view.name != end.target:
             return None
         del self._under_way[end.request.id]
+        self._forget_yielding(end)
         attempt.view.in_flight -= 1
         if end.ok:
             self._succeeded(end, attempt, inventory, now_s)
@@ -71,6 +83,29 @@
             attempt.view.breaker.probing = False
         return attempt.view
 
+    def yielding_targets(self) -> list[str]:
+        """Return the targets with overnight attempts that can be withdrawn."""
+        return list(self._yielding)
+
+    def withdraw(self, target: str, now_s: float) -> Request | None:
+        """Give up the latest overnight attempt at a target, if there is one."""
+        attempts = self._yielding.get(target)
+        if not attempts:
+            return None
+        request_id, attempt = attempts.popitem()
+        if not attempts:
+            del self._yielding[target]
+        self._refused_at_s[request_id] = now_s
+        return attempt.request
+
+    def _forget_yielding(self, end: AttemptEnd) -> None:
+        attempts = self._yielding.get(end.target)
+        if attempts is None:
+            return
+        attempts.pop(end.request.id, None)
+        if not attempts:
+            del self._yielding[end.target]
+
     def was_refused(self, request_id: str) -> bool:
         """Return whether a target refused the latest attempt without work."""
         return self._refused_at_s.pop(request_id, None) is not None
--- a/src/marjoramstage/coordination/credits.py
+++ b/src/marjoramstage/coordination/credits.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from marjoramstage.protocol.messages import InstanceLoad, Item
+from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
 
 LAPSE_S = 2.0
 FORGET_S = 60.0
@@ -20,8 +20,9 @@
     ----------
     in_flight : int
         Its attempts at the target.
-    waiting : float
-        Its waiting requests that the target could serve.
+    waiting, live : float
+        Its waiting requests that the target could serve, and those of them
+        that are not overnight work.
     fresh : bool
         Whether it was heard of lately.
     """
@@ -29,6 +30,7 @@
     instance: str
     in_flight: int
     waiting: float
+    live: float = 0.0
     fresh: bool = True
 
 
@@ -45,12 +47,23 @@
     return slots * (rank + 1) // count - slots * rank // count
 
 
-def own_limit(slots: int, instance: str, target: str, peers: Iterable[PeerUse]) -> int:
+def own_limit(
+    slots: int,
+    instance: str,
+    target: str,
+    peers: Iterable[PeerUse],
+    live_only: bool = False,
+) -> int:
     """Return how many attempts ``instance`` may have at a target.
 
     Each active instance may use its even share. What a peer does not need of
     its share may be used by others; the need of a peer that was not heard of
     lately is its whole share.
+
+    Parameters
+    ----------
+    live_only : bool
+        Whether overnight work that waits at a peer counts as no need.
     """
     active = [peer for peer in peers if _is_active(peer)]
     if not active:
@@ -63,7 +76,8 @@
         if not peer.fresh:
             needed += share
             continue
-        wanted = min(share, peer.in_flight + peer.waiting)
+        waiting = peer.live if live_only else peer.waiting
+        wanted = min(share, peer.in_flight + waiting)
         needed += max(peer.in_flight, wanted)
     own = even_share(slots, instance, names, target)
     return max(own, slots - int(needed + 0.5))
@@ -77,7 +91,7 @@
 class _Heard:
     load: InstanceLoad
     at_s: float
-    waiting: dict[Item, int]
+    waiting: dict[Item, ItemDemand]
 
 
 class PeerLoads:
@@ -102,8 +116,7 @@
         same = known is not None and known.load.incarnation == load.incarnation
         if same and known.load.sequence >= load.sequence:
             return False
-        waiting = {demand.item: demand.waiting for demand in load.demand}
-        waiting = {item: count for item, count in waiting.items() if count}
+        waiting = {demand.item: demand for demand in load.demand if demand.waiting}
         self._heard[load.instance] = _Heard(load, now_s, waiting)
         self.epoch += 1
         return True
@@ -138,11 +151,12 @@
         """
         found = []
         for name, heard in self._heard.items():
-            waiting = 0.0
-            for item, count in heard.waiting.items():
+            waiting, live = 0.0, 0.0
+            for item, demand in heard.waiting.items():
                 if item in holders:
-                    waiting += count / holders[item]
+                    waiting += demand.waiting / holders[item]
+                    live += demand.live / holders[item]
             fresh = now_s - heard.at_s <= LAPSE_S
             in_flight = heard.load.in_flight.get(target, 0)
-            found.append(PeerUse(name, in_flight, waiting, fresh))
+            found.append(PeerUse(name, in_flight, waiting, live, fresh))
         return found
--- a/src/marjoramstage/coordination/queues.py
+++ b/src/marjoramstage/coordination/queues.py
@@ -58,12 +58,15 @@
         What a target must hold.
     work_s : Counter
         Predicted slot time that waits, by level and customer.
+    count, live : int
+        Waiting requests, and those of them that are not overnight work.
     """
 
     name: str
     items: tuple[Item, ...]
     work_s: Counter = field(default_factory=Counter)
     count: int = 0
+    live: int = 0
     heaps: dict[RequestClass, dict[str, list]] = field(default_factory=dict)
 
     def push(self, waiting: Waiting, number: int) -> None:
@@ -73,11 +76,13 @@
         heapq.heappush(heap, (waiting.latest_start_s, number, waiting))
         self.work_s[waiting.level, waiting.request.customer] += waiting.work_s
         self.count += 1
+        self.live += waiting.level < RequestClass.OVERNIGHT
 
     def removed(self, waiting: Waiting) -> None:
         """Note that a request no longer waits at its level."""
         self.work_s[waiting.level, waiting.request.customer] -= waiting.work_s
         self.count -= 1
+        self.live -= waiting.level < RequestClass.OVERNIGHT
 
     def own_work_before_s(self, waiting: Waiting) -> float:
         """Return the slot time that goes before ``waiting`` by its deadline.
@@ -91,7 +96,9 @@
         total_s = 0.0
         for name in names:
             for latest_start_s, _, other in by_customer.get(name, ()):
-                if latest_start_s < waiting.latest_start_s and not other.gone:
+                if other.gone or other is waiting:
+                    continue
+                if latest_start_s <= waiting.latest_start_s:
                     total_s += other.work_s
         return total_s
 
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Sequence
 
-from marjoramstage.coordination.credits import PeerLoads, own_limit
+from marjoramstage.coordination.credits import PeerLoads, PeerUse, own_limit
 from marjoramstage.coordination.prediction import nominal_times
 from marjoramstage.coordination.queues import Lane, Waiting
 from marjoramstage.coordination.routing import (
@@ -52,6 +52,16 @@
             view.limit_at_s = now_s
         return view.free_slots
 
+    def excess(self, view: TargetView, now_s: float) -> int:
+        """Return how many attempts here peers need for work that is not overnight."""
+        uses = self._uses(view, now_s)
+        if not any(use.live for use in uses):
+            return 0
+        limit = own_limit(
+            view.report.slots, self._instance, view.name, uses, live_only=True
+        )
+        return view.in_flight - limit
+
     def holders(self, items: tuple[Item, ...]) -> Sequence[TargetView]:
         """Return the targets that could serve ``items``; models only, if none.
 
@@ -123,12 +133,15 @@
         if view.report is None:
             return 0
         slots = view.report.slots
-        uses = self._peers.uses(view.name, self._served_items(view), now_s)
+        uses = self._uses(view, now_s)
         if uses:
             return own_limit(slots, self._instance, view.name, uses)
         unknown = view.report.running - view.own_at_report
         return max(slots - max(0, unknown), slots // LEAST_SHARE, 1)
 
+    def _uses(self, view: TargetView, now_s: float) -> list[PeerUse]:
+        return self._peers.uses(view.name, self._served_items(view), now_s)
+
     def _served_items(self, view: TargetView) -> dict[Item, int]:
         """Return the number of holders of each item that a target serves."""
         if view.target.kind is TargetKind.SERVICE:
--- a/src/marjoramstage/protocol/events.py
+++ b/src/marjoramstage/protocol/events.py
@@ -242,6 +242,19 @@
     address: str
 
 
+@dataclass(frozen=True)
+class Withdraw:
+    """Stop an overnight attempt, as more urgent work needs its slot.
+
+    Unless its answer has begun to reach the caller, the attempt is cancelled
+    at the target and the request asks for a target again (`RetryAsked`,
+    without a failed one). Only idempotent requests are withdrawn.
+    """
+
+    request: Request
+    target: str
+
+
 @dataclass(frozen=True)
 class AskAdapter:
     """Ask the lease holder of a target to load an adapter there.
@@ -253,7 +266,9 @@
     item: Item
 
 
-Effect = Dispatch | Refuse | ReadLedger | WriteLedger | SendOrder | AskAdapter
+Effect = (
+    Dispatch | Refuse | Withdraw | ReadLedger | WriteLedger | SendOrder | AskAdapter
+)
 
 
 class Machine(Protocol):
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -255,12 +255,15 @@
         loses nothing.
     waiting : int
         Requests in the queue now.
+    live : int
+        Those of them that are not overnight work.
     """
 
     item: Item
     requests: int
     tokens: int
     waiting: int = 0
+    live: int = 0
 
 
 @dataclass(frozen=True)
