--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -202,9 +202,10 @@
 
     def _keep_waiting(self, waiting: Waiting, lane: Lane, now_s: float) -> list[Effect]:
         """Let a request wait if it can be served in time, else refuse it."""
-        effects = self._withdraw_for(waiting, now_s)
-        if effects:
-            return effects
+        if waiting.level is not RequestClass.OVERNIGHT:
+            effects = self._withdraw_for(lane, 1, now_s)
+            if effects:
+                return effects
         wait_s = self._wait_s(waiting)
         slack_s = waiting.latest_start_s - now_s
         if wait_s * WAIT_TRUST > slack_s:
@@ -213,17 +214,16 @@
             return [refusals.overload(waiting.request, late_s, self._rng)]
         return self._selector.ask_adapter(lane, now_s)
 
-    def _withdraw_for(self, waiting: Waiting, now_s: float) -> list[Effect]:
-        """Free a slot for live work by giving up an overnight attempt."""
-        if waiting.level is RequestClass.OVERNIGHT:
-            return []
-        for view in self._table.holders(waiting.items):
-            if not view.open_to(now_s):
-                continue
-            request = self._attempts.withdraw(view.name, now_s)
-            if request is not None:
-                return [Withdraw(request, view.name)]
-        return []
+    def _withdraw_for(self, lane: Lane, count: int, now_s: float) -> list[Effect]:
+        """Free up to ``count`` slots for live work by giving up overnight work."""
+        effects: list[Effect] = []
+        for view in self._table.holders(lane.items):
+            while len(effects) < count and view.open_to(now_s):
+                request = self._attempts.withdraw(view.name, now_s)
+                if request is None:
+                    break
+                effects.append(Withdraw(request, view.name))
+        return effects
 
     def _heard(self, load: InstanceLoad, now_s: float) -> list[Effect]:
         """Give up overnight attempts whose slots a peer needs for live work."""
@@ -288,6 +288,7 @@
         for waiting in self._queues.pop_hopeless(now_s):
             effects.append(refusals.expired(waiting.request, self._rng))
         for lane in list(self._queues.lanes.values()):
+            effects += self._withdraw_for(lane, lane.live, now_s)
             effects += self._selector.ask_adapter(lane, now_s)
         return effects
 
--- a/src/marjoramstage/coordination/credits.py
+++ b/src/marjoramstage/coordination/credits.py
@@ -155,7 +155,7 @@
             for item, demand in heard.waiting.items():
                 if item in holders:
                     waiting += demand.waiting / holders[item]
-                    live += demand.live / holders[item]
+                    live += demand.live
             fresh = now_s - heard.at_s <= LAPSE_S
             in_flight = heard.load.in_flight.get(target, 0)
             found.append(PeerUse(name, in_flight, waiting, live, fresh))
