Index peer loads by target and item

Cause: each change of a peer's load made every limit be worked out from all peers and all their waiting items.

--- a/features/steps/routing.py
+++ b/features/steps/routing.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.scheduling import Load, World, inventory_of
-from marjoramstage.coordination.credits import PeerUse, even_share, own_limit
+from marjoramstage.coordination.credits import PeerUse, even_shares, own_limit
 from marjoramstage.coordination.routing import TargetView
 from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.events import (
@@ -77,7 +77,7 @@
     names = [f"i{number}" for number in range(count)]
     for number in range(50):
         target = f"t{number}"
-        shares = [even_share(slots, name, names, target) for name in names]
+        shares = even_shares(slots, names, target).values()
         assert sum(shares) == slots, shares
         assert max(shares) - min(shares) <= 1, shares
 
--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -82,6 +82,7 @@
         self._sequence = 0
         self._requests: Counter[Item] = Counter()
         self._tokens: Counter[Item] = Counter()
+        self._told: dict[Item, ItemDemand] = {}
         self._counters = CustomerCounters()
         self._queues = Queues(queue_requests, self._counters)
         self._times = ServiceTimes()
@@ -111,10 +112,11 @@
             for item in lane.items or (_service_item(lane.name),):
                 waiting[item] += lane.count
                 live[item] += lane.live
-        demand = [
-            ItemDemand(item, count, self._tokens[item], waiting[item], live[item])
-            for item, count in self._requests.items()
-        ]
+        for item, count in self._requests.items():
+            told = (count, self._tokens[item], waiting[item], live[item])
+            known = self._told.get(item)
+            if known is None or told != known.counts:
+                self._told[item] = ItemDemand(item, *told)
         in_flight = {
             name: view.in_flight
             for name, view in self._table.views.items()
@@ -126,7 +128,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             in_flight=in_flight,
-            demand=tuple(demand),
+            demand=tuple(self._told.values()),
         )
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
--- a/src/marjoramstage/coordination/credits.py
+++ b/src/marjoramstage/coordination/credits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
@@ -34,17 +35,20 @@
     fresh: bool = True
 
 
-def even_share(slots: int, instance: str, active: Sequence[str], target: str) -> int:
-    """Return the slots of ``instance`` if all ``active`` share them evenly.
+def even_shares(slots: int, active: Iterable[str], target: str) -> dict[str, int]:
+    """Return the slots of each active instance if all share them evenly.
 
-    The shares of all instances add up to ``slots``; who gets the remainder
-    differs from target to target.
+    The shares add up to ``slots``; who gets the remainder differs from target
+    to target.
     """
     names = sorted(active)
     count = len(names)
     start = zlib.crc32(target.encode()) % count
-    rank = (names.index(instance) - start) % count
-    return slots * (rank + 1) // count - slots * rank // count
+    shares = {}
+    for index, name in enumerate(names):
+        rank = (index - start) % count
+        shares[name] = slots * (rank + 1) // count - slots * rank // count
+    return shares
 
 
 def own_limit(
@@ -69,18 +73,16 @@
     if not active:
         return slots
     names = [peer.instance for peer in active]
-    names.append(instance)
+    shares = even_shares(slots, [*names, instance], target)
     needed = 0.0
     for peer in active:
-        share = even_share(slots, peer.instance, names, target)
+        share = shares[peer.instance]
         if not peer.fresh:
             needed += share
             continue
         waiting = peer.live if live_only else peer.waiting
-        wanted = min(share, peer.in_flight + waiting)
-        needed += max(peer.in_flight, wanted)
-    own = even_share(slots, instance, names, target)
-    return max(own, slots - int(needed + 0.5))
+        needed += max(peer.in_flight, min(share, peer.in_flight + waiting))
+    return max(shares[instance], slots - int(needed + 0.5))
 
 
 def _is_active(peer: PeerUse) -> bool:
@@ -91,11 +93,10 @@
 class _Heard:
     load: InstanceLoad
     at_s: float
-    waiting: dict[Item, ItemDemand]
 
 
 class PeerLoads:
-    """The latest load of each other instance.
+    """The latest load of each other instance, indexed by target and item.
 
     Attributes
     ----------
@@ -107,6 +108,10 @@
         self.epoch = 0
         self._instance = instance
         self._heard: dict[str, _Heard] = {}
+        self._silent_now: set[str] = set()
+        self._lapses_s = 0.0
+        self._in_flight: dict[str, dict[str, int]] = {}
+        self._waiting: dict[Item, dict[str, ItemDemand]] = {}
 
     def heard(self, load: InstanceLoad, now_s: float) -> bool:
         """Take in a load unless a newer one is known; tell whether it was new."""
@@ -116,15 +121,20 @@
         same = known is not None and known.load.incarnation == load.incarnation
         if same and known.load.sequence >= load.sequence:
             return False
-        waiting = {demand.item: demand for demand in load.demand if demand.waiting}
-        self._heard[load.instance] = _Heard(load, now_s, waiting)
-        self.epoch += 1
+        self._drop(load.instance)
+        self._heard[load.instance] = _Heard(load, now_s)
+        self._silent_now.discard(load.instance)
+        for target, count in load.in_flight.items():
+            self._in_flight.setdefault(target, {})[load.instance] = count
+        for demand in load.demand:
+            if demand.waiting:
+                self._waiting.setdefault(demand.item, {})[load.instance] = demand
         return True
 
     def gone(self, instance: str) -> None:
         """Forget an instance that is dead or has left."""
-        if self._heard.pop(instance, None) is not None:
-            self.epoch += 1
+        if instance in self._heard:
+            self._drop(instance)
 
     def forget_silent(self, now_s: float) -> None:
         """Forget instances that were not heard of for long."""
@@ -132,16 +142,18 @@
             if now_s - heard.at_s > FORGET_S:
                 self.gone(name)
 
+    def known(self) -> bool:
+        """Return whether any peer is known."""
+        return bool(self._heard)
+
     def in_flight(self, target: str) -> int:
         """Return the attempts of all peers at a target, as last heard."""
-        return sum(
-            heard.load.in_flight.get(target, 0) for heard in self._heard.values()
-        )
+        return sum(self._in_flight.get(target, {}).values())
 
     def uses(
         self, target: str, holders: dict[Item, int], now_s: float
     ) -> list[PeerUse]:
-        """Return what each peer uses of a target.
+        """Return what each peer that matters there uses of a target.
 
         Parameters
         ----------
@@ -149,14 +161,43 @@
             For each item that the target could serve, the number of targets
             that hold it: waiting requests are split evenly among them.
         """
+        in_flight = self._in_flight.get(target, {})
+        waiting: Counter[str] = Counter()
+        live: Counter[str] = Counter()
+        for item, count in holders.items():
+            for name, demand in self._waiting.get(item, {}).items():
+                waiting[name] += demand.waiting / count
+                live[name] += demand.live
+        silent = self._silent(now_s)
         found = []
-        for name, heard in self._heard.items():
-            waiting, live = 0.0, 0.0
-            for item, demand in heard.waiting.items():
-                if item in holders:
-                    waiting += demand.waiting / holders[item]
-                    live += demand.live
-            fresh = now_s - heard.at_s <= LAPSE_S
-            in_flight = heard.load.in_flight.get(target, 0)
-            found.append(PeerUse(name, in_flight, waiting, live, fresh))
+        for name in {*in_flight, *waiting, *silent}:
+            fresh = name not in silent
+            use = PeerUse(
+                name, in_flight.get(name, 0), waiting[name], live[name], fresh
+            )
+            found.append(use)
         return found
+
+    def _silent(self, now_s: float) -> set[str]:
+        if now_s > self._lapses_s:
+            self._silent_now = {
+                name
+                for name, heard in self._heard.items()
+                if now_s - heard.at_s > LAPSE_S
+            }
+            times = [heard.at_s for heard in self._heard.values()]
+            later = [at_s for at_s in times if now_s - at_s <= LAPSE_S]
+            self._lapses_s = min(later, default=now_s) + LAPSE_S
+        return self._silent_now
+
+    def _drop(self, instance: str) -> None:
+        self.epoch += 1
+        self._silent_now.discard(instance)
+        heard = self._heard.pop(instance, None)
+        if heard is None:
+            return
+        for target in heard.load.in_flight:
+            self._in_flight[target].pop(instance, None)
+        for demand in heard.load.demand:
+            if demand.waiting:
+                self._waiting[demand.item].pop(instance, None)
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -133,8 +133,8 @@
         if view.report is None:
             return 0
         slots = view.report.slots
-        uses = self._uses(view, now_s)
-        if uses:
+        if self._peers.known():
+            uses = self._uses(view, now_s)
             return own_limit(slots, self._instance, view.name, uses)
         unknown = view.report.running - view.own_at_report
         return max(slots - max(0, unknown), slots // LEAST_SHARE, 1)
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -265,6 +265,11 @@
     waiting: int = 0
     live: int = 0
 
+    @property
+    def counts(self) -> tuple[int, int, int, int]:
+        """All counts, in the order of the fields."""
+        return self.requests, self.tokens, self.waiting, self.live
+
 
 @dataclass(frozen=True)
 class InstanceLoad:
