Relay whole or say so; claims of idempotency keys; usage records

Cause: (1) an error of the caller's own connection while an answer was written was taken for the target's, as it was raised inside the client's context; (2) aiohttp sends PUT, DELETE and GET a second time by itself when a connection breaks, follows 307 with the body, and keeps one customer's cookies for the next; (3) a stream that ended early was passed on as complete; (4) a service's own 404 was taken for a refusal and tried elsewhere. Now: a call is sent once, on a connection of its own if it may not be repeated; NOT_RUN only if no connection was made or the target's contract says so; streams are scanned by event, resumed, or ended with an error event; claims and usage through the platform. Ruled out: a session setting against the retry (private in aiohttp); proving NOT_RUN from exception types (a reset of a reused connection looks alike).

--- /dev/null
+++ b/src/marjoramstage/_instance/claims.py
@@ -0,0 +1,228 @@
+"""Claims of idempotency keys, kept in the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from result import Ok
+
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.claims import (
+    BODY_BYTES,
+    ClaimMachine,
+    ClaimRecord,
+    ClaimState,
+    Step,
+    claim_name,
+    record_to_data,
+)
+from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.logs import part_logger
+from marjoramstage.protocol.objects import CLAIM, Platform, PlatformObject
+from marjoramstage.transport._answers import Answer
+
+log = part_logger("claims")
+
+TRY_AGAIN_S = 0.05
+RECORD_WAIT_S = 0.5
+RECORD_TRIES = 8
+RECORD_PAUSE_S = 0.2
+UNAVAILABLE_RETRY_S = 2.0
+JITTER = (0.8, 1.4)
+
+
+class ClaimDesk:
+    """Opens claims; knows which keys are being run by this instance.
+
+    Parameters
+    ----------
+    spawn : callable
+        Starts a task that outlives the request.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        rng: random.Random,
+        spawn: Callable[..., asyncio.Task],
+    ):
+        self.platform = platform
+        self.clock = clock
+        self.rng = rng
+        self.spawn = spawn
+        self.running: set[str] = set()
+
+    def open(
+        self, customer: str, key: str, fingerprint: str, request_id: str
+    ) -> PlatformClaim:
+        """Return the claim of one sending of a request."""
+        machine = ClaimMachine(request_id, fingerprint)
+        return PlatformClaim(self, machine, claim_name(customer, key))
+
+
+class PlatformClaim:
+    """The claim of one sending of a request."""
+
+    def __init__(self, desk: ClaimDesk, machine: ClaimMachine, name: str):
+        self._desk = desk
+        self._machine = machine
+        self._name = name
+        self._owned = False
+
+    async def take(self) -> Answer | None:
+        """Claim the key; see `transport.relay.Claim`.
+
+        Raises
+        ------
+        RequestError
+            The request may not be sent.
+        """
+        if self._name in self._desk.running:
+            raise _in_doubt()
+        self._desk.running.add(self._name)
+        try:
+            step = await self._decide(Step.CREATE)
+            self._owned = step is Step.RUN
+        finally:
+            if not self._owned:
+                self._desk.running.discard(self._name)
+        if self._owned:
+            return None
+        return self._outcome(step)
+
+    async def failed(self, error: RequestError) -> Answer:
+        """Settle a sending that ended in an error.
+
+        One that has not run frees its key. One that was refused before it
+        had the claim tells what an earlier sending came to, if there was one.
+
+        Raises
+        ------
+        RequestError
+            There is no recorded answer.
+        """
+        if self._owned:
+            if error.verdict is Verdict.NOT_RUN:
+                await self._bounded(self._release())
+            self._desk.running.discard(self._name)
+            raise error
+        if error.verdict is not Verdict.NOT_RUN or error.code in _OWN_CODES:
+            raise error
+        if self._name in self._desk.running:
+            raise _in_doubt()
+        match await self._desk.platform.get(CLAIM, self._name):
+            case Ok(obj):
+                return self._outcome(self._machine.read(Ok(obj)))
+        raise error
+
+    async def settle(self, answer: Answer) -> None:
+        """Record the answer of a sending that has the claim."""
+        if not self._owned:
+            return
+        if answer.verdict is Verdict.NOT_RUN:
+            await self._bounded(self._release())
+        else:
+            await self._bounded(self._record(answer))
+
+    async def _decide(self, step: Step) -> Step:
+        desk, machine = self._desk, self._machine
+        while True:
+            match step:
+                case Step.CREATE:
+                    spec = record_to_data(machine.new_record())
+                    obj = PlatformObject(CLAIM, self._name, spec)
+                    following = machine.created(await desk.platform.create(obj))
+                case Step.READ:
+                    following = machine.read(await desk.platform.get(CLAIM, self._name))
+                case _:
+                    return step
+            if following is step:
+                await desk.clock.sleep(TRY_AGAIN_S)
+            step = following
+
+    def _outcome(self, step: Step) -> Answer:
+        """Return the recorded answer, or raise what stands for it."""
+        match step:
+            case Step.REPLAY:
+                return _replayed(self._machine.record)
+            case Step.IN_DOUBT | Step.RUN:
+                raise _in_doubt()
+            case Step.MISMATCH:
+                text = "The key was used for a different request."
+                raise RequestError(422, "key-reused", text, Verdict.NOT_RUN)
+        text = (
+            "This sending has not run, as the key could not be claimed; "
+            "an earlier one may have. Send it again with the same key."
+        )
+        retry_after_s = UNAVAILABLE_RETRY_S * self._desk.rng.uniform(*JITTER)
+        raise RequestError(
+            503, "claim-unavailable", text, Verdict.NOT_RUN, retry_after_s
+        )
+
+    async def _bounded(self, work) -> None:
+        """Wait a little for a write; it goes on when the caller has its answer."""
+        task = self._desk.spawn(work)
+        await asyncio.wait({task}, timeout=RECORD_WAIT_S)
+
+    async def _record(self, answer: Answer) -> None:
+        body = answer.body if len(answer.body) <= BODY_BYTES else None
+        record = replace(
+            self._machine.new_record(),
+            state=ClaimState.ENDED,
+            status=answer.status,
+            content_type=answer.content_type,
+            headers=answer.headers,
+            body=body,
+        )
+        try:
+            await self._write(record)
+        finally:
+            self._desk.running.discard(self._name)
+
+    async def _write(self, record: ClaimRecord) -> None:
+        """Write the outcome until it is there; a lost answer is read back."""
+        platform, version = self._desk.platform, self._machine.version
+        for number in range(RECORD_TRIES):
+            obj = PlatformObject(CLAIM, self._name, record_to_data(record), version)
+            if isinstance(await platform.update(obj), Ok):
+                return
+            await self._desk.clock.sleep(RECORD_PAUSE_S * 2**number)
+            match await platform.get(CLAIM, self._name):
+                case Ok(found) if found.spec["state"] == ClaimState.ENDED.value:
+                    return
+                case Ok(found):
+                    version = found.version
+        log.warning("outcome not recorded", extra={"claim": self._name})
+
+    async def _release(self) -> None:
+        """Free the key of a request that has not run."""
+        platform, version = self._desk.platform, self._machine.version
+        for number in range(RECORD_TRIES):
+            result = await platform.delete(CLAIM, self._name, version)
+            if isinstance(result, Ok) or result.err_value.verdict is Verdict.NOT_RUN:
+                return
+            await self._desk.clock.sleep(RECORD_PAUSE_S * 2**number)
+
+
+_OWN_CODES = frozenset({"key-in-doubt", "key-reused", "claim-unavailable"})
+
+
+def _in_doubt() -> RequestError:
+    text = "The key is claimed by an earlier sending whose outcome is not known."
+    return RequestError(409, "key-in-doubt", text, Verdict.MAY_HAVE_RUN)
+
+
+def _replayed(record: ClaimRecord) -> Answer:
+    if record.body is None:
+        text = "The request has run; its answer was too large to keep."
+        raise RequestError(409, "answer-not-kept", text, Verdict.RAN)
+    return Answer(
+        status=record.status,
+        content_type=record.content_type,
+        body=record.body,
+        headers=(*record.headers, ("Idempotency-Replayed", "true")),
+    )
--- a/src/marjoramstage/_instance/requests.py
+++ b/src/marjoramstage/_instance/requests.py
@@ -20,6 +20,7 @@
     RequestCancelled,
     RequestSubmitted,
     RetryAsked,
+    Withdraw,
 )
 from marjoramstage.protocol.messages import AttemptEnd, AttemptReason, Request
 
@@ -45,6 +46,7 @@
         self._metrics = metrics
         self._mailbox = Mailbox(scheduler, self._perform, clock)
         self._waiting: dict[str, asyncio.Future[Dispatch]] = {}
+        self._withdrawals: dict[str, Callable[[], None]] = {}
 
     def post(self, event: Event) -> None:
         """Hand an event to the scheduler."""
@@ -69,6 +71,13 @@
         self._metrics.count(f"attempts.{end.verdict.value}")
         self.post(AttemptEnded(end))
 
+    def on_withdrawal(self, request_id: str, func: Callable[[], None] | None) -> None:
+        """Call ``func`` when the attempt is to be stopped; None to forget it."""
+        if func is None:
+            self._withdrawals.pop(request_id, None)
+            return
+        self._withdrawals[request_id] = func
+
     async def _ask(
         self, event: RequestSubmitted | RetryAsked, request: Request
     ) -> Dispatch:
@@ -79,6 +88,8 @@
             return await fut
         except asyncio.CancelledError:
             self.post(RequestCancelled(request.id))
+            if fut.done() and not fut.cancelled() and fut.exception() is None:
+                self._give_back(fut.result())
             raise
         finally:
             self._waiting.pop(request.id, None)
@@ -89,6 +100,10 @@
                 self._dispatched(effect)
             case Refuse():
                 self._refused(effect)
+            case Withdraw(request, _):
+                withdraw = self._withdrawals.get(request.id)
+                if withdraw is not None:
+                    withdraw()
             case AskAdapter():
                 self._metrics.count("routing.adapters_asked")
                 self._ask_adapter(effect)
@@ -96,18 +111,21 @@
     def _dispatched(self, effect: Dispatch) -> None:
         fut = self._waiting.get(effect.request.id)
         if fut is None or fut.done():
-            self.ended(
-                AttemptEnd(
-                    effect.request,
-                    effect.target,
-                    Verdict.NOT_RUN,
-                    ok=False,
-                    reason=AttemptReason.CANCELLED,
-                )
-            )
+            self._give_back(effect)
             return
         fut.set_result(effect)
 
+    def _give_back(self, effect: Dispatch) -> None:
+        """Free the slot of a dispatch that nobody waits for any more."""
+        end = AttemptEnd(
+            effect.request,
+            effect.target,
+            Verdict.NOT_RUN,
+            ok=False,
+            reason=AttemptReason.CANCELLED,
+        )
+        self.ended(end)
+
     def _refused(self, effect: Refuse) -> None:
         fut = self._waiting.get(effect.request.id)
         if fut is None or fut.done():
--- /dev/null
+++ b/src/marjoramstage/_instance/usage.py
@@ -0,0 +1,61 @@
+"""Writes usage to the platform, batched for each customer."""
+
+from __future__ import annotations
+
+from result import Ok
+
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.usage import UsageCollector
+from marjoramstage.logs import part_logger
+from marjoramstage.protocol.messages import Request
+from marjoramstage.protocol.objects import (
+    OWN_GROUP,
+    USAGE,
+    Platform,
+    PlatformFault,
+    PlatformObject,
+)
+from marjoramstage.state.usage import UsageBatch, batch_to_data
+
+log = part_logger("usage")
+
+WRITE_EVERY_S = 10.0
+LABEL_CUSTOMER = f"{OWN_GROUP}/customer"
+
+
+class UsageDesk:
+    """The collector and the task that writes its batches."""
+
+    def __init__(self, collector: UsageCollector, platform: Platform, clock: Clock):
+        self.collector = collector
+        self._platform = platform
+        self._clock = clock
+
+    def ran(self, request: Request, tokens: int) -> None:
+        """Note a request that ran to its end."""
+        self.collector.ran(request, tokens)
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            await self._clock.sleep(WRITE_EVERY_S)
+            await self.write()
+
+    async def write(self) -> None:
+        """Write every batch that is due; those that fail stay due."""
+        for batch in self.collector.due():
+            if await self._write(batch):
+                self.collector.written(batch.name)
+
+    async def _write(self, batch: UsageBatch) -> bool:
+        """Create the batch's object; one that is there was written before."""
+        labels = {LABEL_CUSTOMER: batch.customer}
+        obj = PlatformObject(USAGE, batch.name, batch_to_data(batch), labels=labels)
+        result = await self._platform.create(obj)
+        if isinstance(result, Ok):
+            return True
+        if result.err_value.fault is PlatformFault.EXISTS:
+            return True
+        extra = {"batch": batch.name, "fault": result.err_value.fault.value}
+        log.warning("usage not written", extra=extra)
+        return False
--- /dev/null
+++ b/src/marjoramstage/coordination/claims.py
@@ -0,0 +1,185 @@
+"""Claims of idempotency keys: who may run a request, and what came of it."""
+
+from __future__ import annotations
+
+import base64
+import enum
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.objects import PlatformError, PlatformFault, PlatformObject
+
+TRIES = 4
+BODY_BYTES = 65_536
+
+
+class ClaimState(enum.Enum):
+    """Whether the outcome of a claimed request is known."""
+
+    OPEN = "open"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True)
+class ClaimRecord:
+    """What the platform holds for one key of one customer.
+
+    Attributes
+    ----------
+    owner : str
+        Id of the only request that may run.
+    fingerprint : str
+        Hash of method, path and body.
+    status, content_type, headers, body
+        The answer, once ended; no body if it was too large to keep.
+    """
+
+    owner: str
+    fingerprint: str
+    state: ClaimState = ClaimState.OPEN
+    status: int = 0
+    content_type: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
+class Step(enum.Enum):
+    """What has to be done next with a claim.
+
+    Attributes
+    ----------
+    CREATE, READ
+        Call the platform and hand the result in.
+    RUN
+        The claim is ours: send the request.
+    REPLAY
+        The recorded outcome answers the request.
+    IN_DOUBT
+        Another sending has the claim and no outcome is recorded.
+    MISMATCH
+        The key was used for a different request.
+    UNAVAILABLE
+        The platform cannot be asked; nothing was sent.
+    """
+
+    CREATE = "create"
+    READ = "read"
+    RUN = "run"
+    REPLAY = "replay"
+    IN_DOUBT = "in-doubt"
+    MISMATCH = "mismatch"
+    UNAVAILABLE = "unavailable"
+
+
+class ClaimMachine:
+    """Decides who runs, from what the platform answers.
+
+    A create whose answer is lost is settled by reading back the owner, so it
+    neither runs a request twice nor gives up one that is ours.
+
+    Parameters
+    ----------
+    owner : str
+        Id of the request that asks.
+    tries : int
+        Failed calls after which the platform counts as unavailable.
+
+    Attributes
+    ----------
+    record : ClaimRecord or None
+        The claim as last read or created.
+    version : str
+        Its resource version.
+    """
+
+    def __init__(self, owner: str, fingerprint: str, tries: int = TRIES):
+        self.record: ClaimRecord | None = None
+        self.version = ""
+        self._owner = owner
+        self._fingerprint = fingerprint
+        self._tries = tries
+
+    def new_record(self) -> ClaimRecord:
+        """Return the record to create."""
+        return ClaimRecord(self._owner, self._fingerprint)
+
+    def created(self, result: Result[PlatformObject, PlatformError]) -> Step:
+        """Take in the result of `Step.CREATE`."""
+        match result:
+            case Ok(obj):
+                return self._found(obj)
+            case Err(error) if error.fault is PlatformFault.EXISTS:
+                return Step.READ
+            case Err(error) if error.verdict is Verdict.NOT_RUN:
+                return self._again(Step.CREATE)
+        return self._again(Step.READ)
+
+    def read(self, result: Result[PlatformObject, PlatformError]) -> Step:
+        """Take in the result of `Step.READ`."""
+        match result:
+            case Ok(obj):
+                return self._found(obj)
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                return self._again(Step.CREATE)
+        return self._again(Step.READ)
+
+    def _again(self, step: Step) -> Step:
+        self._tries -= 1
+        return step if self._tries > 0 else Step.UNAVAILABLE
+
+    def _found(self, obj: PlatformObject) -> Step:
+        self.record = record_from_data(obj.spec)
+        self.version = obj.version
+        if self.record.owner == self._owner:
+            return Step.RUN
+        if self.record.fingerprint != self._fingerprint:
+            return Step.MISMATCH
+        if self.record.state is ClaimState.ENDED:
+            return Step.REPLAY
+        return Step.IN_DOUBT
+
+
+def claim_name(customer: str, key: str) -> str:
+    """Return the object name of a customer's key; keys do not meet across."""
+    return hashlib.sha256(f"{customer}\0{key}".encode()).hexdigest()
+
+
+def fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return the hash that tells whether two requests are the same."""
+    head = f"{method}\0{path}\0".encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def record_to_data(record: ClaimRecord) -> dict[str, Any]:
+    """Return the spec of a claim's platform object."""
+    data: dict[str, Any] = {
+        "owner": record.owner,
+        "fingerprint": record.fingerprint,
+        "state": record.state.value,
+    }
+    if record.state is ClaimState.ENDED:
+        data["status"] = record.status
+        data["contentType"] = record.content_type
+        data["headers"] = [list(header) for header in record.headers]
+    if record.body is not None:
+        data["body"] = base64.b64encode(record.body).decode()
+    return data
+
+
+def record_from_data(spec: Mapping[str, Any]) -> ClaimRecord:
+    """Build a claim from the spec of its platform object."""
+    body = spec.get("body")
+    return ClaimRecord(
+        owner=spec["owner"],
+        fingerprint=spec["fingerprint"],
+        state=ClaimState(spec["state"]),
+        status=spec.get("status", 0),
+        content_type=spec.get("contentType", ""),
+        headers=tuple((name, value) for name, value in spec.get("headers", ())),
+        body=None if body is None else base64.b64decode(body),
+    )
--- /dev/null
+++ b/src/marjoramstage/coordination/usage.py
@@ -0,0 +1,51 @@
+"""Collects usage into batches and keeps each until it is written."""
+
+from __future__ import annotations
+
+from marjoramstage.protocol.messages import Request
+from marjoramstage.state.usage import Usage, UsageBatch
+
+BATCHES_AT_ONCE = 16
+
+
+class UsageCollector:
+    """Usage of one instance that the platform does not hold yet.
+
+    A batch is closed once, under a number of its own, and written under that
+    name until the platform has it: a lost answer or a second write adds
+    nothing. What is here when the instance dies is not charged.
+    """
+
+    def __init__(self, incarnation: str):
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._open: dict[str, dict[str, Usage]] = {}
+        self._closed: dict[str, UsageBatch] = {}
+
+    def ran(self, request: Request, tokens: int) -> None:
+        """Note a request that ran to its end."""
+        by_model = self._open.setdefault(request.customer, {})
+        usage = Usage(1, request.prompt_tokens, tokens)
+        by_model[request.model] = by_model.get(request.model, Usage()).plus(usage)
+
+    def due(self) -> list[UsageBatch]:
+        """Close what was collected; return batches that have to be written."""
+        for customer, by_model in self._open.items():
+            self._sequence += 1
+            batch = UsageBatch(customer, self._incarnation, self._sequence, by_model)
+            self._closed[batch.name] = batch
+        self._open = {}
+        return list(self._closed.values())[:BATCHES_AT_ONCE]
+
+    def written(self, name: str) -> None:
+        """Note that the platform holds a batch."""
+        self._closed.pop(name, None)
+
+    @property
+    def unwritten(self) -> int:
+        """Requests that the platform does not hold yet."""
+        batches = [batch.by_model for batch in self._closed.values()]
+        found = 0
+        for by_model in (*batches, *self._open.values()):
+            found += sum(usage.requests for usage in by_model.values())
+        return found
--- a/src/marjoramstage/exceptions.py
+++ b/src/marjoramstage/exceptions.py
@@ -92,12 +92,21 @@
         Whether the attempt may have run at the target.
     status : int or None
         HTTP status of the target, when it gave one.
+    reason : str
+        Why the attempt failed, as in `AttemptEnd`.
     """
 
-    def __init__(self, message: str, verdict: Verdict, status: int | None = None):
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        status: int | None = None,
+        reason: str = "",
+    ):
         super().__init__(message)
         self.verdict = verdict
         self.status = status
+        self.reason = reason
 
 
 class PeerError(MarjoramstageError):
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -9,17 +9,20 @@
 import aiohttp
 from result import Result
 
+from marjoramstage._instance.claims import ClaimDesk
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
 from marjoramstage._instance.placing import PlacementDesk
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import Release, accept
+from marjoramstage.coordination.usage import UsageCollector
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
 from marjoramstage.protocol.events import AdapterAsked, AskAdapter, Event, Tick
@@ -31,7 +34,7 @@
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
 from marjoramstage.transport.relay import Relay
-from marjoramstage.transport.targets import HttpTargets
+from marjoramstage.transport.targets import CallClient, HttpTargets
 
 log = part_logger("instance")
 
@@ -62,7 +65,8 @@
         self._wire()
         for server in self._servers:
             await server.start()
-        for part in (self.requests, self.placing, self.follower, self.reporter):
+        parts = (self.requests, self.placing, self.follower, self.reporter, self.usage)
+        for part in parts:
             self._tasks.spawn(part.run())
         self._tasks.spawn(self._callers.readers.run())
         self._tasks.spawn(self._tick())
@@ -73,11 +77,12 @@
         cfg, clock = self.settings, self._clock
         self.platform = HttpPlatform(self._session, cfg.platform, cfg.namespace)
         targets = HttpTargets(self._session)
+        incarnation = uuid.uuid4().hex
         scheduler = Scheduler(
             cfg.limits.queue_requests,
             instance=cfg.name,
             data_centre=cfg.data_centre,
-            incarnation=uuid.uuid4().hex,
+            incarnation=incarnation,
             rng=random.Random(),
         )
         self.requests = RequestDesk(scheduler, clock, self.metrics, self._ask_adapter)
@@ -88,16 +93,34 @@
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
         )
-        relay = Relay(self.requests, targets, clock)
+        self.usage = UsageDesk(UsageCollector(incarnation), self.platform, clock)
+        claims = ClaimDesk(self.platform, clock, random.Random(), self._tasks.spawn)
+        self._calls = CallClient()
+        relay = Relay(
+            self.requests,
+            self._calls,
+            targets,
+            clock,
+            self.metrics,
+            self.usage,
+            self._tasks.spawn,
+        )
         self._callers = CallerPort(
-            relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
+            relay,
+            lambda: self.follower.inventory,
+            cfg.limits,
+            clock,
+            self.metrics,
+            claims,
         )
         operators = OperatorPort(self, cfg.secret)
         self._servers = (
             HttpServer(
                 self._callers.app(),
                 cfg.listen.callers,
-                ServerLimits(header_bytes=cfg.limits.header_bytes),
+                ServerLimits(
+                    header_bytes=cfg.limits.header_bytes, cancel_handlers=True
+                ),
             ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
@@ -107,7 +130,9 @@
         self._draining = True
         for server in self._servers:
             await server.stop()
+        await self.usage.write()
         await self._tasks.stop()
+        await self._calls.close()
         await self._session.close()
         log.info("stopped")
 
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -84,6 +84,11 @@
     repeatable: bool = False
     prefix: int = 0
 
+    @property
+    def yields(self) -> bool:
+        """Whether an attempt may be stopped for more urgent work."""
+        return self.repeatable and self.request_class is RequestClass.OVERNIGHT
+
 
 @dataclass(frozen=True)
 class Target:
--- a/src/marjoramstage/standins/service.py
+++ b/src/marjoramstage/standins/service.py
@@ -86,7 +86,8 @@
     async def _book(self, req: web.Request) -> web.Response:
         if self.faults.refuse > 0:
             self.faults = ServiceFaults(refuse=self.faults.refuse - 1)
-            return web.json_response({"error": "busy"}, status=503)
+            headers = {"X-Verdict": "not-run"}
+            return web.json_response({"error": "busy"}, status=503, headers=headers)
         request_id = req.headers.get("X-Request-Id", "")
         body = await req.json()
         self.runs[request_id] += 1
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -30,11 +30,14 @@
         seconds.
     keepalive_s : float
         How long a connection may rest between requests, in seconds.
+    cancel_handlers : bool
+        Whether a request is given up when its caller leaves.
     """
 
     header_bytes: int = 16_384
     head_timeout_s: float = 10.0
     keepalive_s: float = 75.0
+    cancel_handlers: bool = False
 
 
 class HttpServer:
@@ -79,6 +82,7 @@
             access_log=None,
             auto_decompress=False,
             keepalive_timeout=self._limits.keepalive_s,
+            handler_cancellation=self._limits.cancel_handlers,
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
--- /dev/null
+++ b/src/marjoramstage/transport/_sse.py
@@ -0,0 +1,100 @@
+"""Splits a stream of server-sent events without parsing their data."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id: "
+DONE = b"data: [DONE]\n\n"
+MAX_EVENT_BYTES = 1_048_576
+
+
+class SequenceError(Exception):
+    """An event is missing between the last one and the next."""
+
+
+@dataclass
+class EventScanner:
+    """Checks the sequence of events and holds back an unfinished one.
+
+    Attributes
+    ----------
+    last_id : int
+        Sequence number of the latest event; -1 before the first.
+    events, repeated : int
+        Events with a new number or none, and repeated ones that were dropped.
+    done : bool
+        Whether the engine's last event was seen.
+    """
+
+    last_id: int = -1
+    events: int = 0
+    repeated: int = 0
+    done: bool = False
+    _pending: bytes = b""
+
+    def feed(self, block: bytes) -> bytes:
+        """Return the complete new events of ``block`` and of what was held back.
+
+        Raises
+        ------
+        SequenceError
+            An event is missing; what came before it was returned earlier or
+            has to be asked for again.
+        """
+        data = self._pending + block if self._pending else block
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            if len(data) > MAX_EVENT_BYTES:
+                raise SequenceError("an event does not end")
+            self._pending = data
+            return b""
+        self._pending = data[end:]
+        if data.find(EVENT_END) + len(EVENT_END) == end:
+            event = data if end == len(data) else data[:end]
+            return event if self._takes(event) else b""
+        return b"".join(self._split(data[:end]))
+
+    def restart(self) -> None:
+        """Forget the unfinished event of a connection that broke."""
+        self._pending = b""
+
+    def _split(self, data: bytes) -> list[bytes]:
+        taken = []
+        for part in data.split(EVENT_END)[:-1]:
+            event = part + EVENT_END
+            try:
+                if self._takes(event):
+                    taken.append(event)
+            except SequenceError:
+                if taken:
+                    return taken
+                raise
+        return taken
+
+    def _takes(self, event: bytes) -> bool:
+        """Count an event; tell whether it goes on to the caller."""
+        if self.done:
+            self.repeated += 1
+            return False
+        number = _number(event) if event.startswith(ID_FIELD) else None
+        if number is not None:
+            if number <= self.last_id:
+                self.repeated += 1
+                return False
+            if number > self.last_id + 1:
+                raise SequenceError(f"event {number} follows {self.last_id}")
+            self.last_id = number
+            self.events += 1
+            return True
+        if event.endswith(DONE):
+            self.done = True
+            return True
+        self.events += 1
+        return True
+
+
+def _number(event: bytes) -> int | None:
+    line = event[len(ID_FIELD) : event.index(b"\n")]
+    return int(line) if line.isdigit() else None
--- /dev/null
+++ b/src/marjoramstage/transport/_streams.py
@@ -0,0 +1,145 @@
+"""Relays a stream of events: checked, resumed, and never silently short."""
+
+from __future__ import annotations
+
+import json
+
+from marjoramstage.clock import Clock
+from marjoramstage.exceptions import TargetError, Verdict
+from marjoramstage.logs import part_logger
+from marjoramstage.metrics import Metrics
+from marjoramstage.protocol.messages import AttemptReason
+from marjoramstage.transport._answers import EVENT_STREAM, Caller, Progress
+from marjoramstage.transport._calls import CallClient, TargetCall, Upstream
+from marjoramstage.transport._sse import EventScanner, SequenceError
+
+log = part_logger("streams")
+
+RESUMES = 3
+RESUME_PAUSE_S = 0.05
+CHAT_PATH = "/chat/completions"
+RAN_COMMENT = b": verdict ran\n\n"
+
+
+class StreamRelay:
+    """One streamed answer.
+
+    The head goes out with the first whole event, so that until then the
+    request can still be tried elsewhere. A stream that breaks is resumed at
+    the same engine after the last whole event; if that fails it ends with an
+    ``error`` event and without ``[DONE]``.
+    """
+
+    def __init__(
+        self, calls: CallClient, call: TargetCall, clock: Clock, metrics: Metrics
+    ):
+        self._calls = calls
+        self._call = call
+        self._clock = clock
+        self._metrics = metrics
+        self._began_s = clock.now()
+        self._scanner = EventScanner()
+
+    async def run(self, upstream: Upstream, caller: Caller, progress: Progress) -> None:
+        """Relay until the last event; note in ``progress`` what is proved.
+
+        Raises
+        ------
+        TargetError
+            The stream broke for good before its first event.
+        """
+        resumes = 0
+        while True:
+            problem = await self._relay(upstream, caller, progress)
+            upstream.close()
+            self._metrics.count("streams.repeated", self._scanner.repeated)
+            self._scanner.repeated = 0
+            if self._scanner.done:
+                await self._finish(caller, progress)
+                return
+            progress.reason = AttemptReason.BROKEN
+            resumed = None
+            while resumed is None and resumes < RESUMES and self._can_resume():
+                resumes += 1
+                resumed = await self._resume(resumes)
+            if resumed is None:
+                await self._give_up(caller, problem)
+                return
+            progress.reason = ""
+            upstream = resumed
+
+    async def _relay(
+        self, upstream: Upstream, caller: Caller, progress: Progress
+    ) -> str:
+        """Relay one connection's events; return why it ended early, or nothing."""
+        scanner = self._scanner
+        try:
+            async for block in upstream.blocks():
+                events = scanner.feed(block)
+                if not events:
+                    continue
+                if not caller.begun:
+                    progress.first_token_s = self._clock.now() - self._began_s
+                    await caller.begin(upstream.status, EVENT_STREAM)
+                progress.tokens = scanner.events
+                await caller.write(events)
+                if scanner.done:
+                    return ""
+        except (TargetError, SequenceError) as exc:
+            return str(exc)
+        return "the stream ended before its last event"
+
+    def _can_resume(self) -> bool:
+        numbered = self._scanner.last_id >= 0 or self._scanner.events == 0
+        return numbered and self._time_left_s() > 0
+
+    def _time_left_s(self) -> float:
+        return self._began_s + self._call.timeout_s - self._clock.now()
+
+    async def _resume(self, count: int) -> Upstream | None:
+        self._metrics.count("streams.resumes")
+        self._scanner.restart()
+        chat = self._call.path.endswith(CHAT_PATH)
+        after = self._scanner.last_id
+        try:
+            upstream = await self._calls.resume(
+                self._call.address,
+                self._call.request_id,
+                after,
+                chat,
+                max(0.001, self._time_left_s()),
+            )
+        except TargetError:
+            await self._clock.sleep(RESUME_PAUSE_S * count)
+            return None
+        if upstream.status != 200:
+            upstream.close()
+            return None
+        return upstream
+
+    async def _finish(self, caller: Caller, progress: Progress) -> None:
+        progress.verdict, progress.ok, progress.reason = Verdict.RAN, True, ""
+        await caller.write(RAN_COMMENT)
+        await caller.end()
+
+    async def _give_up(self, caller: Caller, problem: str) -> None:
+        self._metrics.count("streams.broken")
+        extra = {"request": caller.request_id, "reason": problem}
+        log.warning("stream broken", extra=extra)
+        if not caller.begun:
+            raise TargetError(
+                problem, Verdict.MAY_HAVE_RUN, reason=AttemptReason.BROKEN
+            )
+        await caller.write(error_event("stream-broken", caller.request_id))
+        await caller.end()
+
+
+def error_event(code: str, request_id: str) -> bytes:
+    """Return the event that ends a stream whose rest is lost."""
+    error = {
+        "code": code,
+        "message": "The rest of the answer was lost.",
+        "verdict": Verdict.MAY_HAVE_RUN.value,
+        "request_id": request_id,
+    }
+    return b"event: error\ndata: " + json.dumps({"error": error}).encode() + b"\n\n"
--- a/src/marjoramstage/transport/callers.py
+++ b/src/marjoramstage/transport/callers.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from marjoramstage.clock import Clock
+from marjoramstage.coordination.claims import fingerprint
 from marjoramstage.exceptions import RequestError, Verdict
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import Metrics
@@ -33,7 +34,7 @@
     service_path,
 )
 from marjoramstage.transport._readers import ReaderWatch
-from marjoramstage.transport.relay import Relay
+from marjoramstage.transport.relay import Claim, Claims, Relay
 from marjoramstage.transport.targets import TargetCall
 
 log = part_logger("callers")
@@ -49,6 +50,8 @@
     ----------
     inventory : callable
         Gives the inventory in force.
+    claims : Claims, optional
+        Makes requests with an idempotency key run at most once.
     """
 
     def __init__(
@@ -58,8 +61,10 @@
         limits: Limits,
         clock: Clock,
         metrics: Metrics,
+        claims: Claims | None = None,
     ):
         self._relay = relay
+        self._claims = claims
         self._inventory = inventory
         self._limits = limits
         self._clock = clock
@@ -156,7 +161,8 @@
                 timeout_s=self._time_left(request),
             )
 
-        return await self._serve(req, request, call_for)
+        claim = self._claim(req, request, key, body.encode(body.model))
+        return await self._serve(req, request, call_for, claim)
 
     async def _service(self, req: web.Request) -> web.StreamResponse:
         customer = self._customer(req)
@@ -180,7 +186,17 @@
                 content_type=req.headers.get("Content-Type", "application/json"),
             )
 
-        return await self._serve(req, request, call_for)
+        claim = self._claim(req, request, idempotency_key(req), payload)
+        return await self._serve(req, request, call_for, claim)
+
+    def _claim(
+        self, req: web.Request, request: Request, key: str | None, payload: bytes
+    ) -> Claim | None:
+        """Return the claim of a request that has a key and may run only once."""
+        if key is None or request.repeatable or self._claims is None:
+            return None
+        same = fingerprint(req.method, req.raw_path, payload)
+        return self._claims.open(request.customer, key, same, request.id)
 
     async def _read(self, req: web.Request) -> bytes:
         """Return the body; refuse one that is too large or comes too slowly."""
@@ -202,10 +218,11 @@
         req: web.Request,
         request: Request,
         call_for: Callable[[Dispatch], TargetCall],
+        claim: Claim | None,
     ) -> web.StreamResponse:
         """Relay the answer to a caller that keeps reading."""
         with self.readers.watching(req.transport, request.id):
-            return await self._relay.serve(req, request, call_for)
+            return await self._relay.serve(req, request, call_for, claim)
 
     def _check_paid(self, customer: Customer, body: EngineBody) -> None:
         inventory = self._inventory()
--- a/src/marjoramstage/transport/relay.py
+++ b/src/marjoramstage/transport/relay.py
@@ -2,21 +2,48 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from aiohttp import web
+from result import Err, Ok, Result
 
 from marjoramstage.clock import Clock
 from marjoramstage.exceptions import RequestError, TargetError, Verdict
 from marjoramstage.logs import part_logger
+from marjoramstage.metrics import Metrics
 from marjoramstage.protocol.events import Dispatch
-from marjoramstage.protocol.messages import AttemptEnd, Request
-from marjoramstage.transport._errors import HEADER_REQUEST_ID, HEADER_VERDICT
-from marjoramstage.transport.targets import HttpTargets, TargetCall
+from marjoramstage.protocol.messages import (
+    AttemptEnd,
+    AttemptReason,
+    Request,
+    TargetKind,
+)
+from marjoramstage.transport._answers import (
+    EVENT_STREAM,
+    WHOLE_BYTES,
+    Answer,
+    Caller,
+    Progress,
+    check_status,
+    whole_answer,
+)
+from marjoramstage.transport._streams import StreamRelay
+from marjoramstage.transport.targets import (
+    CallClient,
+    HttpTargets,
+    TargetCall,
+    Upstream,
+)
 
 log = part_logger("relay")
 
+OVERRUN_S = 5.0
+
+CallFor = Callable[[Dispatch], TargetCall]
+
 
 class Router(Protocol):
     """Admission and routing as the relay uses it."""
@@ -25,67 +52,330 @@
         """Wait for a target; raise `RequestError` if the request is refused."""
 
     async def retry(self, request: Request, failed: tuple[str, ...]) -> Dispatch:
-        """Wait for another target after an attempt that has not run."""
+        """Wait for another target; errors as for `submit`."""
 
     def ended(self, end: AttemptEnd) -> None:
         """Note the end of an attempt."""
 
+    def on_withdrawal(self, request_id: str, func: Callable[[], None] | None) -> None:
+        """Call ``func`` when the attempt is to be stopped; None to forget it."""
+
+
+class UsageSink(Protocol):
+    """Where requests that ran are recorded for charging."""
+
+    def ran(self, request: Request, tokens: int) -> None:
+        """Note a request that ran to its end."""
+
+
+class Claim(Protocol):
+    """The right to run a request whose idempotency key is claimed."""
+
+    async def take(self) -> Answer | None:
+        """Claim the key before the first byte is sent.
+
+        Returns the recorded answer if the key has run already; raises
+        `RequestError` if it may not be sent.
+        """
+
+    async def failed(self, error: RequestError) -> Answer:
+        """Settle an error; return an earlier sending's answer, or raise."""
+
+    async def settle(self, answer: Answer) -> None:
+        """Record the answer."""
+
+
+class Claims(Protocol):
+    """Where the claims of idempotency keys come from."""
+
+    def open(self, customer: str, key: str, fingerprint: str, request_id: str) -> Claim:
+        """Return the claim of one sending of a request."""
+
 
 class Relay:
-    """Attempts of requests at targets."""
+    """Attempts of requests at targets.
 
-    def __init__(self, router: Router, targets: HttpTargets, clock: Clock):
+    Parameters
+    ----------
+    spawn : callable
+        Starts a task that outlives the request, such as a cancel.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        calls: CallClient,
+        targets: HttpTargets,
+        clock: Clock,
+        metrics: Metrics,
+        usage: UsageSink,
+        spawn: Callable[..., asyncio.Task],
+    ):
         self._router = router
+        self._calls = calls
         self._targets = targets
         self._clock = clock
+        self._metrics = metrics
+        self._usage = usage
+        self._spawn = spawn
 
     async def serve(
         self,
         req: web.Request,
         request: Request,
-        call_for: Callable[[Dispatch], TargetCall],
+        call_for: CallFor,
+        claim: Claim | None = None,
     ) -> web.StreamResponse:
-        """Dispatch a request and relay its answer; try again only if not run."""
+        """Dispatch a request and relay its answer.
+
+        With a claim the request goes on when its caller leaves, so that the
+        outcome is recorded.
+
+        Raises
+        ------
+        RequestError
+            The request ended without an answer.
+        """
+        caller = Caller(req, request.id)
+        if claim is None:
+            answer = await self._run(caller, request, call_for)
+        else:
+            work = self._run_claimed(caller, request, call_for, claim)
+            result = await asyncio.shield(self._spawn(work))
+            if isinstance(result, Err):
+                raise result.err_value
+            answer = result.ok_value
+        if answer is None:
+            return caller.resp
+        return caller.whole(answer)
+
+    async def _run_claimed(
+        self, caller: Caller, request: Request, call_for: CallFor, claim: Claim
+    ) -> Result[Answer, RequestError]:
+        try:
+            try:
+                answer = await self._run(caller, request, call_for, claim)
+            except RequestError as exc:
+                return Ok(await claim.failed(exc))
+        except RequestError as exc:
+            return Err(exc)
+        await claim.settle(answer)
+        return Ok(answer)
+
+    async def _run(
+        self,
+        caller: Caller,
+        request: Request,
+        call_for: CallFor,
+        claim: Claim | None = None,
+    ) -> Answer | None:
+        """Try targets in turn; return a whole answer, or None for a sent one."""
         failed: tuple[str, ...] = ()
+        may_have_run, number = False, 0
         dispatch = await self._router.submit(request)
         while True:
+            number += 1
+            call = _attempt_call(call_for(dispatch), request, number)
             try:
-                return await self._attempt(req, request, dispatch, call_for(dispatch))
+                if claim is not None and number == 1:
+                    recorded = await self._claimed(request, dispatch, claim)
+                    if recorded is not None:
+                        return recorded
+                return await self._attempt(caller, request, dispatch, call, claim)
+            except _WithdrawnError:
+                may_have_run = True
             except TargetError as exc:
-                log.warning(
-                    "attempt failed",
-                    extra={
-                        "request": request.id,
-                        "target": dispatch.target,
-                        "reason": str(exc),
-                        "verdict": exc.verdict.value,
-                    },
-                )
-                if exc.verdict is not Verdict.NOT_RUN:
-                    text = "The target's answer was lost."
-                    raise RequestError(502, "target", text, exc.verdict) from exc
+                self._failed(request, dispatch, exc)
+                may_have_run = may_have_run or exc.verdict is not Verdict.NOT_RUN
+                if caller.begun or not self._may_retry(request, exc):
+                    raise _lost(exc) from exc
                 failed = (*failed, dispatch.target)
+            try:
                 dispatch = await self._router.retry(request, failed)
+            except RequestError as exc:
+                if may_have_run:
+                    text = "An attempt was lost and no other could be made."
+                    verdict = Verdict.MAY_HAVE_RUN
+                    raise RequestError(502, "target", text, verdict) from exc
+                raise
+
+    def _may_retry(self, request: Request, exc: TargetError) -> bool:
+        if exc.verdict is Verdict.NOT_RUN:
+            return True
+        return request.repeatable and self._clock.now() < request.deadline_s
+
+    def _failed(self, request: Request, dispatch: Dispatch, exc: TargetError) -> None:
+        extra = {
+            "request": request.id,
+            "target": dispatch.target,
+            "reason": str(exc),
+            "verdict": exc.verdict.value,
+        }
+        log.warning("attempt failed", extra=extra)
+
+    async def _claimed(
+        self, request: Request, dispatch: Dispatch, claim: Claim
+    ) -> Answer | None:
+        """Take the claim; give the slot back unless the request is to be sent."""
+        recorded, taken = None, False
+        try:
+            recorded = await claim.take()
+            taken = recorded is None
+            return recorded
+        finally:
+            if not taken:
+                progress = Progress(Verdict.NOT_RUN, reason=AttemptReason.CANCELLED)
+                self._ended(request, dispatch, progress)
 
     async def _attempt(
-        self, req: web.Request, request: Request, dispatch: Dispatch, call: TargetCall
-    ) -> web.StreamResponse:
-        verdict, ok = Verdict.MAY_HAVE_RUN, False
+        self,
+        caller: Caller,
+        request: Request,
+        dispatch: Dispatch,
+        call: TargetCall,
+        claim: Claim | None,
+    ) -> Answer | None:
+        progress = Progress()
         try:
-            async with self._targets.open(call) as upstream:
-                resp = web.StreamResponse(status=upstream.status)
-                resp.content_type = upstream.content_type
-                resp.headers[HEADER_REQUEST_ID] = request.id
-                resp.headers[HEADER_VERDICT] = Verdict.RAN.value
-                await resp.prepare(req)
-                async for block in upstream.content.iter_any():
-                    await resp.write(block)
-                await resp.write_eof()
-                verdict, ok = Verdict.RAN, True
-                return resp
+            if not request.yields:
+                return await self._exchange(caller, request, call, progress, claim)
+            return await self._yielding(caller, request, call, progress)
         except TargetError as exc:
-            verdict = exc.verdict
+            progress.verdict, progress.reason = exc.verdict, exc.reason
             raise
+        except BaseException:
+            progress.reason = AttemptReason.CANCELLED
+            raise
+        finally:
+            if progress.verdict is Verdict.MAY_HAVE_RUN:
+                self._cancel(request, call)
+            self._ended(request, dispatch, progress)
+
+    async def _yielding(
+        self, caller: Caller, request: Request, call: TargetCall, progress: Progress
+    ) -> Answer | None:
+        """Run an attempt that is stopped when its slot is needed."""
+        task = asyncio.ensure_future(
+            self._exchange(caller, request, call, progress, None)
+        )
+        withdrawn = False
+
+        def withdraw() -> None:
+            nonlocal withdrawn
+            if not caller.begun and not task.done():
+                withdrawn = True
+                task.cancel()
+
+        self._router.on_withdrawal(request.id, withdraw)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if withdrawn:
+                self._metrics.count("attempts.withdrawn")
+                raise _WithdrawnError from None
+            task.cancel()
+            raise
+        finally:
+            self._router.on_withdrawal(request.id, None)
+
+    async def _exchange(
+        self,
+        caller: Caller,
+        request: Request,
+        call: TargetCall,
+        progress: Progress,
+        claim: Claim | None,
+    ) -> Answer | None:
+        """Send one attempt; return its whole answer, or None if it was streamed."""
+        upstream = await self._calls.send(call)
+        try:
+            verdict = check_status(request.kind, upstream)
+            streamed = upstream.content_type.startswith(EVENT_STREAM)
+            if streamed and request.kind is TargetKind.ENGINE and claim is None:
+                stream = StreamRelay(self._calls, call, self._clock, self._metrics)
+                await stream.run(upstream, caller, progress)
+                if progress.ok:
+                    self._usage.ran(request, progress.tokens)
+                return None
+            answer = await self._whole(caller, request, upstream, verdict, claim)
+            progress.verdict, progress.ok = verdict, True
+            progress.tokens = answer.tokens if answer is not None else 0
+            if verdict is Verdict.RAN:
+                self._usage.ran(request, progress.tokens)
+            return answer
         finally:
-            end = AttemptEnd(request, dispatch.target, verdict, ok)
-            self._router.ended(end)
+            upstream.close()
+
+    async def _whole(
+        self,
+        caller: Caller,
+        request: Request,
+        upstream: Upstream,
+        verdict: Verdict,
+        claim: Claim | None,
+    ) -> Answer | None:
+        """Read an answer to its end; pass on one that is too large to keep."""
+        parts, size = [], 0
+        try:
+            async for block in upstream.blocks():
+                if caller.begun:
+                    await caller.write(block)
+                    continue
+                parts.append(block)
+                size += len(block)
+                if size > WHOLE_BYTES and claim is None:
+                    await caller.begin(upstream.status, upstream.content_type)
+                    await caller.write(b"".join(parts))
+        except TargetError:
+            if caller.begun:
+                caller.break_off()
+            raise
+        if caller.begun:
+            await caller.end()
+            return None
+        return whole_answer(request.kind, upstream, b"".join(parts), verdict)
+
+    def _ended(self, request: Request, dispatch: Dispatch, progress: Progress) -> None:
+        end = AttemptEnd(
+            request=request,
+            target=dispatch.target,
+            verdict=progress.verdict,
+            ok=progress.ok,
+            tokens=progress.tokens,
+            first_token_s=progress.first_token_s,
+            reason=progress.reason,
+        )
+        self._router.ended(end)
+
+    def _cancel(self, request: Request, call: TargetCall) -> None:
+        """Stop at the engine what was given up here."""
+        if request.kind is TargetKind.ENGINE:
+            self._metrics.count("attempts.cancels")
+            self._spawn(self._targets.cancel(call.address, call.request_id))
+
+
+def _attempt_call(call: TargetCall, request: Request, number: int) -> TargetCall:
+    """Return the call of one attempt, under a name of its own.
+
+    An answer that comes after its deadline is still passed on whole, unless it
+    overruns by more than `OVERRUN_S`.
+    """
+    return replace(
+        call,
+        request_id=f"{request.id}-{number}",
+        once=not request.repeatable,
+        timeout_s=call.timeout_s + OVERRUN_S,
+    )
+
+
+class _WithdrawnError(Exception):
+    """The attempt was stopped, as its slot was needed."""
+
+
+def _lost(exc: TargetError) -> RequestError:
+    """Return the error of a request whose attempt may have run."""
+    if exc.reason == AttemptReason.DEADLINE:
+        text = "The target did not answer in time."
+        return RequestError(504, "timeout", text, Verdict.MAY_HAVE_RUN)
+    text = "The target's answer was lost."
+    return RequestError(502, "target", text, Verdict.MAY_HAVE_RUN)
