--- a/src/marjoramstage/transport/_answers.py
+++ b/src/marjoramstage/transport/_answers.py
@@ -158,12 +158,13 @@
     """
     is_json = upstream.content_type.partition(";")[0].strip() == JSON_TYPE
     data = None
-    if is_json and (kind is TargetKind.ENGINE or not upstream.framed):
+    generated = kind is TargetKind.ENGINE and verdict is Verdict.RAN
+    if is_json and (generated or not upstream.framed):
         try:
             data = json.loads(body)
         except ValueError as exc:
             raise _cut_short() from exc
-    elif not upstream.framed or (kind is TargetKind.ENGINE and not body.endswith(DONE)):
+    elif not upstream.framed or (generated and not body.endswith(DONE)):
         raise _cut_short()
     headers = upstream.resp.headers
     kept = tuple((name, headers[name]) for name in KEPT_HEADERS if name in headers)
--- a/src/marjoramstage/transport/relay.py
+++ b/src/marjoramstage/transport/relay.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
 
 from aiohttp import web
 from result import Err, Ok, Result
@@ -30,6 +29,7 @@
     check_status,
     whole_answer,
 )
+from marjoramstage.transport._ports import CallFor, Claim, Claims, Router, UsageSink
 from marjoramstage.transport._streams import StreamRelay
 from marjoramstage.transport.targets import (
     CallClient,
@@ -42,54 +42,7 @@
 
 OVERRUN_S = 5.0
 
-CallFor = Callable[[Dispatch], TargetCall]
-
-
-class Router(Protocol):
-    """Admission and routing as the relay uses it."""
-
-    async def submit(self, request: Request) -> Dispatch:
-        """Wait for a target; raise `RequestError` if the request is refused."""
-
-    async def retry(self, request: Request, failed: tuple[str, ...]) -> Dispatch:
-        """Wait for another target; errors as for `submit`."""
-
-    def ended(self, end: AttemptEnd) -> None:
-        """Note the end of an attempt."""
-
-    def on_withdrawal(self, request_id: str, func: Callable[[], None] | None) -> None:
-        """Call ``func`` when the attempt is to be stopped; None to forget it."""
-
-
-class UsageSink(Protocol):
-    """Where requests that ran are recorded for charging."""
-
-    def ran(self, request: Request, tokens: int) -> None:
-        """Note a request that ran to its end."""
-
-
-class Claim(Protocol):
-    """The right to run a request whose idempotency key is claimed."""
-
-    async def take(self) -> Answer | None:
-        """Claim the key before the first byte is sent.
-
-        Returns the recorded answer if the key has run already; raises
-        `RequestError` if it may not be sent.
-        """
-
-    async def failed(self, error: RequestError) -> Answer:
-        """Settle an error; return an earlier sending's answer, or raise."""
-
-    async def settle(self, answer: Answer) -> None:
-        """Record the answer."""
-
-
-class Claims(Protocol):
-    """Where the claims of idempotency keys come from."""
-
-    def open(self, customer: str, key: str, fingerprint: str, request_id: str) -> Claim:
-        """Return the claim of one sending of a request."""
+__all__ = ["Claim", "Claims", "Relay", "Router", "UsageSink"]
 
 
 class Relay:
@@ -99,6 +52,8 @@
     ----------
     spawn : callable
         Starts a task that outlives the request, such as a cancel.
+    overrun_s : float
+        How long after its deadline an answer is still passed on, in seconds.
     """
 
     def __init__(
@@ -110,6 +65,7 @@
         metrics: Metrics,
         usage: UsageSink,
         spawn: Callable[..., asyncio.Task],
+        overrun_s: float = OVERRUN_S,
     ):
         self._router = router
         self._calls = calls
@@ -118,6 +74,7 @@
         self._metrics = metrics
         self._usage = usage
         self._spawn = spawn
+        self._overrun_s = overrun_s
 
     async def serve(
         self,
@@ -175,7 +132,7 @@
         dispatch = await self._router.submit(request)
         while True:
             number += 1
-            call = _attempt_call(call_for(dispatch), request, number)
+            call = self._attempt_call(call_for(dispatch), request, number)
             try:
                 if claim is not None and number == 1:
                     recorded = await self._claimed(request, dispatch, claim)
@@ -199,6 +156,17 @@
                     raise RequestError(502, "target", text, verdict) from exc
                 raise
 
+    def _attempt_call(
+        self, call: TargetCall, request: Request, number: int
+    ) -> TargetCall:
+        """Return the call of one attempt, under a name of its own."""
+        return replace(
+            call,
+            request_id=f"{request.id}-{number}",
+            once=not request.repeatable,
+            timeout_s=call.timeout_s + self._overrun_s,
+        )
+
     def _may_retry(self, request: Request, exc: TargetError) -> bool:
         if exc.verdict is Verdict.NOT_RUN:
             return True
@@ -354,20 +322,6 @@
             self._spawn(self._targets.cancel(call.address, call.request_id))
 
 
-def _attempt_call(call: TargetCall, request: Request, number: int) -> TargetCall:
-    """Return the call of one attempt, under a name of its own.
-
-    An answer that comes after its deadline is still passed on whole, unless it
-    overruns by more than `OVERRUN_S`.
-    """
-    return replace(
-        call,
-        request_id=f"{request.id}-{number}",
-        once=not request.repeatable,
-        timeout_s=call.timeout_s + OVERRUN_S,
-    )
-
-
 class _WithdrawnError(Exception):
     """The attempt was stopped, as its slot was needed."""
 
