--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -84,6 +84,11 @@
     repeatable: bool = False
     prefix: int = 0
 
+    @property
+    def yields(self) -> bool:
+        """Whether an attempt may be stopped for more urgent work."""
+        return self.repeatable and self.request_class is RequestClass.OVERNIGHT
+
 
 @dataclass(frozen=True)
 class Target:
@@ -222,6 +227,18 @@
     reason: str = ""
 
 
+class AttemptReason(enum.StrEnum):
+    """Why an attempt ended without its answer."""
+
+    BUSY = "busy"
+    NOT_RESIDENT = "not-resident"
+    REFUSED = "refused"
+    CONNECT = "connect"
+    BROKEN = "broken"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+
+
 @dataclass(frozen=True)
 class AttemptEnd:
     """The end of one attempt at a target.
@@ -232,6 +249,8 @@
         Output tokens that the attempt delivered.
     first_token_s : float or None
         Time from dispatch to the first token, in seconds.
+    reason : str
+        An `AttemptReason` when the attempt failed, else empty.
     """
 
     request: Request
@@ -254,12 +273,20 @@
         loses nothing.
     waiting : int
         Requests in the queue now.
+    live : int
+        Those of them that are not overnight work.
     """
 
     item: Item
     requests: int
     tokens: int
     waiting: int = 0
+    live: int = 0
+
+    @property
+    def counts(self) -> tuple[int, int, int, int]:
+        """All counts, in the order of the fields."""
+        return self.requests, self.tokens, self.waiting, self.live
 
 
 @dataclass(frozen=True)
