--- a/src/marjoramstage/standins/_weights.py
+++ b/src/marjoramstage/standins/_weights.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 
 class WeightStore:
     """A rate-limited store.
@@ -20,17 +18,20 @@
         self._gap_s = 1 / loads_per_s if loads_per_s > 0 else 0.0
         self._at_once = at_once
         self._next_s = 0.0
-        self.in_transit = 0
+        self._ends_s: list[float] = []
+
+    def load(self, now_s: float, full_speed_s: float) -> float:
+        """Begin a load; return how long it takes from now on, in seconds.
 
-    async def load(self, full_speed_s: float) -> None:
-        """Load something that takes ``full_speed_s`` seconds at full speed."""
-        now_s = asyncio.get_running_loop().time()
+        Parameters
+        ----------
+        full_speed_s : float
+            How long it takes alone, in seconds.
+        """
         begin_s = max(now_s, self._next_s)
         self._next_s = begin_s + self._gap_s
-        self.in_transit += 1
-        try:
-            await asyncio.sleep(begin_s - now_s)
-            slowdown = max(1.0, self.in_transit / self._at_once)
-            await asyncio.sleep(full_speed_s * slowdown)
-        finally:
-            self.in_transit -= 1
+        self._ends_s = [end_s for end_s in self._ends_s if end_s > begin_s]
+        slowdown = max(1.0, (len(self._ends_s) + 1) / self._at_once)
+        end_s = begin_s + full_speed_s * slowdown
+        self._ends_s.append(end_s)
+        return end_s - now_s
--- a/src/marjoramstage/standins/engine.py
+++ b/src/marjoramstage/standins/engine.py
@@ -168,7 +168,8 @@
         if not self.memory.accept(order):
             return web.json_response({"outcome": "refused"}, status=409)
         if order.action is OrderAction.LOAD:
-            await self._weights.load(self.faults.load_s)
+            now_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(self._weights.load(now_s, self.faults.load_s))
         self.memory.finish(order)
         if self.take("lose_order_answers"):
             return lose_connection(req)
