--- /dev/null
+++ b/features/steps/peers.py
@@ -0,0 +1,264 @@
+"""Steps about the transport and the encoding between instances."""
+
+import asyncio
+import io
+import os
+from dataclasses import replace
+from importlib import resources
+
+import thriftpy2
+from behave import then, when
+from thriftpy2.protocol.compact import TCompactProtocol
+from thriftpy2.transport import TMemoryBuffer
+
+from marjoramstage.metrics import LocalMetrics
+from marjoramstage.protocol import peers
+from marjoramstage.protocol._thrift import load_idl
+from marjoramstage.protocol.peers import (
+    AdapterWanted,
+    DataCentreSummary,
+    DemandEntry,
+    DocumentsAsked,
+    DocumentsSent,
+    Gossip,
+    Head,
+    Hello,
+    LeavingTarget,
+    Load,
+    MemberEntry,
+    MemberState,
+    NamedDocument,
+    Rumour,
+    decode,
+    encode,
+)
+from marjoramstage.transport.peers import (
+    HELLO_BYTES,
+    Identity,
+    PeerClient,
+    PeerServer,
+    greet,
+    read_frame,
+    write_frame,
+)
+
+SECRET = "a secret of some length"
+BOUND_S = 20.0
+SERVER = Identity("server", "dc", SECRET)
+CLIENT = Identity("client", "dc", SECRET)
+GOOD = AdapterWanted("e1", "rooms", "1", "dc")
+SENDER = MemberEntry("i1", 7, 3, address="127.0.0.1:9", data_centre="dc")
+IDL = load_idl("peers.thrift")
+
+
+def framed(payload):
+    return len(payload).to_bytes(4, "big") + payload
+
+
+def raw(frame):
+    buffer = TMemoryBuffer()
+    TCompactProtocol(buffer).write_struct(frame)
+    return buffer.getvalue()
+
+
+async def hello_then(writer, reader, message):
+    await write_frame(writer, CLIENT.hello(os.urandom(16)))
+    answer = await read_frame(reader)
+    await write_frame(writer, message(answer))
+
+
+async def wrong_proof(reader, writer):
+    await hello_then(writer, reader, lambda a: CLIENT.hello(a.nonce, b"x" * 32))
+
+
+async def wrong_secret(reader, writer):
+    other = Identity("client", "dc", "another secret, long enough")
+    nonce = os.urandom(16)
+    await write_frame(writer, other.hello(nonce))
+    answer = await read_frame(reader)
+    proof = other.proof("connector", answer.nonce, nonce)
+    await write_frame(writer, other.hello(nonce, proof))
+
+
+async def recorded(reader, writer):
+    old = CLIENT.hello(b"n" * 16, CLIENT.proof("connector", b"s" * 16, b"n" * 16))
+    await hello_then(writer, reader, lambda answer: old)
+
+
+def early(data, end=False):
+    async def send(reader, writer):
+        writer.write(data)
+        if end:
+            writer.write_eof()
+
+    return send
+
+
+def late(payload):
+    async def send(reader, writer):
+        await greet(reader, writer, CLIENT)
+        writer.write(framed(payload))
+
+    return send
+
+
+GOSSIP = encode(Gossip(SENDER))
+TWO = raw(IDL.Frame(load=IDL.Load(instance="a"), gossip=IDL.Gossip()))
+BAD_STATE = raw(IDL.Frame(gossip=IDL.Gossip(sender=IDL.MemberEntry("a", 1, 1, 9))))
+NO_FIELD = raw(IDL.Frame(load=IDL.Load(instance="i1", sequence=4)))
+NOT_UTF8 = encode(GOOD).replace(b"rooms", b"ro\xff\xfes")
+# Field 15 of the frame: a list of 2**28 elements of type STOP.
+ENDLESS = b"\xf9\xf0" + b"\x80\x80\x80\x80\x01" + b"\x00"
+
+FRAMES = {
+    "a length of zero": early(bytes(4)),
+    "a length above the limit": early(b"\xff\xff\xff\xff" + b"x" * 64),
+    "a hello above the handshake limit": early(framed(b"x" * (HELLO_BYTES + 1))),
+    "half a frame and an end": early(framed(GOSSIP)[:-5], end=True),
+    "a length and an end": early(b"\x00\x00\x00\x20", end=True),
+    "bytes that are no message": early(framed(b"GET / HTTP/1.1\r\n\r\n")),
+    "a message before the handshake": early(framed(encode(GOOD))),
+    "a hello with a wrong proof": wrong_proof,
+    "a hello with the wrong secret": wrong_secret,
+    "a hello with a short nonce": early(framed(encode(Hello(1, "c", "dc", b"n")))),
+    "a hello that was recorded before": recorded,
+    "an empty frame after the handshake": late(b"\x00"),
+    "two messages in one frame": late(TWO),
+    "a message without a needed field": late(NO_FIELD),
+    "a text that is not UTF-8": late(NOT_UTF8),
+    "a list of endless empty elements": late(ENDLESS),
+    "a struct nested without end": late(b"\xfc" + b"\x1c" * 100_000),
+    "an instance state that is unknown": late(BAD_STATE),
+}
+
+
+async def delivered(server, received, identity):
+    """Send a good message; wait until it is delivered or its sender gave up."""
+    metrics = LocalMetrics()
+    client = PeerClient(identity, metrics)
+    client.send(server.address, GOOD)
+    for _ in range(int(BOUND_S / 0.01)):
+        if received or metrics.counters["peers.lost"]:
+            break
+        await asyncio.sleep(0.01)
+    await client.stop()
+    return list(received)
+
+
+async def send_bad(send):
+    received = []
+    server = PeerServer("127.0.0.1:0", SERVER, received.append, LocalMetrics())
+    await server.start()
+    host, port = server.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    await send(reader, writer)
+    rest = await asyncio.wait_for(_drained(reader), BOUND_S)
+    writer.close()
+    before = list(received)
+    after = await delivered(server, received, CLIENT)
+    await server.stop()
+    return rest, before, after
+
+
+async def _drained(reader):
+    try:
+        while await reader.read(65536):
+            pass
+    except ConnectionResetError:
+        pass
+    return "closed"
+
+
+@when("a peer connection sends {frame}")
+def send_frame(context, frame):
+    context.peer_outcome = asyncio.run(send_bad(FRAMES[frame]))
+
+
+@then("that peer connection is closed without a message")
+def check_closed(context):
+    closed, before, _ = context.peer_outcome
+    assert closed == "closed" and before == [], context.peer_outcome
+
+
+@then("another peer connection still delivers its message")
+def check_serving(context):
+    assert context.peer_outcome[2] == [GOOD], context.peer_outcome
+
+
+@when("a peer message has an unknown field at each level")
+def unknown_fields(context):
+    text = resources.files("marjoramstage.protocol").joinpath("peers.thrift")
+    newer = text.read_text().replace(" {\n", " {\n  15: optional string newer\n")
+    idl = thriftpy2.load_fp(io.StringIO(newer), "newer_thrift")
+    head = idl.Head(generation=3, root="r", newer="x")
+    entry = idl.MemberEntry(name="i1", incarnation=7, heartbeat=3, newer="x")
+    gossip = idl.Gossip(sender=entry, head=head, newer="x")
+    context.peer_read = decode(raw(idl.Frame(gossip=gossip, newer="x")))
+    context.peer_expected = Gossip(MemberEntry("i1", 7, 3), head=Head(3, "r"))
+
+
+@then("the peer message is read as if the fields were not there")
+def check_unknown(context):
+    assert context.peer_read == context.peer_expected, context.peer_read
+
+
+@when("a peer message has only its first fields")
+def only_first(context):
+    entry = IDL.MemberEntry(name="i1", incarnation=7, heartbeat=3)
+    context.peer_read = decode(raw(IDL.Frame(gossip=IDL.Gossip(sender=entry))))
+
+
+@then("the peer message is read with defaults")
+def check_defaults(context):
+    expected = Gossip(replace(SENDER, address="", data_centre=""))
+    assert context.peer_read == expected, context.peer_read
+
+
+MESSAGES = (
+    Hello(1, "i1", "dc", b"\xff" * 16, b"p"),
+    Gossip(
+        SENDER,
+        (SENDER, MemberEntry("i2", 8, 9, MemberState.LEFT, 4)),
+        (DataCentreSummary("d2", "i9", 1, 2, 3, 4, ("i8",), (SENDER,)),),
+        (LeavingTarget("e1", "x"),),
+        Head(4, "root", "edit"),
+        True,
+    ),
+    Load("i1", "dc", "7", 4, {"e1": 3}, (DemandEntry("m", "1", 2, 3, 4),), ("s",)),
+    Rumour(SENDER, Head(4, "root"), (LeavingTarget("e1"),), (SENDER,)),
+    DocumentsAsked(SENDER, ("a", "b")),
+    DocumentsSent(SENDER, (NamedDocument("a", b"\x00\xff"),), ("b",)),
+    GOOD,
+)
+
+
+@when("each kind of peer message is encoded and decoded")
+def round_trip(context):
+    context.peer_pairs = [(message, decode(encode(message))) for message in MESSAGES]
+
+
+@then("each peer message is the same")
+def check_round_trip(context):
+    kinds = {type(message) for message, _ in context.peer_pairs}
+    assert kinds == set(peers._MESSAGES.values()), kinds
+    for message, read in context.peer_pairs:
+        assert message == read, (message, read)
+
+
+@when("a peer client with another secret sends a message")
+def other_secret(context):
+    async def run():
+        received = []
+        server = PeerServer("127.0.0.1:0", SERVER, received.append, LocalMetrics())
+        await server.start()
+        stranger = Identity("client", "dc", "another secret, long enough")
+        found = await delivered(server, received, stranger)
+        await server.stop()
+        return found
+
+    context.peer_outcome = asyncio.run(run())
+
+
+@then("nothing is delivered by that peer client")
+def check_nothing(context):
+    assert context.peer_outcome == [], context.peer_outcome
--- /dev/null
+++ b/src/marjoramstage/_commands/_calls.py
@@ -0,0 +1,91 @@
+"""Calls to the operators' port of an instance."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from marjoramstage._commands import exits
+
+OPERATOR_TIMEOUT_S = 40.0
+
+
+class CallError(Exception):
+    """The call has no answer; ``sent`` says whether it may have arrived."""
+
+    def __init__(self, message: str, sent: bool):
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Status and JSON data of an answer."""
+
+    status: int
+    data: Any
+
+
+def add_instance(parser: argparse.ArgumentParser) -> None:
+    """Add the options that every operator command has."""
+    parser.add_argument(
+        "--instance", required=True, help="operator address of any instance, ip:port"
+    )
+    parser.add_argument("--secret-file", help="file with the shared secret")
+
+
+def call(
+    args: argparse.Namespace,
+    method: str,
+    path: str,
+    params: Mapping[str, str] | None = None,
+    body: bytes | None = None,
+) -> Reply:
+    """Call the operators' port; raise `CallError` if there is no answer."""
+    return asyncio.run(_call(args, method, path, params, body))
+
+
+def fail(args: argparse.Namespace, exc: CallError) -> int:
+    """Print why a call failed; return the exit code."""
+    outcome = "; outcome unknown" if exc.sent else ""
+    print(f"{args.instance}: {exc}{outcome}", file=sys.stderr)
+    return exits.UNKNOWN if exc.sent else exits.FAILED
+
+
+def problems(reply: Reply) -> int:
+    """Print what an instance objects to; return the exit code."""
+    data = reply.data if isinstance(reply.data, dict) else {}
+    for problem in data.get("problems", ()):
+        print(problem, file=sys.stderr)
+    if "error" in data:
+        print(f"refused: {data['error']}", file=sys.stderr)
+    return exits.USAGE if reply.status == 400 else exits.FAILED
+
+
+async def _call(args, method, path, params, body) -> Reply:
+    timeout = aiohttp.ClientTimeout(total=OPERATOR_TIMEOUT_S)
+    url = f"http://{args.instance}{path}"
+    headers = _secret_header(args.secret_file)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+            session.request(method, url, params=params, data=body) as resp,
+        ):
+            return Reply(resp.status, await resp.json(content_type=None))
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
+        raise CallError(str(exc), sent=False) from exc
+    except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        raise CallError(str(exc) or type(exc).__name__, sent=method != "GET") from exc
+
+
+def _secret_header(path: str | None) -> dict[str, str]:
+    if path is None:
+        return {}
+    with open(path) as file:
+        return {"Authorization": f"Bearer {file.read().strip()}"}
--- /dev/null
+++ b/src/marjoramstage/_instance/draining.py
@@ -0,0 +1,98 @@
+"""The callers' work in flight during a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from aiohttp import web
+
+from marjoramstage.clock import Clock
+from marjoramstage.coordination.draining import Drain
+from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.logs import part_logger
+from marjoramstage.transport.callers import error_response
+
+log = part_logger("draining")
+
+STEP_S = 0.05
+ABORT_S = 2.0
+EVENT_STREAM = "text/event-stream"
+
+
+class DrainGate:
+    """Counts requests in flight and ends them when they must end.
+
+    Parameters
+    ----------
+    bound_s : float
+        Longest time for work in flight, in seconds.
+    """
+
+    def __init__(self, bound_s: float, clock: Clock):
+        self.drain = Drain(bound_s)
+        self._clock = clock
+        self._tasks: dict[asyncio.Task, web.Request] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being answered."""
+        return len(self._tasks)
+
+    def guard(self, app: web.Application) -> None:
+        """Count the requests of an application."""
+        app.middlewares.insert(0, self._count)
+        app.on_response_prepare.append(self._prepare)
+
+    def ask(self) -> None:
+        """Begin a planned stop; asked again, end what is left."""
+        self.drain.asked(self._clock.now())
+        log.info("stop asked", extra={"state": self.drain.state})
+
+    async def finished(self) -> None:
+        """Wait until nothing is in flight, or its time is over."""
+        while self.drain.advance(self.in_flight, self._clock.now()) == "draining":
+            await self._clock.sleep(STEP_S)
+        if self.drain.state != "aborting":
+            return
+        tasks = list(self._tasks)
+        log.warning("requests ended", extra={"count": len(tasks)})
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=ABORT_S)
+
+    @web.middleware
+    async def _count(self, req: web.Request, handler) -> web.StreamResponse:
+        task = asyncio.current_task()
+        self._tasks[task] = req
+        try:
+            return await handler(req)
+        except asyncio.CancelledError:
+            if self.drain.state != "aborting":
+                raise
+            task.uncancel()
+            return await self._ended(req)
+        finally:
+            del self._tasks[task]
+
+    async def _prepare(self, req: web.Request, resp: web.StreamResponse) -> None:
+        req["response"] = resp
+        if not self.drain.serving:
+            resp.force_close()
+
+    async def _ended(self, req: web.Request) -> web.StreamResponse:
+        """Answer a request whose time is over; it may have run."""
+        text = "The instance stopped before the answer was whole."
+        error = RequestError(503, "stopping", text, Verdict.MAY_HAVE_RUN)
+        answer = error_response(error)
+        resp = req.get("response")
+        if resp is None:
+            return answer
+        if resp.content_type == EVENT_STREAM:
+            data = json.dumps(json.loads(answer.body))
+            await resp.write(f"event: error\ndata: {data}\n\n".encode())
+        else:
+            # A body that is not whole must not look so.
+            req.transport.abort()
+        return resp
--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -29,7 +29,8 @@
     return {
         "instance": instance.settings.name,
         "data_centre": instance.settings.data_centre,
-        "generation": instance.follower.generation,
+        "generation": instance.peers.generation,
+        "peers": instance.peers.dump(),
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
         "queues": scheduler.queue_lengths(),
--- a/src/marjoramstage/_instance/following.py
+++ b/src/marjoramstage/_instance/following.py
@@ -1,60 +1,73 @@
-"""Follows the platform: listed targets and the accepted inventory."""
+"""Follows the platform's lists of targets and of instances."""
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
 from result import Err
 
 from marjoramstage.clock import Clock
-from marjoramstage.coordination.releases import read_release
-from marjoramstage.logs import part_logger
-from marjoramstage.protocol.events import (
-    Event,
-    InventoryAccepted,
-    TargetGone,
-    TargetListed,
-)
+from marjoramstage.coordination._steps import InstancesListed, NodeEvent
+from marjoramstage.protocol.events import Event, TargetGone, TargetListed
 from marjoramstage.protocol.messages import Target
-from marjoramstage.protocol.objects import ENDPOINT_SLICE, Platform
-from marjoramstage.state.inventory import Inventory
+from marjoramstage.protocol.objects import ENDPOINT_SLICE, Platform, PlatformObject
+from marjoramstage.state.members import members_from_slice
 from marjoramstage.state.targets import targets_from_slice
 
-log = part_logger("following")
-
 POLL_S = 0.5
+MAX_POLL_S = 20.0
 
 
 class Follower:
-    """What this instance has learned from the platform.
+    """What this instance has learned from the platform's lists.
 
     Parameters
     ----------
     post : callable
-        Takes each event that follows from a change.
+        Takes each event that follows from a change of targets.
+    tell : callable
+        Takes the listed instances.
+    members : callable
+        Gives the number of serving instances of the data centre; they share
+        the reads, so that the platform sees the same rate whatever it is.
     """
 
-    def __init__(self, platform: Platform, post: Callable[[Event], None], clock: Clock):
-        self.generation = 0
-        self.inventory = Inventory()
+    def __init__(
+        self,
+        platform: Platform,
+        post: Callable[[Event], None],
+        tell: Callable[[NodeEvent], None],
+        members: Callable[[], int],
+        clock: Clock,
+    ):
         self.targets: dict[str, Target] = {}
         self._platform = platform
         self._post = post
+        self._tell = tell
+        self._members = members
         self._clock = clock
+        self._rng = random.Random()
 
     async def run(self) -> None:
-        """Follow the platform until cancelled."""
+        """Follow the lists until cancelled."""
         while True:
-            await self._poll_targets()
-            await self._poll_release()
-            await self._clock.sleep(POLL_S)
+            await self._poll()
+            delay_s = min(MAX_POLL_S, POLL_S * max(1, self._members()))
+            await self._clock.sleep(delay_s * self._rng.uniform(0.8, 1.2))
 
-    async def _poll_targets(self) -> None:
+    async def _poll(self) -> None:
         listed = await self._platform.list(ENDPOINT_SLICE)
         if isinstance(listed, Err):
             return
+        objects = listed.ok_value.objects
+        self._take_targets(objects)
+        entries = [entry for obj in objects for entry in members_from_slice(obj)]
+        self._tell(InstancesListed(tuple(entries)))
+
+    def _take_targets(self, objects: tuple[PlatformObject, ...]) -> None:
         found = {}
-        for obj in listed.ok_value.objects:
+        for obj in objects:
             for target in targets_from_slice(obj):
                 found[target.name] = target
         for name in self.targets.keys() - found.keys():
@@ -63,15 +76,3 @@
             if self.targets.get(target.name) != target:
                 self._post(TargetListed(target))
         self.targets = found
-
-    async def _poll_release(self) -> None:
-        read = await read_release(self._platform)
-        if isinstance(read, Err):
-            return
-        release = read.ok_value
-        if release.generation <= self.generation:
-            return
-        self.generation = release.generation
-        self.inventory = release.inventory
-        self._post(InventoryAccepted(release.generation, release.inventory))
-        log.info("inventory in force", extra={"generation": release.generation})
--- /dev/null
+++ b/src/marjoramstage/_instance/peering.py
@@ -0,0 +1,232 @@
+"""Runs the configuration node: its peers, its reads and its watch."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok
+
+from marjoramstage._instance.node_dump import dump_node
+from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.clock import Clock
+from marjoramstage.coordination._node import ConfigNode
+from marjoramstage.coordination._release_store import (
+    HEAD_NAME,
+    document_content,
+    head_from_object,
+)
+from marjoramstage.coordination._steps import (
+    DocumentsRead,
+    Emit,
+    HeadMissed,
+    HeadSeen,
+    NodeEffect,
+    NodeEvent,
+    NodeTick,
+    PeerReceived,
+    ReadDocuments,
+    ReadHead,
+    SendPeer,
+    StopWatch,
+    WatchEnded,
+    WatchHead,
+)
+from marjoramstage.coordination.mailbox import Mailbox
+from marjoramstage.logs import part_logger
+from marjoramstage.metrics import Metrics
+from marjoramstage.protocol.events import Event, InventoryAccepted
+from marjoramstage.protocol.objects import (
+    DOCUMENT,
+    HEAD,
+    Platform,
+    PlatformFault,
+    PlatformObject,
+)
+from marjoramstage.protocol.peers import MemberEntry, NamedDocument, PeerMessage
+from marjoramstage.settings import Settings
+from marjoramstage.state.inventory import Inventory
+from marjoramstage.transport.peers import Identity, PeerClient, PeerServer
+
+log = part_logger("peering")
+
+TICK_EVERY_S = 0.1
+READS_AT_ONCE = 8
+
+
+class PeerDesk:
+    """The configuration node's mailbox and the calls that its effects need.
+
+    Parameters
+    ----------
+    post : callable
+        Takes each event for the other machines of the instance.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: Platform,
+        post: Callable[[Event], None],
+        tasks: TaskGroup,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._platform = platform
+        self._post = post
+        self._tasks = tasks
+        self._clock = clock
+        self._identity = Identity(settings.name, settings.data_centre, settings.secret)
+        self._server = PeerServer(
+            settings.listen.peers, self._identity, self._receive, metrics
+        )
+        self._client = PeerClient(self._identity, metrics)
+        self._watch: asyncio.Task | None = None
+        self._reads = asyncio.Semaphore(READS_AT_ONCE)
+        self.platform_fault = ""
+        self.incarnation = round(clock.wall() * 1000)
+        self.node: ConfigNode | None = None
+        self._mailbox: Mailbox | None = None
+
+    @property
+    def address(self) -> str:
+        """Address of the peers' port, after `start`."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Listen, and build the node, which needs the address."""
+        await self._server.start()
+        cfg = self._settings
+        own = MemberEntry(
+            name=cfg.name,
+            incarnation=self.incarnation,
+            heartbeat=0,
+            address=self._server.address,
+            data_centre=cfg.data_centre,
+        )
+        rng = random.Random()
+        self.node = ConfigNode(own, cfg.peers, rng, self._clock.now())
+        self._mailbox = Mailbox(self.node, self._perform, self._clock)
+
+    @property
+    def generation(self) -> int:
+        """The generation in force here; 0 before the first."""
+        return self.node.distributor.generation
+
+    @property
+    def inventory(self) -> Inventory:
+        """The inventory in force here; empty before the first."""
+        return self.node.distributor.inventory
+
+    def members(self) -> int:
+        """Return the number of serving instances of the data centre."""
+        return len(self.node.gossiper.membership.serving(self._clock.now()))
+
+    def waits_for(self) -> str:
+        """Return what is needed before requests can be served; empty if nothing."""
+        if self.generation > 0:
+            return ""
+        fetching = self.node.distributor.fetching
+        if fetching is not None:
+            return f"the documents of generation {fetching.generation}"
+        platform = self.platform_fault or "reached"
+        peers = self.members() - 1
+        return f"an accepted inventory (platform: {platform}, peers: {peers})"
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        await self._client.stop()
+        await self._server.stop()
+
+    def post(self, event: NodeEvent) -> None:
+        """Hand an event to the node; one before `start` is dropped."""
+        if self._mailbox is not None:
+            self._mailbox.post(event)
+
+    async def run(self) -> None:
+        """Drive the node until cancelled."""
+        self._tasks.spawn(self._mailbox.run())
+        while True:
+            self.post(NodeTick())
+            await self._clock.sleep(TICK_EVERY_S)
+
+    def dump(self) -> dict[str, Any]:
+        """Return what is known of other instances as JSON data."""
+        return dump_node(self.node, self._clock.now())
+
+    def _receive(self, message: PeerMessage) -> None:
+        self.post(PeerReceived(message))
+
+    def _perform(self, effect: NodeEffect) -> None:
+        match effect:
+            case SendPeer(address, message):
+                self._client.send(address, message)
+            case ReadHead():
+                self._tasks.spawn(self._read_head())
+            case WatchHead():
+                self._watch = self._tasks.spawn(self._watch_head())
+            case StopWatch():
+                self._watch.cancel()
+            case ReadDocuments(names):
+                self._tasks.spawn(self._read_documents(names))
+            case Emit(event):
+                self._emit(event)
+
+    def _emit(self, event: Event) -> None:
+        match event:
+            case InventoryAccepted(generation):
+                log.info("inventory in force", extra={"generation": generation})
+        self._post(event)
+
+    async def _read_head(self) -> None:
+        match await self._platform.get(HEAD, HEAD_NAME):
+            case Ok(obj):
+                self.platform_fault = ""
+                self._head_object(obj)
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                self.platform_fault = ""
+                self.post(HeadMissed())
+            case Err(error):
+                self.platform_fault = error.fault.value
+                self.post(HeadMissed())
+
+    def _head_object(self, obj: PlatformObject) -> None:
+        try:
+            self.post(HeadSeen(head_from_object(obj).head))
+        except (KeyError, TypeError, ValueError):
+            log.error("the head cannot be read")
+            self.post(HeadMissed())
+
+    async def _watch_head(self) -> None:
+        """List the head and follow it, until the watch ends or is cancelled."""
+        try:
+            listed = await self._platform.list(HEAD)
+            if isinstance(listed, Err):
+                return
+            for obj in listed.ok_value.objects:
+                self._head_object(obj)
+            version = listed.ok_value.version
+            async for event in self._platform.watch(HEAD, version):
+                if isinstance(event, Err):
+                    log.info(
+                        "watch ended", extra={"fault": event.err_value.fault.value}
+                    )
+                    return
+                if event.ok_value.obj is not None:
+                    self._head_object(event.ok_value.obj)
+        finally:
+            self.post(WatchEnded())
+
+    async def _read_documents(self, names: tuple[str, ...]) -> None:
+        found = await asyncio.gather(*(self._read_document(name) for name in names))
+        self.post(DocumentsRead(tuple(doc for doc in found if doc is not None)))
+
+    async def _read_document(self, name: str) -> NamedDocument | None:
+        async with self._reads:
+            read = await self._platform.get(DOCUMENT, name)
+        if isinstance(read, Err):
+            return None
+        return NamedDocument(name, document_content(read.ok_value))
--- /dev/null
+++ b/src/marjoramstage/coordination/_loads.py
@@ -0,0 +1,118 @@
+"""The loads that the instances of a data centre tell each other."""
+
+from __future__ import annotations
+
+from marjoramstage.coordination._steps import Emit, NodeEffect, SendPeer
+from marjoramstage.coordination.membership import Liveness, Membership
+from marjoramstage.protocol.events import AdapterAsked, InstanceGone, InstanceLoaded
+from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
+from marjoramstage.protocol.peers import AdapterWanted, DemandEntry, Load
+
+LOAD_EVERY_S = 0.5
+LOAD_BYTES_PER_S = 3000
+MAX_HOPS = 2
+
+_FIXED_BYTES = 80
+_IN_FLIGHT_BYTES = 12
+_DEMAND_BYTES = 20
+
+
+class Loads:
+    """Latest load of each instance, and who holds which shard."""
+
+    def __init__(self, now_s: float):
+        self.latest: dict[str, InstanceLoad] = {}
+        self.own: InstanceLoad | None = None
+        self._tell_s = now_s
+
+    def tell(
+        self, load: InstanceLoad, membership: Membership, now_s: float
+    ) -> list[NodeEffect]:
+        """Send the own load to every peer of the data centre when it is due."""
+        self.own = load
+        if now_s < self._tell_s:
+            return []
+        peers = membership.named(Liveness.ALIVE, Liveness.SUSPECT, now_s=now_s)
+        size = _FIXED_BYTES + _IN_FLIGHT_BYTES * len(load.in_flight)
+        size += _DEMAND_BYTES * len(load.demand)
+        self._tell_s = now_s + max(LOAD_EVERY_S, size * len(peers) / LOAD_BYTES_PER_S)
+        message = load_to_message(load)
+        return [SendPeer(member.entry.address, message) for member in peers]
+
+    def receive(self, message: Load) -> list[NodeEffect]:
+        """Take in the load of a peer unless a later one is known."""
+        load = load_from_message(message)
+        known = self.latest.get(load.instance)
+        same = known is not None and known.incarnation == load.incarnation
+        if same and known.sequence >= load.sequence:
+            return []
+        self.latest[load.instance] = load
+        return [Emit(InstanceLoaded(load))]
+
+    def drop_gone(self, membership: Membership, now_s: float) -> list[NodeEffect]:
+        """Forget the loads of instances that are dead."""
+        effects: list[NodeEffect] = []
+        for name in list(self.latest):
+            member = membership.members.get(name)
+            dead = member is not None and member.liveness(now_s) is Liveness.DEAD
+            if member is None or dead:
+                del self.latest[name]
+                effects.append(Emit(InstanceGone(name)))
+        return effects
+
+    def want_adapter(
+        self, wanted: AdapterWanted, membership: Membership
+    ) -> list[NodeEffect]:
+        """Hand a wish for an adapter to the holder of the target's shard."""
+        if self.own is not None and wanted.shard in self.own.shards:
+            item = Item(wanted.name, wanted.version)
+            return [Emit(AdapterAsked(wanted.target, item))]
+        if wanted.hops >= MAX_HOPS:
+            return []
+        for name, load in sorted(self.latest.items()):
+            member = membership.members.get(name)
+            if wanted.shard not in load.shards or member is None:
+                continue
+            passed = AdapterWanted(
+                wanted.target,
+                wanted.name,
+                wanted.version,
+                wanted.shard,
+                wanted.hops + 1,
+            )
+            return [SendPeer(member.entry.address, passed)]
+        return []
+
+
+def load_to_message(load: InstanceLoad) -> Load:
+    """Return the load as it is sent."""
+    demand = tuple(
+        DemandEntry(d.item.name, d.item.version, d.requests, d.tokens, d.waiting)
+        for d in load.demand
+    )
+    return Load(
+        load.instance,
+        load.data_centre,
+        load.incarnation,
+        load.sequence,
+        dict(load.in_flight),
+        demand,
+        load.shards,
+    )
+
+
+def load_from_message(message: Load) -> InstanceLoad:
+    """Return the load that was sent."""
+    demand = tuple(
+        ItemDemand(Item(d.name, d.version), d.requests, d.tokens, d.waiting)
+        for d in message.demand
+    )
+    return InstanceLoad(
+        message.instance,
+        message.data_centre,
+        message.incarnation,
+        message.sequence,
+        message.in_flight,
+        demand,
+        message.shards,
+    )
--- /dev/null
+++ b/src/marjoramstage/coordination/_node.py
@@ -0,0 +1,148 @@
+"""The configuration node: gossip, loads and distribution of one instance."""
+
+from __future__ import annotations
+
+import random
+
+from marjoramstage.coordination._loads import Loads
+from marjoramstage.coordination._steps import (
+    AdapterNeeded,
+    DocumentsRead,
+    Emit,
+    HeadMissed,
+    HeadSeen,
+    InstancesListed,
+    LeavingLearned,
+    LoadTold,
+    NodeEffect,
+    NodeEvent,
+    NodeTick,
+    PeerReceived,
+    StopPlanned,
+    WatchEnded,
+)
+from marjoramstage.coordination.distribution import Distributor
+from marjoramstage.coordination.gossip import Gossiper
+from marjoramstage.protocol.events import InventoryAccepted
+from marjoramstage.protocol.peers import (
+    AdapterWanted,
+    DocumentsAsked,
+    DocumentsSent,
+    Gossip,
+    Load,
+    MemberEntry,
+    MemberState,
+    PeerMessage,
+    Rumour,
+)
+
+
+class ConfigNode:
+    """What one instance does about peers and the accepted inventory.
+
+    Parameters
+    ----------
+    own : MemberEntry
+        Entry of this instance, with its address and data centre.
+    seeds : tuple of str
+        Peer addresses to begin with.
+    rng : random.Random
+        Source of every choice.
+    now_s : float
+        Reading of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        own: MemberEntry,
+        seeds: tuple[str, ...],
+        rng: random.Random,
+        now_s: float,
+    ):
+        self.gossiper = Gossiper(own, seeds, rng, now_s)
+        self.distributor = Distributor(rng, now_s)
+        self.loads = Loads(now_s)
+
+    def handle(self, event: NodeEvent, now_s: float) -> list[NodeEffect]:
+        """Take one event in; return what has to be done now, in order."""
+        effects = self._handle(event, now_s)
+        return effects + self._spread(effects, now_s)
+
+    def is_watcher(self, now_s: float) -> bool:
+        """Return whether this instance watches the head for its data centre."""
+        membership = self.gossiper.membership
+        chosen = membership.chosen("watch", 1, now_s)
+        return [entry.name for entry in chosen] == [membership.own.name]
+
+    def _handle(self, event: NodeEvent, now_s: float) -> list[NodeEffect]:
+        own = self.gossiper.membership.own
+        distributor = self.distributor
+        match event:
+            case NodeTick():
+                return self._tick(now_s)
+            case PeerReceived(message):
+                return self._received(message, now_s)
+            case HeadSeen(head):
+                return distributor.head_seen(head, own, now_s)
+            case HeadMissed():
+                distributor.head_missed()
+            case WatchEnded():
+                distributor.watch_ended(now_s)
+            case DocumentsRead(documents):
+                return distributor.documents_read(documents, own, now_s)
+            case InstancesListed(entries):
+                self.gossiper.listed(entries)
+            case LeavingLearned(leaving):
+                return self.gossiper.learn_leaving(leaving, None, now_s)
+            case LoadTold(load):
+                return self.loads.tell(load, self.gossiper.membership, now_s)
+            case AdapterNeeded(target, item, shard):
+                wanted = AdapterWanted(target, item.name, item.version, shard)
+                return self.loads.want_adapter(wanted, self.gossiper.membership)
+            case StopPlanned():
+                return self.gossiper.leave(MemberState.LEAVING, now_s)
+        return []
+
+    def _tick(self, now_s: float) -> list[NodeEffect]:
+        membership = self.gossiper.membership
+        members = len(membership.serving(now_s))
+        effects = self.gossiper.tick(self.distributor.head, now_s)
+        effects += self.loads.drop_gone(membership, now_s)
+        watches = self.is_watcher(now_s)
+        effects += self.distributor.tick(watches, members, membership.own, now_s)
+        return effects
+
+    def _received(self, message: PeerMessage, now_s: float) -> list[NodeEffect]:
+        own, head = self.gossiper.membership.own, self.distributor.head
+        match message:
+            case Gossip():
+                effects = self.gossiper.receive(message, head, now_s)
+                return effects + self._heard(message, now_s)
+            case Rumour():
+                effects = self.gossiper.receive_rumour(message, now_s)
+                return effects + self._heard(message, now_s)
+            case Load():
+                return self.loads.receive(message)
+            case DocumentsAsked():
+                return self.distributor.answer(message, own)
+            case DocumentsSent():
+                return self.distributor.documents_sent(message, own, now_s)
+            case AdapterWanted():
+                return self.loads.want_adapter(message, self.gossiper.membership)
+        return []
+
+    def _heard(self, message: Gossip | Rumour, now_s: float) -> list[NodeEffect]:
+        """Hand the head of a message to the distributor."""
+        if message.head is None:
+            return []
+        own = self.gossiper.membership.own
+        holder = message.sender.address
+        return self.distributor.head_heard(message.head, holder, own, now_s)
+
+    def _spread(self, effects: list[NodeEffect], now_s: float) -> list[NodeEffect]:
+        """Tell others when a generation came into force here."""
+        for effect in effects:
+            match effect:
+                case Emit(InventoryAccepted()):
+                    return self.gossiper.spread_head(self.distributor.head, now_s)
+        return []
--- /dev/null
+++ b/src/marjoramstage/coordination/_release_store.py
@@ -0,0 +1,224 @@
+"""Reads and writes of heads, records and documents at the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
+
+from result import Err, Ok, Result
+
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.objects import (
+    DOCUMENT,
+    HEAD,
+    Platform,
+    PlatformError,
+    PlatformFault,
+    PlatformObject,
+)
+from marjoramstage.protocol.peers import Head
+from marjoramstage.state.documents import (
+    Tree,
+    canonical,
+    document_name,
+    missing_documents,
+    read_tree,
+)
+from marjoramstage.state.inventory import Inventory
+
+HEAD_NAME = "current"
+CALLS_AT_ONCE = 8
+
+
+@dataclass(frozen=True)
+class Release:
+    """The record of an accepted generation.
+
+    Attributes
+    ----------
+    root : str
+        Name of the root document.
+    edit : str
+        Id of the edit.
+    when_s : float
+        Seconds since the epoch, by the clock of the accepting instance.
+    changed : tuple of str
+        Entries that the edit changed.
+    previous : str
+        Name of the record before this one; empty for the first.
+    """
+
+    generation: int
+    root: str
+    edit: str
+    who: str = ""
+    when_s: float = 0.0
+    why: str = ""
+    changed: tuple[str, ...] = ()
+    previous: str = ""
+
+
+@dataclass(frozen=True)
+class HeadObject:
+    """The head as the platform holds it; ``version`` is its resource version."""
+
+    head: Head
+    record: str
+    version: str
+
+
+def head_from_object(obj: PlatformObject) -> HeadObject:
+    """Read the head out of its object.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        The object is not a head.
+    """
+    spec = obj.spec
+    head = Head(int(spec["generation"]), str(spec["root"]), str(spec["edit"]))
+    return HeadObject(head, str(spec["record"]), obj.version)
+
+
+def document_content(obj: PlatformObject) -> bytes:
+    """Return the content of a document object; its hash is not checked."""
+    return str(obj.spec.get("content", "")).encode()
+
+
+class ReleaseStore:
+    """Releases at the platform.
+
+    Parameters
+    ----------
+    cached : callable
+        Gives documents that this instance has at hand.
+    """
+
+    def __init__(self, platform: Platform, cached: Callable[[], Mapping[str, bytes]]):
+        self._platform = platform
+        self._cached = cached
+        self._limit = asyncio.Semaphore(CALLS_AT_ONCE)
+
+    async def head(self) -> Result[HeadObject | None, PlatformError]:
+        """Read the head; None before the first acceptance."""
+        match await self._platform.get(HEAD, HEAD_NAME):
+            case Ok(obj):
+                return Ok(head_from_object(obj))
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                return Ok(None)
+            case Err(error):
+                return Err(error)
+
+    async def write_head(
+        self, release: Release, record: str, version: str
+    ) -> Result[PlatformObject, PlatformError]:
+        """Write the head if its version is still ``version``; empty for none."""
+        spec = {
+            "generation": release.generation,
+            "root": release.root,
+            "edit": release.edit,
+            "record": record,
+        }
+        obj = PlatformObject(HEAD, HEAD_NAME, spec, version=version)
+        if version:
+            return await self._platform.update(obj)
+        return await self._platform.create(obj)
+
+    async def document(self, name: str) -> Result[bytes, PlatformError]:
+        """Read one document and check its hash."""
+        cached = self._cached().get(name)
+        if cached is not None:
+            return Ok(cached)
+        async with self._limit:
+            found = await self._platform.get(DOCUMENT, name)
+        if isinstance(found, Err):
+            return found
+        content = document_content(found.ok_value)
+        if document_name(content) != name:
+            text = f"document {name} has other content"
+            return Err(PlatformError(PlatformFault.UNAVAILABLE, Verdict.NOT_RUN, text))
+        return Ok(content)
+
+    async def write_documents(
+        self, documents: Mapping[str, bytes]
+    ) -> Result[None, PlatformError]:
+        """Create documents; one that is there already is the same."""
+        results = await asyncio.gather(
+            *(self._write_document(name, body) for name, body in documents.items())
+        )
+        for result in results:
+            if isinstance(result, Err):
+                return result
+        return Ok(None)
+
+    async def inventory(self, root: str) -> Result[Inventory, PlatformError]:
+        """Read the inventory under a root document."""
+        documents: dict[str, bytes] = {}
+        missing = [root]
+        while missing:
+            contents = await asyncio.gather(*(self.document(n) for n in missing))
+            for name, content in zip(missing, contents, strict=True):
+                if isinstance(content, Err):
+                    return content
+                documents[name] = content.ok_value
+            missing = missing_documents(root, documents)
+        return Ok(read_tree(root, documents))
+
+    async def record(self, name: str) -> Result[Release, PlatformError]:
+        """Read one record."""
+        content = await self.document(name)
+        if isinstance(content, Err):
+            return content
+        data = json.loads(content.ok_value)
+        return Ok(Release(**{**data, "changed": tuple(data["changed"])}))
+
+    async def history(
+        self, down_to: int, limit: int
+    ) -> Result[list[Release], PlatformError]:
+        """Read records, the latest first, down to a generation."""
+        head = await self.head()
+        if isinstance(head, Err):
+            return head
+        if head.ok_value is None:
+            return Ok([])
+        return await self.records(head.ok_value.record, down_to, limit)
+
+    async def records(
+        self, name: str, down_to: int, limit: int
+    ) -> Result[list[Release], PlatformError]:
+        """Read records from one back to a generation."""
+        found: list[Release] = []
+        while name and len(found) < limit:
+            record = await self.record(name)
+            if isinstance(record, Err):
+                return record
+            release = record.ok_value
+            if release.generation < down_to:
+                break
+            found.append(release)
+            name = release.previous
+        return Ok(found)
+
+    async def _write_document(
+        self, name: str, content: bytes
+    ) -> Result[None, PlatformError]:
+        obj = PlatformObject(DOCUMENT, name, {"content": content.decode()})
+        async with self._limit:
+            created = await self._platform.create(obj)
+        if isinstance(created, Ok):
+            return Ok(None)
+        error = created.err_value
+        return Ok(None) if error.fault is PlatformFault.EXISTS else Err(error)
+
+
+def record_of(release: Release) -> tuple[str, bytes]:
+    """Return name and content of the record of a release."""
+    content = canonical(asdict(release))
+    return document_name(content), content
+
+
+def new_documents(tree: Tree, known: Mapping[str, bytes]) -> dict[str, bytes]:
+    """Return the documents of a tree that the platform is not known to have."""
+    return {n: body for n, body in tree.documents.items() if n not in known}
--- /dev/null
+++ b/src/marjoramstage/coordination/_summaries.py
@@ -0,0 +1,102 @@
+"""What is known of other data centres: a summary and a few contacts of each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from marjoramstage.protocol.peers import DataCentreSummary, Head, MemberEntry
+
+TOLD_AT_ONCE = 6
+MAX_BEHIND = 8
+MAX_CONTACTS = 4
+
+
+class Summaries:
+    """Summaries of other data centres.
+
+    Parameters
+    ----------
+    own : str
+        The own data centre, which is not kept here.
+    """
+
+    def __init__(self, own: str):
+        self._own = own
+        self._latest: dict[str, DataCentreSummary] = {}
+        self._heard_s: dict[str, float] = {}
+        self._contacts: dict[str, dict[str, MemberEntry]] = {}
+        self._told: dict[tuple[str, str], tuple[int, int]] = {}
+        self._next = 0
+
+    def merge(self, summaries: Iterable[DataCentreSummary], now_s: float) -> None:
+        """Take in summaries; an older one of the same author changes nothing."""
+        for summary in summaries:
+            if summary.data_centre == self._own:
+                continue
+            if not self._advances(summary):
+                continue
+            self._latest[summary.data_centre] = summary
+            self._heard_s[summary.data_centre] = now_s
+            for bridge in summary.bridges:
+                self.contact(bridge)
+
+    def contact(self, entry: MemberEntry) -> None:
+        """Note an instance of another data centre that can be talked to."""
+        if not entry.address or entry.data_centre in ("", self._own):
+            return
+        contacts = self._contacts.setdefault(entry.data_centre, {})
+        contacts.pop(entry.name, None)
+        contacts[entry.name] = entry
+        while len(contacts) > MAX_CONTACTS:
+            del contacts[next(iter(contacts))]
+
+    def contacts(self) -> dict[str, list[MemberEntry]]:
+        """Return contacts by data centre."""
+        return {name: list(found.values()) for name, found in self._contacts.items()}
+
+    def known(self) -> list[tuple[DataCentreSummary, float]]:
+        """Return each summary and when it was heard."""
+        return [(s, self._heard_s[name]) for name, s in sorted(self._latest.items())]
+
+    def next_told(self) -> tuple[DataCentreSummary, ...]:
+        """Return the next few summaries to pass on, each in its turn."""
+        names = sorted(self._latest)
+        if not names:
+            return ()
+        start = self._next % len(names)
+        count = min(TOLD_AT_ONCE, len(names))
+        self._next = start + count
+        return tuple(
+            self._latest[names[(start + i) % len(names)]] for i in range(count)
+        )
+
+    def of_own(
+        self,
+        author: MemberEntry,
+        serving: list[MemberEntry],
+        bridges: list[MemberEntry],
+        head: Head | None,
+    ) -> DataCentreSummary:
+        """Return a summary of the own data centre."""
+        highest = head.generation if head else 0
+        behind = [e.name for e in serving if e.generation < highest]
+        lowest = min((e.generation for e in serving), default=highest)
+        return DataCentreSummary(
+            data_centre=self._own,
+            author=author.name,
+            incarnation=author.incarnation,
+            heartbeat=author.heartbeat,
+            live=len(serving),
+            generation=lowest,
+            behind=tuple(behind[:MAX_BEHIND]),
+            bridges=tuple(bridges),
+        )
+
+    def _advances(self, summary: DataCentreSummary) -> bool:
+        """Return whether the author told nothing later yet, and note it."""
+        key = (summary.data_centre, summary.author)
+        order = (summary.incarnation, summary.heartbeat)
+        if order <= self._told.get(key, (-1, -1)):
+            return False
+        self._told[key] = order
+        return True
--- /dev/null
+++ b/src/marjoramstage/coordination/distribution.py
@@ -0,0 +1,330 @@
+"""How an accepted generation reaches this instance, and never goes back.
+
+A head is wanted when its generation is above the one in force. Its documents
+are fetched from the peer that told of it, then from another one, then from
+the platform; each is checked against its name. The generation is put in force
+when the tree is whole, and only then told to others. One instance of a data
+centre watches the head; all poll it at a pace that is the same for a data
+centre whatever its size.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from marjoramstage.coordination._steps import (
+    Emit,
+    NodeEffect,
+    ReadDocuments,
+    ReadHead,
+    SendPeer,
+    StopWatch,
+    WatchHead,
+)
+from marjoramstage.protocol.events import InventoryAccepted
+from marjoramstage.protocol.peers import (
+    DocumentsAsked,
+    DocumentsSent,
+    Head,
+    MemberEntry,
+    NamedDocument,
+)
+from marjoramstage.state.documents import (
+    document_name,
+    missing_documents,
+    reachable_documents,
+    read_tree,
+)
+from marjoramstage.state.inventory import Inventory
+
+WATCHER_POLL_S = 3.0
+DATA_CENTRE_POLL_S = 5.0
+FIRST_POLL_S = 2.0
+START_GRACE_S = 1.0
+WATCH_RETRY_S = 1.0
+PEER_TIMEOUT_S = 1.0
+PLATFORM_TIMEOUT_S = 12.0
+NAMES_AT_ONCE = 64
+SENT_BYTES = 500_000
+MAX_HOLDERS = 4
+MAX_CANDIDATES = 16
+RETRY_S = 0.6
+BAD_DOCUMENT = (ValueError, KeyError, TypeError, AttributeError)
+
+
+@dataclass
+class Candidate:
+    """A head above the one in force.
+
+    Attributes
+    ----------
+    holders : list of str
+        Addresses of peers that have it in force.
+    turn : int
+        Which source is asked next; after the last peer comes the platform.
+    failures : int
+        Sources that gave nothing useful.
+    """
+
+    holders: list[str] = field(default_factory=list)
+    turn: int = 0
+    failures: int = 0
+
+    def next_source(self) -> str:
+        """Return the peer to ask next; empty for the platform."""
+        source = self.holders[self.turn] if self.turn < len(self.holders) else ""
+        self.turn = (self.turn + 1) % (len(self.holders) + 1)
+        return source
+
+
+@dataclass
+class Fetch:
+    """The head that is being fetched.
+
+    Attributes
+    ----------
+    asked : str
+        Who was asked last; empty for the platform.
+    until_s : float
+        When the answer is given up.
+    """
+
+    head: Head
+    asked: str = ""
+    until_s: float = 0.0
+
+
+class Distributor:
+    """The accepted inventory as one instance has it.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of jitter.
+    """
+
+    def __init__(self, rng: random.Random, now_s: float):
+        self.head: Head | None = None
+        self.inventory = Inventory()
+        self.documents: dict[str, bytes] = {}
+        self.refused_documents = 0
+        self.bad_heads: set[Head] = set()
+        self._rng = rng
+        self._fetch: Fetch | None = None
+        self._staged: dict[str, bytes] = {}
+        self._candidates: dict[Head, Candidate] = {}
+        self._poll_s = now_s
+        self._first_s = now_s + START_GRACE_S
+        self._reading = False
+        self._watching = False
+        self._watch_s = now_s
+
+    @property
+    def generation(self) -> int:
+        """The generation in force here; 0 before the first."""
+        return self.head.generation if self.head else 0
+
+    @property
+    def fetching(self) -> Head | None:
+        """The head whose documents are being fetched."""
+        return self._fetch.head if self._fetch else None
+
+    def tick(
+        self, watches: bool, members: int, own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        """Do what is due.
+
+        Parameters
+        ----------
+        watches : bool
+            Whether this instance is the watcher of its data centre.
+        members : int
+            Serving instances of the data centre, this one among them.
+        """
+        effects = self._watch(watches, now_s)
+        if now_s >= self._poll_s and not self._reading:
+            self._poll_s = now_s + self._poll_delay(watches, members)
+            self._reading = True
+            effects.append(ReadHead())
+        if self._fetch is None and self._candidates and now_s >= self._first_s:
+            effects += self._ask_next(own, now_s)
+        if self._fetch is not None and now_s >= self._fetch.until_s:
+            self._candidates[self._fetch.head].failures += 1
+            effects += self._ask_next(own, now_s)
+        return effects
+
+    def head_seen(self, head: Head, own: MemberEntry, now_s: float) -> list[NodeEffect]:
+        """Take in a head that the platform gave."""
+        self._reading = False
+        return self._want(head, "", own, now_s)
+
+    def head_missed(self) -> None:
+        """Note that a read of the head ended without one."""
+        self._reading = False
+
+    def watch_ended(self, now_s: float) -> None:
+        """Note that the watch ended; it is begun anew a little later."""
+        self._watching = False
+        self._watch_s = now_s + WATCH_RETRY_S * self._rng.uniform(0.5, 1.5)
+
+    def head_heard(
+        self, head: Head, holder: str, own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        """Take in a head that is in force at the peer of address ``holder``."""
+        return self._want(head, holder, own, now_s)
+
+    def documents_read(
+        self, documents: tuple[NamedDocument, ...], own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        """Take in documents that the platform gave."""
+        return self._stage(documents, "", own, now_s)
+
+    def documents_sent(
+        self, message: DocumentsSent, own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        """Take in documents that a peer sent."""
+        return self._stage(message.documents, message.sender.address, own, now_s)
+
+    def answer(self, asked: DocumentsAsked, own: MemberEntry) -> list[NodeEffect]:
+        """Send documents of the generation in force to a peer."""
+        found, missing, size = [], [], 0
+        for name in asked.names[:NAMES_AT_ONCE]:
+            content = self.documents.get(name)
+            if content is None:
+                missing.append(name)
+                continue
+            size += len(content)
+            if found and size > SENT_BYTES:
+                break
+            found.append(NamedDocument(name, content))
+        message = DocumentsSent(own, tuple(found), tuple(missing))
+        return [SendPeer(asked.sender.address, message)]
+
+    def _poll_delay(self, watches: bool, members: int) -> float:
+        if watches:
+            return WATCHER_POLL_S * self._rng.uniform(0.8, 1.2)
+        if self.head is None:
+            return FIRST_POLL_S * self._rng.uniform(0.5, 1.5)
+        return DATA_CENTRE_POLL_S * max(1, members) * self._rng.uniform(0.5, 1.5)
+
+    def _watch(self, watches: bool, now_s: float) -> list[NodeEffect]:
+        if watches and not self._watching and now_s >= self._watch_s:
+            self._watching = True
+            return [WatchHead()]
+        if self._watching and not watches:
+            self._watching = False
+            return [StopWatch()]
+        return []
+
+    def _want(
+        self, head: Head, holder: str, own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        """Note a head and who holds it; fetch it if nothing else is fetched."""
+        if head.generation <= self.generation or head in self.bad_heads:
+            return []
+        if head not in self._candidates:
+            self._drop_worst_candidate()
+        candidate = self._candidates.setdefault(head, Candidate())
+        if holder and holder not in candidate.holders:
+            candidate.holders.insert(0, holder)
+            del candidate.holders[MAX_HOLDERS:]
+            candidate.turn = 0
+        if self._fetch is None:
+            # A start takes the newest of what several sources tell.
+            return self._ask_next(own, now_s) if now_s >= self._first_s else []
+        if holder and self._fetch.head == head and not self._fetch.asked:
+            return self._ask_next(own, now_s)
+        return []
+
+    def _drop_worst_candidate(self) -> None:
+        """Keep the number of candidates bounded."""
+        if len(self._candidates) < MAX_CANDIDATES:
+            return
+        fetched = self.fetching
+        others = [head for head in self._candidates if head != fetched]
+        del self._candidates[max(others, key=self._rank)]
+
+    def _rank(self, head: Head) -> tuple[int, int]:
+        """Order candidates: the least failed first, then the newest."""
+        return self._candidates[head].failures, -head.generation
+
+    def _ask_next(self, own: MemberEntry, now_s: float) -> list[NodeEffect]:
+        """Ask the next source of the best candidate."""
+        head = min(self._candidates, key=self._rank)
+        self._fetch = Fetch(head, self._candidates[head].next_source())
+        return self._ask(own, now_s)
+
+    def _ask(self, own: MemberEntry, now_s: float) -> list[NodeEffect]:
+        """Ask the present source for what is missing, or end the fetch."""
+        fetch = self._fetch
+        known = {**self.documents, **self._staged}
+        try:
+            missing = missing_documents(fetch.head.root, known)
+            if not missing:
+                return self._put_in_force(known, own, now_s)
+        except BAD_DOCUMENT:
+            return self._give_up(own, now_s)
+        names = tuple(missing[:NAMES_AT_ONCE])
+        if fetch.asked:
+            fetch.until_s = now_s + PEER_TIMEOUT_S
+            return [SendPeer(fetch.asked, DocumentsAsked(own, names))]
+        fetch.until_s = now_s + PLATFORM_TIMEOUT_S
+        return [ReadDocuments(names)]
+
+    def _stage(
+        self,
+        documents: tuple[NamedDocument, ...],
+        source: str,
+        own: MemberEntry,
+        now_s: float,
+    ) -> list[NodeEffect]:
+        """Keep the documents whose content fits their name, and go on."""
+        fetch = self._fetch
+        if fetch is None:
+            return []
+        known = {**self.documents, **self._staged}
+        try:
+            wanted = set(missing_documents(fetch.head.root, known))
+        except BAD_DOCUMENT:
+            return self._give_up(own, now_s)
+        progress = False
+        for document in documents:
+            if document_name(document.content) != document.name:
+                self.refused_documents += 1
+                continue
+            if document.name in wanted:
+                self._staged[document.name] = document.content
+                progress = True
+        if progress:
+            return self._ask(own, now_s)
+        if source == fetch.asked:
+            fetch.until_s = now_s + RETRY_S * self._rng.uniform(0.5, 1.5)
+        return []
+
+    def _put_in_force(
+        self, known: dict[str, bytes], own: MemberEntry, now_s: float
+    ) -> list[NodeEffect]:
+        head = self._fetch.head
+        inventory = read_tree(head.root, known)
+        self.head, self.inventory = head, inventory
+        self.documents = reachable_documents(head.root, known)
+        accepted = Emit(InventoryAccepted(head.generation, inventory))
+        return [accepted, *self._end_fetch(own, now_s)]
+
+    def _give_up(self, own: MemberEntry, now_s: float) -> list[NodeEffect]:
+        """Leave a head alone whose documents this version cannot read."""
+        self.bad_heads.add(self._fetch.head)
+        del self._candidates[self._fetch.head]
+        return self._end_fetch(own, now_s)
+
+    def _end_fetch(self, own: MemberEntry, now_s: float) -> list[NodeEffect]:
+        """Go on with the best candidate that is left."""
+        self._fetch = None
+        self._staged = {}
+        generation = self.generation
+        for head in [h for h in self._candidates if h.generation <= generation]:
+            del self._candidates[head]
+        if not self._candidates:
+            return []
+        return self._ask_next(own, now_s)
--- a/src/marjoramstage/coordination/releases.py
+++ b/src/marjoramstage/coordination/releases.py
@@ -1,85 +1,341 @@
-"""Acceptance of inventories: immutable documents and one conditional head."""
+"""Acceptance of inventories: immutable documents and one conditional head.
+
+The head holds the generation, the name of the root document and the id of the
+edit. A record document for each generation says who, when and why, and names
+the record before it. The one conditional update of the head is the
+acceptance; an update whose answer is lost is repeated until it either takes
+effect or is refused, and is then looked up by its edit id.
+"""
 
 from __future__ import annotations
 
-import hashlib
-import json
+import enum
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
-from marjoramstage.protocol.objects import (
-    DOCUMENT,
-    HEAD,
-    Platform,
-    PlatformError,
-    PlatformFault,
-    PlatformObject,
-)
-from marjoramstage.state.inventory import (
-    Inventory,
-    inventory_from_data,
-    inventory_to_data,
+from marjoramstage.clock import Clock
+from marjoramstage.coordination._release_store import (
+    HeadObject,
+    Release,
+    ReleaseStore,
+    new_documents,
+    record_of,
 )
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.objects import Platform, PlatformError, PlatformFault
+from marjoramstage.state._merge import differences, merge
+from marjoramstage.state.documents import build_tree
+from marjoramstage.state.inventory import Inventory, inventory_problems
+
+APPLY_S = 20.0
+RETRY_S = 0.2
+MAX_WALK = 1000
+MAX_CHANGED = 200
+
+_LOST_RACE = (PlatformFault.CONFLICT, PlatformFault.EXISTS)
+
+
+class ApplyFault(enum.Enum):
+    """Why an edit was not accepted, or is not known to be."""
 
-HEAD_NAME = "current"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    NOT_ACCEPTED = "not-accepted"
 
 
 @dataclass(frozen=True)
-class Release:
-    """An accepted inventory.
+class Clash:
+    """An entry that somebody else changed since the base of the edit."""
+
+    entry: str
+    who: str
+    generation: int
+
+
+@dataclass(frozen=True)
+class ApplyError:
+    """An edit that is not known to be accepted.
 
     Attributes
     ----------
-    generation : int
-        Rises with each acceptance.
-    root : str
-        Hash that names the content.
+    problems : tuple of str
+        One sentence each.
+    clashes : tuple of Clash
+        For a conflict: whose changes of which entries are in the way.
     """
 
-    generation: int
-    root: str
+    fault: ApplyFault
+    problems: tuple[str, ...] = ()
+    clashes: tuple[Clash, ...] = ()
+
+
+@dataclass(frozen=True)
+class Edit:
+    """What an operator submits.
+
+    Attributes
+    ----------
+    id : str
+        Unique; names the edit when its outcome is looked up.
+    base : int or None
+        Generation that the operator started from; None for the present one.
+    """
+
+    id: str
     inventory: Inventory
+    base: int | None = None
+    who: str = ""
+    why: str = ""
+
+
+@dataclass
+class Attempt:
+    """State of one submission.
+
+    Attributes
+    ----------
+    base : Inventory or None
+        Content of the base, once it was read.
+    tried : int
+        Generation of an update that may have taken effect; 0 for none.
+    """
+
+    edit: Edit
+    until_s: float
+    base: Inventory | None = None
+    base_generation: int = 0
+    tried: int = 0
+
+
+class Acceptor:
+    """Accepts edits for one instance.
+
+    Parameters
+    ----------
+    cached : callable
+        Gives documents that this instance has at hand.
+    refusals : callable
+        Gives reasons why an inventory cannot be carried out; none if it can.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Clock,
+        cached: Callable[[], Mapping[str, bytes]] = dict,
+        refusals: Callable[[Inventory], list[str]] = lambda inventory: [],
+    ):
+        self.store = ReleaseStore(platform, cached)
+        self._clock = clock
+        self._cached = cached
+        self._refusals = refusals
+
+    async def accept(self, edit: Edit) -> Result[Release, ApplyError]:
+        """Submit an edit and settle its outcome within `APPLY_S`."""
+        attempt = Attempt(edit, self._clock.now() + APPLY_S)
+        while True:
+            outcome = await self._try(attempt)
+            if outcome is not None:
+                return outcome
+            if self._clock.now() >= attempt.until_s:
+                return Err(_unsettled(attempt))
+            await self._clock.sleep(RETRY_S)
+
+    async def look_up(self, edit_id: str) -> Result[Release | None, PlatformError]:
+        """Return the release that an edit became; None if there is none yet."""
+        found = await self.store.history(1, MAX_WALK)
+        if isinstance(found, Err):
+            return found
+        for release in found.ok_value:
+            if release.edit == edit_id:
+                return Ok(release)
+        return Ok(None)
 
+    async def roll_back(
+        self, generation: int, edit_id: str, who: str, why: str
+    ) -> Result[Release, ApplyError]:
+        """Accept the content of an earlier generation as a new one."""
+        found = await self.store.history(generation, MAX_WALK)
+        if isinstance(found, Err):
+            return Err(ApplyError(ApplyFault.NOT_ACCEPTED, (found.err_value.message,)))
+        releases = found.ok_value
+        if not releases or releases[-1].generation != generation:
+            return Err(_refused(f"generation {generation} is not in the history"))
+        inventory = await self.store.inventory(releases[-1].root)
+        if isinstance(inventory, Err):
+            text = inventory.err_value.message
+            return Err(ApplyError(ApplyFault.NOT_ACCEPTED, (text,)))
+        edit = Edit(edit_id, inventory.ok_value, releases[0].generation, who, why)
+        return await self.accept(edit)
 
-async def read_release(platform: Platform) -> Result[Release, PlatformError]:
-    """Read the accepted inventory; ``NOT_FOUND`` before the first."""
-    head = await platform.get(HEAD, HEAD_NAME)
-    if isinstance(head, Err):
-        return head
-    root = head.ok_value.spec["root"]
-    document = await platform.get(DOCUMENT, root)
-    if isinstance(document, Err):
-        return document
-    inventory = inventory_from_data(document.ok_value.spec["inventory"])
-    return Ok(Release(head.ok_value.spec["generation"], root, inventory))
-
-
-async def accept(
-    platform: Platform, inventory: Inventory
-) -> Result[Release, PlatformError]:
-    """Make ``inventory`` the accepted one."""
-    data = inventory_to_data(inventory)
-    root = _hash(data)
-    document = PlatformObject(DOCUMENT, root, {"inventory": data})
-    created = await platform.create(document)
-    if isinstance(created, Err) and created.err_value.fault is not PlatformFault.EXISTS:
-        return created
-    head = await platform.get(HEAD, HEAD_NAME)
-    if isinstance(head, Err):
-        if head.err_value.fault is not PlatformFault.NOT_FOUND:
-            return head
-        spec = {"generation": 1, "root": root}
-        written = await platform.create(PlatformObject(HEAD, HEAD_NAME, spec))
-    else:
-        spec = {"generation": head.ok_value.spec["generation"] + 1, "root": root}
-        version = head.ok_value.version
-        written = await platform.update(
-            PlatformObject(HEAD, HEAD_NAME, spec, version=version)
+    async def _try(self, attempt: Attempt) -> Result[Release, ApplyError] | None:
+        """Try once; return None to try again after a short wait."""
+        read = await self.store.head()
+        if isinstance(read, Err):
+            return None
+        head = read.ok_value
+        if attempt.tried:
+            settled = await self._settle(attempt, head)
+            if settled is not None or attempt.tried:
+                return settled
+        current = await self._current(head)
+        if isinstance(current, Err):
+            return None
+        prepared = await self._prepare(attempt, head, current.ok_value)
+        if prepared is None or isinstance(prepared, Err):
+            return prepared
+        return await self._submit(attempt, head, current.ok_value, prepared.ok_value)
+
+    async def _current(
+        self, head: HeadObject | None
+    ) -> Result[Inventory, PlatformError]:
+        if head is None:
+            return Ok(Inventory())
+        return await self.store.inventory(head.head.root)
+
+    async def _prepare(
+        self, attempt: Attempt, head: HeadObject | None, current: Inventory
+    ) -> Result[Inventory, ApplyError] | None:
+        """Return what to accept on top of the present head."""
+        edit = attempt.edit
+        generation = head.head.generation if head else 0
+        if attempt.base is None:
+            wanted = generation if edit.base is None else edit.base
+            base = await self._base(head, wanted, current)
+            if base is None or isinstance(base, Err):
+                return base
+            attempt.base, attempt.base_generation = base.ok_value, wanted
+        if generation < attempt.base_generation:
+            return None
+        merged = merge(attempt.base, edit.inventory, current)
+        if merged.clashes:
+            return await self._conflict(attempt, head, merged.clashes)
+        problems = inventory_problems(merged.inventory)
+        if problems:
+            return Err(ApplyError(ApplyFault.CONFLICT, tuple(problems)))
+        refusals = self._refusals(merged.inventory)
+        if refusals:
+            return Err(ApplyError(ApplyFault.REFUSED, tuple(refusals)))
+        return Ok(merged.inventory)
+
+    async def _base(
+        self, head: HeadObject | None, generation: int, current: Inventory
+    ) -> Result[Inventory, ApplyError] | None:
+        """Read the inventory that the edit started from."""
+        present = head.head.generation if head else 0
+        if generation == present:
+            return Ok(current)
+        if generation == 0:
+            return Ok(Inventory())
+        if generation > present:
+            # A lagging replica may not show the base yet.
+            return None
+        found = await self.store.records(head.record, generation, MAX_WALK)
+        if isinstance(found, Err):
+            return None
+        if found.ok_value[-1].generation != generation:
+            return Err(_refused(f"generation {generation} is not in the history"))
+        inventory = await self.store.inventory(found.ok_value[-1].root)
+        return None if isinstance(inventory, Err) else Ok(inventory.ok_value)
+
+    async def _conflict(
+        self, attempt: Attempt, head: HeadObject, clashes: tuple[str, ...]
+    ) -> Result[Inventory, ApplyError] | None:
+        """Name who changed what the edit changes too."""
+        found = await self.store.records(
+            head.record, attempt.base_generation + 1, MAX_WALK
+        )
+        if isinstance(found, Err):
+            return None
+        named = []
+        for entry in clashes:
+            by = next((r for r in found.ok_value if entry in r.changed), None)
+            who, generation = (by.who, by.generation) if by else ("", 0)
+            named.append(Clash(entry, who, generation))
+        return Err(ApplyError(ApplyFault.CONFLICT, (), tuple(named)))
+
+    async def _submit(
+        self,
+        attempt: Attempt,
+        head: HeadObject | None,
+        current: Inventory,
+        inventory: Inventory,
+    ) -> Result[Release, ApplyError] | None:
+        """Write the documents, then the head."""
+        tree = build_tree(inventory)
+        changes = [change.entry for change in differences(current, inventory)]
+        release = Release(
+            generation=(head.head.generation if head else 0) + 1,
+            root=tree.root,
+            edit=attempt.edit.id,
+            who=attempt.edit.who,
+            when_s=self._clock.wall(),
+            why=attempt.edit.why,
+            changed=tuple(changes[:MAX_CHANGED]),
+            previous=head.record if head else "",
         )
-    return written.map(lambda obj: Release(spec["generation"], root, inventory))
+        record, content = record_of(release)
+        known = build_tree(current).documents if head else {}
+        documents = {**new_documents(tree, known), record: content}
+        written = await self.store.write_documents(documents)
+        if isinstance(written, Err):
+            return None
+        version = head.version if head else ""
+        updated = await self.store.write_head(release, record, version)
+        if isinstance(updated, Ok):
+            return Ok(release)
+        error = updated.err_value
+        if error.fault is PlatformFault.REFUSED:
+            return Err(_refused(error.message))
+        if error.fault not in _LOST_RACE and error.verdict is not Verdict.NOT_RUN:
+            attempt.tried = release.generation
+        return None
+
+    async def _settle(
+        self, attempt: Attempt, head: HeadObject | None
+    ) -> Result[Release, ApplyError] | None:
+        """Find out whether an update without an answer took effect.
+
+        The tried generation tells: once some edit has it, no other can get it.
+        """
+        if head is None or head.head.generation < attempt.tried:
+            return await self._fence(attempt, head)
+        found = await self.store.records(head.record, attempt.tried, MAX_WALK)
+        if isinstance(found, Err):
+            return None
+        release = found.ok_value[-1]
+        if release.generation == attempt.tried and release.edit == attempt.edit.id:
+            return Ok(release)
+        attempt.tried = 0
+        return None
+
+    async def _fence(
+        self, attempt: Attempt, head: HeadObject | None
+    ) -> Result[Release, ApplyError] | None:
+        """Repeat the update, so that it took effect or never will."""
+        generation = head.head.generation if head else 0
+        if generation + 1 != attempt.tried:
+            return None
+        current = await self._current(head)
+        if isinstance(current, Err):
+            return None
+        prepared = await self._prepare(attempt, head, current.ok_value)
+        if not isinstance(prepared, Ok):
+            return None
+        return await self._submit(attempt, head, current.ok_value, prepared.ok_value)
+
+
+def _refused(problem: str) -> ApplyError:
+    return ApplyError(ApplyFault.REFUSED, (problem,))
 
 
-def _hash(data: object) -> str:
-    text = json.dumps(data, sort_keys=True, separators=(",", ":"))
-    return hashlib.sha256(text.encode()).hexdigest()
+def _unsettled(attempt: Attempt) -> ApplyError:
+    """Return the error of an edit whose time is over."""
+    if attempt.tried:
+        text = f"edit {attempt.edit.id} may have been accepted; look it up later"
+        return ApplyError(ApplyFault.UNKNOWN, (text,))
+    text = "the platform could not be reached, or other edits came first"
+    return ApplyError(ApplyFault.NOT_ACCEPTED, (text,))
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -7,20 +7,25 @@
 import aiohttp
 from result import Result
 
+from marjoramstage._instance.draining import DrainGate
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
+from marjoramstage._instance.operating import Operations, new_edit_id
+from marjoramstage._instance.peering import PeerDesk
 from marjoramstage._instance.placing import PlacementDesk
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
+from marjoramstage._instance.status import instance_status
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage.clock import Clock, SystemClock
+from marjoramstage.coordination._release_store import Release
+from marjoramstage.coordination._steps import StopPlanned
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
-from marjoramstage.coordination.releases import Release, accept
+from marjoramstage.coordination.releases import ApplyError, Edit
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
 from marjoramstage.protocol.events import Event, Tick
-from marjoramstage.protocol.objects import PlatformError
 from marjoramstage.settings import Settings, split_address
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer
@@ -51,15 +56,16 @@
         self.metrics = _metrics(settings)
         self._clock = clock or SystemClock()
         self._tasks = TaskGroup()
-        self._draining = False
 
     async def start(self) -> None:
         """Listen, and begin to follow the platform and the targets."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self._wire()
+        await self.peers.start()
         for server in self._servers:
             await server.start()
-        for part in (self.requests, self.placing, self.follower, self.reporter):
+        parts = (self.requests, self.placing, self.follower, self.reporter)
+        for part in (*parts, self.peers):
             self._tasks.spawn(part.run())
         self._tasks.spawn(self._tick())
         log.info("started", extra={"callers": self.caller_address})
@@ -74,26 +80,39 @@
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
-        self.follower = Follower(self.platform, self._post, clock)
+        self.peers = PeerDesk(
+            cfg, self.platform, self._post, self._tasks, clock, self.metrics
+        )
+        self.operations = Operations(self.peers, self.platform, clock)
+        self.follower = Follower(
+            self.platform, self._post, self.peers.post, self.peers.members, clock
+        )
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
         )
         relay = Relay(self.requests, targets, clock)
         callers = CallerPort(
-            relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
+            relay, lambda: self.peers.inventory, cfg.limits, clock, self.metrics
         )
-        operators = OperatorPort(self, cfg.secret)
+        operators = OperatorPort(self, self.operations, cfg.secret)
+        self.gate = DrainGate(cfg.limits.drain_s, clock)
+        callers_app = callers.app()
+        self.gate.guard(callers_app)
         self._servers = (
-            HttpServer(callers.app(), cfg.listen.callers),
+            HttpServer(callers_app, cfg.listen.callers),
             HttpServer(operators.app(), cfg.listen.operators),
         )
 
     async def stop(self) -> None:
-        """Finish what is in flight, then end every task."""
-        self._draining = True
+        """Finish what is in flight within the bound, then end every task."""
+        self.gate.ask()
+        self.peers.post(StopPlanned())
+        await self._servers[0].close_listener()
+        await self.gate.finished()
         for server in self._servers:
             await server.stop()
         await self._tasks.stop()
+        await self.peers.stop()
         await self._session.close()
         log.info("stopped")
 
@@ -109,23 +128,30 @@
 
     def ready(self) -> str:
         """Return why the instance cannot serve yet; empty if it can."""
-        if self._draining:
+        if not self.gate.drain.serving:
             return "it is stopping"
-        if self.follower.generation == 0:
-            return "no accepted inventory was read yet"
-        return ""
+        return self.peers.waits_for()
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process as JSON data."""
         return dump_instance(self)
 
-    def inventory(self) -> tuple[int, Inventory]:
-        """Return the generation and the inventory in force."""
-        return self.follower.generation, self.follower.inventory
+    def status(self) -> dict[str, Any]:
+        """Return what operators need to see of the deployment as JSON data."""
+        return instance_status(self)
+
+    async def apply(self, inventory: Inventory) -> Result[Release, ApplyError]:
+        """Submit an inventory on top of the present one."""
+        return await self.operations.apply(Edit(new_edit_id(), inventory))
+
+    def end_now(self) -> None:
+        """End what is in flight with verdicts; only after `stop` began."""
+        if not self.gate.drain.serving:
+            self.gate.ask()
 
-    async def apply(self, inventory: Inventory) -> Result[Release, PlatformError]:
-        """Submit an inventory."""
-        return await accept(self.platform, inventory)
+    def now(self) -> float:
+        """Return the reading of the monotonic clock."""
+        return self._clock.now()
 
     async def _tick(self) -> None:
         while True:
--- /dev/null
+++ b/src/marjoramstage/protocol/_thrift.py
@@ -0,0 +1,163 @@
+"""Frozen dataclasses to and from Thrift's compact encoding.
+
+thriftpy2 reads the IDL at start, so that no generator is needed. Only its
+in-memory codec is used: its transports block the event loop.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import io
+import types
+import typing
+from collections.abc import Mapping
+from importlib import resources
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol.compact import TCompactProtocol
+from thriftpy2.thrift import TException, TType
+from thriftpy2.transport import TMemoryBuffer
+
+from marjoramstage.exceptions import PeerError
+
+MAX_ELEMENTS = 20_000
+
+
+def load_idl(name: str) -> types.ModuleType:
+    """Load an IDL file of this package, also out of a zipped one."""
+    text = resources.files(__package__).joinpath(name).read_text()
+    module = f"{__package__}.{name.replace('.', '_')}_thrift"
+    return thriftpy2.load_fp(io.StringIO(text), module)
+
+
+class BoundedCompactProtocol(TCompactProtocol):
+    """The compact encoding with a bound on the size of collections."""
+
+    def _read_collection_begin(self):
+        kind, size = super()._read_collection_begin()
+        _check_collection((kind,), size)
+        return kind, size
+
+    def _read_map_begin(self):
+        key, value, size = super()._read_map_begin()
+        if size:
+            _check_collection((key, value), size)
+        return key, value, size
+
+
+def _check_collection(kinds: tuple[int, ...], size: int) -> None:
+    # An element of type STOP takes no byte, so only its count bounds it.
+    if size > MAX_ELEMENTS or (size and TType.STOP in kinds):
+        raise TException("a collection has too many elements")
+
+
+class StructCodec:
+    """Encodes one dataclass in a frame struct that has a field for each.
+
+    Parameters
+    ----------
+    idl : module
+        Holds a struct for each dataclass, of the same name, and ``Frame``.
+    messages : Mapping
+        Dataclass of each field of ``Frame``.
+    names : Mapping
+        Struct names that differ from the dataclass's.
+    """
+
+    def __init__(
+        self,
+        idl: types.ModuleType,
+        messages: Mapping[str, type],
+        names: Mapping[type, str],
+    ):
+        self._idl = idl
+        self._messages = messages
+        self._names = names
+        self._field_of = {cls: name for name, cls in messages.items()}
+        self._hints: dict[type, dict[str, Any]] = {}
+
+    def encode(self, message: Any) -> bytes:
+        """Return the payload of a frame."""
+        struct = self._to_struct(message)
+        frame = self._idl.Frame(**{self._field_of[type(message)]: struct})
+        buffer = TMemoryBuffer()
+        BoundedCompactProtocol(buffer).write_struct(frame)
+        return buffer.getvalue()
+
+    def decode(self, payload: bytes) -> Any:
+        """Read the payload of a frame; raise `PeerError` if it is none."""
+        frame = self._idl.Frame()
+        protocol = BoundedCompactProtocol(TMemoryBuffer(payload), strict_decode=True)
+        try:
+            protocol.read_struct(frame)
+        except Exception as exc:
+            # The decoder meets broken input with many kinds of exception.
+            raise PeerError(f"a frame cannot be read: {exc!r:.100}") from exc
+        found = [name for name in self._messages if getattr(frame, name) is not None]
+        if len(found) != 1:
+            raise PeerError("a frame holds no message that is known, or several")
+        try:
+            cls = self._messages[found[0]]
+            return self._from_struct(cls, getattr(frame, found[0]))
+        except (TypeError, ValueError, OverflowError) as exc:
+            raise PeerError(f"{found[0]}: {exc}") from exc
+
+    def _to_struct(self, obj: Any) -> Any:
+        cls = type(obj)
+        struct = getattr(self._idl, self._names.get(cls, cls.__name__))()
+        for fld in dataclasses.fields(cls):
+            setattr(struct, fld.name, self._to_plain(getattr(obj, fld.name)))
+        return struct
+
+    def _to_plain(self, value: Any) -> Any:
+        if dataclasses.is_dataclass(value):
+            return self._to_struct(value)
+        if isinstance(value, tuple):
+            return [self._to_plain(item) for item in value]
+        if isinstance(value, Mapping):
+            return dict(value)
+        if isinstance(value, enum.IntEnum):
+            return int(value)
+        return value
+
+    def _from_struct(self, cls: type, struct: Any) -> Any:
+        hints = self._hints.get(cls)
+        if hints is None:
+            hints = self._hints[cls] = typing.get_type_hints(cls)
+        values = {}
+        for fld in dataclasses.fields(cls):
+            value = getattr(struct, fld.name, None)
+            if value is None:
+                continue
+            values[fld.name] = self._from_plain(hints[fld.name], value)
+        return cls(**values)
+
+    def _from_plain(self, hint: Any, value: Any) -> Any:
+        if dataclasses.is_dataclass(hint):
+            return self._from_struct(hint, value)
+        args = typing.get_args(hint)
+        origin = typing.get_origin(hint)
+        if origin is types.UnionType:
+            return self._from_plain(args[0], value)
+        if origin is tuple:
+            return tuple(self._from_plain(args[0], item) for item in value)
+        if origin is not None:
+            return _typed_map(args, value)
+        if issubclass(hint, enum.IntEnum):
+            return hint(value)
+        return _typed(hint, value)
+
+
+def _typed(hint: type, value: Any) -> Any:
+    if hint is bytes and isinstance(value, str):
+        return value.encode()
+    if not isinstance(value, hint):
+        raise TypeError(f"{hint.__name__} expected")
+    return value
+
+
+def _typed_map(args: tuple[type, ...], value: dict) -> dict:
+    key, item = args
+    return {_typed(key, k): _typed(item, v) for k, v in value.items()}
--- /dev/null
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -0,0 +1,113 @@
+// Messages between instances, in Thrift's compact encoding.
+//
+// Every field is optional and unknown ones are skipped, so that instances of
+// neighbouring versions understand each other. A field number is never reused.
+
+struct Hello {
+  1: optional i32 version
+  2: optional string instance
+  3: optional string data_centre
+  4: optional binary nonce
+  5: optional binary proof
+}
+
+struct Head {
+  1: optional i64 generation
+  2: optional string root
+  3: optional string edit
+}
+
+struct MemberEntry {
+  1: optional string name
+  2: optional i64 incarnation
+  3: optional i64 heartbeat
+  4: optional i32 state
+  5: optional i64 generation
+  6: optional string address
+  7: optional string data_centre
+}
+
+struct DataCentreSummary {
+  1: optional string data_centre
+  2: optional string author
+  3: optional i64 incarnation
+  4: optional i64 heartbeat
+  5: optional i32 live
+  6: optional i64 generation
+  7: optional list<string> behind
+  8: optional list<MemberEntry> bridges
+}
+
+struct LeavingTarget {
+  1: optional string target
+  2: optional string incarnation
+}
+
+struct Gossip {
+  1: optional MemberEntry sender
+  2: optional list<MemberEntry> members
+  3: optional list<DataCentreSummary> summaries
+  4: optional list<LeavingTarget> leaving
+  5: optional Head head
+  6: optional bool wants_answer
+}
+
+struct ItemDemand {
+  1: optional string name
+  2: optional string version
+  3: optional i64 requests
+  4: optional i64 tokens
+  5: optional i64 waiting
+}
+
+struct Load {
+  1: optional string instance
+  2: optional string data_centre
+  3: optional string incarnation
+  4: optional i64 sequence
+  5: optional map<string, i64> in_flight
+  6: optional list<ItemDemand> demand
+  7: optional list<string> shards
+}
+
+struct Rumour {
+  1: optional MemberEntry sender
+  2: optional Head head
+  3: optional list<LeavingTarget> leaving
+  4: optional list<MemberEntry> members
+}
+
+struct DocumentsAsked {
+  1: optional MemberEntry sender
+  2: optional list<string> names
+}
+
+struct NamedDocument {
+  1: optional string name
+  2: optional binary content
+}
+
+struct DocumentsSent {
+  1: optional MemberEntry sender
+  2: optional list<NamedDocument> documents
+  3: optional list<string> missing
+}
+
+struct AdapterWanted {
+  1: optional string target
+  2: optional string name
+  3: optional string version
+  4: optional string shard
+  5: optional i32 hops
+}
+
+// Exactly one field is set.
+struct Frame {
+  1: optional Hello hello
+  2: optional Gossip gossip
+  3: optional Load load
+  4: optional Rumour rumour
+  5: optional DocumentsAsked documents_asked
+  6: optional DocumentsSent documents_sent
+  7: optional AdapterWanted adapter_wanted
+}
--- /dev/null
+++ b/src/marjoramstage/state/_merge.py
@@ -0,0 +1,100 @@
+"""Differences between inventories, and merging of two edits of one base."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from marjoramstage.state.documents import SECTIONS
+from marjoramstage.state.inventory import (
+    Inventory,
+    inventory_from_data,
+    inventory_to_data,
+)
+
+
+@dataclass(frozen=True)
+class Change:
+    """One entry that differs; ``before`` or ``after`` is None if it is absent."""
+
+    entry: str
+    before: Any
+    after: Any
+
+
+@dataclass(frozen=True)
+class Merge:
+    """The outcome of merging.
+
+    Attributes
+    ----------
+    clashes : tuple of str
+        Entries that both sides changed in different ways.
+    inventory : Inventory or None
+        None when there are clashes.
+    """
+
+    clashes: tuple[str, ...]
+    inventory: Inventory | None
+
+
+def entries_of(inventory: Inventory) -> dict[str, Any]:
+    """Return every entry by its name, such as ``models/assistant``."""
+    data = inventory_to_data(inventory)
+    found = {}
+    for section in SECTIONS:
+        for entry in data[section]:
+            found[f"{section}/{entry['name']}"] = entry
+    for key, value in data["rules"].items():
+        if not isinstance(value, Mapping):
+            found[f"rules/{key}"] = value
+            continue
+        for name, item in value.items():
+            found[f"rules/{key}/{name}"] = item
+    return found
+
+
+def inventory_of(entries: Mapping[str, Any]) -> Inventory:
+    """Build an inventory from entries; the opposite of `entries_of`."""
+    data: dict[str, Any] = {section: [] for section in SECTIONS}
+    rules: dict[str, Any] = {}
+    for name, value in sorted(entries.items()):
+        section, _, rest = name.partition("/")
+        if section != "rules":
+            data[section].append(value)
+            continue
+        key, _, item = rest.partition("/")
+        if item:
+            rules.setdefault(key, {})[item] = value
+            continue
+        rules[key] = value
+    return inventory_from_data({**data, "rules": rules})
+
+
+def differences(before: Inventory, after: Inventory) -> tuple[Change, ...]:
+    """Return the entries that differ, by name."""
+    old, new = entries_of(before), entries_of(after)
+    return tuple(
+        Change(name, old.get(name), new.get(name))
+        for name in sorted(old.keys() | new.keys())
+        if old.get(name) != new.get(name)
+    )
+
+
+def merge(base: Inventory, mine: Inventory, theirs: Inventory) -> Merge:
+    """Apply to ``theirs`` what ``mine`` changed on ``base``."""
+    changed = {change.entry: change.after for change in differences(base, theirs)}
+    merged = entries_of(theirs)
+    clashes = []
+    for change in differences(base, mine):
+        if change.entry in changed and changed[change.entry] != change.after:
+            clashes.append(change.entry)
+            continue
+        if change.after is None:
+            merged.pop(change.entry, None)
+            continue
+        merged[change.entry] = change.after
+    if clashes:
+        return Merge(tuple(clashes), None)
+    return Merge((), inventory_of(merged))
--- /dev/null
+++ b/src/marjoramstage/state/documents.py
@@ -0,0 +1,173 @@
+"""The accepted inventory as immutable documents, each named by its hash.
+
+A root document names one document for each section and one for the rules. A
+section is a leaf with its entries, or an index of up to 16 smaller documents
+by the next hexadecimal digit of the hash of the entries' names. So an edit of
+one entry changes one document on each level only.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from marjoramstage.exceptions import ConfigError
+from marjoramstage.state.inventory import (
+    Inventory,
+    inventory_from_data,
+    inventory_to_data,
+)
+
+FORMAT = 1
+LEAF_ENTRIES = 16
+MAX_DEPTH = 16
+MAX_DOCUMENT_BYTES = 500_000
+SECTIONS = ("models", "adapters", "services", "customers")
+
+
+@dataclass(frozen=True)
+class Tree:
+    """All documents of one inventory.
+
+    Attributes
+    ----------
+    root : str
+        Name of the root document.
+    documents : Mapping
+        Content by name.
+    """
+
+    root: str
+    documents: Mapping[str, bytes]
+
+
+def document_name(content: bytes) -> str:
+    """Return the name of a document: the SHA-256 of its content."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def canonical(data: Any) -> bytes:
+    """Return JSON data in the one form that is hashed."""
+    return json.dumps(data, sort_keys=True, separators=(",", ":")).encode()
+
+
+def build_tree(inventory: Inventory) -> Tree:
+    """Split an inventory into documents.
+
+    Raises
+    ------
+    ConfigError
+        An entry is too large for a document.
+    """
+    data = inventory_to_data(inventory)
+    documents: dict[str, bytes] = {}
+    sections = {}
+    for section in SECTIONS:
+        keyed = [(_bucket(entry["name"]), entry) for entry in data[section]]
+        keyed.sort(key=lambda pair: pair[1]["name"])
+        sections[section] = _put_node(keyed, 0, documents)
+    rules = _put({"rules": data["rules"]}, documents)
+    root = _put({"format": FORMAT, "rules": rules, "sections": sections}, documents)
+    return Tree(root, documents)
+
+
+def missing_documents(root: str, documents: Mapping[str, bytes]) -> list[str]:
+    """Return names that the tree is known to need and ``documents`` lacks.
+
+    Raises
+    ------
+    ValueError
+        A document is not one of a tree.
+    """
+    return [name for name in _walk(root, documents) if name not in documents]
+
+
+def reachable_documents(root: str, documents: Mapping[str, bytes]) -> dict[str, bytes]:
+    """Return the documents of one tree out of more."""
+    return {n: documents[n] for n in _walk(root, documents) if n in documents}
+
+
+def read_tree(root: str, documents: Mapping[str, bytes]) -> Inventory:
+    """Put an inventory together again.
+
+    Raises
+    ------
+    ValueError
+        A document is missing or is not one of a tree.
+    """
+    top = _parse(documents[root])
+    if top.get("format") != FORMAT:
+        raise ValueError("a tree of an unknown format")
+    data: dict[str, Any] = {"rules": _parse(documents[top["rules"]])["rules"]}
+    for section in SECTIONS:
+        entries: list[Any] = []
+        for name in _walk(top["sections"][section], documents):
+            entries += _parse(documents[name]).get("entries", ())
+        data[section] = sorted(entries, key=lambda entry: entry["name"])
+    return inventory_from_data(data)
+
+
+def _put_node(
+    keyed: list[tuple[str, Any]], depth: int, documents: dict[str, bytes]
+) -> str:
+    if len(keyed) <= LEAF_ENTRIES or depth == MAX_DEPTH:
+        return _put({"entries": [entry for _, entry in keyed]}, documents)
+    buckets: dict[str, list[tuple[str, Any]]] = {}
+    for pair in keyed:
+        buckets.setdefault(pair[0][depth], []).append(pair)
+    children = {
+        digit: _put_node(part, depth + 1, documents) for digit, part in buckets.items()
+    }
+    return _put({"children": children}, documents)
+
+
+def _put(data: Any, documents: dict[str, bytes]) -> str:
+    content = canonical(data)
+    if len(content) > MAX_DOCUMENT_BYTES:
+        problem = f"a document of {len(content)} bytes; the limit is"
+        raise ConfigError((f"{problem} {MAX_DOCUMENT_BYTES}",))
+    name = document_name(content)
+    documents[name] = content
+    return name
+
+
+def _bucket(name: str) -> str:
+    return hashlib.sha256(name.encode()).hexdigest()
+
+
+def _walk(root: str, documents: Mapping[str, bytes]) -> Iterable[str]:
+    """Give each name of a tree once, as far as its documents are there."""
+    seen = {root}
+    level = [root]
+    for _ in range(MAX_DEPTH + 3):
+        yield from level
+        below = []
+        for name in level:
+            if name in documents:
+                below += _children(documents[name])
+        level = [name for name in dict.fromkeys(below) if name not in seen]
+        seen.update(level)
+        if not level:
+            return
+    raise ValueError("a tree that is too deep")
+
+
+def _children(content: bytes) -> list[str]:
+    data = _parse(content)
+    names = list(data.get("children", {}).values())
+    names += data.get("sections", {}).values()
+    if "sections" in data:
+        names.append(data["rules"])
+    if not all(isinstance(name, str) for name in names):
+        raise ValueError("a document with a name that is no text")
+    return names
+
+
+def _parse(content: bytes) -> dict[str, Any]:
+    data = json.loads(content)
+    if not isinstance(data, dict):
+        raise ValueError("a document that is no object")
+    return data
--- a/src/marjoramstage/state/inventory.py
+++ b/src/marjoramstage/state/inventory.py
@@ -12,8 +12,15 @@
 from pydantic import ConfigDict, Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
-from marjoramstage._documents import Document, checked, parse_document, read_document
+from marjoramstage._documents import (
+    Document,
+    checked,
+    dotted,
+    parse_document,
+    read_document,
+)
 from marjoramstage.exceptions import ConfigError
+from marjoramstage.state._checks import inventory_faults
 
 STRICT = ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
@@ -207,32 +214,17 @@
         With every fault found.
     """
     inventory = checked(document, _ADAPTER)
-    problems = _reference_problems(document, inventory)
-    if problems:
-        raise ConfigError(tuple(problems))
+    faults = inventory_faults(inventory)
+    if faults:
+        raise ConfigError(
+            tuple(f"{document.where(fault.path)}: {fault.message}" for fault in faults)
+        )
     return inventory
 
 
-def _reference_problems(document: Document, inventory: Inventory) -> list[str]:
-    problems = []
-    seen: set[str] = set()
-    for section in ("models", "adapters", "services", "customers"):
-        for index, entry in enumerate(getattr(inventory, section)):
-            if entry.name in seen:
-                where = document.where((section, index, "name"))
-                problems.append(f"{where}: duplicate name {entry.name!r}")
-            seen.add(entry.name)
-    for index, adapter in enumerate(inventory.adapters):
-        if adapter.model not in inventory.model_by_name:
-            where = document.where(("adapters", index, "model"))
-            problems.append(f"{where}: unknown model {adapter.model!r}")
-    for index, customer in enumerate(inventory.customers):
-        for position, name in enumerate(customer.paid):
-            if name not in seen or name in inventory.customer_by_name:
-                where = document.where(("customers", index, "paid", position))
-                problems.append(f"{where}: unknown model, adapter or service {name!r}")
-    for name in inventory.rules.max_class:
-        if name not in inventory.customer_by_name:
-            where = document.where(("rules", "max_class", name))
-            problems.append(f"{where}: unknown customer {name!r}")
-    return problems
+def inventory_problems(inventory: Inventory) -> list[str]:
+    """Return what is wrong with an inventory that no file stands behind."""
+    return [
+        f"{dotted(fault.path)}: {fault.message}"
+        for fault in inventory_faults(inventory)
+    ]
--- a/src/marjoramstage/state/targets.py
+++ b/src/marjoramstage/state/targets.py
@@ -31,6 +31,8 @@
         return ()
     found = []
     for endpoint in obj.spec.get("endpoints") or []:
+        if not endpoint.get("addresses"):
+            continue
         conditions = endpoint.get("conditions") or {}
         name = (endpoint.get("targetRef") or {}).get("name", obj.name)
         address = f"{endpoint['addresses'][0]}:{ports[0]['port']}"
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -22,6 +22,7 @@
         self._app = app
         self._address = address
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     @property
     def address(self) -> str:
@@ -33,11 +34,17 @@
         host, port = split_address(self._address)
         self._runner = web.AppRunner(self._app, access_log=None)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, shutdown_timeout=1.0)
-        await site.start()
-        bound = site._server.sockets[0].getsockname()
+        self._site = web.TCPSite(self._runner, host, port, shutdown_timeout=1.0)
+        await self._site.start()
+        bound = self._site._server.sockets[0].getsockname()
         self._address = f"{host}:{bound[1]}"
 
+    async def close_listener(self) -> None:
+        """Accept no new connections; those that are open go on."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
     async def stop(self) -> None:
         """Close the listening socket and every connection."""
         if self._runner is not None:
--- a/src/marjoramstage/transport/operators.py
+++ b/src/marjoramstage/transport/operators.py
@@ -1,23 +1,40 @@
-"""The operators' port: inventory, status, state dump and health."""
+"""The operators' port: inventory, history, status, drains, dump and health."""
 
 from __future__ import annotations
 
 import hmac
+import uuid
+from dataclasses import asdict
 from typing import Any, Protocol
 
 from aiohttp import web
-from result import Err, Result
-
-from marjoramstage.coordination.releases import Release
+from result import Err, Ok, Result
+
+from marjoramstage.coordination._release_store import Release
+from marjoramstage.coordination.releases import (
+    Acceptor,
+    ApplyError,
+    ApplyFault,
+    Edit,
+)
 from marjoramstage.exceptions import ConfigError
-from marjoramstage.protocol.objects import PlatformError, PlatformFault
+from marjoramstage.state._merge import differences
 from marjoramstage.state.inventory import (
     Inventory,
     inventory_to_data,
     parse_inventory,
 )
 
-_STATUS_OF_FAULT = {PlatformFault.CONFLICT: 409, PlatformFault.EXISTS: 409}
+HISTORY_LIMIT = 20
+MAX_HISTORY = 1000
+OPEN_PATHS = ("/healthz", "/readyz")
+
+_STATUS_OF_FAULT = {
+    ApplyFault.CONFLICT: 409,
+    ApplyFault.REFUSED: 422,
+    ApplyFault.UNKNOWN: 504,
+    ApplyFault.NOT_ACCEPTED: 503,
+}
 
 
 class Operated(Protocol):
@@ -29,11 +46,31 @@
     def dump(self) -> dict[str, Any]:
         """Return the state of the process as JSON data."""
 
+    def status(self) -> dict[str, Any]:
+        """Return what operators need to see of the deployment as JSON data."""
+
+
+class Operations(Protocol):
+    """What operators ask for."""
+
+    acceptor: Acceptor
+
     def inventory(self) -> tuple[int, Inventory]:
         """Return the generation and the inventory in force."""
 
-    async def apply(self, inventory: Inventory) -> Result[Release, PlatformError]:
-        """Submit an inventory."""
+    async def apply(self, edit: Edit) -> Result[Release, ApplyError]:
+        """Submit an edit."""
+
+    async def roll_back(
+        self, generation: int, edit_id: str, who: str, why: str
+    ) -> Result[Release, ApplyError]:
+        """Accept the content of an earlier generation again."""
+
+    def drain_target(self, target: str, incarnation: str = "") -> None:
+        """Tell every instance to give a target no new work."""
+
+    def drain_instance(self) -> None:
+        """Begin the planned stop of this process."""
 
 
 class OperatorPort:
@@ -45,8 +82,9 @@
         Bearer secret that every call but the health ones must carry.
     """
 
-    def __init__(self, operated: Operated, secret: str | None):
+    def __init__(self, operated: Operated, operations: Operations, secret: str | None):
         self._operated = operated
+        self._operations = operations
         self._secret = secret
 
     def app(self) -> web.Application:
@@ -55,17 +93,26 @@
         app.router.add_get("/healthz", self._healthz)
         app.router.add_get("/readyz", self._readyz)
         app.router.add_get("/dump", self._dump)
+        app.router.add_get("/status", self._status)
         app.router.add_get("/inventory", self._get)
         app.router.add_post("/inventory", self._apply)
+        app.router.add_post("/plan", self._plan)
+        app.router.add_get("/history", self._history)
+        app.router.add_post("/rollback", self._roll_back)
+        app.router.add_get("/edits/{edit}", self._edit)
+        app.router.add_post("/drain", self._drain)
         return app
 
     @web.middleware
     async def _guard(self, req: web.Request, handler) -> web.StreamResponse:
-        if self._secret is not None and req.path not in ("/healthz", "/readyz"):
+        if self._secret is not None and req.path not in OPEN_PATHS:
             given = req.headers.get("Authorization", "").removeprefix("Bearer ")
             if not hmac.compare_digest(given.encode(), self._secret.encode()):
                 return web.json_response({"error": "secret"}, status=401)
-        return await handler(req)
+        try:
+            return await handler(req)
+        except ConfigError as exc:
+            return web.json_response({"problems": list(exc.problems)}, status=400)
 
     async def _healthz(self, req: web.Request) -> web.Response:
         return web.json_response({"ok": True})
@@ -78,23 +125,93 @@
     async def _dump(self, req: web.Request) -> web.Response:
         return web.json_response(self._operated.dump())
 
+    async def _status(self, req: web.Request) -> web.Response:
+        return web.json_response(self._operated.status())
+
     async def _get(self, req: web.Request) -> web.Response:
-        generation, inventory = self._operated.inventory()
+        generation, inventory = self._operations.inventory()
         data = {"generation": generation, "inventory": inventory_to_data(inventory)}
         return web.json_response(data)
 
     async def _apply(self, req: web.Request) -> web.Response:
-        try:
-            inventory = parse_inventory(await req.read())
-        except ConfigError as exc:
-            return web.json_response({"problems": list(exc.problems)}, status=400)
-        applied = await self._operated.apply(inventory)
-        if isinstance(applied, Err):
-            error = applied.err_value
-            status = _STATUS_OF_FAULT.get(error.fault, 503)
-            data = {"fault": error.fault.value, "verdict": error.verdict.value}
-            return web.json_response(data, status=status)
-        release = applied.ok_value
-        return web.json_response(
-            {"generation": release.generation, "root": release.root}
+        edit = Edit(
+            id=_edit_id(req),
+            inventory=parse_inventory(await req.read()),
+            base=_number(req, "base"),
+            who=req.query.get("who", ""),
+            why=req.query.get("why", ""),
         )
+        return _outcome(await self._operations.apply(edit))
+
+    async def _plan(self, req: web.Request) -> web.Response:
+        wanted = parse_inventory(await req.read())
+        generation, present = self._operations.inventory()
+        changes = [asdict(change) for change in differences(present, wanted)]
+        return web.json_response({"generation": generation, "changes": changes})
+
+    async def _history(self, req: web.Request) -> web.Response:
+        limit = min(_number(req, "limit") or HISTORY_LIMIT, MAX_HISTORY)
+        found = await self._operations.acceptor.store.history(1, limit)
+        if isinstance(found, Err):
+            data = {"problems": [f"the platform: {found.err_value.message}"]}
+            return web.json_response(data, status=503)
+        return web.json_response([asdict(release) for release in found.ok_value])
+
+    async def _roll_back(self, req: web.Request) -> web.Response:
+        generation = _number(req, "to")
+        if generation is None:
+            raise ConfigError(("to: a generation is needed",))
+        edit_id = _edit_id(req)
+        who, why = req.query.get("who", ""), req.query.get("why", "")
+        result = await self._operations.roll_back(generation, edit_id, who, why)
+        return _outcome(result)
+
+    async def _edit(self, req: web.Request) -> web.Response:
+        found = await self._operations.acceptor.look_up(req.match_info["edit"])
+        match found:
+            case Ok(None):
+                return web.json_response({"accepted": False}, status=404)
+            case Ok(release):
+                return web.json_response({"accepted": True, **asdict(release)})
+            case Err(error):
+                return web.json_response({"problems": [error.message]}, status=503)
+
+    async def _drain(self, req: web.Request) -> web.Response:
+        target = req.query.get("target")
+        if target:
+            self._operations.drain_target(target, req.query.get("incarnation", ""))
+            return web.json_response({"draining": target})
+        self._operations.drain_instance()
+        return web.json_response({"draining": "this instance"})
+
+
+def _outcome(result: Result[Release, ApplyError]) -> web.Response:
+    match result:
+        case Ok(release):
+            return web.json_response({"outcome": "accepted", **asdict(release)})
+        case Err(error):
+            data = {
+                "outcome": error.fault.value,
+                "problems": list(error.problems),
+                "clashes": [asdict(clash) for clash in error.clashes],
+            }
+            return web.json_response(data, status=_STATUS_OF_FAULT[error.fault])
+
+
+def _edit_id(req: web.Request) -> str:
+    """Return the submitter's id for the edit, or a new one."""
+    value = req.query.get("edit")
+    if value is None:
+        return uuid.uuid4().hex
+    if not 8 <= len(value) <= 64 or not value.isalnum():
+        raise ConfigError(("edit: 8 to 64 letters and digits are needed",))
+    return value
+
+
+def _number(req: web.Request, name: str) -> int | None:
+    text = req.query.get(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 18:
+        raise ConfigError((f"{name}: a whole number is needed",))
+    return int(text)
--- /dev/null
+++ b/src/marjoramstage/transport/peers.py
@@ -0,0 +1,246 @@
+"""The peers' port: framed messages over TCP behind a mutual handshake.
+
+A frame is a length of four bytes, big-endian, and one Thrift message.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from marjoramstage.exceptions import PeerError
+from marjoramstage.logs import part_logger
+from marjoramstage.metrics import Metrics
+from marjoramstage.protocol.peers import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    Hello,
+    PeerMessage,
+    decode,
+    encode,
+)
+from marjoramstage.settings import split_address
+
+log = part_logger("peers")
+
+LENGTH_BYTES = 4
+HELLO_BYTES = 1024
+NONCE_BYTES = 16
+CONNECT_S = 2.0
+FRAME_S = 5.0
+IDLE_S = 60.0
+QUEUE_MESSAGES = 256
+MAX_CONNECTIONS = 512
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who this instance is for its peers; no secret on loopback only."""
+
+    instance: str
+    data_centre: str
+    secret: str | None
+
+    def proof(self, role: str, first: bytes, second: bytes) -> bytes:
+        """Return the proof that ``role`` knows the secret, over both nonces."""
+        key = (self.secret or "").encode()
+        text = role.encode() + b"\0" + first + second
+        return hmac.digest(key, text, hashlib.sha256)
+
+    def hello(self, nonce: bytes, proof: bytes = b"") -> Hello:
+        """Return a step of the handshake."""
+        return Hello(PROTOCOL_VERSION, self.instance, self.data_centre, nonce, proof)
+
+
+async def read_frame(
+    reader: asyncio.StreamReader, limit: int = MAX_FRAME_BYTES, idle_s: float = IDLE_S
+) -> PeerMessage:
+    """Read one message.
+
+    Raises
+    ------
+    PeerError
+        The frame is oversized, malformed, or was sent in half.
+    """
+    try:
+        head = await asyncio.wait_for(reader.readexactly(LENGTH_BYTES), idle_s)
+        size = int.from_bytes(head, "big")
+        if not 0 < size <= limit:
+            raise PeerError(f"a frame of {size} bytes")
+        payload = await asyncio.wait_for(reader.readexactly(size), FRAME_S)
+    except (asyncio.IncompleteReadError, TimeoutError, OSError) as exc:
+        raise PeerError(f"no whole frame: {type(exc).__name__}") from exc
+    return decode(payload)
+
+
+async def write_frame(writer: asyncio.StreamWriter, message: PeerMessage) -> int:
+    """Send one message; return its size on the wire, in bytes."""
+    payload = encode(message)
+    writer.write(len(payload).to_bytes(LENGTH_BYTES, "big") + payload)
+    await asyncio.wait_for(writer.drain(), FRAME_S)
+    return LENGTH_BYTES + len(payload)
+
+
+async def greet(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, identity: Identity
+) -> Hello:
+    """Do the connecting side of the handshake; return the other's hello."""
+    own = os.urandom(NONCE_BYTES)
+    await write_frame(writer, identity.hello(own))
+    answer = await _read_hello(reader)
+    expected = identity.proof("acceptor", own, answer.nonce)
+    if not hmac.compare_digest(expected, answer.proof):
+        raise PeerError("the peer does not know the secret")
+    proof = identity.proof("connector", answer.nonce, own)
+    await write_frame(writer, identity.hello(own, proof))
+    return answer
+
+
+async def welcome(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, identity: Identity
+) -> Hello:
+    """Do the accepting side of the handshake; return the other's hello."""
+    first = await _read_hello(reader)
+    own = os.urandom(NONCE_BYTES)
+    proof = identity.proof("acceptor", first.nonce, own)
+    await write_frame(writer, identity.hello(own, proof))
+    second = await _read_hello(reader)
+    expected = identity.proof("connector", own, first.nonce)
+    if not hmac.compare_digest(expected, second.proof):
+        raise PeerError("the peer does not know the secret")
+    return second
+
+
+async def _read_hello(reader: asyncio.StreamReader) -> Hello:
+    message = await read_frame(reader, HELLO_BYTES, FRAME_S)
+    if not isinstance(message, Hello):
+        raise PeerError("a message came before the handshake")
+    if message.version < 1 or len(message.nonce) != NONCE_BYTES:
+        raise PeerError("a hello that is not understood")
+    return message
+
+
+class PeerServer:
+    """Accepts connections of other instances.
+
+    Parameters
+    ----------
+    receive : callable
+        Takes each message.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        identity: Identity,
+        receive: Callable[[PeerMessage], None],
+        metrics: Metrics,
+    ):
+        self._address = address
+        self._identity = identity
+        self._receive = receive
+        self._metrics = metrics
+        self._server: asyncio.Server | None = None
+        self._conns: set[asyncio.Task] = set()
+
+    @property
+    def address(self) -> str:
+        """The address that is listened on, after `start`."""
+        return self._address
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = split_address(self._address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self._address = f"{host}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Close the listening socket and every connection."""
+        if self._server is not None:
+            self._server.close()
+        conns = list(self._conns)
+        for task in conns:
+            task.cancel()
+        await asyncio.gather(*conns, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._conns.add(task)
+        try:
+            if len(self._conns) > MAX_CONNECTIONS:
+                raise PeerError("too many connections")
+            await welcome(reader, writer, self._identity)
+            while True:
+                message = await read_frame(reader)
+                self._metrics.count("peers.received")
+                self._receive(message)
+        except (PeerError, TimeoutError, OSError) as exc:
+            self._metrics.count("peers.closed")
+            log.info("connection closed", extra={"reason": str(exc)})
+        except asyncio.CancelledError:
+            pass
+        finally:
+            self._conns.discard(task)
+            writer.close()
+
+
+class PeerClient:
+    """Sends messages to other instances; a message may be lost, never blocks."""
+
+    def __init__(self, identity: Identity, metrics: Metrics):
+        self._identity = identity
+        self._metrics = metrics
+        self._queues: dict[str, asyncio.Queue[PeerMessage]] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Queue a message; the oldest gives way when the queue is full."""
+        queue = self._queues.get(address)
+        if queue is None:
+            queue = self._queues[address] = asyncio.Queue(QUEUE_MESSAGES)
+        if queue.full():
+            queue.get_nowait()
+            self._metrics.count("peers.dropped")
+        queue.put_nowait(message)
+        if address not in self._tasks:
+            task = asyncio.create_task(self._run(address, queue))
+            self._tasks[address] = task
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, address: str, queue: asyncio.Queue[PeerMessage]) -> None:
+        """Keep one connection until it breaks or nothing is sent for long."""
+        writer = None
+        try:
+            host, port = split_address(address)
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, port), CONNECT_S
+            )
+            await greet(reader, writer, self._identity)
+            while True:
+                message = await asyncio.wait_for(queue.get(), IDLE_S / 2)
+                size = await write_frame(writer, message)
+                self._metrics.count("peers.sent")
+                self._metrics.count("peers.sent_bytes", size)
+                if reader.at_eof():
+                    break
+        except (PeerError, TimeoutError, OSError, ValueError) as exc:
+            self._metrics.count("peers.lost", queue.qsize())
+            log.debug("peer lost", extra={"peer": address, "reason": str(exc)})
+        finally:
+            del self._tasks[address]
+            del self._queues[address]
+            if writer is not None:
+                writer.close()
