Show accepted generations under faults and cuts on a virtual clock

A deputy of the watcher now polls as often as the watcher itself; reads of a data centre stay constant.

--- a/features/config_net.py
+++ b/features/config_net.py
@@ -16,7 +16,6 @@
     Head,
     MemberEntry,
     NamedDocument,
-    decode,
     encode,
 )
 from marjoramstage.state.documents import build_tree, read_tree
@@ -95,6 +94,7 @@
         self.platform_cuts = set()
         self.tamper = None
         self.violations = []
+        self.measured = False
         self.sent = 0
         self.sent_bytes = 0
         self._queue = []
@@ -237,9 +237,9 @@
                 process.emitted.append((self.now_s, event))
 
     def _send(self, process, address, message):
-        payload = encode(message)
-        self.sent += 1
-        self.sent_bytes += len(payload) + 4
+        if self.measured:
+            self.sent += 1
+            self.sent_bytes += len(encode(message)) + 4
         if self.tamper is not None:
             message = self.tamper(process.name, message)
         if message is None or (process.name, address) in self.cuts:
@@ -248,7 +248,7 @@
         if target is None:
             return
         same = target.data_centre == process.data_centre
-        event = steps.PeerReceived(decode(encode(message)))
+        event = steps.PeerReceived(message)
         self._later(
             LOCAL_S if same else REMOTE_S,
             lambda: self._handle(self.processes[address], event),
--- a/src/marjoramstage/coordination/_node.py
+++ b/src/marjoramstage/coordination/_node.py
@@ -36,6 +36,8 @@
     Rumour,
 )
 
+OTHERS = 2
+
 
 class ConfigNode:
     """What one instance does about peers and the accepted inventory.
@@ -70,9 +72,16 @@
 
     def is_watcher(self, now_s: float) -> bool:
         """Return whether this instance watches the head for its data centre."""
+        return self._watch_rank(now_s) == 0
+
+    def _watch_rank(self, now_s: float) -> int:
+        """Return the place among those that may watch; `OTHERS` after the deputy."""
         membership = self.gossiper.membership
-        chosen = membership.chosen("watch", 1, now_s)
-        return [entry.name for entry in chosen] == [membership.own.name]
+        chosen = membership.chosen("watch", OTHERS, now_s)
+        for rank, entry in enumerate(chosen):
+            if entry.name == membership.own.name:
+                return rank
+        return OTHERS
 
     def _handle(self, event: NodeEvent, now_s: float) -> list[NodeEffect]:
         own = self.gossiper.membership.own
@@ -108,8 +117,8 @@
         members = len(membership.serving(now_s))
         effects = self.gossiper.tick(self.distributor.head, now_s)
         effects += self.loads.drop_gone(membership, now_s)
-        watches = self.is_watcher(now_s)
-        effects += self.distributor.tick(watches, members, membership.own, now_s)
+        rank = self._watch_rank(now_s)
+        effects += self.distributor.tick(rank, members, membership.own, now_s)
         return effects
 
     def _received(self, message: PeerMessage, now_s: float) -> list[NodeEffect]:
--- a/src/marjoramstage/coordination/distribution.py
+++ b/src/marjoramstage/coordination/distribution.py
@@ -4,8 +4,8 @@
 are fetched from the peer that told of it, then from another one, then from
 the platform; each is checked against its name. The generation is put in force
 when the tree is whole, and only then told to others. One instance of a data
-centre watches the head; all poll it at a pace that is the same for a data
-centre whatever its size.
+centre watches the head and a deputy polls it; the others poll at a pace that
+is the same for a data centre whatever its size.
 """
 
 from __future__ import annotations
@@ -131,20 +131,21 @@
         return self._fetch.head if self._fetch else None
 
     def tick(
-        self, watches: bool, members: int, own: MemberEntry, now_s: float
+        self, rank: int, members: int, own: MemberEntry, now_s: float
     ) -> list[NodeEffect]:
         """Do what is due.
 
         Parameters
         ----------
-        watches : bool
-            Whether this instance is the watcher of its data centre.
+        rank : int
+            0 for the watcher of the data centre, 1 for its deputy, which only
+            polls as often, and more for the others.
         members : int
             Serving instances of the data centre, this one among them.
         """
-        effects = self._watch(watches, now_s)
+        effects = self._watch(rank == 0, now_s)
         if now_s >= self._poll_s and not self._reading:
-            self._poll_s = now_s + self._poll_delay(watches, members)
+            self._poll_s = now_s + self._poll_delay(rank, members)
             self._reading = True
             effects.append(ReadHead())
         if self._fetch is None and self._candidates and now_s >= self._first_s:
@@ -201,8 +202,8 @@
         message = DocumentsSent(own, tuple(found), tuple(missing))
         return [SendPeer(asked.sender.address, message)]
 
-    def _poll_delay(self, watches: bool, members: int) -> float:
-        if watches:
+    def _poll_delay(self, rank: int, members: int) -> float:
+        if rank <= 1:
             return WATCHER_POLL_S * self._rng.uniform(0.8, 1.2)
         if self.head is None:
             return FIRST_POLL_S * self._rng.uniform(0.5, 1.5)
--- a/src/marjoramstage/coordination/membership.py
+++ b/src/marjoramstage/coordination/membership.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 from dataclasses import dataclass, replace
 
 import xxhash
@@ -135,7 +136,7 @@
         """Return who does a duty, best first, by rendezvous hashing."""
         return sorted(
             self.serving(now_s),
-            key=lambda entry: xxhash.xxh3_64_intdigest(f"{duty}/{entry.name}".encode()),
+            key=lambda entry: _score(duty, entry.name),
         )[:count]
 
     def _merge_same(self, known: Member, entry: MemberEntry, now_s: float) -> bool:
@@ -162,3 +163,8 @@
         said = entry.incarnation == own.incarnation and entry.state <= own.state
         if not older and not said:
             self._own = replace(own, incarnation=entry.incarnation + 1)
+
+
+@functools.lru_cache(maxsize=4096)
+def _score(duty: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{duty}/{name}".encode())
