--- a/src/marjoramstage/_instance/draining.py
+++ b/src/marjoramstage/_instance/draining.py
@@ -11,7 +11,7 @@
 from marjoramstage.coordination.draining import Drain
 from marjoramstage.exceptions import RequestError, Verdict
 from marjoramstage.logs import part_logger
-from marjoramstage.transport.callers import error_response
+from marjoramstage.transport._errors import error_response
 
 log = part_logger("draining")
 
@@ -85,7 +85,7 @@
         """Answer a request whose time is over; it may have run."""
         text = "The instance stopped before the answer was whole."
         error = RequestError(503, "stopping", text, Verdict.MAY_HAVE_RUN)
-        answer = error_response(error)
+        answer = error_response(error, req.get("request_id", ""))
         resp = req.get("response")
         if resp is None:
             return answer
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -10,6 +10,7 @@
 from marjoramstage._instance.draining import DrainGate
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
+from marjoramstage._instance.leasing import LeaseDesk
 from marjoramstage._instance.operating import Operations, new_edit_id
 from marjoramstage._instance.peering import PeerDesk
 from marjoramstage._instance.placing import PlacementDesk
@@ -17,6 +18,7 @@
 from marjoramstage._instance.requests import RequestDesk
 from marjoramstage._instance.status import instance_status
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
 from marjoramstage.coordination._release_store import Release
 from marjoramstage.coordination._steps import StopPlanned
@@ -26,9 +28,9 @@
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
 from marjoramstage.protocol.events import Event, Tick
-from marjoramstage.settings import Settings, split_address
+from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
-from marjoramstage.transport._server import HttpServer
+from marjoramstage.transport._server import HttpServer, ServerLimits
 from marjoramstage.transport.callers import CallerPort
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
@@ -64,12 +66,17 @@
         await self.peers.start()
         for server in self._servers:
             await server.start()
-        parts = (self.requests, self.placing, self.follower, self.reporter)
-        for part in (*parts, self.peers):
+        for part in self._parts():
             self._tasks.spawn(part.run())
+        self._tasks.spawn(self.callers.readers.run())
         self._tasks.spawn(self._tick())
         log.info("started", extra={"callers": self.caller_address})
 
+    def _parts(self) -> tuple:
+        """Return the parts that run until the instance stops."""
+        desks = (self.requests, self.placing, self.leasing)
+        return (*desks, self.follower, self.reporter, self.peers)
+
     def _wire(self) -> None:
         """Build every part."""
         cfg, clock = self.settings, self._clock
@@ -80,6 +87,14 @@
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
+        self.leasing = LeaseDesk(
+            cfg.name,
+            cfg.data_centre,
+            self.platform,
+            self.placing.post,
+            self._tasks,
+            clock,
+        )
         self.peers = PeerDesk(
             cfg, self.platform, self._post, self._tasks, clock, self.metrics
         )
@@ -91,15 +106,19 @@
             targets, lambda: self.follower.targets, self._post, clock
         )
         relay = Relay(self.requests, targets, clock)
-        callers = CallerPort(
+        self.callers = CallerPort(
             relay, lambda: self.peers.inventory, cfg.limits, clock, self.metrics
         )
         operators = OperatorPort(self, self.operations, cfg.secret)
         self.gate = DrainGate(cfg.limits.drain_s, clock)
-        callers_app = callers.app()
+        callers_app = self.callers.app()
         self.gate.guard(callers_app)
         self._servers = (
-            HttpServer(callers_app, cfg.listen.callers),
+            HttpServer(
+                callers_app,
+                cfg.listen.callers,
+                ServerLimits(header_bytes=cfg.limits.header_bytes),
+            ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
 
@@ -108,6 +127,7 @@
         self.gate.ask()
         self.peers.post(StopPlanned())
         await self._servers[0].close_listener()
+        await self.leasing.stop()
         await self.gate.finished()
         for server in self._servers:
             await server.stop()
@@ -162,6 +182,7 @@
         """Hand an event to every machine."""
         self.requests.post(event)
         self.placing.post(event)
+        self.leasing.heard(event)
 
 
 def _metrics(settings: Settings) -> LocalMetrics:
--- a/src/marjoramstage/transport/peers.py
+++ b/src/marjoramstage/transport/peers.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from marjoramstage.addresses import join_address, split_address
 from marjoramstage.exceptions import PeerError
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import Metrics
@@ -23,7 +24,6 @@
     decode,
     encode,
 )
-from marjoramstage.settings import split_address
 
 log = part_logger("peers")
 
@@ -157,7 +157,7 @@
         host, port = split_address(self._address)
         self._server = await asyncio.start_server(self._serve, host, port)
         bound = self._server.sockets[0].getsockname()
-        self._address = f"{host}:{bound[1]}"
+        self._address = join_address(host, bound[1])
 
     async def stop(self) -> None:
         """Close the listening socket and every connection."""
