--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -38,7 +38,7 @@
     paid: [assistant, summaries, rooms, booking]
   - name: publisher
     credential_sha256: {credential_hash("other-credential")}
-    paid: [scores, parts, exchange]
+    paid: [scores, assistant, parts, exchange]
 rules:
   max_class: {{university: interactive}}
 """
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -20,14 +20,16 @@
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
+from marjoramstage.coordination._loads import LOAD_EVERY_S
 from marjoramstage.coordination._release_store import Release
-from marjoramstage.coordination._steps import StopPlanned
+from marjoramstage.coordination._steps import LoadTold, StopPlanned
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import ApplyError, Edit
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import Event, Tick
+from marjoramstage.protocol.events import Event, InstanceLoaded, Tick
+from marjoramstage.protocol.messages import InstanceLoad
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer, ServerLimits
@@ -70,6 +72,7 @@
             self._tasks.spawn(part.run())
         self._tasks.spawn(self.callers.readers.run())
         self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._tell_load())
         log.info("started", extra={"callers": self.caller_address})
 
     def _parts(self) -> tuple:
@@ -178,6 +181,22 @@
             self._post(Tick())
             await self._clock.sleep(TICK_EVERY_S)
 
+    async def _tell_load(self) -> None:
+        """Tell the peers and the own machines of this instance's load."""
+        sequence = 0
+        while True:
+            sequence += 1
+            load = InstanceLoad(
+                self.settings.name,
+                self.settings.data_centre,
+                str(self.peers.incarnation),
+                sequence,
+                shards=self.leasing.held(),
+            )
+            self.peers.post(LoadTold(load))
+            self._post(InstanceLoaded(load))
+            await self._clock.sleep(LOAD_EVERY_S)
+
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -151,6 +151,7 @@
     requests: int = 0
     tokens: int = 0
     waiting: int = 0
+    live: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -58,6 +58,7 @@
   3: optional i64 requests
   4: optional i64 tokens
   5: optional i64 waiting
+  6: optional i64 live
 }
 
 struct Load {
