--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -30,7 +30,8 @@
     return {
         "instance": instance.settings.name,
         "data_centre": instance.settings.data_centre,
-        "generation": instance.follower.generation,
+        "generation": instance.peers.generation,
+        "peers": instance.peers.dump(),
         "settings": to_data(instance.settings),
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
