Replay traces through the decision code on a virtual clock

Cause: policies need a measure that does not depend on the code under test. Fakes at the interfaces count lost, overcommitted and repeated work; the limit comes from slots, speeds and deadlines alone; the first version and four plain baselines run beside the current code. Ruled out: storing whole traces in the tree (over 1 MB gzipped for 16); they are made by a seeded generator instead.

--- /dev/null
+++ b/src/marjoramstage/_commands/bench.py
@@ -0,0 +1,75 @@
+"""Commands that measure the decision code."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from dataclasses import asdict
+
+from marjoramstage._commands import exits
+from marjoramstage.bench.expectations import unmet_expectations
+from marjoramstage.bench.policies import POLICIES
+from marjoramstage.bench.replay import replay
+from marjoramstage.bench.scenarios import SCENARIOS, write_scenario
+from marjoramstage.bench.trace import read_trace
+
+
+def add(commands) -> None:
+    """Add the commands to the parser."""
+    parser = commands.add_parser("bench", help="replays, faults and slopes")
+    kinds = parser.add_subparsers(required=True, metavar="KIND")
+    _add_replay(kinds)
+    _add_make_trace(kinds)
+
+
+def _add_replay(kinds) -> None:
+    parser = kinds.add_parser("replay", help="drive a policy through a trace")
+    parser.add_argument("--trace", required=True, help="JSON Lines file, or its .gz")
+    parser.add_argument("--policy", default="current", help=", ".join(POLICIES))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    parser.add_argument(
+        "--detail", action="store_true", help="print outcomes by class and reason too"
+    )
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="fail unless the outcome stated in the header is met",
+    )
+    parser.set_defaults(run=_replay)
+
+
+def _add_make_trace(kinds) -> None:
+    parser = kinds.add_parser("make-trace", help="write a recorded trace")
+    parser.add_argument("--scenario", required=True, choices=sorted(SCENARIOS))
+    parser.add_argument("--out", required=True, help="file, compressed if .gz")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, help="length; its own if left out")
+    parser.set_defaults(run=_make_trace)
+
+
+def _replay(args: argparse.Namespace) -> int:
+    trace = read_trace(args.trace)
+    for warning in trace.warnings:
+        print(warning, file=sys.stderr)
+    result, detail = replay(trace, args.policy, args.seed)
+    if args.json:
+        print(json.dumps(asdict(result)))
+    else:
+        for name, value in asdict(result).items():
+            print(f"{name:28} {value}")
+    if args.detail:
+        for name, value in asdict(detail).items():
+            print(f"{name:28} {value}", file=sys.stderr)
+    if not args.check:
+        return exits.OK
+    unmet = unmet_expectations(trace, result, detail)
+    for problem in unmet:
+        print(f"expected: {problem}", file=sys.stderr)
+    return exits.FAILED if unmet else exits.OK
+
+
+def _make_trace(args: argparse.Namespace) -> int:
+    write_scenario(args.scenario, args.out, args.seed, args.minutes)
+    return exits.OK
--- /dev/null
+++ b/src/marjoramstage/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the decision code: replays, faults and slopes."""
--- /dev/null
+++ b/src/marjoramstage/bench/_calls.py
@@ -0,0 +1,253 @@
+"""The callers' side of a replay: requests, attempts and their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from marjoramstage.bench._instances import FakeInstance, Instances
+from marjoramstage.bench._inventory import safe_name
+from marjoramstage.bench._links import Links
+from marjoramstage.bench._loop import EventLoop
+from marjoramstage.bench._tally import Outcome, Tally
+from marjoramstage.bench._target import Counts, FakeTarget, RunEnd
+from marjoramstage.bench.trace import CustomerSpec, RequestLine
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.events import (
+    AttemptEnded,
+    Dispatch,
+    Refuse,
+    RequestSubmitted,
+    RetryAsked,
+)
+from marjoramstage.protocol.messages import (
+    AttemptEnd,
+    Item,
+    Request,
+    RequestClass,
+    TargetKind,
+)
+
+BREAK_NOTICED_S = 2.0
+BROKEN = ("broken", "cut")
+
+
+@dataclass
+class Call:
+    """A caller's request at its instance.
+
+    Attributes
+    ----------
+    failed : tuple of str
+        Targets of earlier attempts.
+    may_have_run : bool
+        Whether an earlier attempt may have run.
+    broken : bool
+        Whether an attempt was inside a part when it was killed or cut off.
+    target : str
+        Target of the attempt under way; empty for none.
+    """
+
+    request: Request
+    inst: FakeInstance
+    start: int
+    failed: tuple[str, ...] = ()
+    attempt: int = 0
+    may_have_run: bool = False
+    broken: bool = False
+    target: str = ""
+    dispatched_s: float = 0.0
+
+
+@dataclass
+class Calls:
+    """Every open call.
+
+    Attributes
+    ----------
+    resolved : int
+        Calls that have their outcome.
+    """
+
+    loop: EventLoop
+    links: Links
+    instances: Instances
+    targets: Mapping[str, FakeTarget]
+    customers: Mapping[str, CustomerSpec]
+    counts: Counts
+    tally: Tally = field(default_factory=Tally)
+    open: dict[str, Call] = field(default_factory=dict)
+    resolved: int = 0
+
+    def arrive(self, line: RequestLine, inst: FakeInstance | None) -> None:
+        """Take a request of the trace to its instance."""
+        request = _request(line, self.loop.now_s)
+        if inst is None:
+            self._count(request, Outcome.LOST, "no-instance", by_fault=True)
+            return
+        paid = self.customers[line.customer].paid
+        if line.model not in paid or (line.adapter and line.adapter not in paid):
+            self._count(request, Outcome.REFUSED, "not-paid")
+            return
+        self.open[request.id] = Call(request, inst, inst.start)
+        self.instances.post(inst, inst.scheduler, RequestSubmitted(request))
+
+    def refused(self, inst: FakeInstance, effect: Refuse) -> None:
+        """Answer a call that its instance gave up."""
+        call = self.open.get(effect.request.id)
+        if call is None:
+            return
+        if call.may_have_run:
+            self._resolve(call, Outcome.LOST, "gave-up")
+            return
+        if self.counts.starts[effect.request.id]:
+            self.tally.refused_but_ran += 1
+        self._resolve(call, Outcome.REFUSED, effect.code)
+
+    def dispatched(self, inst: FakeInstance, effect: Dispatch) -> None:
+        """Send an attempt to its target."""
+        call = self.open.get(effect.request.id)
+        if call is None or call.target:
+            self._ended(inst, effect.request, effect.target, Verdict.NOT_RUN)
+            return
+        call.attempt += 1
+        call.target = effect.target
+        call.dispatched_s = self.loop.now_s
+        if not self.links.joined(inst.name, effect.target):
+            end = RunEnd(Verdict.NOT_RUN, False, reason="connect")
+            self.loop.after(BREAK_NOTICED_S, self._answer, call, call.attempt, end)
+            return
+        delay_s = self.links.delay_s(inst.name, effect.target)
+        items = _items(effect)
+        self.loop.after(delay_s, self._reach, call, call.attempt, effect, items)
+
+    def cancel(self, inst: FakeInstance, request_id: str, target: str) -> None:
+        """Carry a cancel to a target."""
+        if target in self.targets and self.links.joined(inst.name, target):
+            delay_s = self.links.delay_s(inst.name, target)
+            self.loop.after(delay_s, self.targets[target].cancel, request_id)
+
+    def instance_died(self, inst: FakeInstance) -> None:
+        """Break every call of an instance that was killed."""
+        for call in [call for call in self.open.values() if call.inst is inst]:
+            call.broken = True
+            if call.target:
+                self.cancel(inst, call.request.id, call.target)
+            self._resolve(call, Outcome.LOST, "instance-killed")
+
+    def close(self) -> None:
+        """Count every call that never got an answer as lost."""
+        for call in list(self.open.values()):
+            self._resolve(call, Outcome.LOST, "no-answer")
+
+    def _reach(
+        self, call: Call, attempt: int, effect: Dispatch, items: tuple[Item, ...]
+    ) -> None:
+        target = self.targets[effect.target]
+        target.submit(
+            effect.request, items, lambda end: self._leave(call, attempt, end)
+        )
+
+    def _leave(self, call: Call, attempt: int, end: RunEnd) -> None:
+        """Carry the end of an attempt back to its instance."""
+        name = call.inst.name
+        if not self.links.joined(name, call.target or name):
+            end = RunEnd(Verdict.MAY_HAVE_RUN, False, reason="cut")
+            self.loop.after(BREAK_NOTICED_S, self._answer, call, attempt, end)
+            return
+        delay_s = self.links.delay_s(name, call.target or name)
+        self.loop.after(delay_s, self._answer, call, attempt, end)
+
+    def _answer(self, call: Call, attempt: int, end: RunEnd) -> None:
+        if call.attempt != attempt or not call.target:
+            return
+        inst, request, target = call.inst, call.request, call.target
+        if inst.start != call.start or not inst.alive:
+            return
+        first_token_s = None
+        if end.first_token_at_s is not None:
+            first_token_s = end.first_token_at_s - call.dispatched_s
+        call.target = ""
+        self._ended(inst, request, target, end.verdict, end.ok, first_token_s)
+        if end.ok:
+            self._met_or_late(call, end)
+            return
+        if end.reason == "deadline":
+            self._resolve(call, Outcome.LATE, end.reason)
+            return
+        self._retry_or_fail(call, target, end)
+
+    def _met_or_late(self, call: Call, end: RunEnd) -> None:
+        arrived_s = call.request.arrived_s
+        self.tally.first_token_ms.append((end.first_token_at_s - arrived_s) * 1000.0)
+        late = self.loop.now_s > call.request.deadline_s
+        self._resolve(call, Outcome.LATE if late else Outcome.MET)
+
+    def _retry_or_fail(self, call: Call, target: str, end: RunEnd) -> None:
+        request = call.request
+        if end.verdict is not Verdict.NOT_RUN:
+            call.may_have_run = True
+            call.broken = call.broken or end.reason in BROKEN
+            if not request.repeatable or self.loop.now_s >= request.deadline_s:
+                self._resolve(call, Outcome.LOST, end.reason)
+                return
+        call.failed = (*call.failed, target)
+        event = RetryAsked(request, call.failed)
+        self.instances.post(call.inst, call.inst.scheduler, event)
+
+    def _ended(
+        self,
+        inst: FakeInstance,
+        request: Request,
+        target: str,
+        verdict: Verdict,
+        ok: bool = False,
+        first_token_s: float | None = None,
+    ) -> None:
+        tokens = request.output_tokens if ok else 0
+        end = AttemptEnd(request, target, verdict, ok, tokens, first_token_s)
+        self.instances.post(inst, inst.scheduler, AttemptEnded(end))
+
+    def _resolve(self, call: Call, outcome: Outcome, reason: str = "") -> None:
+        if self.open.pop(call.request.id, None) is None:
+            return
+        self._count(call.request, outcome, reason, call.broken)
+
+    def _count(
+        self,
+        request: Request,
+        outcome: Outcome,
+        reason: str = "",
+        by_fault: bool = False,
+    ) -> None:
+        self.resolved += 1
+        self.tally.ended(request, outcome, reason)
+        if outcome is Outcome.LOST and by_fault:
+            self.tally.lost_by_fault += 1
+
+
+def _items(effect: Dispatch) -> tuple[Item, ...]:
+    """Return the items that the name in a dispatch asks for."""
+    if effect.request.kind is TargetKind.SERVICE:
+        return ()
+    found = []
+    for text in effect.served_as.split(":"):
+        name, _, version = text.partition("@")
+        found.append(Item(name, version))
+    return tuple(found)
+
+
+def _request(line: RequestLine, now_s: float) -> Request:
+    return Request(
+        id=line.id,
+        customer=safe_name(line.customer),
+        kind=TargetKind(line.target_kind),
+        model=safe_name(line.model),
+        arrived_s=now_s,
+        deadline_s=now_s + line.deadline_ms / 1000.0,
+        adapter=safe_name(line.adapter) if line.adapter else None,
+        prompt_tokens=line.prompt_tokens,
+        output_tokens=line.output_tokens,
+        request_class=RequestClass[line.request_class.upper()],
+        repeatable=line.repeatable,
+    )
--- /dev/null
+++ b/src/marjoramstage/bench/_instances.py
@@ -0,0 +1,119 @@
+"""The instances of a replay: their machines, pauses and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from marjoramstage.bench._loop import EventLoop
+from marjoramstage.bench.policies import Policy
+from marjoramstage.bench.trace import InstanceSpec
+from marjoramstage.protocol.events import Effect, Event, Machine
+
+Perform = Callable[["FakeInstance", "Machine", Effect], None]
+
+
+@dataclass
+class FakeInstance:
+    """One instance.
+
+    Attributes
+    ----------
+    placers : dict
+        Placement by data centre; the instance's own, and any other that has
+        no instance.
+    holds : set of str
+        Data centres whose lease the instance was given and has not lost.
+    generation : int
+        Generation of the inventory in force here.
+    """
+
+    spec: InstanceSpec
+    scheduler: Machine
+    placers: dict[str, Machine]
+    alive: bool = True
+    frozen: bool = False
+    holds: set[str] = field(default_factory=set)
+    generation: int = 0
+    start: int = 1
+    inbox: list[tuple[Machine, Event]] = field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.spec.name
+
+    @property
+    def serving(self) -> bool:
+        """Whether it handles events now."""
+        return self.alive and not self.frozen
+
+
+class Instances:
+    """Every instance, and the way of an event to a machine."""
+
+    def __init__(
+        self,
+        specs: tuple[InstanceSpec, ...],
+        data_centres: tuple[str, ...],
+        policy: Policy,
+        loop: EventLoop,
+        perform: Perform,
+    ):
+        self._policy = policy
+        self._loop = loop
+        self._perform = perform
+        own = {spec.data_centre for spec in specs}
+        self._orphans = [name for name in data_centres if name not in own]
+        self.all = [self._build(spec) for spec in specs]
+        self.by_name = {instance.name: instance for instance in self.all}
+
+    def hosts(self, data_centre: str) -> list[FakeInstance]:
+        """Return the instances that can hold the lease of a data centre."""
+        return [inst for inst in self.all if data_centre in inst.placers]
+
+    def post(self, inst: FakeInstance, machine: Machine, event: Event) -> None:
+        """Hand an event to a machine; a frozen instance takes it in later."""
+        if not inst.alive or machine not in self._machines(inst):
+            return
+        if inst.frozen:
+            inst.inbox.append((machine, event))
+            return
+        for effect in machine.handle(event, self._loop.now_s):
+            self._perform(inst, machine, effect)
+
+    def post_all(self, inst: FakeInstance, event: Event) -> None:
+        """Hand an event to the scheduler and every placer of an instance."""
+        for machine in self._machines(inst):
+            self.post(inst, machine, event)
+
+    def thaw(self, inst: FakeInstance) -> None:
+        """Let a frozen instance take in what came meanwhile."""
+        inst.frozen = False
+        waiting, inst.inbox = inst.inbox, []
+        for machine, event in waiting:
+            self.post(inst, machine, event)
+
+    def kill(self, inst: FakeInstance) -> None:
+        """End an instance; it keeps nothing."""
+        inst.alive = False
+        inst.frozen = False
+        inst.inbox = []
+        inst.holds = set()
+
+    def restart(self, inst: FakeInstance) -> None:
+        """Start an instance anew under its name."""
+        fresh = self._build(inst.spec)
+        inst.scheduler, inst.placers = fresh.scheduler, fresh.placers
+        inst.alive = True
+        inst.generation = 0
+        inst.start += 1
+
+    def _build(self, spec: InstanceSpec) -> FakeInstance:
+        places = [spec.data_centre, *self._orphans]
+        placers = {place: self._policy.placer(spec.name, place) for place in places}
+        scheduler = self._policy.scheduler(spec.name, spec.data_centre)
+        return FakeInstance(spec, scheduler, placers)
+
+    def _machines(self, inst: FakeInstance) -> list[Machine]:
+        return [inst.scheduler, *inst.placers.values()]
--- /dev/null
+++ b/src/marjoramstage/bench/_weights.py
@@ -0,0 +1,93 @@
+"""The weight store and the path of the adapters, shared by all engines."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from marjoramstage.bench._loop import EventLoop
+from marjoramstage.bench.trace import Header, StoreSpec
+
+REST_MB = 1e-6
+
+
+@dataclass
+class _Load:
+    left_mb: float
+    done: Callable[[], None]
+
+
+class WeightStore:
+    """Model loads: paced starts, and a shared rate above ``at_full_speed``."""
+
+    def __init__(self, loop: EventLoop, spec: StoreSpec):
+        self._loop = loop
+        self._spec = spec
+        self._next_start_s = 0.0
+        self._active: list[_Load] = []
+        self._updated_s = 0.0
+        self._round = 0
+
+    def load(self, memory_mb: int, done: Callable[[], None]) -> None:
+        """Begin a load when its turn comes; call ``done`` at its end."""
+        start_s = max(self._loop.now_s, self._next_start_s)
+        self._next_start_s = start_s + 1.0 / self._spec.loads_per_s
+        self._loop.at(start_s, self._start, _Load(float(memory_mb), done))
+
+    def _start(self, load: _Load) -> None:
+        self._advance()
+        self._active.append(load)
+        self._plan_next()
+
+    def _rate(self) -> float:
+        share = min(1.0, self._spec.at_full_speed / len(self._active))
+        return self._spec.mb_per_s * share
+
+    def _advance(self) -> None:
+        elapsed_s = self._loop.now_s - self._updated_s
+        self._updated_s = self._loop.now_s
+        if not self._active:
+            return
+        moved_mb = elapsed_s * self._rate()
+        for load in self._active:
+            load.left_mb -= moved_mb
+
+    def _plan_next(self) -> None:
+        self._round += 1
+        if not self._active:
+            return
+        least_mb = max(0.0, min(load.left_mb for load in self._active))
+        self._loop.after(least_mb / self._rate(), self._finish, self._round)
+
+    def _finish(self, number: int) -> None:
+        if number != self._round:
+            return
+        self._advance()
+        ended = [load for load in self._active if load.left_mb <= REST_MB]
+        self._active = [load for load in self._active if load.left_mb > REST_MB]
+        self._plan_next()
+        for load in ended:
+            load.done()
+
+
+class AdapterPath:
+    """Adapter loads: slower in proportion above ``adapters_in_transit``."""
+
+    def __init__(self, loop: EventLoop, header: Header, rng: random.Random):
+        self._loop = loop
+        self._least_ms, self._greatest_ms = header.adapter_load_ms
+        self._at_full_speed = header.adapters_in_transit
+        self._rng = rng
+        self._in_transit = 0
+
+    def load(self, done: Callable[[], None]) -> None:
+        """Begin an adapter load; call ``done`` at its end."""
+        self._in_transit += 1
+        slowdown = max(1.0, self._in_transit / self._at_full_speed)
+        time_ms = self._rng.uniform(self._least_ms, self._greatest_ms) * slowdown
+        self._loop.after(time_ms / 1000.0, self._finish, done)
+
+    def _finish(self, done: Callable[[], None]) -> None:
+        self._in_transit -= 1
+        done()
--- /dev/null
+++ b/src/marjoramstage/bench/driver.py
@@ -0,0 +1,322 @@
+"""Drives the decision code through a trace on one virtual clock."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+from marjoramstage.bench._calls import Calls
+from marjoramstage.bench._faults import Faults
+from marjoramstage.bench._instances import FakeInstance, Instances
+from marjoramstage.bench._inventory import inventory_of, with_next_version
+from marjoramstage.bench._leases import Leases
+from marjoramstage.bench._links import Links
+from marjoramstage.bench._loop import EventLoop
+from marjoramstage.bench._platform import FakePlatform
+from marjoramstage.bench._target import Counts, FakeTarget
+from marjoramstage.bench._weights import AdapterPath, WeightStore
+from marjoramstage.bench.policies import POLICIES, Policy
+from marjoramstage.bench.trace import FaultLine, RequestLine, Trace
+from marjoramstage.protocol.events import (
+    AdapterAsked,
+    AskAdapter,
+    Dispatch,
+    Effect,
+    InstanceLoaded,
+    InventoryAccepted,
+    Machine,
+    OrderEnded,
+    ReadLedger,
+    Refuse,
+    SendOrder,
+    TargetGone,
+    TargetLeaving,
+    TargetListed,
+    TargetReported,
+    Tick,
+    WriteLedger,
+)
+from marjoramstage.protocol.messages import (
+    Order,
+    OrderAnswer,
+    OrderOutcome,
+    Target,
+    TargetKind,
+)
+
+TICK_EVERY_S = 0.1
+REPORT_EVERY_S = 0.25
+REPORT_LAG_S = 0.1
+LOAD_EVERY_S = 0.2
+LOAD_LAG_S = 0.2
+FAR_LOAD_LAG_S = 0.5
+LISTING_LAG_S = 1.0
+WATCH_S = 0.5
+ADAPTER_ASKED_S = 0.001
+ORDER_TIMEOUT_S = 60.0
+END_MARGIN_S = 5.0
+
+
+class Replay:
+    """One run of one policy over one trace.
+
+    Attributes
+    ----------
+    counts : Counts
+        What the fake targets saw.
+    calls : Calls
+        What the callers received.
+    """
+
+    def __init__(self, trace: Trace, policy: str, seed: int):
+        header = trace.header
+        rng = random.Random(f"{seed}:{header.name}")
+        self.trace = trace
+        self.loop = EventLoop()
+        self.counts = Counts()
+        self.links = Links(header)
+        self.platform = FakePlatform(self.loop)
+        self.inventory = inventory_of(trace)
+        self.generation = 1
+        self.targets = self._build_targets(rng)
+        made: Policy = POLICIES[policy](header, self.inventory, rng)
+        self.instances = Instances(
+            header.instances, header.data_centres, made, self.loop, self._perform
+        )
+        self.leases = Leases(
+            header.data_centres, self.instances, self.links, self.platform, self.loop
+        )
+        customers = {customer.name: customer for customer in header.customers}
+        self.calls = Calls(
+            self.loop, self.links, self.instances, self.targets, customers, self.counts
+        )
+        self.faults = Faults(self)
+        self._listed: dict[str, Target] = {}
+        self._turn = dict.fromkeys(header.data_centres, 0)
+        self._lines = iter(trace.lines)
+        self._offered = sum(1 for _ in trace.requests)
+        self._phases = [rng.uniform(0.0, REPORT_EVERY_S) for _ in header.targets]
+
+    def run(self) -> None:
+        """Replay the whole trace."""
+        for name, fake in self.targets.items():
+            self._listed[name] = self.listing(fake)
+        for inst in self.instances.all:
+            self.introduce(inst)
+        self.leases.start()
+        self._tick()
+        self._share_loads()
+        for fake, phase_s in zip(self.targets.values(), self._phases, strict=True):
+            self.loop.at(phase_s, self._report, fake)
+        self._next_line()
+        self.loop.run(self._end_s())
+        self.calls.close()
+
+    def listing(self, fake: FakeTarget, leaving: bool = False) -> Target:
+        """Return a target as the platform lists it."""
+        spec = fake.spec
+        return Target(
+            spec.name, spec.data_centre, TargetKind(spec.kind), spec.name, leaving
+        )
+
+    def introduce(self, inst: FakeInstance) -> None:
+        """Tell an instance what is in force and which targets there are."""
+        self.announce(inst, self.generation)
+        for target in self._listed.values():
+            self.instances.post_all(inst, TargetListed(target))
+
+    def announce(self, inst: FakeInstance, generation: int) -> None:
+        """Bring a generation to an instance as soon as it can be reached."""
+        if not inst.alive or inst.generation >= generation:
+            return
+        if generation != self.generation:
+            return
+        if not self._hears_generation(inst, generation):
+            self.loop.after(WATCH_S, self.announce, inst, generation)
+            return
+        inst.generation = generation
+        event = InventoryAccepted(generation, self.inventory)
+        self.instances.post_all(inst, event)
+
+    def accept(self, document: str) -> None:
+        """Put an edited inventory in force."""
+        self.generation += 1
+        self.inventory = with_next_version(self.inventory, document)
+        for inst in self.instances.all:
+            self.loop.after(WATCH_S, self.announce, inst, self.generation)
+
+    def list_target(self, fake: FakeTarget, leaving: bool) -> None:
+        """Show the state of a target to every instance, after a lag."""
+        self.loop.after(LISTING_LAG_S, self._relist, fake, leaving)
+
+    def _relist(self, fake: FakeTarget, leaving: bool) -> None:
+        name = fake.spec.name
+        if self.platform.down:
+            self.list_target(fake, leaving)
+            return
+        gone = not fake.alive
+        self._listed.pop(name, None)
+        if not gone:
+            self._listed[name] = self.listing(fake, leaving)
+        for inst in self.instances.all:
+            if not self.links.reaches_platform(inst.name):
+                continue
+            if gone:
+                self.instances.post_all(inst, TargetGone(name))
+                continue
+            self.instances.post_all(inst, TargetListed(self._listed[name]))
+            if leaving:
+                self.instances.post_all(inst, TargetLeaving(name))
+
+    def _hears_generation(self, inst: FakeInstance, generation: int) -> bool:
+        if generation == 1:
+            return True
+        if not self.platform.down and self.links.reaches_platform(inst.name):
+            return True
+        return any(
+            other.serving
+            and other.generation >= generation
+            and self.links.joined(inst.name, other.name)
+            for other in self.instances.all
+        )
+
+    def _build_targets(self, rng: random.Random) -> dict[str, FakeTarget]:
+        header = self.trace.header
+        weights = WeightStore(self.loop, header.store)
+        path = AdapterPath(self.loop, header, random.Random(rng.random()))
+        models = self.inventory.model_by_name
+        return {
+            spec.name: FakeTarget(spec, self.loop, weights, path, models, self.counts)
+            for spec in header.targets
+        }
+
+    def _end_s(self) -> float:
+        latest_ms = max(
+            (line.at_ms + line.deadline_ms for line in self.trace.requests), default=0.0
+        )
+        last_ms = self.trace.lines[-1].at_ms if self.trace.lines else 0.0
+        return max(latest_ms, last_ms) / 1000.0 + END_MARGIN_S
+
+    def _next_line(self) -> None:
+        line = next(self._lines, None)
+        if line is not None:
+            self.loop.at(line.at_ms / 1000.0, self._take, line)
+
+    def _take(self, line: RequestLine | FaultLine) -> None:
+        if isinstance(line, FaultLine):
+            self.faults.begin(line)
+        else:
+            self.calls.arrive(line, self._balance(line.data_centre))
+        self._next_line()
+
+    def _balance(self, data_centre: str) -> FakeInstance | None:
+        """Return the next instance in turn, of another place if need be."""
+        live = [i for i in self.instances.all if i.serving and i.generation]
+        near = [inst for inst in live if inst.spec.data_centre == data_centre]
+        found = near or live
+        if not found:
+            return None
+        self._turn[data_centre] += 1
+        return found[self._turn[data_centre] % len(found)]
+
+    def _tick(self) -> None:
+        for inst in self.instances.all:
+            if not inst.serving:
+                continue
+            self.instances.post(inst, inst.scheduler, Tick())
+            for data_centre in sorted(inst.holds):
+                self.instances.post(inst, inst.placers[data_centre], Tick())
+        if self.calls.resolved >= self._offered:
+            self.loop.stop()
+            return
+        self.loop.after(TICK_EVERY_S, self._tick)
+
+    def _report(self, fake: FakeTarget) -> None:
+        self.loop.after(REPORT_EVERY_S, self._report, fake)
+        if fake.alive:
+            event = TargetReported(fake.report())
+            self.loop.after(REPORT_LAG_S, self._deliver_report, event)
+
+    def _deliver_report(self, event: TargetReported) -> None:
+        for inst in self.instances.all:
+            if inst.serving and self.links.joined(inst.name, event.report.target):
+                self.instances.post_all(inst, event)
+
+    def _share_loads(self) -> None:
+        self.loop.after(LOAD_EVERY_S, self._share_loads)
+        for inst in self.instances.all:
+            own_load = getattr(inst.scheduler, "own_load", None)
+            if own_load is None or not inst.serving:
+                continue
+            load = own_load(self.loop.now_s)
+            if inst.holds:
+                load = replace(load, shards=tuple(sorted(inst.holds)))
+            event = InstanceLoaded(load)
+            self.loop.after(LOAD_LAG_S, self._deliver_load, inst, event, True)
+            self.loop.after(FAR_LOAD_LAG_S, self._deliver_load, inst, event, False)
+
+    def _deliver_load(
+        self, sender: FakeInstance, event: InstanceLoaded, near: bool
+    ) -> None:
+        for inst in self.instances.all:
+            same = inst.spec.data_centre == sender.spec.data_centre
+            if same is not near or not inst.serving:
+                continue
+            if self.links.joined(inst.name, sender.name):
+                self.instances.post_all(inst, event)
+
+    def _perform(self, inst: FakeInstance, machine: Machine, effect: Effect) -> None:
+        match effect:
+            case Dispatch():
+                self.calls.dispatched(inst, effect)
+            case Refuse():
+                self.calls.refused(inst, effect)
+            case AskAdapter():
+                self.loop.after(ADAPTER_ASKED_S, self._ask_adapter, inst, effect)
+            case ReadLedger(target):
+                reachable, post = self._platform_call(inst, machine)
+                self.platform.read(target, reachable, post)
+            case WriteLedger(ledger):
+                reachable, post = self._platform_call(inst, machine)
+                self.platform.write(ledger, reachable, post)
+            case SendOrder(order, _):
+                self._send_order(inst, machine, order)
+
+    def _platform_call(self, inst: FakeInstance, machine: Machine):
+        return (
+            lambda: self.links.reaches_platform(inst.name),
+            lambda event: self.instances.post(inst, machine, event),
+        )
+
+    def _ask_adapter(self, sender: FakeInstance, effect: AskAdapter) -> None:
+        data_centre = self.targets[effect.target].spec.data_centre
+        event = AdapterAsked(effect.target, effect.item)
+        for inst in self.instances.hosts(data_centre):
+            if data_centre not in inst.holds:
+                continue
+            if self.links.joined(sender.name, inst.name):
+                self.instances.post(inst, inst.placers[data_centre], event)
+
+    def _send_order(self, inst: FakeInstance, machine: Machine, order: Order) -> None:
+        def answer(outcome: OrderOutcome) -> None:
+            if not self.links.joined(inst.name, order.target):
+                outcome = OrderOutcome.UNKNOWN
+            delay_s = self.links.delay_s(inst.name, order.target)
+            event = OrderEnded(OrderAnswer(order, outcome))
+            self.loop.after(delay_s, self.instances.post, inst, machine, event)
+
+        def ignored(outcome: OrderOutcome) -> None:
+            """Stand for an answer that its sender no longer waits for."""
+
+        fake = self.targets[order.target]
+        if not self.links.joined(inst.name, order.target):
+            answer(OrderOutcome.REFUSED)
+            return
+        delay_s = self.links.delay_s(inst.name, order.target)
+        late_s = self.faults.order_delay_s(order.target)
+        if late_s is None:
+            self.loop.after(delay_s, fake.order, order, answer)
+            return
+        self.loop.after(ORDER_TIMEOUT_S, answer, OrderOutcome.UNKNOWN)
+        if late_s != float("inf"):
+            self.loop.after(delay_s + late_s, fake.order, order, ignored)
--- /dev/null
+++ b/src/marjoramstage/bench/policies/_on_demand.py
@@ -0,0 +1,194 @@
+"""Load on demand with eviction of the least recently used."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from marjoramstage.bench.policies._plain import Pick, PlainScheduler
+from marjoramstage.bench.trace import Header
+from marjoramstage.protocol.events import (
+    AdapterAsked,
+    AskAdapter,
+    Effect,
+    Event,
+    InventoryAccepted,
+    OrderEnded,
+    SendOrder,
+    TargetReported,
+    Tick,
+)
+from marjoramstage.protocol.messages import (
+    Item,
+    Order,
+    OrderAction,
+    OrderOutcome,
+    Request,
+    TargetReport,
+)
+from marjoramstage.state.inventory import Inventory
+
+
+class Fleet:
+    """What the parts of this baseline share, without any delay.
+
+    Such knowledge flatters the baseline; no part of a running system has it.
+    """
+
+    def __init__(self, header: Header, inventory: Inventory):
+        engines = [target for target in header.targets if target.kind == "engine"]
+        self.capacity_mb = {target.name: target.memory_mb for target in engines}
+        self.data_centre = {target.name: target.data_centre for target in engines}
+        self.held: dict[str, dict[Item, int]] = {t.name: {} for t in engines}
+        self.used_at: dict[tuple[str, Item], int] = {}
+        self.in_use: Counter[tuple[str, Item]] = Counter()
+        self.turn = 0
+        self.base = {adapter.name: adapter.model for adapter in inventory.adapters}
+
+    def use(self, target: str, item: Item) -> None:
+        """Note a use of an item."""
+        self.turn += 1
+        self.used_at[target, item] = self.turn
+
+    def free_mb(self, target: str) -> int:
+        """Return the free memory of a target, in MB."""
+        return self.capacity_mb[target] - sum(self.held[target].values())
+
+    def oldest(self, target: str) -> Item | None:
+        """Return the item that was used least recently and is not in use."""
+        idle = [item for item in self.held[target] if not self._busy(target, item)]
+        return min(idle, key=lambda i: self.used_at.get((target, i), 0), default=None)
+
+    def _busy(self, target: str, item: Item) -> bool:
+        if self.in_use[target, item]:
+            return True
+        return any(
+            self.base.get(other.name) == item.name for other in self.held[target]
+        )
+
+
+class LruScheduler(PlainScheduler):
+    """Asks for what no target holds at one of its own data centre."""
+
+    def __init__(self, pick: Pick, queue_requests: int, fleet: Fleet, data_centre: str):
+        super().__init__(pick, queue_requests)
+        self._fleet = fleet
+        self._data_centre = data_centre
+
+    def missing(self, request: Request, items: tuple[Item, ...]) -> list[Effect]:
+        """Ask for the model, or for the adapter where the model is."""
+        if not items:
+            return []
+        model, *rest = items
+        holders = [n for n, held in self._fleet.held.items() if model in held]
+        holders = [name for name in holders if name in self.targets]
+        if not holders:
+            target = self._place()
+            return [AskAdapter(target, model)] if target else []
+        return [AskAdapter(holders[0], item) for item in rest]
+
+    def started(self, request: Request, items: tuple[Item, ...], name: str) -> None:
+        """Note the use of every item."""
+        for item in items:
+            self._fleet.use(name, item)
+            self._fleet.in_use[name, item] += 1
+
+    def ended(self, request: Request, name: str) -> None:
+        """Note the end of the use."""
+        for item in self.needed(request):
+            self._fleet.in_use[name, item] -= 1
+
+    def _place(self) -> str | None:
+        fleet = self._fleet
+        names = [name for name in fleet.held if name in self.targets]
+        near = [n for n in names if fleet.data_centre[n] == self._data_centre]
+        return max(near or names, key=fleet.free_mb, default=None)
+
+
+class LruPlacer:
+    """Loads what it is asked for; evicts idle items until it fits."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self._wanted: dict[str, list[Item]] = {}
+        self._loading: dict[tuple[str, Item], str] = {}
+        self._unloading: set[tuple[str, Item]] = set()
+        self._memory_mb: dict[str, int] = {}
+        self._reports: dict[str, TargetReport] = {}
+        self._number = 0
+
+    def handle(self, event: Event, now_s: float) -> list[Effect]:
+        """Take one event in; return orders."""
+        match event:
+            case InventoryAccepted():
+                inventory = event.inventory
+                for entry in (*inventory.models, *inventory.adapters):
+                    self._memory_mb[entry.name] = entry.memory_mb
+            case TargetReported(report) if report.target in self._fleet.held:
+                self._reported(report)
+            case AdapterAsked(target, item):
+                wanted = self._wanted.setdefault(target, [])
+                if item not in wanted and item not in self._fleet.held[target]:
+                    wanted.append(item)
+                return self._work(target)
+            case OrderEnded(answer):
+                self._ended(answer.order, answer.outcome)
+                return self._work(answer.order.target)
+            case Tick():
+                return [e for target in list(self._wanted) for e in self._work(target)]
+        return []
+
+    def _reported(self, report: TargetReport) -> None:
+        known = self._reports.get(report.target)
+        self._reports[report.target] = report
+        if known is None or known.incarnation == report.incarnation:
+            return
+        self._fleet.held[report.target] = {}
+
+    def _work(self, target: str) -> list[Effect]:
+        report = self._reports.get(target)
+        wanted = self._wanted.get(target)
+        if report is None or not wanted:
+            return []
+        fleet, item = self._fleet, wanted[0]
+        base = fleet.base.get(item.name)
+        needed_mb = self._memory_mb[item.name]
+        if base and all(held.name != base for held in fleet.held[target]):
+            wanted.pop(0)
+            return []
+        if fleet.free_mb(target) >= needed_mb:
+            wanted.pop(0)
+            fleet.held[target][item] = needed_mb
+            fleet.use(target, item)
+            return [self._send(report, OrderAction.LOAD, item), *self._work(target)]
+        if any(name == target for name, _ in self._unloading):
+            return []
+        victim = fleet.oldest(target)
+        if victim is None:
+            return []
+        self._unloading.add((target, victim))
+        fleet.in_use[target, victim] += 1
+        return [self._send(report, OrderAction.UNLOAD, victim)]
+
+    def _ended(self, order: Order, outcome: OrderOutcome) -> None:
+        fleet, key = self._fleet, (order.target, order.item)
+        if order.action is OrderAction.UNLOAD:
+            self._unloading.discard(key)
+            fleet.in_use[key] -= 1
+            if outcome is OrderOutcome.DONE:
+                fleet.held[order.target].pop(order.item, None)
+            return
+        if outcome is not OrderOutcome.DONE:
+            fleet.held[order.target].pop(order.item, None)
+
+    def _send(self, report: TargetReport, action: OrderAction, item: Item) -> Effect:
+        self._number += 1
+        order = Order(
+            target=report.target,
+            incarnation=report.incarnation,
+            number=self._number,
+            fence=0,
+            action=action,
+            item=item,
+            memory_mb=self._memory_mb[item.name],
+        )
+        return SendOrder(order, report.target)
--- /dev/null
+++ b/src/marjoramstage/bench/policies/first.py
@@ -0,0 +1,29 @@
+"""The first version of the decision code, kept for comparison."""
+
+from __future__ import annotations
+
+import random
+
+from marjoramstage.bench.policies._first_admission import FirstScheduler
+from marjoramstage.bench.policies._first_placement import FirstPlacer
+from marjoramstage.bench.policies._gate import LeaseGate
+from marjoramstage.bench.trace import Header
+from marjoramstage.protocol.events import Machine
+from marjoramstage.state.inventory import Inventory
+
+QUEUE_REQUESTS = 256
+
+
+class First:
+    """Policy of the first version."""
+
+    def __init__(self, header: Header, inventory: Inventory, rng: random.Random):
+        self._inventory = inventory
+
+    def scheduler(self, instance: str, data_centre: str) -> Machine:
+        """Return the first scheduler."""
+        return FirstScheduler(QUEUE_REQUESTS)
+
+    def placer(self, instance: str, data_centre: str) -> Machine:
+        """Return the first placer, made to keep to its lease."""
+        return LeaseGate(FirstPlacer(data_centre))
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Sequence
 
-from marjoramstage._commands import exits, operate, serve, standin
+from marjoramstage._commands import bench, exits, operate, serve, standin
 from marjoramstage.exceptions import ConfigError
 
 
@@ -26,6 +26,6 @@
         prog="marjoramstage", description="Serve many models on fewer accelerators."
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for group in (serve, operate, standin):
+    for group in (serve, operate, standin, bench):
         group.add(commands)
     return parser
