--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -84,6 +84,11 @@
     repeatable: bool = False
     prefix: int = 0
 
+    @property
+    def yields(self) -> bool:
+        """Whether an attempt may be stopped for more urgent work."""
+        return self.repeatable and self.request_class is RequestClass.OVERNIGHT
+
 
 @dataclass(frozen=True)
 class Target:
@@ -143,6 +148,12 @@
         Highest fencing number that it has seen.
     last_orders : tuple of int
         Numbers of the latest orders that it finished.
+    expiry : bool
+        Whether it refuses orders that are past their ``expires_s``.
+    clock_s : float
+        Reading of its own clock at the report, in seconds.
+    started_s : float
+        When the incarnation started; rises with each start.
     """
 
     target: str
@@ -157,6 +168,9 @@
     leaving: bool = False
     highest_fence: int = 0
     last_orders: tuple[int, ...] = ()
+    expiry: bool = False
+    clock_s: float = 0.0
+    started_s: float = 0.0
 
 
 class OrderAction(enum.Enum):
@@ -180,6 +194,9 @@
         Incarnation of the target that the order is meant for.
     base : Item or None
         The model under an adapter.
+    expires_s : float
+        Reading of the target's clock after which it is to refuse the order;
+        0 for none.
     """
 
     target: str
@@ -190,6 +207,7 @@
     item: Item
     memory_mb: int
     base: Item | None = None
+    expires_s: float = 0.0
 
 
 class OrderOutcome(enum.Enum):
@@ -209,6 +227,18 @@
     reason: str = ""
 
 
+class AttemptReason(enum.StrEnum):
+    """Why an attempt ended without its answer."""
+
+    BUSY = "busy"
+    NOT_RESIDENT = "not-resident"
+    REFUSED = "refused"
+    CONNECT = "connect"
+    BROKEN = "broken"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+
+
 @dataclass(frozen=True)
 class AttemptEnd:
     """The end of one attempt at a target.
@@ -219,6 +249,8 @@
         Output tokens that the attempt delivered.
     first_token_s : float or None
         Time from dispatch to the first token, in seconds.
+    reason : str
+        An `AttemptReason` when the attempt failed, else empty.
     """
 
     request: Request
@@ -241,12 +273,20 @@
         loses nothing.
     waiting : int
         Requests in the queue now.
+    live : int
+        Those of them that are not overnight work.
     """
 
     item: Item
     requests: int
     tokens: int
     waiting: int = 0
+    live: int = 0
+
+    @property
+    def counts(self) -> tuple[int, int, int, int]:
+        """All counts, in the order of the fields."""
+        return self.requests, self.tokens, self.waiting, self.live
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/marjoramstage/standins/_weights.py
@@ -0,0 +1,37 @@
+"""The weight store that engines of one process load from."""
+
+from __future__ import annotations
+
+
+class WeightStore:
+    """A rate-limited store.
+
+    Parameters
+    ----------
+    loads_per_s : float
+        Loads that may begin each second; 0 for no limit.
+    at_once : int
+        Loads that run at full speed; more of them take longer in proportion.
+    """
+
+    def __init__(self, loads_per_s: float = 0.0, at_once: int = 8):
+        self._gap_s = 1 / loads_per_s if loads_per_s > 0 else 0.0
+        self._at_once = at_once
+        self._next_s = 0.0
+        self._ends_s: list[float] = []
+
+    def load(self, now_s: float, full_speed_s: float) -> float:
+        """Begin a load; return how long it takes from now on, in seconds.
+
+        Parameters
+        ----------
+        full_speed_s : float
+            How long it takes alone, in seconds.
+        """
+        begin_s = max(now_s, self._next_s)
+        self._next_s = begin_s + self._gap_s
+        self._ends_s = [end_s for end_s in self._ends_s if end_s > begin_s]
+        slowdown = max(1.0, (len(self._ends_s) + 1) / self._at_once)
+        end_s = begin_s + full_speed_s * slowdown
+        self._ends_s.append(end_s)
+        return end_s - now_s
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -33,35 +34,57 @@
     return code, json.loads(text or "[]")
 
 
+@dataclass(frozen=True)
+class Scenario:
+    """One scenario that ran.
+
+    Attributes
+    ----------
+    name : str
+        Name of its feature and its own.
+    status : str
+        behave's word; anything but ``passed`` is a failure.
+    """
+
+    name: str
+    status: str
+
+
 def scenario_results(features):
-    """Return name and status of every scenario."""
+    """Return every scenario that ran."""
     found = []
     for feature in features:
         for element in feature.get("elements", []):
             if element.get("type") == "background":
                 continue
-            name = f"{feature['name']} / {element['name']}"
-            found.append((name, element.get("status", "failed")))
+            name = f"{feature['name']} / {element['name']}".strip()
+            status = element.get("status", "failed")
+            found.append(Scenario(name, status))
     return found
 
 
 def main():
     """Run the tests; return the exit code."""
-    code, features = run_behave(sys.argv[1:])
-    red = known_red()
+    args = sys.argv[1:]
+    code, features = run_behave(args)
+    scenarios, red, whole = scenario_results(features), known_red(), not args
     passed, failed, listed = 0, 0, 0
-    for name, status in scenario_results(features):
-        if name in red:
+    for scenario in scenarios:
+        if scenario.name in red:
             listed += 1
-            print(f"known red: {name}: {status}")
-            if status == "passed":
+            print(f"known red: {scenario.name}: {scenario.status}")
+            if scenario.status == "passed":
                 print("it passes again: take it out of KNOWN-RED.txt")
                 failed += 1
             continue
-        if status == "passed":
+        if scenario.status == "passed":
             passed += 1
             continue
-        print(f"failed: {name}: {status}")
+        print(f"{scenario.status}: {scenario.name}")
+        failed += 1
+    names = {scenario.name for scenario in scenarios}
+    for name in sorted(red - names if whole else ()):
+        print(f"KNOWN-RED.txt names a scenario that is not there: {name}")
         failed += 1
     if code != 0 and failed == 0 and listed == 0:
         print("behave failed outside a scenario")
