--- a/src/marjoramstage/standins/engine.py
+++ b/src/marjoramstage/standins/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 import uuid
 from collections import deque
 from dataclasses import dataclass
@@ -113,6 +114,7 @@
         super().__init__(name, address, slots, faults or EngineFaults())
         self.memory = EngineMemory(memory_mb, fencing)
         self.cancelled = 0
+        self._started_s = time.time()
         self._weights = weights or WeightStore()
         self._streams = Streams()
         self._reports: deque[dict] = deque(maxlen=KEPT_REPORTS)
@@ -143,6 +145,7 @@
             leaving=self.faults.leaving,
             highest_fence=self.memory.highest_fence,
             last_orders=self.memory.last_orders,
+            started_s=self._started_s,
         )
         return report_to_data(report)
 
@@ -275,4 +278,5 @@
         action=OrderAction(data["action"]),
         item=Item(data["name"], data["version"]),
         memory_mb=data["memory_mb"],
+        expires_s=data.get("expires_s", 0.0),
     )
