--- a/src/marjoramstage/_commands/standin.py
+++ b/src/marjoramstage/_commands/standin.py
@@ -38,6 +38,7 @@
     parser = commands.add_parser("demo", help="the whole system in one process")
     parser.add_argument("--callers", default="127.0.0.1:8080", help="ip:port")
     parser.add_argument("--operators", default="127.0.0.1:8081", help="ip:port")
+    parser.add_argument("--peers", default="127.0.0.1:8082", help="ip:port")
     parser.set_defaults(run=_demo)
 
 
@@ -49,7 +50,7 @@
 
 def _demo(args: argparse.Namespace) -> int:
     logs.configure("warning", "demo")
-    listen = Listen(callers=args.callers, operators=args.operators)
+    listen = Listen(args.callers, args.operators, args.peers)
     asyncio.run(_run_demo(Demo(listen)))
     return exits.OK
 
