--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
+import uuid
 from typing import Any
 
 import aiohttp
 from result import Result
 
+from marjoramstage._instance.claims import ClaimDesk
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
 from marjoramstage._instance.leasing import LeaseDesk
@@ -14,14 +17,16 @@
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import Release, accept
+from marjoramstage.coordination.usage import UsageCollector
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import Event, Tick
+from marjoramstage.protocol.events import AdapterAsked, AskAdapter, Event, Tick
 from marjoramstage.protocol.objects import PlatformError
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
@@ -30,7 +35,7 @@
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
 from marjoramstage.transport.relay import Relay
-from marjoramstage.transport.targets import HttpTargets
+from marjoramstage.transport.targets import CallClient, HttpTargets
 
 log = part_logger("instance")
 
@@ -70,15 +75,22 @@
     def _parts(self) -> tuple:
         """Return the parts that run until the instance stops."""
         desks = (self.requests, self.placing, self.leasing)
-        return (*desks, self.follower, self.reporter)
+        return (*desks, self.follower, self.reporter, self.usage)
 
     def _wire(self) -> None:
         """Build every part."""
         cfg, clock = self.settings, self._clock
         self.platform = HttpPlatform(self._session, cfg.platform, cfg.namespace)
         targets = HttpTargets(self._session)
-        scheduler = Scheduler(cfg.limits.queue_requests)
-        self.requests = RequestDesk(scheduler, clock, self.metrics)
+        incarnation = uuid.uuid4().hex
+        scheduler = Scheduler(
+            cfg.limits.queue_requests,
+            instance=cfg.name,
+            data_centre=cfg.data_centre,
+            incarnation=incarnation,
+            rng=random.Random(),
+        )
+        self.requests = RequestDesk(scheduler, clock, self.metrics, self._ask_adapter)
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
@@ -94,16 +106,34 @@
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
         )
-        relay = Relay(self.requests, targets, clock)
+        self.usage = UsageDesk(UsageCollector(incarnation), self.platform, clock)
+        claims = ClaimDesk(self.platform, clock, random.Random(), self._tasks.spawn)
+        self._calls = CallClient()
+        relay = Relay(
+            self.requests,
+            self._calls,
+            targets,
+            clock,
+            self.metrics,
+            self.usage,
+            self._tasks.spawn,
+        )
         self.callers = CallerPort(
-            relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
+            relay,
+            lambda: self.follower.inventory,
+            cfg.limits,
+            clock,
+            self.metrics,
+            claims,
         )
         operators = OperatorPort(self, cfg.secret)
         self._servers = (
             HttpServer(
                 self.callers.app(),
                 cfg.listen.callers,
-                ServerLimits(header_bytes=cfg.limits.header_bytes),
+                ServerLimits(
+                    header_bytes=cfg.limits.header_bytes, cancel_handlers=True
+                ),
             ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
@@ -114,7 +144,9 @@
         await self.leasing.stop()
         for server in self._servers:
             await server.stop()
+        await self.usage.write()
         await self._tasks.stop()
+        await self._calls.close()
         await self._session.close()
         log.info("stopped")
 
@@ -153,6 +185,10 @@
             self._post(Tick())
             await self._clock.sleep(TICK_EVERY_S)
 
+    def _ask_adapter(self, effect: AskAdapter) -> None:
+        """Pass a wish for an adapter on to the placer."""
+        self.placing.post(AdapterAsked(effect.target, effect.item))
+
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
