--- a/src/marjoramstage/_instance/leasing.py
+++ b/src/marjoramstage/_instance/leasing.py
@@ -19,9 +19,10 @@
     ReadLease,
     WriteLease,
 )
-from marjoramstage.coordination.shards import rendezvous, shard_names
+from marjoramstage.coordination.shards import rendezvous, shard_names, shard_of
 from marjoramstage.logs import part_logger
 from marjoramstage.protocol.events import Event, InstanceGone, InstanceLoaded, LeaseLost
+from marjoramstage.protocol.messages import Target
 from marjoramstage.protocol.objects import (
     LEASE,
     OWN_GROUP,
@@ -64,6 +65,7 @@
         self._clock = clock
         self._peers_s: dict[str, float] = {}
         identity = f"{instance}/{uuid.uuid4().hex}"
+        self._shards = shards
         names = shard_names(data_centre, shards)
         self.keepers = {name: LeaseKeeper(name, identity) for name in names}
 
@@ -92,6 +94,10 @@
                 elif isinstance(effect, LeaseLost):
                     self._post(effect)
 
+    def shard_of(self, target: Target) -> str:
+        """Return the shard whose lease covers a target."""
+        return shard_of(target.name, target.data_centre, self._shards)
+
     def held(self) -> tuple[str, ...]:
         """Return the shards whose lease is valid now."""
         now_s = self._clock.now()
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -2,27 +2,44 @@
 
 from __future__ import annotations
 
+import random
+import uuid
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
 from result import Result
 
+from marjoramstage._instance.claims import ClaimDesk
+from marjoramstage._instance.draining import DrainGate
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
 from marjoramstage._instance.leasing import LeaseDesk
+from marjoramstage._instance.operating import Operations, new_edit_id
+from marjoramstage._instance.peering import PeerDesk
 from marjoramstage._instance.placing import PlacementDesk
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
+from marjoramstage._instance.status import instance_status
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
+from marjoramstage.coordination._loads import LOAD_EVERY_S
+from marjoramstage.coordination._release_store import Release
+from marjoramstage.coordination._steps import AdapterNeeded, LoadTold, StopPlanned
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
-from marjoramstage.coordination.releases import Release, accept
+from marjoramstage.coordination.releases import ApplyError, Edit
+from marjoramstage.coordination.usage import UsageCollector
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import Event, Tick
-from marjoramstage.protocol.objects import PlatformError
+from marjoramstage.protocol.events import (
+    AskAdapter,
+    Event,
+    InstanceLoaded,
+    Tick,
+)
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer, ServerLimits
@@ -30,7 +47,7 @@
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
 from marjoramstage.transport.relay import Relay
-from marjoramstage.transport.targets import HttpTargets
+from marjoramstage.transport.targets import CallClient, HttpTargets
 
 log = part_logger("instance")
 
@@ -53,32 +70,40 @@
         self.metrics = _metrics(settings)
         self._clock = clock or SystemClock()
         self._tasks = TaskGroup()
-        self._draining = False
 
     async def start(self) -> None:
         """Listen, and begin to follow the platform and the targets."""
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self._wire()
+        await self.peers.start()
         for server in self._servers:
             await server.start()
         for part in self._parts():
             self._tasks.spawn(part.run())
         self._tasks.spawn(self.callers.readers.run())
         self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._tell_load())
         log.info("started", extra={"callers": self.caller_address})
 
     def _parts(self) -> tuple:
         """Return the parts that run until the instance stops."""
         desks = (self.requests, self.placing, self.leasing)
-        return (*desks, self.follower, self.reporter)
+        return (*desks, self.follower, self.reporter, self.usage, self.peers)
 
     def _wire(self) -> None:
         """Build every part."""
         cfg, clock = self.settings, self._clock
         self.platform = HttpPlatform(self._session, cfg.platform, cfg.namespace)
         targets = HttpTargets(self._session)
-        scheduler = Scheduler(cfg.limits.queue_requests)
-        self.requests = RequestDesk(scheduler, clock, self.metrics)
+        incarnation = uuid.uuid4().hex
+        scheduler = Scheduler(
+            cfg.limits.queue_requests,
+            instance=cfg.name,
+            data_centre=cfg.data_centre,
+            incarnation=incarnation,
+            rng=random.Random(),
+        )
+        self.requests = RequestDesk(scheduler, clock, self.metrics, self._ask_adapter)
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
@@ -90,31 +115,64 @@
             self._tasks,
             clock,
         )
-        self.follower = Follower(self.platform, self._post, clock)
+        self.peers = PeerDesk(
+            cfg, self.platform, self._post, self._tasks, clock, self.metrics
+        )
+        self.operations = Operations(self.peers, self.platform, clock)
+        self.follower = Follower(
+            self.platform, self._post, self.peers.post, self.peers.members, clock
+        )
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
         )
-        relay = Relay(self.requests, targets, clock)
+        self.usage = UsageDesk(UsageCollector(incarnation), self.platform, clock)
+        claims = ClaimDesk(self.platform, clock, random.Random(), self._tasks.spawn)
+        self._calls = CallClient()
+        relay = Relay(
+            self.requests,
+            self._calls,
+            targets,
+            clock,
+            self.metrics,
+            self.usage,
+            self._tasks.spawn,
+        )
         self.callers = CallerPort(
-            relay, lambda: self.follower.inventory, cfg.limits, clock, self.metrics
+            relay,
+            lambda: self.peers.inventory,
+            cfg.limits,
+            clock,
+            self.metrics,
+            claims,
         )
-        operators = OperatorPort(self, cfg.secret)
+        operators = OperatorPort(self, self.operations, cfg.secret)
+        self.gate = DrainGate(cfg.limits.drain_s, clock)
+        callers_app = self.callers.app()
+        self.gate.guard(callers_app)
         self._servers = (
             HttpServer(
-                self.callers.app(),
+                callers_app,
                 cfg.listen.callers,
-                ServerLimits(header_bytes=cfg.limits.header_bytes),
+                ServerLimits(
+                    header_bytes=cfg.limits.header_bytes, cancel_handlers=True
+                ),
             ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
 
     async def stop(self) -> None:
-        """Finish what is in flight, then end every task."""
-        self._draining = True
+        """Finish what is in flight within the bound, then end every task."""
+        self.gate.ask()
+        self.peers.post(StopPlanned())
+        await self._servers[0].close_listener()
         await self.leasing.stop()
+        await self.gate.finished()
         for server in self._servers:
             await server.stop()
+        await self.usage.write()
         await self._tasks.stop()
+        await self._calls.close()
+        await self.peers.stop()
         await self._session.close()
         log.info("stopped")
 
@@ -130,29 +188,53 @@
 
     def ready(self) -> str:
         """Return why the instance cannot serve yet; empty if it can."""
-        if self._draining:
+        if not self.gate.drain.serving:
             return "it is stopping"
-        if self.follower.generation == 0:
-            return "no accepted inventory was read yet"
-        return ""
+        return self.peers.waits_for()
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process as JSON data."""
         return dump_instance(self)
 
-    def inventory(self) -> tuple[int, Inventory]:
-        """Return the generation and the inventory in force."""
-        return self.follower.generation, self.follower.inventory
+    def status(self) -> dict[str, Any]:
+        """Return what operators need to see of the deployment as JSON data."""
+        return instance_status(self)
 
-    async def apply(self, inventory: Inventory) -> Result[Release, PlatformError]:
-        """Submit an inventory."""
-        return await accept(self.platform, inventory)
+    async def apply(self, inventory: Inventory) -> Result[Release, ApplyError]:
+        """Submit an inventory on top of the present one."""
+        return await self.operations.apply(Edit(new_edit_id(), inventory))
+
+    def end_now(self) -> None:
+        """End what is in flight with verdicts; only after `stop` began."""
+        if not self.gate.drain.serving:
+            self.gate.ask()
+
+    def now(self) -> float:
+        """Return the reading of the monotonic clock."""
+        return self._clock.now()
 
     async def _tick(self) -> None:
         while True:
             self._post(Tick())
             await self._clock.sleep(TICK_EVERY_S)
 
+    def _ask_adapter(self, effect: AskAdapter) -> None:
+        """Pass a wish for an adapter on to the lease holder of its target."""
+        target = self.follower.targets.get(effect.target)
+        if target is None:
+            return
+        shard = self.leasing.shard_of(target)
+        self.peers.post(AdapterNeeded(effect.target, effect.item, shard))
+
+    async def _tell_load(self) -> None:
+        """Tell the peers and the own machines of this instance's load."""
+        while True:
+            load = self.requests.scheduler.own_load(self._clock.now())
+            load = replace(load, shards=self.leasing.held())
+            self.peers.post(LoadTold(load))
+            self._post(InstanceLoaded(load))
+            await self._clock.sleep(LOAD_EVERY_S)
+
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
