--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -153,6 +153,7 @@
         self._targets[target.name] = replace(target, leaving=leaving)
         if self._lease_of(target.name) is not None:
             self._books.setdefault(target.name, TargetBook(target.name))
+            self._wake(target.name)
         self._put_space(target.name)
 
     def _gone(self, name: str) -> None:
@@ -186,7 +187,7 @@
         if known is not None and _same_memory(report, known):
             return
         self._put_space(report.target)
-        self._active.add(report.target)
+        self._wake(report.target)
 
     def _lease_held(self, shard: str, lease: HeldLease) -> None:
         known = self._leases.get(shard)
@@ -288,6 +289,11 @@
 
         return check
 
+    def _wake(self, name: str) -> None:
+        """Look at a target's ledger in the next ticks, if it is kept here."""
+        if name in self._books:
+            self._active.add(name)
+
     def _put_space(self, name: str) -> None:
         target, report = self._targets.get(name), self._reports.get(name)
         if target is None or report is None:
