--- a/src/marjoramstage/coordination/_assignment.py
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -74,7 +74,7 @@
             evicted: list[Item] = []
             if chosen is None and evictions > 0:
                 evictions -= 1
-                room = self._evictions.room_for(wanted, now_s)
+                room = self._evictions.room_for(wanted, 0, now_s)
                 if room is None:
                     continue
                 chosen, evicted = room
--- a/src/marjoramstage/coordination/_eviction.py
+++ b/src/marjoramstage/coordination/_eviction.py
@@ -30,17 +30,22 @@
         return running + self._demand.waiting(item)
 
     def room_for(
-        self, wanted: WantedItem, now_s: float
+        self, wanted: WantedItem, spare_mb: int, now_s: float
     ) -> tuple[str, list[Item]] | None:
         """Return the target where room costs least, and what has to go there.
 
         Only copies that another target holds ready are given up.
+
+        Parameters
+        ----------
+        spare_mb : int
+            Memory to keep free beside the model, in MB.
         """
         best = None
         for space in self._residency.spaces.values():
             if not space.open or wanted.item in space.items:
                 continue
-            found = self.victims(space, wanted.memory_mb, now_s)
+            found = self.victims(space, wanted.memory_mb + spare_mb, now_s)
             if found is None:
                 continue
             cost, items = found
@@ -71,7 +76,12 @@
         return (cost, chosen) if missing_mb <= 0 else None
 
     def _value(self, space: TargetSpace, item: Item, now_s: float) -> float | None:
-        """Return what giving up this copy loses; None if it has to stay."""
+        """Return what giving up this copy loses; None if it has to stay.
+
+        A copy that was asked for lately may have work in flight and stays.
+        """
+        if self._demand.in_use(item, now_s):
+            return None
         if self._wanted.get(item) is None:
             successor = self._wanted.successor(item)
             if successor is None or self._residency.ready_at(successor):
@@ -92,7 +102,7 @@
     ) -> list[Item]:
         """Return the item and the adapters there that only work with it."""
         group = [] if item in chosen else [item]
-        for other in space.ready:
+        for other in sorted(space.ready):
             adapter = self._wanted.adapters.get(other)
             if adapter is None or other in chosen or other == item:
                 continue
--- a/src/marjoramstage/coordination/_planning.py
+++ b/src/marjoramstage/coordination/_planning.py
@@ -62,7 +62,7 @@
         self._settled_at_s = now_s + SETTLE_S
         self._share_budget()
         self.holders_changed(_differences(known, wanted))
-        for item in self._residency.items() - wanted.items():
+        for item in sorted(self._residency.items() - wanted.items()):
             self._obsolete_s.setdefault(item, now_s)
 
     def fleet_changed(self, now_s: float) -> None:
@@ -71,7 +71,7 @@
 
     def holders_changed(self, items: set[Item]) -> None:
         """Look again at items that a target gained or lost."""
-        for item in items:
+        for item in sorted(items):
             if item in self._wanted.models:
                 self._assignments.holders_changed(item)
                 self._replicas.look_at(item)
@@ -86,7 +86,7 @@
 
     def demand_changed(self, items: set[Item]) -> None:
         """Look again at items whose demand changed."""
-        for item in items:
+        for item in sorted(items):
             if item in self._wanted.models:
                 self._replicas.look_at(item)
 
@@ -147,7 +147,7 @@
         """Unload what is no longer wanted, after its successor can serve."""
         if not self._wanted.models:
             return
-        for item in self._unwanted:
+        for item in sorted(self._unwanted):
             self._obsolete_s.setdefault(item, now_s)
         self._unwanted.clear()
         for item, since_s in list(self._obsolete_s.items()):
--- a/src/marjoramstage/coordination/adapters.py
+++ b/src/marjoramstage/coordination/adapters.py
@@ -7,8 +7,6 @@
 from marjoramstage.protocol.messages import Item
 from marjoramstage.state.residency import TargetSpace
 
-KEEP_S = 5.0
-
 
 def customer_memory(space: TargetSpace, wanted: Wanted) -> dict[str, float]:
     """Return the adapter memory by customer, in MB over the customer's weight.
@@ -36,8 +34,8 @@
     """Return adapters of the target to unload for ``needed_mb``, or None.
 
     Adapters that nobody wants go first; then those of the customer that holds
-    the most for its weight, the least recently used of them first. What was
-    used within `KEEP_S` stays.
+    the most for its weight, the least recently used of them first. What may
+    have work in flight stays.
     """
     shares = customer_memory(space, wanted)
 
@@ -53,7 +51,7 @@
         for item in space.ready
         if item not in wanted.models
         and item in wanted.adapters
-        and now_s - demand.used_s(item) >= KEEP_S
+        and not demand.in_use(item, now_s)
     ]
     missing_mb = needed_mb - space.free_mb - space.coming_mb
     chosen: list[Item] = []
--- a/src/marjoramstage/coordination/demand.py
+++ b/src/marjoramstage/coordination/demand.py
@@ -9,6 +9,7 @@
 
 FAST_S = 15.0
 SLOW_S = 180.0
+IDLE_S = 10.0
 
 
 @dataclass
@@ -112,6 +113,10 @@
         """Return when the item was last asked for; -inf for never."""
         return self._used_s.get(item, -math.inf)
 
+    def in_use(self, item: Item, now_s: float) -> bool:
+        """Return whether work on the item may wait or be in flight."""
+        return self.waiting(item) > 0 or now_s - self.used_s(item) < IDLE_S
+
     def _rate(self, item: Item, now_s: float) -> ItemRate | None:
         rate = self._rates.get(item)
         if rate is not None:
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -73,7 +73,7 @@
         self._targets: dict[str, Target] = {}
         self._reports: dict[str, TargetReport] = {}
         self._books: dict[str, TargetBook] = {}
-        self._active: set[str] = set()
+        self._active: dict[str, None] = {}
         self._begun: dict[str, None] = {}
         self._residency = Residency()
         self._demand = Demand()
@@ -127,10 +127,10 @@
                 return self._ledger_read(ledger, now_s)
             case LedgerWriteFailed(name) if name in self._books:
                 self._books[name].failed(now_s)
-                self._active.add(name)
+                self._active[name] = None
             case OrderEnded(answer) if answer.order.target in self._books:
                 self._books[answer.order.target].ended(answer, now_s)
-                self._active.add(answer.order.target)
+                self._active[answer.order.target] = None
             case InstanceLoaded(load):
                 self._planner.demand_changed(self._demand.loaded(load, now_s))
             case InstanceGone(instance):
@@ -143,7 +143,7 @@
 
     def _accepted(self, inventory: Inventory, now_s: float) -> None:
         self._planner.accepted(Wanted(inventory), now_s)
-        self._active.update(self._books)
+        self._active.update(dict.fromkeys(self._books))
 
     def _listed(self, target: Target, now_s: float) -> None:
         known = self._targets.get(target.name)
@@ -160,7 +160,7 @@
         self._targets.pop(name, None)
         self._reports.pop(name, None)
         self._books.pop(name, None)
-        self._active.discard(name)
+        self._active.pop(name, None)
         self._planner.holders_changed(self._residency.remove(name))
 
     def _leaving(self, name: str) -> None:
@@ -199,13 +199,13 @@
         for name in self._targets:
             if self._shard(name) == shard:
                 self._books[name] = TargetBook(name)
-                self._active.add(name)
+                self._active[name] = None
 
     def _lease_lost(self, shard: str) -> None:
         self._leases.pop(shard, None)
         for name in [name for name in self._books if self._shard(name) == shard]:
             del self._books[name]
-            self._active.discard(name)
+            self._active.pop(name, None)
             self._put_space(name)
 
     def _ledger_read(self, ledger: Ledger, now_s: float) -> list[Effect]:
@@ -220,7 +220,7 @@
                 continue
             track.send()
             effects.append(SendOrder(track.order, self._targets[name].address))
-        self._active.add(name)
+        self._active[name] = None
         self._put_space(name)
         return effects
 
@@ -234,7 +234,7 @@
             if ledger is not None:
                 effects.append(WriteLedger(ledger))
             elif not self._books[name].unsettled:
-                self._active.discard(name)
+                self._active.pop(name, None)
         self._begun.clear()
         return effects
 
@@ -292,7 +292,7 @@
     def _wake(self, name: str) -> None:
         """Look at a target's ledger in the next ticks, if it is kept here."""
         if name in self._books:
-            self._active.add(name)
+            self._active[name] = None
 
     def _put_space(self, name: str) -> None:
         target, report = self._targets.get(name), self._reports.get(name)
