--- a/src/marjoramstage/coordination/_assignment.py
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -74,7 +74,7 @@
             evicted: list[Item] = []
             if chosen is None and evictions > 0:
                 evictions -= 1
-                room = self._evictions.room_for(wanted, 0, now_s)
+                room = self._evictions.room_for(wanted, now_s)
                 if room is None:
                     continue
                 chosen, evicted = room
@@ -101,16 +101,19 @@
                 return chosen.target
             elsewhere = not late
             self._release(wanted.item)
-        target = self._most_free(wanted.memory_mb, elsewhere)
+        target = self._most_free(wanted, elsewhere)
         if target is None and not elsewhere:
-            target = self._most_free(wanted.memory_mb, True)
+            target = self._most_free(wanted, True)
         if target is not None:
             self._choose(wanted, target, now_s)
         return target
 
-    def _most_free(self, memory_mb: int, elsewhere: bool) -> str | None:
-        """Return the target with the most memory that is not promised."""
-        best, best_mb = None, memory_mb - 1
+    def _most_free(self, wanted: WantedItem, elsewhere: bool) -> str | None:
+        """Return the target with the most memory that is not promised.
+
+        A target that also has room for the adapters is taken first.
+        """
+        best, best_mb = None, wanted.memory_mb - 1
         for free_mb, name in reversed(self._residency.by_free()):
             if free_mb <= best_mb:
                 break
@@ -118,10 +121,25 @@
             if not elsewhere and space.data_centre != self._data_centre:
                 continue
             left_mb = free_mb - self._promised_mb.get(name, 0)
+            left_mb -= self._evictions.adapter_room_mb(space, wanted)
             if left_mb > best_mb:
                 best, best_mb = name, left_mb
+        if best is None:
+            return self._any_free(wanted, elsewhere)
         return best
 
+    def _any_free(self, wanted: WantedItem, elsewhere: bool) -> str | None:
+        """Return the target with the most memory, room for adapters or not."""
+        for free_mb, name in reversed(self._residency.by_free()):
+            if free_mb < wanted.memory_mb:
+                return None
+            space = self._residency.spaces[name]
+            if not elsewhere and space.data_centre != self._data_centre:
+                continue
+            if free_mb - self._promised_mb.get(name, 0) >= wanted.memory_mb:
+                return name
+        return None
+
     def _choose(self, wanted: WantedItem, target: str, now_s: float) -> None:
         self._release(wanted.item)
         self._chosen[wanted.item] = Assignment(target, wanted.memory_mb, now_s)
--- a/src/marjoramstage/coordination/_eviction.py
+++ b/src/marjoramstage/coordination/_eviction.py
@@ -8,6 +8,8 @@
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.state.residency import Residency, TargetSpace
 
+ADAPTER_SHARE = 0.1
+
 
 class Evictions:
     """Values of residents, and the cheapest set of them to give up."""
@@ -29,23 +31,31 @@
         running = self._demand.tokens_per_s(item, now_s) / wanted.decode_tokens_per_s
         return running + self._demand.waiting(item)
 
+    def adapter_room_mb(self, space: TargetSpace, wanted: WantedItem) -> int:
+        """Return the memory to keep for adapters when a model joins a target."""
+        most_mb = int(space.capacity_mb * ADAPTER_SHARE)
+        needed_mb = 0
+        for base in (wanted.item, *space.items):
+            for adapter in self._wanted.adapters_of.get(base, ()):
+                if adapter.item not in space.items:
+                    needed_mb += adapter.memory_mb
+            if needed_mb >= most_mb:
+                return most_mb
+        return needed_mb
+
     def room_for(
-        self, wanted: WantedItem, spare_mb: int, now_s: float
+        self, wanted: WantedItem, now_s: float
     ) -> tuple[str, list[Item]] | None:
         """Return the target where room costs least, and what has to go there.
 
         Only copies that another target holds ready are given up.
-
-        Parameters
-        ----------
-        spare_mb : int
-            Memory to keep free beside the model, in MB.
         """
         best = None
         for space in self._residency.spaces.values():
             if not space.open or wanted.item in space.items:
                 continue
-            found = self.victims(space, wanted.memory_mb + spare_mb, now_s)
+            needed_mb = wanted.memory_mb + self.adapter_room_mb(space, wanted)
+            found = self.victims(space, needed_mb, now_s)
             if found is None:
                 continue
             cost, items = found
--- a/src/marjoramstage/coordination/_replicas.py
+++ b/src/marjoramstage/coordination/_replicas.py
@@ -9,7 +9,7 @@
 from marjoramstage.coordination.demand import Demand
 from marjoramstage.protocol.messages import Item
 from marjoramstage.state.inventory import Inventory
-from marjoramstage.state.residency import Residency, TargetSpace
+from marjoramstage.state.residency import Residency
 
 MODELS_PER_PLAN = 64
 SECOND_COPY_AT = 0.2
@@ -17,7 +17,6 @@
 SWAP_AT = 6.0
 SWAP_GAIN = 3.0
 SWAP_AGAIN_S = 30.0
-ADAPTER_SHARE = 0.1
 
 
 class Replicas:
@@ -78,30 +77,17 @@
             space = self._residency.spaces[name]
             if wanted.item in space.items:
                 continue
-            if free_mb - wanted.memory_mb >= self._adapter_room_mb(space, wanted):
+            if free_mb - wanted.memory_mb >= self._evictions.adapter_room_mb(
+                space, wanted
+            ):
                 return name
         return None
 
-    def _adapter_room_mb(self, space: TargetSpace, wanted: WantedItem) -> int:
-        """Return the memory to keep for adapters of the models on a target."""
-        most_mb = int(space.capacity_mb * ADAPTER_SHARE)
-        needed_mb = 0
-        for base in (wanted.item, *space.items):
-            for adapter in self._wanted.adapters_of.get(base, ()):
-                if adapter.item not in space.items:
-                    needed_mb += adapter.memory_mb
-            if needed_mb >= most_mb:
-                return most_mb
-        return needed_mb
-
     def _swap(
         self, wanted: WantedItem, load: float, now_s: float
     ) -> tuple[str, WantedItem, list[Item]] | None:
         """Give up copies that are worth much less, on a target not just used."""
-        spare_mb = sum(
-            a.memory_mb for a in self._wanted.adapters_of.get(wanted.item, ())
-        )
-        room = self._evictions.room_for(wanted, spare_mb, now_s)
+        room = self._evictions.room_for(wanted, now_s)
         if room is None or not self._is_own(room[0]):
             return None
         target, evicted = room
