Leave a missing model to its data centre for longer, then avoid that one

Cause: after 10 s of waiting each placer loaded a missing model into its own data centre, while the weight store was still busy with the first loads; copies too many filled targets and left no room for adapters.

--- a/src/marjoramstage/coordination/_assignment.py
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -19,7 +19,7 @@
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.state.residency import Residency
 
-GRACE_S = 10.0
+GRACE_S = 30.0
 MODELS_PER_PLAN = 64
 EVICTIONS_PER_PLAN = 2
 
@@ -91,7 +91,7 @@
     def _choice(self, wanted: WantedItem, now_s: float) -> str | None:
         """Return the target chosen before, or choose one with free memory."""
         chosen = self._chosen.get(wanted.item)
-        elsewhere = True
+        avoided = ""
         if chosen is not None:
             space = self._residency.spaces.get(chosen.target)
             fits = space is not None and space.open
@@ -99,42 +99,44 @@
             late = now_s - chosen.since_s >= GRACE_S
             if fits and not late:
                 return chosen.target
-            elsewhere = not late
+            if space is not None and space.data_centre != self._data_centre:
+                avoided = space.data_centre
             self._release(wanted.item)
-        target = self._most_free(wanted, elsewhere)
-        if target is None and not elsewhere:
-            target = self._most_free(wanted, True)
+        target = self._most_free(wanted, avoided) or self._any_free(wanted, avoided)
+        if target is None and avoided:
+            target = self._any_free(wanted, "")
         if target is not None:
             self._choose(wanted, target, now_s)
         return target
 
-    def _most_free(self, wanted: WantedItem, elsewhere: bool) -> str | None:
-        """Return the target with the most memory that is not promised.
+    def _most_free(self, wanted: WantedItem, avoided: str) -> str | None:
+        """Return the target with the most room beside its adapters.
 
-        A target that also has room for the adapters is taken first.
+        Parameters
+        ----------
+        avoided : str
+            Data centre that has let the model wait.
         """
         best, best_mb = None, wanted.memory_mb - 1
         for free_mb, name in reversed(self._residency.by_free()):
             if free_mb <= best_mb:
                 break
             space = self._residency.spaces[name]
-            if not elsewhere and space.data_centre != self._data_centre:
+            if space.data_centre == avoided:
                 continue
             left_mb = free_mb - self._promised_mb.get(name, 0)
             left_mb -= self._evictions.adapter_room_mb(space, wanted)
             if left_mb > best_mb:
                 best, best_mb = name, left_mb
-        if best is None:
-            return self._any_free(wanted, elsewhere)
         return best
 
-    def _any_free(self, wanted: WantedItem, elsewhere: bool) -> str | None:
+    def _any_free(self, wanted: WantedItem, avoided: str) -> str | None:
         """Return the target with the most memory, room for adapters or not."""
         for free_mb, name in reversed(self._residency.by_free()):
             if free_mb < wanted.memory_mb:
                 return None
             space = self._residency.spaces[name]
-            if not elsewhere and space.data_centre != self._data_centre:
+            if space.data_centre == avoided:
                 continue
             if free_mb - self._promised_mb.get(name, 0) >= wanted.memory_mb:
                 return name
