--- /dev/null
+++ b/src/marjoramstage/coordination/capacity.py
@@ -0,0 +1,136 @@
+"""Whether what an inventory asks for fits the memory that there is."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from marjoramstage.coordination._wanted import Wanted
+from marjoramstage.state.inventory import Inventory
+
+
+@dataclass(frozen=True)
+class TargetCapacity:
+    """Accelerator memory of one engine, in MB."""
+
+    target: str
+    data_centre: str
+    memory_mb: int
+
+
+@dataclass(frozen=True)
+class Shortfall:
+    """What does not fit in the deployment.
+
+    Attributes
+    ----------
+    unplaced : tuple of str
+        Models that no target has room for, as ``name@version``.
+    missing_mb : Mapping
+        Least further memory that would do, by data centre, in MB; the missing
+        part is shared out in proportion to the memory that is there.
+    unplaced_after_loss : tuple of str
+        Models without room after the loss of the target whose loss is worst.
+    missing_after_loss_mb : int
+        Least further memory that would do after that loss, in MB.
+    """
+
+    unplaced: tuple[str, ...] = ()
+    missing_mb: Mapping[str, int] | None = None
+    unplaced_after_loss: tuple[str, ...] = ()
+    missing_after_loss_mb: int = 0
+
+    @property
+    def fits(self) -> bool:
+        """Whether every wanted model can be resident."""
+        return not self.unplaced
+
+
+@dataclass(frozen=True)
+class _Part:
+    """A model with the adapters that have to fit beside it one at a time."""
+
+    name: str
+    memory_mb: int
+
+
+def shortfall(inventory: Inventory, capacities: Iterable[TargetCapacity]) -> Shortfall:
+    """Return what of the inventory does not fit the engines.
+
+    A model has to be resident once in the deployment, as callers reach it
+    from every data centre. Beside it there has to be room for the largest of
+    its adapters, as adapters are loaded on demand.
+    """
+    parts = _parts(inventory)
+    engines = sorted(capacities, key=lambda found: found.target)
+    unplaced = _unplaced(parts, engines)
+    lost: tuple[_Part, ...] = ()
+    for gone in engines:
+        left = [engine for engine in engines if engine is not gone]
+        found = _unplaced(parts, left)
+        if _memory(found) > _memory(lost):
+            lost = found
+    return Shortfall(
+        unplaced=tuple(part.name for part in unplaced),
+        missing_mb=_shared(_memory(unplaced), engines),
+        unplaced_after_loss=tuple(part.name for part in lost),
+        missing_after_loss_mb=_memory(lost),
+    )
+
+
+def _parts(inventory: Inventory) -> list[_Part]:
+    wanted = Wanted(inventory)
+    parts = []
+    for item, model in wanted.models.items():
+        adapters = wanted.adapters_of.get(item, ())
+        room_mb = max((adapter.memory_mb for adapter in adapters), default=0)
+        parts.append(_Part(str(item), model.memory_mb + room_mb))
+    return sorted(parts, key=lambda part: (-part.memory_mb, part.name))
+
+
+def _unplaced(parts: list[_Part], engines: list[TargetCapacity]) -> tuple[_Part, ...]:
+    """Return the parts that have no room, the largest tried first.
+
+    Placement takes the emptiest target. Where that does not fit everything,
+    the fullest target that has room is tried too; the better result counts.
+    """
+    spread = _pack(parts, engines, emptiest=True)
+    if not spread:
+        return ()
+    packed = _pack(parts, engines, emptiest=False)
+    return min(spread, packed, key=_memory)
+
+
+def _pack(
+    parts: list[_Part], engines: list[TargetCapacity], emptiest: bool
+) -> tuple[_Part, ...]:
+    free_mb = {engine.target: engine.memory_mb for engine in engines}
+    unplaced = []
+    for part in parts:
+        fitting = [name for name in free_mb if free_mb[name] >= part.memory_mb]
+        if not fitting:
+            unplaced.append(part)
+            continue
+        choose = max if emptiest else min
+        free_mb[choose(fitting, key=lambda name: (free_mb[name], name))] -= (
+            part.memory_mb
+        )
+    return tuple(unplaced)
+
+
+def _memory(parts: tuple[_Part, ...]) -> int:
+    return sum(part.memory_mb for part in parts)
+
+
+def _shared(missing_mb: int, engines: list[TargetCapacity]) -> dict[str, int]:
+    """Share missing memory between the data centres; round up."""
+    there_mb: dict[str, int] = {}
+    for engine in engines:
+        known_mb = there_mb.get(engine.data_centre, 0)
+        there_mb[engine.data_centre] = known_mb + engine.memory_mb
+    total_mb = sum(there_mb.values())
+    if missing_mb == 0 or total_mb == 0:
+        return {}
+    return {
+        name: -(-missing_mb * part_mb // total_mb) for name, part_mb in there_mb.items()
+    }
