--- a/src/marjoramstage/coordination/_assignment.py
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -112,23 +112,24 @@
     def _most_free(self, wanted: WantedItem, avoided: str) -> str | None:
         """Return the target with the most room beside its adapters.
 
+        Equal room is decided by name: placers see equal room in unlike order.
+
         Parameters
         ----------
         avoided : str
             Data centre that has let the model wait.
         """
-        best, best_mb = None, wanted.memory_mb - 1
+        best = (wanted.memory_mb, "")
         for free_mb, name in reversed(self._residency.by_free()):
-            if free_mb <= best_mb:
+            if free_mb < best[0]:
                 break
             space = self._residency.spaces[name]
             if space.data_centre == avoided:
                 continue
             left_mb = free_mb - self._promised_mb.get(name, 0)
             left_mb -= self._evictions.adapter_room_mb(space, wanted)
-            if left_mb > best_mb:
-                best, best_mb = name, left_mb
-        return best
+            best = max(best, (left_mb, name))
+        return best[1] or None
 
     def _any_free(self, wanted: WantedItem, avoided: str) -> str | None:
         """Return the target with the most memory, room for adapters or not."""
