Drive the lease keepers in replays; mend two faults of placement

Cause: replays of several data centres raised KeyError in Placer._plan, as a reported target of another data centre was looked up among own books, and ValueError in reserve, as a draft made from newer proof had less room than the move was planned with. Both ended the placer's task. Ruled out: foreign targets among the active ones being meant; only own ones have books.

--- a/src/marjoramstage/bench/_calls.py
+++ b/src/marjoramstage/bench/_calls.py
@@ -22,6 +22,7 @@
 )
 from marjoramstage.protocol.messages import (
     AttemptEnd,
+    AttemptReason,
     Item,
     Request,
     RequestClass,
@@ -29,7 +30,8 @@
 )
 
 BREAK_NOTICED_S = 2.0
-BROKEN = ("broken", "cut")
+CUT = "cut"
+BROKEN = (AttemptReason.BROKEN, CUT)
 
 
 @dataclass
@@ -108,19 +110,38 @@
         """Send an attempt to its target."""
         call = self.open.get(effect.request.id)
         if call is None or call.target:
-            self._ended(inst, effect.request, effect.target, Verdict.NOT_RUN)
+            end = RunEnd(Verdict.NOT_RUN, False, reason=AttemptReason.CANCELLED)
+            self._ended(inst, effect.request, effect.target, end)
             return
         call.attempt += 1
         call.target = effect.target
         call.dispatched_s = self.loop.now_s
         if not self.links.joined(inst.name, effect.target):
-            end = RunEnd(Verdict.NOT_RUN, False, reason="connect")
+            end = RunEnd(Verdict.NOT_RUN, False, reason=AttemptReason.CONNECT)
             self.loop.after(BREAK_NOTICED_S, self._answer, call, call.attempt, end)
             return
         delay_s = self.links.delay_s(inst.name, effect.target)
         items = _items(effect)
         self.loop.after(delay_s, self._reach, call, call.attempt, effect, items)
 
+    def withdrawn(self, inst: FakeInstance, request: Request, target: str) -> None:
+        """Stop an attempt for more urgent work, unless its answer has begun."""
+        call = self.open.get(request.id)
+        if call is None or call.target != target:
+            return
+        delay_s = self.links.delay_s(inst.name, target)
+        begins_s = self.targets[target].first_token_at_s(request.id) + delay_s
+        if begins_s <= self.loop.now_s:
+            return
+        self.cancel(inst, request.id, target)
+        call.attempt += 1
+        call.target = ""
+        call.may_have_run = True
+        end = RunEnd(Verdict.MAY_HAVE_RUN, False, reason=AttemptReason.CANCELLED)
+        self._ended(inst, request, target, end)
+        event = RetryAsked(request, call.failed)
+        self.instances.post(inst, inst.scheduler, event)
+
     def cancel(self, inst: FakeInstance, request_id: str, target: str) -> None:
         """Carry a cancel to a target."""
         if target in self.targets and self.links.joined(inst.name, target):
@@ -152,7 +173,7 @@
         """Carry the end of an attempt back to its instance."""
         name = call.inst.name
         if not self.links.joined(name, call.target or name):
-            end = RunEnd(Verdict.MAY_HAVE_RUN, False, reason="cut")
+            end = RunEnd(Verdict.MAY_HAVE_RUN, False, reason=CUT)
             self.loop.after(BREAK_NOTICED_S, self._answer, call, attempt, end)
             return
         delay_s = self.links.delay_s(name, call.target or name)
@@ -168,11 +189,11 @@
         if end.first_token_at_s is not None:
             first_token_s = end.first_token_at_s - call.dispatched_s
         call.target = ""
-        self._ended(inst, request, target, end.verdict, end.ok, first_token_s)
+        self._ended(inst, request, target, end, first_token_s)
         if end.ok:
             self._met_or_late(call, end)
             return
-        if end.reason == "deadline":
+        if end.reason == AttemptReason.DEADLINE:
             self._resolve(call, Outcome.LATE, end.reason)
             return
         self._retry_or_fail(call, target, end)
@@ -200,13 +221,19 @@
         inst: FakeInstance,
         request: Request,
         target: str,
-        verdict: Verdict,
-        ok: bool = False,
+        end: RunEnd,
         first_token_s: float | None = None,
     ) -> None:
-        tokens = request.output_tokens if ok else 0
-        end = AttemptEnd(request, target, verdict, ok, tokens, first_token_s)
-        self.instances.post(inst, inst.scheduler, AttemptEnded(end))
+        attempt = AttemptEnd(
+            request=request,
+            target=target,
+            verdict=end.verdict,
+            ok=end.ok,
+            tokens=request.output_tokens if end.ok else 0,
+            first_token_s=first_token_s,
+            reason=_told_reason(end.reason),
+        )
+        self.instances.post(inst, inst.scheduler, AttemptEnded(attempt))
 
     def _resolve(self, call: Call, outcome: Outcome, reason: str = "") -> None:
         if self.open.pop(call.request.id, None) is None:
@@ -226,6 +253,14 @@
             self.tally.lost_by_fault += 1
 
 
+def _told_reason(reason: str) -> str:
+    """Return the reason as an instance sees it."""
+    known = {each.value for each in AttemptReason}
+    if not reason or reason in known:
+        return reason
+    return AttemptReason.BROKEN.value
+
+
 def _items(effect: Dispatch) -> tuple[Item, ...]:
     """Return the items that the name in a dispatch asks for."""
     if effect.request.kind is TargetKind.SERVICE:
--- a/src/marjoramstage/bench/_instances.py
+++ b/src/marjoramstage/bench/_instances.py
@@ -8,6 +8,7 @@
 from marjoramstage.bench._loop import EventLoop
 from marjoramstage.bench.policies import Policy
 from marjoramstage.bench.trace import InstanceSpec
+from marjoramstage.coordination.leases import LeaseKeeper
 from marjoramstage.protocol.events import Effect, Event, Machine
 
 Perform = Callable[["FakeInstance", "Machine", Effect], None]
@@ -22,6 +23,8 @@
     placers : dict
         Placement by data centre; the instance's own, and any other that has
         no instance.
+    keepers : dict
+        Keeper of the lease of each of these data centres.
     holds : set of str
         Data centres whose lease the instance was given and has not lost.
     generation : int
@@ -31,12 +34,13 @@
     spec: InstanceSpec
     scheduler: Machine
     placers: dict[str, Machine]
+    keepers: dict[str, LeaseKeeper]
     alive: bool = True
     frozen: bool = False
     holds: set[str] = field(default_factory=set)
     generation: int = 0
     start: int = 1
-    inbox: list[tuple[Machine, Event]] = field(default_factory=list)
+    inbox: list[tuple[Callable, tuple]] = field(default_factory=list)
 
     @property
     def name(self) -> str:
@@ -74,13 +78,16 @@
 
     def post(self, inst: FakeInstance, machine: Machine, event: Event) -> None:
         """Hand an event to a machine; a frozen instance takes it in later."""
-        if not inst.alive or machine not in self._machines(inst):
+        self.run(inst, self._handle, inst, machine, event)
+
+    def run(self, inst: FakeInstance, func: Callable, *args) -> None:
+        """Call what an instance does on its own; a frozen one does it later."""
+        if not inst.alive:
             return
         if inst.frozen:
-            inst.inbox.append((machine, event))
+            inst.inbox.append((func, args))
             return
-        for effect in machine.handle(event, self._loop.now_s):
-            self._perform(inst, machine, effect)
+        func(*args)
 
     def post_all(self, inst: FakeInstance, event: Event) -> None:
         """Hand an event to the scheduler and every placer of an instance."""
@@ -91,8 +98,8 @@
         """Let a frozen instance take in what came meanwhile."""
         inst.frozen = False
         waiting, inst.inbox = inst.inbox, []
-        for machine, event in waiting:
-            self.post(inst, machine, event)
+        for func, args in waiting:
+            self.run(inst, func, *args)
 
     def kill(self, inst: FakeInstance) -> None:
         """End an instance; it keeps nothing."""
@@ -103,17 +110,27 @@
 
     def restart(self, inst: FakeInstance) -> None:
         """Start an instance anew under its name."""
-        fresh = self._build(inst.spec)
+        start = inst.start + 1
+        fresh = self._build(inst.spec, start)
         inst.scheduler, inst.placers = fresh.scheduler, fresh.placers
+        inst.keepers = fresh.keepers
         inst.alive = True
         inst.generation = 0
-        inst.start += 1
+        inst.start = start
 
-    def _build(self, spec: InstanceSpec) -> FakeInstance:
+    def _build(self, spec: InstanceSpec, start: int = 1) -> FakeInstance:
         places = [spec.data_centre, *self._orphans]
         placers = {place: self._policy.placer(spec.name, place) for place in places}
         scheduler = self._policy.scheduler(spec.name, spec.data_centre)
-        return FakeInstance(spec, scheduler, placers)
+        identity = f"{spec.name}/{start}"
+        keepers = {place: LeaseKeeper(place, identity) for place in places}
+        return FakeInstance(spec, scheduler, placers, keepers, start=start)
+
+    def _handle(self, inst: FakeInstance, machine: Machine, event: Event) -> None:
+        if machine is not inst.scheduler and machine not in inst.placers.values():
+            return
+        for effect in machine.handle(event, self._loop.now_s):
+            self._perform(inst, machine, effect)
 
     def _machines(self, inst: FakeInstance) -> list[Machine]:
         return [inst.scheduler, *inst.placers.values()]
--- a/src/marjoramstage/bench/_leases.py
+++ b/src/marjoramstage/bench/_leases.py
@@ -1,32 +1,29 @@
-"""Fake leases: one a data centre, renewed while its holder can be reached."""
+"""Drives the lease keepers of the instances against the fake platform."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from marjoramstage.bench._instances import FakeInstance, Instances
 from marjoramstage.bench._links import Links
 from marjoramstage.bench._loop import EventLoop
-from marjoramstage.bench._platform import FakePlatform
-from marjoramstage.protocol.events import LeaseHeld, LeaseLost
-
-TERM_S = 10.0
-RENEW_EVERY_S = 3.0
-
+from marjoramstage.bench._platform import CallEnd, FakePlatform
+from marjoramstage.coordination.leases import (
+    LeaseEffect,
+    LeaseKeeper,
+    ReadLease,
+    WriteLease,
+)
+from marjoramstage.coordination.shards import rendezvous
+from marjoramstage.protocol.events import LeaseHeld
 
-@dataclass
-class _Lease:
-    holder: FakeInstance | None = None
-    fence: int = 0
-    until_s: float = 0.0
+LEASE_TICK_S = 0.25
+LEASE = "lease"
 
 
 class Leases:
-    """Who may place on the targets of each data centre."""
+    """Takes and renews the leases of each data centre's targets."""
 
     def __init__(
         self,
-        data_centres: tuple[str, ...],
         instances: Instances,
         links: Links,
         platform: FakePlatform,
@@ -36,49 +33,80 @@
         self._links = links
         self._platform = platform
         self._loop = loop
-        self._leases = {name: _Lease() for name in data_centres}
-
-    def start(self) -> None:
-        """Give every lease out, and go on renewing."""
-        for data_centre, lease in self._leases.items():
-            self._renew(data_centre, lease)
-        self._loop.after(RENEW_EVERY_S, self.start)
-
-    def _renew(self, data_centre: str, lease: _Lease) -> None:
-        self._tell_losers(data_centre, lease)
-        if self._platform.down:
-            return
-        holder = lease.holder
-        if holder is not None and self._can_hold(holder):
-            self._grant(data_centre, lease)
-            return
-        if self._loop.now_s < lease.until_s:
-            return
-        for inst in self._instances.hosts(data_centre):
-            if not self._can_hold(inst):
-                continue
-            lease.holder = inst
-            lease.fence += 1
-            self._grant(data_centre, lease)
-            return
-
-    def _can_hold(self, inst: FakeInstance) -> bool:
-        return inst.serving and self._links.reaches_platform(inst.name)
-
-    def _grant(self, data_centre: str, lease: _Lease) -> None:
-        lease.until_s = self._loop.now_s + TERM_S
-        inst = lease.holder
-        inst.holds.add(data_centre)
-        event = LeaseHeld(data_centre, lease.fence, lease.until_s)
-        self._instances.post(inst, inst.placers[data_centre], event)
-
-    def _tell_losers(self, data_centre: str, lease: _Lease) -> None:
-        """Tell an earlier holder once it is able to ask for its lease again."""
-        for inst in self._instances.hosts(data_centre):
-            if inst is lease.holder or data_centre not in inst.holds:
-                continue
-            if not self._can_hold(inst):
+
+    def tick(self) -> None:
+        """Let every serving instance's keepers act, and go on."""
+        self._loop.after(LEASE_TICK_S, self.tick)
+        for inst in self._instances.all:
+            if not inst.serving:
                 continue
+            for data_centre, keeper in inst.keepers.items():
+                rank = self._rank(inst, data_centre)
+                self._perform(inst, keeper, keeper.tick(rank, self._loop.now_s))
+
+    def _rank(self, inst: FakeInstance, data_centre: str) -> int:
+        hosts = self._instances.hosts(data_centre)
+        live = {host.name for host in hosts if host.alive} | {inst.name}
+        return rendezvous(data_centre, sorted(live)).index(inst.name)
+
+    def _perform(
+        self, inst: FakeInstance, keeper: LeaseKeeper, effects: list[LeaseEffect]
+    ) -> None:
+        for effect in effects:
+            match effect:
+                case ReadLease():
+                    self._read(inst, keeper)
+                case WriteLease():
+                    self._write(inst, keeper, effect)
+                case _:
+                    self._tell(inst, keeper.shard, effect)
+
+    def _tell(self, inst: FakeInstance, data_centre: str, effect: LeaseEffect) -> None:
+        if isinstance(effect, LeaseHeld):
+            inst.holds.add(data_centre)
+        else:
             inst.holds.discard(data_centre)
-            event = LeaseLost(data_centre)
-            self._instances.post(inst, inst.placers[data_centre], event)
+        self._instances.post(inst, inst.placers[data_centre], effect)
+
+    def _read(self, inst: FakeInstance, keeper: LeaseKeeper) -> None:
+        def done(end: CallEnd, record) -> None:
+            now_s = self._loop.now_s
+            if end is CallEnd.OK:
+                self._perform(inst, keeper, keeper.read(record, now_s))
+                return
+            self._perform(inst, keeper, keeper.failed(now_s))
+
+        self._platform.read(
+            LEASE, keeper.shard, self._reachable(inst), self._later(inst, done)
+        )
+
+    def _write(self, inst: FakeInstance, keeper: LeaseKeeper, effect: WriteLease):
+        def done(end: CallEnd, record) -> None:
+            now_s = self._loop.now_s
+            if end is CallEnd.OK:
+                self._perform(inst, keeper, keeper.written(record, now_s))
+            elif end is CallEnd.CONFLICT:
+                self._perform(inst, keeper, keeper.refused(now_s))
+            else:
+                self._perform(inst, keeper, keeper.failed(now_s))
+
+        self._platform.write(
+            LEASE,
+            keeper.shard,
+            effect.record,
+            self._reachable(inst),
+            self._later(inst, done),
+        )
+
+    def _reachable(self, inst: FakeInstance):
+        return lambda: self._links.reaches_platform(inst.name)
+
+    def _later(self, inst: FakeInstance, func):
+        """Return ``func`` as a callback of this start of an instance."""
+        start = inst.start
+
+        def run(*args) -> None:
+            if inst.start == start:
+                self._instances.run(inst, func, *args)
+
+        return run
--- a/src/marjoramstage/bench/_platform.py
+++ b/src/marjoramstage/bench/_platform.py
@@ -1,13 +1,13 @@
-"""A fake object API: ledgers with conditional updates, and its faults."""
+"""A fake object API: conditional updates, and its faults."""
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from marjoramstage.bench._loop import EventLoop
-from marjoramstage.protocol.events import Event, LedgerRead, LedgerWriteFailed
-from marjoramstage.state.ledger import Ledger
 
 CALL_S = 0.004
 SLOW_CALL_S = 2.0
@@ -15,8 +15,20 @@
 LOST_ANSWER_S = 2.0
 
 
+class CallEnd(enum.Enum):
+    """How a call to the platform ended for its caller."""
+
+    OK = "ok"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+
+
+Reachable = Callable[[], bool]
+Done = Callable[[CallEnd, Any], None]
+
+
 class FakePlatform:
-    """Keeps ledgers; every answer comes later, as an event.
+    """Keeps frozen objects with a ``version``; every answer comes later.
 
     Attributes
     ----------
@@ -33,51 +45,46 @@
         self.writes = 0
         self.reads = 0
         self._loop = loop
-        self._ledgers: dict[str, Ledger] = {}
+        self._objects: dict[tuple[str, str], Any] = {}
         self._version = 0
 
-    @property
-    def call_s(self) -> float:
-        """Time of a call now, in seconds."""
-        return SLOW_CALL_S if self.slow else CALL_S
-
-    def read(
-        self, target: str, reachable: Callable[[], bool], post: Callable[[Event], None]
-    ) -> None:
-        """Read a ledger; an empty one stands for none."""
-        self._loop.after(self.call_s, self._read, target, reachable, post)
+    def read(self, kind: str, name: str, reachable: Reachable, done: Done) -> None:
+        """Read an object; None stands for one that was never written."""
+        self._loop.after(self._call_s, self._read, (kind, name), reachable, done)
 
     def write(
-        self,
-        ledger: Ledger,
-        reachable: Callable[[], bool],
-        post: Callable[[Event], None],
+        self, kind: str, name: str, obj: Any, reachable: Reachable, done: Done
     ) -> None:
-        """Write a ledger if its version is still the stored one."""
-        self._loop.after(self.call_s, self._write, ledger, reachable, post)
+        """Write an object if its version is still the stored one."""
+        self._loop.after(self._call_s, self._write, (kind, name), obj, reachable, done)
+
+    @property
+    def _call_s(self) -> float:
+        return SLOW_CALL_S if self.slow else CALL_S
 
-    def _read(self, target, reachable, post) -> None:
+    def _read(self, key: tuple[str, str], reachable: Reachable, done: Done) -> None:
         if self.down or not reachable():
-            self._loop.after(FAILURE_S, post, LedgerWriteFailed(target))
+            self._loop.after(FAILURE_S, done, CallEnd.UNAVAILABLE, None)
             return
         self.reads += 1
-        post(LedgerRead(self._ledgers.get(target, Ledger(target, "", 0))))
+        done(CallEnd.OK, self._objects.get(key))
 
-    def _write(self, ledger, reachable, post) -> None:
-        failed = LedgerWriteFailed(ledger.target)
+    def _write(
+        self, key: tuple[str, str], obj: Any, reachable: Reachable, done: Done
+    ) -> None:
         if self.down or not reachable():
-            self._loop.after(FAILURE_S, post, failed)
+            self._loop.after(FAILURE_S, done, CallEnd.UNAVAILABLE, None)
             return
         self.writes += 1
-        stored = self._ledgers.get(ledger.target)
-        if ledger.version != (stored.version if stored else ""):
-            post(failed)
+        stored = self._objects.get(key)
+        if obj.version != (stored.version if stored else ""):
+            done(CallEnd.CONFLICT, None)
             return
         self._version += 1
-        written = replace(ledger, version=str(self._version))
-        self._ledgers[ledger.target] = written
+        written = replace(obj, version=str(self._version))
+        self._objects[key] = written
         if self.answers_to_lose > 0:
             self.answers_to_lose -= 1
-            self._loop.after(LOST_ANSWER_S, post, failed)
+            self._loop.after(LOST_ANSWER_S, done, CallEnd.UNAVAILABLE, None)
             return
-        post(LedgerRead(written))
+        done(CallEnd.OK, written)
--- a/src/marjoramstage/bench/_target.py
+++ b/src/marjoramstage/bench/_target.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from marjoramstage.bench.trace import TargetSpec
 from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.messages import (
+    AttemptReason,
     Item,
     Order,
     OrderAction,
@@ -23,8 +25,10 @@
 )
 from marjoramstage.standins._memory import EngineMemory
 from marjoramstage.state.inventory import Model
+from marjoramstage.transport.relay import OVERRUN_S
 
 SERVICE_CALL_S = 0.02
+UNLOADED = "unloaded"
 
 
 @dataclass
@@ -70,14 +74,15 @@
     done: Callable[[RunEnd], None]
     ended: bool = False
     running: bool = False
+    first_token_at_s: float = math.inf
 
 
 class FakeTarget:
     """One target.
 
     A request takes its prompt at the prefill speed until its first token and
-    its output at the decode speed after it, whatever runs beside it. It ends
-    at its deadline, as its instance cancels it then.
+    its output at the decode speed after it, whatever runs beside it. It is
+    ended `OVERRUN_S` after its deadline, as its instance cancels it then.
     """
 
     def __init__(
@@ -129,6 +134,8 @@
             leaving=self.left_at_s is not None,
             highest_fence=self.memory.highest_fence,
             last_orders=self.memory.last_orders,
+            clock_s=self._loop.now_s,
+            started_s=self._started_s,
         )
 
     def submit(
@@ -136,13 +143,13 @@
     ) -> None:
         """Take a request in; ``done`` is called at its end."""
         if not self.alive:
-            done(RunEnd(Verdict.NOT_RUN, False, reason="connect"))
+            done(RunEnd(Verdict.NOT_RUN, False, reason=AttemptReason.CONNECT))
             return
         if self.left_at_s is not None:
             late_s = self._loop.now_s - self.left_at_s
             self._counts.served_after_leaving.append(late_s)
         if not all(self.memory.ready(item) for item in items):
-            done(RunEnd(Verdict.NOT_RUN, False, reason="not-resident"))
+            done(RunEnd(Verdict.NOT_RUN, False, reason=AttemptReason.NOT_RESIDENT))
             return
         run = Run(request, items, done)
         self._runs[request.id] = run
@@ -151,13 +158,20 @@
             return
         entry = (request.request_class, next(self._order), run)
         heapq.heappush(self._waiting, entry)
-        self._loop.at(request.deadline_s, self._give_up, run)
+        self._loop.at(request.deadline_s + OVERRUN_S, self._give_up, run)
+
+    def first_token_at_s(self, request_id: str) -> float:
+        """Return when a request's answer begins; infinity if it has not run."""
+        run = self._runs.get(request_id)
+        return math.inf if run is None else run.first_token_at_s
 
     def cancel(self, request_id: str) -> None:
         """Stop a request whose instance gave it up."""
         run = self._runs.get(request_id)
         if run is not None:
-            self._end(run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason="cancelled"))
+            self._end(
+                run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason=AttemptReason.CANCELLED)
+            )
 
     def order(self, order: Order, answer: Callable[[OrderOutcome], None]) -> None:
         """Carry an order out; ``answer`` is called at its end."""
@@ -166,7 +180,7 @@
             return
         held = order.item in self.memory.residents
         before = self.memory.overcommits
-        accepted = self.memory.accept(order)
+        accepted = self.memory.accept(order, self._loop.now_s)
         self._counts.overcommit_events += self.memory.overcommits - before
         if not accepted:
             answer(OrderOutcome.REFUSED)
@@ -188,7 +202,9 @@
         """End the process at once; what is inside may have run."""
         self.alive = False
         for run in list(self._runs.values()):
-            self._end(run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason="broken"))
+            self._end(
+                run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason=AttemptReason.BROKEN)
+            )
         for waiting in list(self._loading.values()):
             for _, answer in waiting:
                 answer(OrderOutcome.UNKNOWN)
@@ -207,6 +223,7 @@
             self.left_at_s = self._loop.now_s
 
     def _restart_memory(self) -> None:
+        self._started_s = self._loop.now_s
         self.memory = EngineMemory(self.spec.memory_mb, self.spec.fencing)
         self._runs: dict[str, Run] = {}
         self._waiting: list[tuple[int, int, Run]] = []
@@ -238,7 +255,7 @@
             if order.item not in run.items:
                 continue
             self._counts.cut_off += 1
-            self._end(run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason="unloaded"))
+            self._end(run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason=UNLOADED))
         self.memory.finish(order)
         if held:
             self._counts.unloads += 1
@@ -259,14 +276,18 @@
             first_token_at_s = now_s + prompt_s
             end_s = first_token_at_s
             end_s += request.output_tokens / model.decode_tokens_per_s
-        if end_s > request.deadline_s:
-            self._loop.at(request.deadline_s, self._give_up, run)
+        run.first_token_at_s = first_token_at_s
+        latest_s = request.deadline_s + OVERRUN_S
+        if end_s > latest_s:
+            self._loop.at(latest_s, self._give_up, run)
             return
         end = RunEnd(Verdict.RAN, True, first_token_at_s)
         self._loop.at(end_s, self._end, run, end)
 
     def _give_up(self, run: Run) -> None:
-        self._end(run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason="deadline"))
+        self._end(
+            run, RunEnd(Verdict.MAY_HAVE_RUN, False, reason=AttemptReason.DEADLINE)
+        )
 
     def _end(self, run: Run, end: RunEnd) -> None:
         if run.ended:
--- a/src/marjoramstage/bench/driver.py
+++ b/src/marjoramstage/bench/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 
 from marjoramstage.bench._calls import Calls
@@ -12,7 +13,7 @@
 from marjoramstage.bench._leases import Leases
 from marjoramstage.bench._links import Links
 from marjoramstage.bench._loop import EventLoop
-from marjoramstage.bench._platform import FakePlatform
+from marjoramstage.bench._platform import CallEnd, FakePlatform
 from marjoramstage.bench._target import Counts, FakeTarget
 from marjoramstage.bench._weights import AdapterPath, WeightStore
 from marjoramstage.bench.policies import POLICIES, Policy
@@ -24,6 +25,8 @@
     Effect,
     InstanceLoaded,
     InventoryAccepted,
+    LedgerRead,
+    LedgerWriteFailed,
     Machine,
     OrderEnded,
     ReadLedger,
@@ -34,6 +37,7 @@
     TargetListed,
     TargetReported,
     Tick,
+    Withdraw,
     WriteLedger,
 )
 from marjoramstage.protocol.messages import (
@@ -43,7 +47,9 @@
     Target,
     TargetKind,
 )
+from marjoramstage.state.ledger import Ledger
 
+LEDGER = "ledger"
 TICK_EVERY_S = 0.1
 REPORT_EVERY_S = 0.25
 REPORT_LAG_S = 0.1
@@ -83,9 +89,7 @@
         self.instances = Instances(
             header.instances, header.data_centres, made, self.loop, self._perform
         )
-        self.leases = Leases(
-            header.data_centres, self.instances, self.links, self.platform, self.loop
-        )
+        self.leases = Leases(self.instances, self.links, self.platform, self.loop)
         customers = {customer.name: customer for customer in header.customers}
         self.calls = Calls(
             self.loop, self.links, self.instances, self.targets, customers, self.counts
@@ -103,7 +107,7 @@
             self._listed[name] = self.listing(fake)
         for inst in self.instances.all:
             self.introduce(inst)
-        self.leases.start()
+        self.leases.tick()
         self._tick()
         self._share_loads()
         for fake, phase_s in zip(self.targets.values(), self._phases, strict=True):
@@ -273,20 +277,38 @@
                 self.calls.refused(inst, effect)
             case AskAdapter():
                 self.loop.after(ADAPTER_ASKED_S, self._ask_adapter, inst, effect)
+            case Withdraw(request, target):
+                self.calls.withdrawn(inst, request, target)
             case ReadLedger(target):
-                reachable, post = self._platform_call(inst, machine)
-                self.platform.read(target, reachable, post)
+                self._read_ledger(inst, machine, target)
             case WriteLedger(ledger):
-                reachable, post = self._platform_call(inst, machine)
-                self.platform.write(ledger, reachable, post)
+                self._write_ledger(inst, machine, ledger)
             case SendOrder(order, _):
                 self._send_order(inst, machine, order)
 
-    def _platform_call(self, inst: FakeInstance, machine: Machine):
-        return (
-            lambda: self.links.reaches_platform(inst.name),
-            lambda event: self.instances.post(inst, machine, event),
-        )
+    def _read_ledger(self, inst: FakeInstance, machine: Machine, target: str) -> None:
+        def done(end: CallEnd, ledger: Ledger | None) -> None:
+            event = LedgerWriteFailed(target)
+            if end is CallEnd.OK:
+                event = LedgerRead(ledger or Ledger(target, "", 0))
+            self.instances.post(inst, machine, event)
+
+        self.platform.read(LEDGER, target, self._reachable(inst), done)
+
+    def _write_ledger(
+        self, inst: FakeInstance, machine: Machine, ledger: Ledger
+    ) -> None:
+        def done(end: CallEnd, written: Ledger | None) -> None:
+            event = LedgerWriteFailed(ledger.target)
+            if end is CallEnd.OK:
+                event = LedgerRead(written)
+            self.instances.post(inst, machine, event)
+
+        reachable = self._reachable(inst)
+        self.platform.write(LEDGER, ledger.target, ledger, reachable, done)
+
+    def _reachable(self, inst: FakeInstance) -> Callable[[], bool]:
+        return lambda: self.links.reaches_platform(inst.name)
 
     def _ask_adapter(self, sender: FakeInstance, effect: AskAdapter) -> None:
         data_centre = self.targets[effect.target].spec.data_centre
@@ -309,7 +331,9 @@
             """Stand for an answer that its sender no longer waits for."""
 
         fake = self.targets[order.target]
-        if not self.links.joined(inst.name, order.target):
+        may_order = getattr(machine, "may_order", None)
+        allowed = may_order is None or may_order(order.target, self.loop.now_s)
+        if not allowed or not self.links.joined(inst.name, order.target):
             answer(OrderOutcome.REFUSED)
             return
         delay_s = self.links.delay_s(inst.name, order.target)
--- a/src/marjoramstage/bench/policies/_first_ledger.py
+++ b/src/marjoramstage/bench/policies/_first_ledger.py
@@ -1,11 +1,70 @@
-"""Ledger transitions of the first version, unchanged since."""
+"""The ledger of the first version, unchanged since."""
 
 from __future__ import annotations
 
-from dataclasses import replace
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from marjoramstage.protocol.messages import Item, Order, OrderAction
-from marjoramstage.state.ledger import Entry, EntryState, Ledger
+
+
+class EntryState(enum.Enum):
+    """State of a ledger entry; every one of them counts as occupied."""
+
+    RESERVED = "reserved"
+    LOADED = "loaded"
+    REMOVING = "removing"
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One item that may occupy memory.
+
+    Attributes
+    ----------
+    order : int
+        Number of the latest order for the item; 0 before the first.
+    """
+
+    item: Item
+    memory_mb: int
+    state: EntryState
+    order: int = 0
+
+
+@dataclass(frozen=True)
+class Ledger:
+    """Ledger of one target.
+
+    Attributes
+    ----------
+    incarnation : str
+        Incarnation of the target that the entries are about.
+    capacity_mb : int
+        Accelerator memory in MB.
+    next_order : int
+        Number of the next order.
+    version : str
+        Resource version in the platform; empty before the first write.
+    """
+
+    target: str
+    incarnation: str
+    capacity_mb: int
+    entries: Mapping[Item, Entry] = field(default_factory=dict)
+    next_order: int = 1
+    version: str = ""
+
+    @property
+    def used_mb(self) -> int:
+        """Memory that may be occupied, in MB."""
+        return sum(entry.memory_mb for entry in self.entries.values())
+
+    @property
+    def free_mb(self) -> int:
+        """Memory that nothing may occupy, in MB."""
+        return self.capacity_mb - self.used_mb
 
 
 def reserve(ledger: Ledger, item: Item, memory_mb: int) -> Ledger:
--- a/src/marjoramstage/bench/policies/_first_placement.py
+++ b/src/marjoramstage/bench/policies/_first_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from marjoramstage.bench.policies._first_ledger import load_order, reserve
+from marjoramstage.bench.policies._first_ledger import Ledger, load_order, reserve
 from marjoramstage.protocol.events import (
     Effect,
     Event,
@@ -27,7 +27,6 @@
     TargetReport,
 )
 from marjoramstage.state.inventory import Inventory
-from marjoramstage.state.ledger import Ledger
 
 
 class FirstPlacer:
--- a/src/marjoramstage/coordination/_book.py
+++ b/src/marjoramstage/coordination/_book.py
@@ -171,10 +171,13 @@
         """Reserve memory for ``item`` in the draft and number its order.
 
         An entry that is on its way out is taken back if it is large enough;
-        else it has to go first.
+        else it has to go first. Nothing is reserved that does not fit, as the
+        draft may show less room than the move was planned with.
         """
         expires_s = _expiry(report)
         entry = self.draft.entries.get(item)
+        if entry is None and memory_mb > self.draft.free_mb:
+            return
         if entry is None:
             self.draft = reserve(
                 self.draft, item, memory_mb, lease_fence, expires_s, base
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -265,7 +265,8 @@
         """Draft what the planner asks for."""
         if not any(now_s < lease.until_s for lease in self._leases.values()):
             return
-        loading = [item for n in self._active for item in self._books[n].loading()]
+        books = [self._books[n] for n in self._active if n in self._books]
+        loading = [item for book in books for item in book.loading()]
         moves = self._planner.plan(loading, self._can_change(now_s), now_s)
         for move in moves:
             name = move.target
