--- a/src/marjoramstage/_instance/draining.py
+++ b/src/marjoramstage/_instance/draining.py
@@ -49,10 +49,13 @@
         self.drain.asked(self._clock.now())
         log.info("stop asked", extra={"state": self.drain.state})
 
+    async def lingered(self) -> None:
+        """Wait until the balancer had time to notice."""
+        await self._while("lingering")
+
     async def finished(self) -> None:
         """Wait until nothing is in flight, or its time is over."""
-        while self.drain.advance(self.in_flight, self._clock.now()) == "draining":
-            await self._clock.sleep(STEP_S)
+        await self._while("draining")
         if self.drain.state != "aborting":
             return
         tasks = list(self._tasks)
@@ -62,6 +65,10 @@
         if tasks:
             await asyncio.wait(tasks, timeout=ABORT_S)
 
+    async def _while(self, state: str) -> None:
+        while self.drain.advance(self.in_flight, self._clock.now()) == state:
+            await self._clock.sleep(STEP_S)
+
     @web.middleware
     async def _count(self, req: web.Request, handler) -> web.StreamResponse:
         task = asyncio.current_task()
--- a/src/marjoramstage/coordination/draining.py
+++ b/src/marjoramstage/coordination/draining.py
@@ -1,7 +1,8 @@
 """The planned stop of an instance as a state machine.
 
-States: serving, draining (no new connections, work in flight goes on),
-aborting (what is left ends with a verdict), stopped.
+States: serving; lingering (not ready, but still accepting, until the balancer
+has noticed); draining (no new connections, work in flight goes on); aborting
+(what is left ends with a verdict); stopped.
 """
 
 from __future__ import annotations
@@ -11,9 +12,10 @@
 LINGER_S = 1.0
 
 TRANSITIONS = (
-    {"trigger": "stop", "source": "serving", "dest": "draining"},
-    {"trigger": "stop", "source": "draining", "dest": "aborting"},
-    {"trigger": "stop", "source": "aborting", "dest": "aborting"},
+    {"trigger": "stop", "source": "serving", "dest": "lingering"},
+    {"trigger": "stop", "source": ["lingering", "draining"], "dest": "aborting"},
+    {"trigger": "stop", "source": ["aborting", "stopped"], "dest": "="},
+    {"trigger": "close", "source": "lingering", "dest": "draining"},
     {"trigger": "expire", "source": "draining", "dest": "aborting"},
     {"trigger": "finish", "source": ["draining", "aborting"], "dest": "stopped"},
 )
@@ -33,7 +35,7 @@
         self._begun_s = 0.0
         self._machine = Machine(
             self,
-            states=["serving", "draining", "aborting", "stopped"],
+            states=["serving", "lingering", "draining", "aborting", "stopped"],
             transitions=list(TRANSITIONS),
             initial="serving",
             auto_transitions=False,
@@ -41,7 +43,7 @@
 
     @property
     def serving(self) -> bool:
-        """Whether new work is taken."""
+        """Whether no stop was asked for."""
         return self.state == "serving"
 
     def asked(self, now_s: float) -> None:
@@ -51,16 +53,12 @@
         self.stop()
 
     def advance(self, in_flight: int, now_s: float) -> str:
-        """Move on with time; return the state.
-
-        Idle connections are kept for `LINGER_S`, so that a caller that is just
-        sending on one is answered.
-        """
+        """Move on with time; return the state."""
         waited_s = now_s - self._begun_s
-        if self.state == "draining" and in_flight == 0 and waited_s >= LINGER_S:
+        if self.state == "lingering" and waited_s >= min(LINGER_S, self._bound_s):
+            self.close()
+        elif self.state in ("draining", "aborting") and in_flight == 0:
             self.finish()
         elif self.state == "draining" and waited_s >= self._bound_s:
             self.expire()
-        elif self.state == "aborting" and in_flight == 0:
-            self.finish()
         return self.state
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -42,6 +43,7 @@
 log = part_logger("instance")
 
 TICK_EVERY_S = 0.1
+HANDOVER_S = 2.0
 
 
 class Instance:
@@ -129,9 +131,12 @@
         """Finish what is in flight within the bound, then end every task."""
         self.gate.ask()
         self.peers.post(StopPlanned())
+        handover = asyncio.create_task(self.leasing.stop())
+        await self.gate.lingered()
         await self._servers[0].close_listener()
-        await self.leasing.stop()
         await self.gate.finished()
+        await asyncio.wait({handover}, timeout=HANDOVER_S)
+        handover.cancel()
         for server in self._servers:
             await server.stop()
         await self._tasks.stop()
