--- a/features/steps/observing.py
+++ b/features/steps/observing.py
@@ -27,6 +27,7 @@
     "limits: {{stream_buffer_bytes: 16384, reader_stall_s: 1.0}}\n"
 )
 LONG_TOKENS = 300_000
+LONG_DEADLINE = ("X-Deadline-Ms", "80000000")
 PROMPT = {"model": "assistant", "prompt": "Which halls are free?", "max_tokens": 2}
 
 
@@ -34,9 +35,9 @@
     return ("Authorization", f"Bearer {secret}")
 
 
-def post(path, body, secret=CREDENTIAL):
+def post(path, body, secret=CREDENTIAL, headers=()):
     payload = json.dumps(body).encode()
-    return request_bytes("POST", path, [bearer(secret)], payload)
+    return request_bytes("POST", path, [bearer(secret), *headers], payload)
 
 
 CALLER_CALLS = {
@@ -144,7 +145,8 @@
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     sock.connect(split_address(context.deployment.addresses["i1"]))
-    sock.sendall(post("/v1/completions", body))
+    # Enough time for every token: what cannot be in time is refused at once.
+    sock.sendall(post("/v1/completions", body, headers=[LONG_DEADLINE]))
     context.stalled = sock
     wait_for(lambda: _stalled(context) == 1, "the stalled connection is ended")
 
--- a/src/marjoramstage/coordination/_loads.py
+++ b/src/marjoramstage/coordination/_loads.py
@@ -87,7 +87,9 @@
 def load_to_message(load: InstanceLoad) -> Load:
     """Return the load as it is sent."""
     demand = tuple(
-        DemandEntry(d.item.name, d.item.version, d.requests, d.tokens, d.waiting)
+        DemandEntry(
+            d.item.name, d.item.version, d.requests, d.tokens, d.waiting, d.live
+        )
         for d in load.demand
     )
     return Load(
@@ -104,7 +106,7 @@
 def load_from_message(message: Load) -> InstanceLoad:
     """Return the load that was sent."""
     demand = tuple(
-        ItemDemand(Item(d.name, d.version), d.requests, d.tokens, d.waiting)
+        ItemDemand(Item(d.name, d.version), d.requests, d.tokens, d.waiting, d.live)
         for d in message.demand
     )
     return InstanceLoad(
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import uuid
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
 from result import Result
 
+from marjoramstage._instance.claims import ClaimDesk
 from marjoramstage._instance.draining import DrainGate
 from marjoramstage._instance.dump import dump_instance
 from marjoramstage._instance.following import Follower
@@ -19,18 +23,20 @@
 from marjoramstage._instance.requests import RequestDesk
 from marjoramstage._instance.status import instance_status
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
 from marjoramstage.coordination._loads import LOAD_EVERY_S
 from marjoramstage.coordination._release_store import Release
-from marjoramstage.coordination._steps import LoadTold, StopPlanned
+from marjoramstage.coordination._steps import AdapterNeeded, LoadTold, StopPlanned
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import ApplyError, Edit
+from marjoramstage.coordination.shards import shard_names
+from marjoramstage.coordination.usage import UsageCollector
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import Event, InstanceLoaded, Tick
-from marjoramstage.protocol.messages import InstanceLoad
+from marjoramstage.protocol.events import AskAdapter, Event, InstanceLoaded, Tick
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer, ServerLimits
@@ -38,12 +44,13 @@
 from marjoramstage.transport.operators import OperatorPort
 from marjoramstage.transport.platform import HttpPlatform
 from marjoramstage.transport.relay import Relay
-from marjoramstage.transport.targets import HttpTargets
+from marjoramstage.transport.targets import CallClient, HttpTargets
 
 log = part_logger("instance")
 
 TICK_EVERY_S = 0.1
 HANDOVER_S = 2.0
+USAGE_S = 5.0
 
 
 class Instance:
@@ -80,15 +87,23 @@
     def _parts(self) -> tuple:
         """Return the parts that run until the instance stops."""
         desks = (self.requests, self.placing, self.leasing)
-        return (*desks, self.follower, self.reporter, self.peers)
+        parts = (self.follower, self.reporter, self.usage, self.peers)
+        return (*desks, *parts)
 
     def _wire(self) -> None:
         """Build every part."""
         cfg, clock = self.settings, self._clock
         self.platform = HttpPlatform(self._session, cfg.platform, cfg.namespace)
         targets = HttpTargets(self._session)
-        scheduler = Scheduler(cfg.limits.queue_requests)
-        self.requests = RequestDesk(scheduler, clock, self.metrics)
+        incarnation = uuid.uuid4().hex
+        scheduler = Scheduler(
+            cfg.limits.queue_requests,
+            instance=cfg.name,
+            data_centre=cfg.data_centre,
+            incarnation=incarnation,
+            rng=random.Random(),
+        )
+        self.requests = RequestDesk(scheduler, clock, self.metrics, self._ask_adapter)
         self.placing = PlacementDesk(
             Placer(cfg.data_centre), self.platform, targets, self._tasks, clock
         )
@@ -110,9 +125,25 @@
         self.reporter = Reporter(
             targets, lambda: self.follower.targets, self._post, clock
         )
-        relay = Relay(self.requests, targets, clock)
+        self.usage = UsageDesk(UsageCollector(incarnation), self.platform, clock)
+        claims = ClaimDesk(self.platform, clock, random.Random(), self._tasks.spawn)
+        self._calls = CallClient()
+        relay = Relay(
+            self.requests,
+            self._calls,
+            targets,
+            clock,
+            self.metrics,
+            self.usage,
+            self._tasks.spawn,
+        )
         self.callers = CallerPort(
-            relay, lambda: self.peers.inventory, cfg.limits, clock, self.metrics
+            relay,
+            lambda: self.peers.inventory,
+            cfg.limits,
+            clock,
+            self.metrics,
+            claims,
         )
         operators = OperatorPort(self, self.operations, cfg.secret)
         self.gate = DrainGate(cfg.limits.drain_s, clock)
@@ -122,7 +153,9 @@
             HttpServer(
                 callers_app,
                 cfg.listen.callers,
-                ServerLimits(header_bytes=cfg.limits.header_bytes),
+                ServerLimits(
+                    header_bytes=cfg.limits.header_bytes, cancel_handlers=True
+                ),
             ),
             HttpServer(operators.app(), cfg.listen.operators),
         )
@@ -139,7 +172,9 @@
         handover.cancel()
         for server in self._servers:
             await server.stop()
+        await asyncio.wait({asyncio.create_task(self.usage.write())}, timeout=USAGE_S)
         await self._tasks.stop()
+        await self._calls.close()
         await self.peers.stop()
         await self._session.close()
         log.info("stopped")
@@ -188,20 +223,21 @@
 
     async def _tell_load(self) -> None:
         """Tell the peers and the own machines of this instance's load."""
-        sequence = 0
         while True:
-            sequence += 1
-            load = InstanceLoad(
-                self.settings.name,
-                self.settings.data_centre,
-                str(self.peers.incarnation),
-                sequence,
-                shards=self.leasing.held(),
-            )
+            load = self.requests.scheduler.own_load(self._clock.now())
+            load = replace(load, shards=self.leasing.held())
             self.peers.post(LoadTold(load))
             self._post(InstanceLoaded(load))
             await self._clock.sleep(LOAD_EVERY_S)
 
+    def _ask_adapter(self, effect: AskAdapter) -> None:
+        """Pass a wish for an adapter on to the lease holder of its target."""
+        target = self.follower.targets.get(effect.target)
+        if target is None:
+            return
+        shard = shard_names(target.data_centre, 1)[0]
+        self.peers.post(AdapterNeeded(effect.target, effect.item, shard))
+
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
