--- a/src/marjoramstage/coordination/_loads.py
+++ b/src/marjoramstage/coordination/_loads.py
@@ -87,10 +87,7 @@
 def load_to_message(load: InstanceLoad) -> Load:
     """Return the load as it is sent."""
     demand = tuple(
-        DemandEntry(
-            d.item.name, d.item.version, d.requests, d.tokens, d.waiting, d.live
-        )
-        for d in load.demand
+        DemandEntry(d.item.name, d.item.version, *d.counts) for d in load.demand
     )
     return Load(
         load.instance,
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -32,11 +32,15 @@
 from marjoramstage.coordination.admission import Scheduler
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import ApplyError, Edit
-from marjoramstage.coordination.shards import shard_names
 from marjoramstage.coordination.usage import UsageCollector
 from marjoramstage.logs import part_logger
 from marjoramstage.metrics import LocalMetrics, StatsdMetrics
-from marjoramstage.protocol.events import AskAdapter, Event, InstanceLoaded, Tick
+from marjoramstage.protocol.events import (
+    AskAdapter,
+    Event,
+    InstanceLoaded,
+    Tick,
+)
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer, ServerLimits
@@ -87,8 +91,7 @@
     def _parts(self) -> tuple:
         """Return the parts that run until the instance stops."""
         desks = (self.requests, self.placing, self.leasing)
-        parts = (self.follower, self.reporter, self.usage, self.peers)
-        return (*desks, *parts)
+        return (*desks, self.follower, self.reporter, self.usage, self.peers)
 
     def _wire(self) -> None:
         """Build every part."""
@@ -221,6 +224,14 @@
             self._post(Tick())
             await self._clock.sleep(TICK_EVERY_S)
 
+    def _ask_adapter(self, effect: AskAdapter) -> None:
+        """Pass a wish for an adapter on to the lease holder of its target."""
+        target = self.follower.targets.get(effect.target)
+        if target is None:
+            return
+        shard = self.leasing.shard_of(target)
+        self.peers.post(AdapterNeeded(effect.target, effect.item, shard))
+
     async def _tell_load(self) -> None:
         """Tell the peers and the own machines of this instance's load."""
         while True:
@@ -230,14 +241,6 @@
             self._post(InstanceLoaded(load))
             await self._clock.sleep(LOAD_EVERY_S)
 
-    def _ask_adapter(self, effect: AskAdapter) -> None:
-        """Pass a wish for an adapter on to the lease holder of its target."""
-        target = self.follower.targets.get(effect.target)
-        if target is None:
-            return
-        shard = shard_names(target.data_centre, 1)[0]
-        self.peers.post(AdapterNeeded(effect.target, effect.item, shard))
-
     def _post(self, event: Event) -> None:
         """Hand an event to every machine."""
         self.requests.post(event)
