Find instances of the own data centre through other data centres

Cause: an instance whose seeds are all in other data centres never heard of its own neighbours; each took itself for alone, with a watcher, a bridge and full polling of its own. A bridge now answers one from elsewhere with the instances that it has met of that data centre.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -64,6 +64,10 @@
     When each is told the platform's list of instances
     Then they know each other within 5 s
 
+  Scenario: instances find each other through other data centres
+    Given 3 data centres of 3 config nodes whose only seed is d1-i1
+    Then all config nodes of each data centre know each other within 15 s
+
   Scenario: a partition longer than memory of its members heals
     When d1-i1 is cut off from all config nodes for 700 s
     Then all config nodes of d1 know each other within 30 s
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -239,6 +239,21 @@
     assert all(not p.node.gossiper.membership.members for p in net.running())
 
 
+@given("{count:d} data centres of {each:d} config nodes whose only seed is d1-i1")
+def one_seed(context, count, each):
+    context.net = ConfigNet(count, each)
+    for process in context.net.running():
+        process.node.gossiper._seeds = ("d1-i1",) if process.name != "d1-i1" else ()
+
+
+@then("all config nodes of each data centre know each other within {bound:d} s")
+def check_each_known(context, bound):
+    net = context.net
+    places = ("d1", "d2", "d3")
+    net.run(bound, lambda: all(all_known(net, place) for place in places))
+    assert all(all_known(net, place) for place in places)
+
+
 @when("each is told the platform's list of instances")
 def told_list(context):
     net = context.net
--- a/src/marjoramstage/coordination/gossip.py
+++ b/src/marjoramstage/coordination/gossip.py
@@ -41,6 +41,7 @@
 TOLD_LEAVING_S = 60.0
 TOLD_ADDRESS_S = 15.0
 MAX_TOLD_LEAVING = 64
+MAX_POINTED = 8
 
 
 @dataclass(frozen=True)
@@ -76,6 +77,7 @@
         self.leaving: dict[LeavingTarget, KnownLeaving] = {}
         self._seeds = tuple(seed for seed in seeds if seed != own.address)
         self._listed: tuple[MemberEntry, ...] = ()
+        self._pointed: dict[str, str] = {}
         self._rng = rng
         self._round_s = now_s
         self._bridge_s = now_s
@@ -116,12 +118,17 @@
             for entry in gossip.members:
                 effects += self._merge(entry, now_s)
                 unknown = unknown or self._is_unknown(entry)
+        else:
+            self._point(gossip.members)
         self.summaries.merge(gossip.summaries, now_s)
         for leaving in gossip.leaving:
             effects += self.learn_leaving(leaving, gossip.sender, now_s)
         if gossip.wants_answer or unknown:
             answer = self._gossip(head, now_s, full=True)
             answer = replace(answer, wants_answer=unknown)
+            if not self._is_local(gossip.sender):
+                known = self.summaries.contacts()[gossip.sender.data_centre]
+                answer = replace(answer, members=tuple(known))
             effects.append(SendPeer(gossip.sender.address, answer))
         return effects
 
@@ -194,6 +201,14 @@
         rumour = Rumour(self.membership.own, members=(entry,))
         return [SendPeer(peer.address, rumour) for peer in chosen]
 
+    def _point(self, entries: tuple[MemberEntry, ...]) -> None:
+        """Note where another data centre has heard of instances of this one."""
+        for entry in entries:
+            if entry.address and self._is_local(entry) and self._is_unknown(entry):
+                self._pointed[entry.name] = entry.address
+        while len(self._pointed) > MAX_POINTED:
+            del self._pointed[next(iter(self._pointed))]
+
     def _is_local(self, entry: MemberEntry) -> bool:
         return entry.data_centre == self.membership.own.data_centre
 
@@ -224,7 +239,8 @@
         known = {m.entry.address for m in self._reachable(now_s)}
         dead = self.membership.named(Liveness.DEAD, now_s=now_s)
         listed = [e.address for e in self._listed if self._is_local(e)]
-        found = {*self._seeds, *listed, *(m.entry.address for m in dead)} - known
+        told = [*self._seeds, *self._pointed.values(), *listed]
+        found = {*told, *(member.entry.address for member in dead)} - known
         found.discard(self.membership.own.address)
         return [self._rng.choice(sorted(found))] if found else []
 
