--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -4,8 +4,9 @@
 
 from typing import Any
 
+from marjoramstage._instance.dumped import to_data
 from marjoramstage.coordination.routing import TargetView
-from marjoramstage.state.ledger import ledger_to_data
+from marjoramstage.state.ledger_data import ledger_to_data
 
 
 def dump_target(view: TargetView) -> dict[str, Any]:
@@ -29,10 +30,16 @@
     return {
         "instance": instance.settings.name,
         "data_centre": instance.settings.data_centre,
-        "generation": instance.follower.generation,
+        "generation": instance.peers.generation,
+        "peers": instance.peers.dump(),
+        "settings": to_data(instance.settings),
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
+        "requests": to_data(instance.callers.dump()),
         "queues": scheduler.queue_lengths(),
+        "leases": instance.leasing.dump(),
+        "orders": instance.placing.placer.order_states(),
         "ledgers": {name: ledger_to_data(item) for name, item in ledgers.items()},
         "counters": dict(instance.metrics.counters),
+        "gauges": dict(instance.metrics.gauges),
     }
--- a/src/marjoramstage/state/targets.py
+++ b/src/marjoramstage/state/targets.py
@@ -31,6 +31,8 @@
         return ()
     found = []
     for endpoint in obj.spec.get("endpoints") or []:
+        if not endpoint.get("addresses"):
+            continue
         conditions = endpoint.get("conditions") or {}
         name = (endpoint.get("targetRef") or {}).get("name", obj.name)
         address = f"{endpoint['addresses'][0]}:{ports[0]['port']}"
@@ -89,6 +91,9 @@
         "leaving": report.leaving,
         "highest_fence": report.highest_fence,
         "last_orders": list(report.last_orders),
+        "expiry": report.expiry,
+        "clock_s": report.clock_s,
+        "started_s": report.started_s,
     }
 
 
@@ -121,4 +126,7 @@
         leaving=bool(data.get("leaving", False)),
         highest_fence=int(data.get("highest_fence", 0)),
         last_orders=tuple(int(number) for number in data.get("last_orders", ())),
+        expiry=bool(data.get("expiry", False)),
+        clock_s=float(data.get("clock_s", 0.0)),
+        started_s=float(data.get("started_s", 0.0)),
     )
