--- a/src/marjoramstage/_instance/usage.py
+++ b/src/marjoramstage/_instance/usage.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from result import Ok
+import functools
+from dataclasses import asdict
+from typing import Any
+
+from result import Err, Ok
 
 from marjoramstage.clock import Clock
 from marjoramstage.coordination.usage import UsageCollector
@@ -15,7 +19,13 @@
     PlatformFault,
     PlatformObject,
 )
-from marjoramstage.state.usage import UsageBatch, batch_to_data
+from marjoramstage.state.usage import (
+    Usage,
+    UsageBatch,
+    batch_from_data,
+    batch_to_data,
+    totals,
+)
 
 log = part_logger("usage")
 
@@ -47,6 +57,17 @@
             if await self._write(batch):
                 self.collector.written(batch.name)
 
+    async def totals(self, customer: str) -> dict[str, Any] | None:
+        """Return what the platform holds of a customer, or None if unread."""
+        listed = await self._platform.list(USAGE, {LABEL_CUSTOMER: customer})
+        if isinstance(listed, Err):
+            return None
+        batches = [batch_from_data(obj.spec) for obj in listed.ok_value.objects]
+        by_model = totals(batches, customer)
+        whole = functools.reduce(Usage.plus, by_model.values(), Usage())
+        models = {name: asdict(usage) for name, usage in sorted(by_model.items())}
+        return {"customer": customer, "total": asdict(whole), "by_model": models}
+
     async def _write(self, batch: UsageBatch) -> bool:
         """Create the batch's object; one that is there was written before."""
         labels = {LABEL_CUSTOMER: batch.customer}
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -6,7 +6,15 @@
 import sys
 from collections.abc import Sequence
 
-from marjoramstage._commands import bench, exits, inventory, operate, serve, standin
+from marjoramstage._commands import (
+    bench,
+    exits,
+    inventory,
+    operate,
+    serve,
+    standin,
+    usage,
+)
 from marjoramstage.exceptions import ConfigError
 
 
@@ -26,6 +34,6 @@
         prog="marjoramstage", description="Serve many models on fewer accelerators."
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for group in (serve, inventory, operate, standin, bench):
+    for group in (serve, inventory, operate, usage, standin, bench):
         group.add(commands)
     return parser
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -200,6 +200,10 @@
         """Return what operators need to see of the deployment as JSON data."""
         return instance_status(self)
 
+    async def usage_of(self, customer: str) -> dict[str, Any] | None:
+        """Return a customer's totals; None if the platform cannot be read."""
+        return await self.usage.totals(customer)
+
     async def apply(self, inventory: Inventory) -> Result[Release, ApplyError]:
         """Submit an inventory on top of the present one."""
         return await self.operations.apply(Edit(new_edit_id(), inventory))
--- a/src/marjoramstage/transport/_calls.py
+++ b/src/marjoramstage/transport/_calls.py
@@ -9,6 +9,7 @@
 
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.messages import AttemptReason
+from marjoramstage.transport._once import BrokenCallError, send_once
 
 CONNECT_TIMEOUT_S = 2.0
 READ_BYTES = 65_536
@@ -184,14 +185,11 @@
                 allow_redirects=False,
                 read_bufsize=READ_BYTES,
                 trace_request_ctx=sending,
-                middlewares=(_send_once,),
+                middlewares=(send_once,),
             )
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        except (BrokenCallError, aiohttp.ClientError, TimeoutError, OSError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if sending.connected else Verdict.NOT_RUN
             raise _failed(exc, verdict) from exc
-        except _InterruptedError as exc:
-            verdict = Verdict.MAY_HAVE_RUN if sending.connected else Verdict.NOT_RUN
-            raise _failed(exc.cause, verdict) from exc
         return Upstream(resp)
 
     def _session(self, once: bool) -> aiohttp.ClientSession:
@@ -204,23 +202,6 @@
         return self._pooled
 
 
-class _InterruptedError(Exception):
-    """A call broke; not an error that the HTTP library would retry after."""
-
-    def __init__(self, cause: Exception):
-        super().__init__(str(cause))
-        self.cause = cause
-
-
-async def _send_once(
-    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    try:
-        return await handler(req)
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
-        raise _InterruptedError(exc) from exc
-
-
 def _new_session(force_close: bool) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig(trace_config_ctx_factory=_request_context)
     trace.on_connection_create_end.append(_connected)
--- a/src/marjoramstage/transport/operators.py
+++ b/src/marjoramstage/transport/operators.py
@@ -49,6 +49,9 @@
     def status(self) -> dict[str, Any]:
         """Return what operators need to see of the deployment as JSON data."""
 
+    async def usage_of(self, customer: str) -> dict[str, Any] | None:
+        """Return a customer's totals; None if the platform cannot be read."""
+
 
 class Operations(Protocol):
     """What operators ask for."""
@@ -101,6 +104,7 @@
         app.router.add_post("/rollback", self._roll_back)
         app.router.add_get("/edits/{edit}", self._edit)
         app.router.add_post("/drain", self._drain)
+        app.router.add_get("/usage", self._usage)
         return app
 
     @web.middleware
@@ -129,6 +133,18 @@
     async def _status(self, req: web.Request) -> web.Response:
         return web.json_response(self._operated.status())
 
+    async def _usage(self, req: web.Request) -> web.Response:
+        customer = req.query.get("customer", "")
+        _, inventory = self._operations.inventory()
+        if customer not in inventory.customer_by_name:
+            text = f"no customer {customer!r} in the accepted inventory"
+            return web.json_response({"problems": [text]}, status=404)
+        found = await self._operated.usage_of(customer)
+        if found is None:
+            text = "the platform cannot be read"
+            return web.json_response({"problems": [text]}, status=503)
+        return web.json_response(found)
+
     async def _get(self, req: web.Request) -> web.Response:
         generation, inventory = self._operations.inventory()
         data = {"generation": generation, "inventory": inventory_to_data(inventory)}
