--- a/src/marjoramstage/coordination/_replicas.py
+++ b/src/marjoramstage/coordination/_replicas.py
@@ -12,9 +12,9 @@
 from marjoramstage.state.residency import Residency
 
 MODELS_PER_PLAN = 64
-SECOND_COPY_AT = 0.2
-MORE_COPIES_AT = 4.0
-SWAP_AT = 6.0
+SECOND_COPY_AT = 2.0
+MORE_COPIES_AT = 3.0
+SWAP_AT = 4.0
 SWAP_GAIN = 3.0
 SWAP_AGAIN_S = 30.0
 
--- a/src/marjoramstage/coordination/orders.py
+++ b/src/marjoramstage/coordination/orders.py
@@ -16,7 +16,7 @@
 TRANSITIONS = [
     {"trigger": "send", "source": RECORDED, "dest": SENT},
     {"trigger": "withhold", "source": RECORDED, "dest": REFUSED},
-    {"trigger": "lose", "source": SENT, "dest": IN_DOUBT},
+    {"trigger": "lose", "source": [SENT, IN_DOUBT], "dest": IN_DOUBT},
     {"trigger": "finish", "source": [SENT, IN_DOUBT], "dest": DONE},
     {"trigger": "refuse", "source": [SENT, IN_DOUBT], "dest": REFUSED},
 ]
