Say on the command line what each option and exit code means

Cause: help had no units and no exit codes; a bad address or a port in use ended with a traceback. Addresses are now checked as arguments, and an error of the system is one line on standard error with exit code 1.

--- a/src/marjoramstage/_commands/standin.py
+++ b/src/marjoramstage/_commands/standin.py
@@ -10,9 +10,12 @@
 from marjoramstage import logs
 from marjoramstage._commands import exits
 from marjoramstage._commands.running import run_until_signal
+from marjoramstage._settings_rules import LISTEN_DEFAULTS
+from marjoramstage.addresses import split_address
 from marjoramstage.demo import Demo
 from marjoramstage.protocol.messages import Target, TargetKind
 from marjoramstage.settings import Listen
+from marjoramstage.standins._weights import WeightStore
 from marjoramstage.standins.engine import EngineFaults, EngineStandin
 from marjoramstage.standins.platform import PlatformStandin
 from marjoramstage.standins.service import ServiceStandin
@@ -24,24 +27,52 @@
     """Add the commands to the parser."""
     parser = commands.add_parser("standin", help="run one stand-in")
     parser.add_argument("kind", choices=["platform", "engine", "service"])
-    parser.add_argument("--name", default="standin")
-    parser.add_argument("--listen", default="127.0.0.1:0", help="ip:port")
-    parser.add_argument("--platform", help="platform to register at, ip:port")
-    parser.add_argument("--data-centre", default="local")
-    parser.add_argument("--namespace", default="marjoramstage")
-    parser.add_argument("--memory-mb", type=int, default=48_000)
-    parser.add_argument("--slots", type=int, default=16)
-    parser.add_argument("--ignore-fencing", action="store_true")
-    parser.add_argument("--load-ms", type=float, default=0.0)
-    parser.add_argument("--token-ms", type=float, default=0.0)
+    parser.add_argument("--name", default="standin", help="name of the target")
+    _add_address(parser, "--listen", "127.0.0.1:0")
+    _add_address(parser, "--platform", None, "platform to register at")
+    parser.add_argument("--data-centre", default="local", help="where it stands")
+    parser.add_argument("--namespace", default="marjoramstage", help="of its objects")
+    parser.add_argument(
+        "--memory-mb", type=int, default=48_000, help="accelerator memory"
+    )
+    parser.add_argument("--slots", type=int, default=16, help="requests run at once")
+    parser.add_argument(
+        "--ignore-fencing", action="store_true", help="obey old fencing numbers"
+    )
+    parser.add_argument("--load-ms", type=float, default=0.0, help="time of a load")
+    parser.add_argument(
+        "--loads-per-s", type=float, default=0.0, help="rate of loads; 0: no limit"
+    )
+    parser.add_argument(
+        "--loads-at-once", type=int, default=8, help="loads at full speed"
+    )
+    parser.add_argument("--token-ms", type=float, default=0.0, help="between tokens")
     parser.set_defaults(run=_standin)
     parser = commands.add_parser("demo", help="the whole system in one process")
-    parser.add_argument("--callers", default="127.0.0.1:8080", help="ip:port")
-    parser.add_argument("--operators", default="127.0.0.1:8081", help="ip:port")
-    parser.add_argument("--peers", default="127.0.0.1:8082", help="ip:port")
+    _add_address(parser, "--callers", LISTEN_DEFAULTS["callers"])
+    _add_address(parser, "--operators", LISTEN_DEFAULTS["operators"])
+    _add_address(parser, "--peers", LISTEN_DEFAULTS["peers"])
     parser.set_defaults(run=_demo)
 
 
+def _add_address(
+    parser: argparse.ArgumentParser, name: str, default: str | None, what: str = ""
+) -> None:
+    text = what or "where it listens"
+    text += f" (default: {default})" if default else ""
+    parser.add_argument(
+        name, type=_address, default=default, metavar="IP:PORT", help=text
+    )
+
+
+def _address(text: str) -> str:
+    try:
+        split_address(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(f"not ip:port: {text!r}") from exc
+    return text
+
+
 def _standin(args: argparse.Namespace) -> int:
     logs.configure("info", args.name)
     asyncio.run(_run_standin(args))
@@ -78,6 +109,7 @@
             args.slots,
             not args.ignore_fencing,
             faults,
+            WeightStore(args.loads_per_s, args.loads_at_once),
         )
     await run_until_signal(standin, lambda: _register(args, standin))
 
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -5,10 +5,24 @@
 import argparse
 import sys
 from collections.abc import Sequence
+from importlib import metadata
 
 from marjoramstage._commands import exits, operate, serve, standin
 from marjoramstage.exceptions import ConfigError
 
+DESCRIPTION = "Serve many models on fewer accelerators."
+EPILOG = """\
+exit codes:
+  0  done
+  1  failed, nothing was changed
+  2  a file or an argument is wrong; one line for each fault
+  3  conflict with another operator's change
+  4  the outcome is unknown; read it back before trying again
+  5  refused
+
+Addresses are written ip:port or [ip6]:port. First steps: `marjoramstage demo`.
+"""
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line; return its exit code."""
@@ -19,12 +33,20 @@
         for problem in exc.problems:
             print(problem, file=sys.stderr)
         return exits.USAGE
+    except OSError as exc:
+        print(f"marjoramstage: {exc}", file=sys.stderr)
+        return exits.FAILED
 
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
-        prog="marjoramstage", description="Serve many models on fewer accelerators."
+        prog="marjoramstage",
+        description=DESCRIPTION,
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
+    version = metadata.version("marjoramstage")
+    parser.add_argument("--version", action="version", version=version)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     for group in (serve, operate, standin):
         group.add(commands)
