--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from importlib import metadata
 
-from marjoramstage._commands import exits, operate, serve, standin
+from marjoramstage._commands import bench, exits, inventory, operate, serve, standin
 from marjoramstage.exceptions import ConfigError
 
 DESCRIPTION = "Serve many models on fewer accelerators."
@@ -48,6 +48,6 @@
     version = metadata.version("marjoramstage")
     parser.add_argument("--version", action="version", version=version)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for group in (serve, operate, standin):
+    for group in (serve, inventory, operate, standin, bench):
         group.add(commands)
     return parser
