Show peers, leases and the state of each open request in the dump

Cause: an open request did not say whether it waits or was sent. Parts that show their own state have one line each in dumped_parts. The unused TLS parameter of the server is gone again: TLS is not done.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -76,6 +76,21 @@
       | large   | :1: longer than            |
     Then each unreadable inventory is refused with exit code 2
 
+  Scenario Outline: a command line with <case>
+    When the command line "<args>" is run
+    Then the command line ends with exit code <code> and one error "<says>"
+
+    Examples:
+      | case                  | args                               | code | says                    |
+      | no command            |                                    | 2    | arguments are required  |
+      | unknown command       | sing                               | 2    | invalid choice          |
+      | unknown option        | check --colour red                 | 2    | unrecognized arguments  |
+      | missing option        | serve                              | 2    | --settings              |
+      | missing file          | serve --settings /nowhere/i.yaml   | 2    | cannot be read          |
+      | bad address           | demo --callers nowhere             | 2    | not ip:port             |
+      | number as a word      | standin engine --memory-mb many    | 2    | invalid int value       |
+      | address of no machine | standin platform --listen 192.0.2.1:1 | 1 | marjoramstage: [Errno   |
+
   Scenario: bad caller requests
     Given an instance for bad caller requests
     When each bad caller request is sent, a good one after it
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -117,6 +117,29 @@
         assert lines[0].startswith(says), lines
 
 
+@when('the command line "{args}" is run')
+def run_command(context, args):
+    stderr = io.StringIO()
+    with contextlib.redirect_stderr(stderr):
+        try:
+            code = main(args.split())
+        except SystemExit as exc:
+            code = exc.code
+    context.command = (code, stderr.getvalue().splitlines())
+
+
+@when('the command line "" is run')
+def run_no_command(context):
+    run_command(context, "")
+
+
+@then('the command line ends with exit code {code:d} and one error "{says}"')
+def check_command(context, code, says):
+    found, lines = context.command
+    assert found == code, context.command
+    assert len(lines) == 1 and says in lines[0], lines
+
+
 @given("an instance for bad caller requests")
 def start_instance(context):
     context.deployment = deployment = Deployment()
--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -4,9 +4,10 @@
 
 from typing import Any
 
-from marjoramstage._instance.dumped import to_data
+from marjoramstage._instance.dumped import Dumped, to_data
 from marjoramstage.coordination.routing import TargetView
 from marjoramstage.state.ledger_data import ledger_to_data
+from marjoramstage.transport.callers import OpenRequest
 
 
 def dump_target(view: TargetView) -> dict[str, Any]:
@@ -22,24 +23,35 @@
     }
 
 
+def dump_request(request: OpenRequest, waits: bool) -> dict[str, Any]:
+    """Return a request without a whole answer and where it stands."""
+    return to_data(request) | {"state": "queued" if waits else "dispatched"}
+
+
+def dumped_parts(instance) -> dict[str, Dumped]:
+    """Return the parts that show their own state, by their name in the dump."""
+    return {"peers": instance.peers, "leases": instance.leasing}
+
+
 def dump_instance(instance) -> dict[str, Any]:
     """Return the state of the parts of ``instance``."""
-    scheduler = instance.requests.scheduler
+    requests, scheduler = instance.callers.dump(), instance.requests.scheduler
     views = scheduler.table.views.values()
     ledgers = instance.placing.placer.ledgers
-    return {
+    data = {
         "instance": instance.settings.name,
         "data_centre": instance.settings.data_centre,
         "generation": instance.peers.generation,
-        "peers": instance.peers.dump(),
         "settings": to_data(instance.settings),
         "waits_for": instance.ready(),
         "targets": [dump_target(view) for view in views],
-        "requests": to_data(instance.callers.dump()),
+        "requests": [dump_request(r, instance.requests.waits(r.id)) for r in requests],
         "queues": scheduler.queue_lengths(),
-        "leases": instance.leasing.dump(),
         "orders": instance.placing.placer.order_states(),
         "ledgers": {name: ledger_to_data(item) for name, item in ledgers.items()},
         "counters": dict(instance.metrics.counters),
         "gauges": dict(instance.metrics.gauges),
     }
+    for name, part in dumped_parts(instance).items():
+        data[name] = to_data(part.dump())
+    return data
--- a/src/marjoramstage/_instance/requests.py
+++ b/src/marjoramstage/_instance/requests.py
@@ -66,6 +66,10 @@
         self._metrics.count("routing.retries")
         return await self._ask(RetryAsked(request, failed), request)
 
+    def waits(self, request_id: str) -> bool:
+        """Return whether a request waits for a target."""
+        return request_id in self._waiting
+
     def ended(self, end: AttemptEnd) -> None:
         """Note the end of an attempt."""
         self._metrics.count(f"attempts.{end.verdict.value}")
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Sequence
 from importlib import metadata
+from typing import NoReturn
 
 from marjoramstage._commands import bench, exits, inventory, operate, serve, standin
 from marjoramstage.exceptions import ConfigError
@@ -24,6 +25,13 @@
 """
 
 
+class _Parser(argparse.ArgumentParser):
+    """A parser whose errors are one line; `--help` shows the usage."""
+
+    def error(self, message: str) -> NoReturn:
+        self.exit(exits.USAGE, f"{self.prog}: {message}\n")
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line; return its exit code."""
     args = _parser().parse_args(argv)
@@ -39,7 +47,7 @@
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(
+    parser = _Parser(
         prog="marjoramstage",
         description=DESCRIPTION,
         epilog=EPILOG,
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -51,8 +50,6 @@
         ``ip:port``; port 0 lets the kernel choose.
     limits : ServerLimits, optional
         Bounds of each connection.
-    tls : ssl.SSLContext, optional
-        Certificate and key; plain HTTP without.
     """
 
     def __init__(
@@ -60,12 +57,10 @@
         app: web.Application,
         address: str,
         limits: ServerLimits | None = None,
-        tls: ssl.SSLContext | None = None,
     ):
         self._app = app
         self._address = address
         self._limits = limits or ServerLimits()
-        self._tls = tls
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
 
@@ -89,7 +84,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
+        self._site = web.TCPSite(self._runner, host, port)
         await self._site.start()
         bound = self._runner.addresses[0]
         self._address = join_address(host, bound[1])
