--- /dev/null
+++ b/features/steps/docs.py
@@ -0,0 +1,91 @@
+"""Steps that compare the docs with the source."""
+
+import dataclasses
+import re
+from pathlib import Path
+
+from behave import then, when
+
+from marjoramstage.settings import Limits, Listen, Settings
+
+ROOT = Path(__file__).resolve().parents[2]
+ERROR = re.compile(
+    r"(?:RequestError|_refusal)\(\s*(\d{3}), \"([a-z-]+)\",[^()]*?Verdict\.([A-Z_]+)"
+)
+REFUSAL = re.compile(r"(?:Refuse\(request|_refusal\(), ?(\d{3}), \"([a-z-]+)\"")
+HEADER_REFUSAL = re.compile(r"_refusal\((\d{3}), \"([a-z-]+)\"")
+COUNTER = re.compile(r"\.count\(f?\"([a-z_.]+?)\.?(?:\{.*?\})?\"")
+ROW = re.compile(r"^\| `([a-z-]+)` \| ([0-9, ]+) \| ([a-z-]+) \|", re.MULTILINE)
+KEY = re.compile(r"^\| `([a-z_.]+)` \| [^|]* \| ([^|]*) \|", re.MULTILINE)
+NESTED = {"listen": Listen, "limits": Limits}
+
+
+def doc(name):
+    return (ROOT / "docs" / name).read_text()
+
+
+def sources():
+    paths = sorted((ROOT / "src" / "marjoramstage").glob("**/*.py"))
+    return [path for path in paths if "bench" not in path.parts]
+
+
+@when("the docs are compared with the source")
+def compare(context):
+    context.source_text = "\n".join(path.read_text() for path in sources())
+
+
+@then("SETTINGS.md names every key of the settings with its default")
+def check_settings(context):
+    rows = dict(KEY.findall(doc("SETTINGS.md")))
+    wanted = {}
+    for field in dataclasses.fields(Settings):
+        if field.name not in NESTED:
+            wanted[field.name] = field.default
+            continue
+        for inner in dataclasses.fields(NESTED[field.name]):
+            wanted[f"{field.name}.{inner.name}"] = inner.default
+    assert rows.keys() == wanted.keys(), rows.keys() ^ wanted.keys()
+    for key, default in wanted.items():
+        if isinstance(default, str | int | float):
+            shown = rows[key].strip("`")
+            assert shown == str(default).removesuffix(".0"), (key, shown, default)
+
+
+def documented():
+    found = {}
+    for code, statuses, verdict in ROW.findall(doc("API.md")):
+        for status in statuses.split(", "):
+            found[code, int(status)] = verdict
+    return found
+
+
+@then("API.md names every error code with its status and verdict")
+def check_errors(context):
+    found = {}
+    for status, code, verdict in ERROR.findall(context.source_text):
+        found[code, int(status)] = verdict.lower().replace("_", "-")
+    for pattern in (REFUSAL, HEADER_REFUSAL):
+        for status, code in pattern.findall(context.source_text):
+            found.setdefault((code, int(status)), "not-run")
+    assert len(found) > 20, found
+    rows = documented()
+    wrong = {key: value for key, value in found.items() if rows.get(key) != value}
+    assert not wrong, wrong
+
+
+@then("METRICS.md names every counter")
+def check_counters(context):
+    text = doc("METRICS.md")
+    names = set(COUNTER.findall(context.source_text))
+    assert len(names) > 10, names
+    missing = [name for name in sorted(names) if f"`{name}" not in text]
+    assert missing == [], missing
+
+
+@then("429 and 503 go with not-run only, 502 and 504 with may-have-run only")
+def check_rule(context):
+    for (code, status), verdict in documented().items():
+        if status in (429, 503):
+            assert verdict == "not-run", code
+        if status in (502, 504):
+            assert verdict == "may-have-run", code
--- a/src/marjoramstage/_instance/draining.py
+++ b/src/marjoramstage/_instance/draining.py
@@ -84,7 +84,7 @@
     async def _ended(self, req: web.Request) -> web.StreamResponse:
         """Answer a request whose time is over; it may have run."""
         text = "The instance stopped before the answer was whole."
-        error = RequestError(503, "stopping", text, Verdict.MAY_HAVE_RUN)
+        error = RequestError(502, "stopping", text, Verdict.MAY_HAVE_RUN)
         answer = error_response(error, req.get("request_id", ""))
         resp = req.get("response")
         if resp is None:
