--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -8,7 +8,15 @@
 from importlib import metadata
 from typing import NoReturn
 
-from marjoramstage._commands import bench, exits, inventory, operate, serve, standin
+from marjoramstage._commands import (
+    bench,
+    exits,
+    inventory,
+    operate,
+    serve,
+    standin,
+    usage,
+)
 from marjoramstage.exceptions import ConfigError
 
 DESCRIPTION = "Serve many models on fewer accelerators."
@@ -56,6 +64,6 @@
     version = metadata.version("marjoramstage")
     parser.add_argument("--version", action="version", version=version)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for group in (serve, inventory, operate, standin, bench):
+    for group in (serve, inventory, operate, usage, standin, bench):
         group.add(commands)
     return parser
