--- a/features/standins.feature
+++ b/features/standins.feature
@@ -27,6 +27,8 @@
       | an unload         | {"repeat_orders": 1, "delay_s": 0.01}     | 200 200, lost again                |
       | an old fence      | {}                                        | 409, holds                         |
       | an old fence, ignored | {}                                    | 200, holds b@1                     |
+      | an expired order  | {}                                        | 409, holds                         |
+      | an expired order, carried out | {}                            | 200, holds b@1                     |
       | another incarnation | {}                                      | 409, holds                         |
       | three reports     | {}                                        | 1 2 3                              |
       | three reports     | {"stale_reports": 2}                      | 1 1 1                              |
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -125,6 +125,11 @@
     return await an_order(probe, fence=4)
 
 
+async def an_expired_order(probe, honoured):
+    probe.standin.memory.expiry = honoured
+    return await an_order(probe, expires_s=0.001)
+
+
 async def three_reports(probe):
     words = []
     for _ in range(3):
@@ -144,6 +149,8 @@
     "an unload": an_unload,
     "an old fence": lambda probe: an_order(probe, fence=4),
     "an old fence, ignored": an_ignored_fence,
+    "an expired order": lambda probe: an_expired_order(probe, True),
+    "an expired order, carried out": lambda probe: an_expired_order(probe, False),
     "another incarnation": lambda probe: an_order(probe, incarnation="other"),
     "three reports": three_reports,
     "unknown faults": lambda probe: probe.word("PUT", "/faults", {"magic": 1}),
--- a/src/marjoramstage/_commands/standin.py
+++ b/src/marjoramstage/_commands/standin.py
@@ -39,6 +39,9 @@
     parser.add_argument(
         "--ignore-fencing", action="store_true", help="obey old fencing numbers"
     )
+    parser.add_argument(
+        "--honour-expiry", action="store_true", help="refuse orders past their expiry"
+    )
     parser.add_argument("--load-ms", type=float, default=0.0, help="time of a load")
     parser.add_argument(
         "--loads-per-s", type=float, default=0.0, help="rate of loads; 0: no limit"
@@ -110,6 +113,7 @@
             not args.ignore_fencing,
             faults,
             WeightStore(args.loads_per_s, args.loads_at_once),
+            args.honour_expiry,
         )
     await run_until_signal(standin, lambda: _register(args, standin))
 
--- a/src/marjoramstage/standins/engine.py
+++ b/src/marjoramstage/standins/engine.py
@@ -99,6 +99,9 @@
     ----------
     weights : WeightStore, optional
         Store that loads go through; without limits by default.
+    fencing, expiry : bool
+        Whether orders with an old fencing number, or past their expiry on
+        the engine's clock, are refused.
     """
 
     def __init__(
@@ -110,9 +113,10 @@
         fencing: bool = True,
         faults: EngineFaults | None = None,
         weights: WeightStore | None = None,
+        expiry: bool = False,
     ):
         super().__init__(name, address, slots, faults or EngineFaults())
-        self.memory = EngineMemory(memory_mb, fencing)
+        self.memory = EngineMemory(memory_mb, fencing, expiry)
         self.cancelled = 0
         self._started_s = time.time()
         self._weights = weights or WeightStore()
@@ -145,6 +149,8 @@
             leaving=self.faults.leaving,
             highest_fence=self.memory.highest_fence,
             last_orders=self.memory.last_orders,
+            expiry=self.memory.expiry,
+            clock_s=time.monotonic(),
             started_s=self._started_s,
         )
         return report_to_data(report)
@@ -168,7 +174,7 @@
             return lose_connection(req)
         if self.take("repeat_orders"):
             self.spawn(self._carry_out_late(order, self.faults.delay_s))
-        if not self.memory.accept(order):
+        if not self.memory.accept(order, time.monotonic()):
             return web.json_response({"outcome": "refused"}, status=409)
         if order.action is OrderAction.LOAD:
             now_s = asyncio.get_running_loop().time()
@@ -180,7 +186,7 @@
 
     async def _carry_out_late(self, order: Order, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
-        if self.memory.accept(order):
+        if self.memory.accept(order, time.monotonic()):
             self.memory.finish(order)
 
     async def _complete(self, req: web.Request) -> web.StreamResponse:
