--- a/src/marjoramstage/_commands/standin.py
+++ b/src/marjoramstage/_commands/standin.py
@@ -5,8 +5,6 @@
 import argparse
 import asyncio
 
-import aiohttp
-
 from marjoramstage import logs
 from marjoramstage._commands import exits
 from marjoramstage._commands.running import run_until_signal
@@ -15,12 +13,11 @@
 from marjoramstage.demo import Demo
 from marjoramstage.protocol.messages import Target, TargetKind
 from marjoramstage.settings import Listen
+from marjoramstage.standins._register import register_targets
 from marjoramstage.standins._weights import WeightStore
 from marjoramstage.standins.engine import EngineFaults, EngineStandin
 from marjoramstage.standins.platform import PlatformStandin
 from marjoramstage.standins.service import ServiceStandin
-from marjoramstage.state.targets import slice_of_target
-from marjoramstage.transport.platform import HttpPlatform
 
 
 def add(commands) -> None:
@@ -126,6 +123,4 @@
         return
     kind = TargetKind(args.kind)
     target = Target(args.name, args.data_centre, kind, standin.address)
-    async with aiohttp.ClientSession() as session:
-        platform = HttpPlatform(session, args.platform, args.namespace)
-        await platform.create(slice_of_target(target))
+    await register_targets(args.platform, args.namespace, [target])
--- a/src/marjoramstage/demo.py
+++ b/src/marjoramstage/demo.py
@@ -4,20 +4,18 @@
 
 from importlib import resources
 
-import aiohttp
-
 from marjoramstage.clock import SystemClock
 from marjoramstage.instance import Instance
 from marjoramstage.protocol.messages import Target, TargetKind
 from marjoramstage.settings import Limits, Listen, Settings
+from marjoramstage.standins._register import register_targets
 from marjoramstage.standins.engine import EngineFaults, EngineStandin
 from marjoramstage.standins.platform import PlatformStandin
 from marjoramstage.standins.service import ServiceStandin
 from marjoramstage.state.inventory import parse_inventory
-from marjoramstage.state.targets import slice_of_target
-from marjoramstage.transport.platform import HttpPlatform
 
 DATA_CENTRE = "local"
+NAMESPACE = "marjoramstage"
 LOAD_S = 0.2
 TOKEN_S = 0.02
 CREDENTIAL = "demo-credential"
@@ -68,6 +66,7 @@
             name="demo",
             data_centre=DATA_CENTRE,
             platform=self._platform.address,
+            namespace=NAMESPACE,
             listen=self._listen,
             limits=Limits(),
             log_level="warning",
@@ -104,8 +103,8 @@
         return {"assistant@1", "rooms@1"} <= ready
 
     async def _register(self) -> None:
-        async with aiohttp.ClientSession() as session:
-            platform = HttpPlatform(session, self._platform.address, "marjoramstage")
-            for kind, standin in self._targets:
-                target = Target(standin.name, DATA_CENTRE, kind, standin.address)
-                await platform.create(slice_of_target(target))
+        targets = [
+            Target(standin.name, DATA_CENTRE, kind, standin.address)
+            for kind, standin in self._targets
+        ]
+        await register_targets(self._platform.address, NAMESPACE, targets)
