Speak HTTPS to callers and operators from the settings

Cause: the issue asks for a secret or TLS on the operators' port; a secret in a bearer header over plain HTTP protects little beyond one network.

What changed: tls.certificate and tls.key; --ca-file for the commands (a few lines in _commands/_calls.py). trustme, for tests only, makes the authority and certificate, so that no key is committed. Ruled out: a committed test key; openssl as a command, which a new machine may lack.

Not done: TLS between peers, towards targets and the platform.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -31,6 +31,7 @@
       | open operators' port | listen: {operators: "10.0.0.1:8081"}      | 4    | listen.operators: a secret is needed to listen beyond loopback |
       | open peers' port     | listen: {peers: "0.0.0.0:8082"}           | 4    | listen.peers: a secret is needed to listen beyond loopback |
       | short secret         | secret: hush                              | 4    | secret: String should match pattern                     |
+      | key without certificate | tls: {key: k.pem}                      | 4    | tls.certificate: Field required                         |
       | unknown log level    | log_level: loud                           | 4    | log_level: String should match pattern                  |
       | broken YAML          | peers: [                                  | 4    | not YAML: expected the node content                     |
       | an alias             | peers: &a [];listen: *a                   | 5    | alias *a: aliases are not allowed                       |
--- a/features/steps/docs.py
+++ b/features/steps/docs.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from marjoramstage.settings import Limits, Listen, Settings
+from marjoramstage.settings import Limits, Listen, Settings, Tls
 
 ROOT = Path(__file__).resolve().parents[2]
 ERROR = re.compile(
@@ -17,7 +17,7 @@
 METRIC = re.compile(r"_?metrics\.(?:count|gauge|timing)\(\s*f?\"([a-z_.]+?)\.?[\"{]")
 ROW = re.compile(r"^\| `([a-z-]+)` \| ([0-9, ]+) \| ([a-z-]+) \|", re.MULTILINE)
 KEY = re.compile(r"^\| `([a-z_.]+)` \| [^|]* \| ([^|]*) \|", re.MULTILINE)
-NESTED = {"listen": Listen, "limits": Limits}
+NESTED = {"listen": Listen, "limits": Limits, "tls": Tls}
 
 
 def doc(name):
--- /dev/null
+++ b/features/steps/tls.py
@@ -0,0 +1,83 @@
+"""Steps about the HTTP ports with TLS."""
+
+import contextlib
+import io
+import ssl
+import urllib.error
+import urllib.request
+from importlib import resources
+
+import trustme
+from behave import given, then
+
+from features.processes import Deployment, wait_for
+from marjoramstage.cli import main
+
+CREDENTIAL = {"Authorization": "Bearer demo-credential"}
+
+
+@given("an instance with a certificate for its address")
+def start_with_certificate(context):
+    context.deployment = deployment = Deployment()
+    authority = trustme.CA()
+    context.ca_file = str(deployment.folder / "ca.pem")
+    authority.cert_pem.write_to_path(context.ca_file)
+    certificate = authority.issue_cert("127.0.0.1")
+    chain, key = deployment.folder / "chain.pem", deployment.folder / "key.pem"
+    certificate.cert_chain_pems[0].write_to_path(chain)
+    certificate.private_key_pem.write_to_path(key)
+    deployment.start_platform()
+    extra = f"tls: {{certificate: {chain}, key: {key}}}\n"
+    deployment.start_instance("i1", extra=extra)
+    context.trust = ssl.create_default_context(cafile=context.ca_file)
+    operators = deployment.operators["i1"]
+    wait_for(lambda: fetch(context, operators, "/healthz") == "200", "it listens")
+    text = resources.files("marjoramstage").joinpath("demo.yaml").read_bytes()
+    applied = fetch(context, operators, "/inventory", body=text)
+    assert applied == "200", applied
+    callers = deployment.addresses["i1"]
+    wait_for(lambda: fetch(context, callers, "/v1/models") == "200", "it serves")
+
+
+def fetch(context, address, path, scheme="https", trust=None, body=None):
+    """Return the status of an answer, or why there is none."""
+    url = f"{scheme}://{address}{path}"
+    req = urllib.request.Request(url, data=body, headers=CREDENTIAL)
+    try:
+        with urllib.request.urlopen(req, context=trust or context.trust) as resp:
+            return str(resp.status)
+    except urllib.error.HTTPError as exc:
+        return str(exc.code)
+    except urllib.error.URLError as exc:
+        if isinstance(exc.reason, ssl.SSLCertVerificationError):
+            return "certificate refused"
+        return "no HTTP answer"
+    except OSError:
+        return "no HTTP answer"
+
+
+def dump(context, *options):
+    """Run the dump command; return its exit code."""
+    args = ["dump", "--instance", context.deployment.operators["i1"], *options]
+    quiet = io.StringIO()
+    with contextlib.redirect_stdout(quiet), contextlib.redirect_stderr(quiet):
+        return f"exit code {main(args)}"
+
+
+@then("the instance with a certificate gives each of these")
+def check_each(context):
+    callers = context.deployment.addresses["i1"]
+    operators = context.deployment.operators["i1"]
+    stranger = ssl.create_default_context()
+    seen = {
+        "models over https": fetch(context, callers, "/v1/models"),
+        "health over https": fetch(context, operators, "/healthz"),
+        "models over plain http": fetch(context, callers, "/v1/models", "http"),
+        "models, unknown authority": fetch(
+            context, callers, "/v1/models", trust=stranger
+        ),
+        "dump command with authority": dump(context, "--ca-file", context.ca_file),
+        "dump command without": dump(context),
+    }
+    wanted = {row["call"]: row["seen"] for row in context.table}
+    assert seen == wanted, seen
--- /dev/null
+++ b/features/tls.feature
@@ -0,0 +1,13 @@
+Feature: Callers and operators over HTTPS
+  A certificate and a key in the settings turn both HTTP ports to HTTPS.
+
+  Scenario: an instance with a certificate
+    Given an instance with a certificate for its address
+    Then the instance with a certificate gives each of these
+      | call                        | seen                       |
+      | models over https           | 200                        |
+      | health over https           | 200                        |
+      | models over plain http      | no HTTP answer             |
+      | models, unknown authority   | certificate refused        |
+      | dump command with authority | exit code 0                |
+      | dump command without        | exit code 1                |
--- a/src/marjoramstage/_commands/_calls.py
+++ b/src/marjoramstage/_commands/_calls.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import ssl
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -38,6 +39,9 @@
         "--instance", required=True, help="operator address of any instance, ip:port"
     )
     parser.add_argument("--secret-file", help="file with the shared secret")
+    parser.add_argument(
+        "--ca-file", help="PEM file of the authority of the instance's certificate"
+    )
 
 
 def call(
@@ -70,12 +74,15 @@
 
 async def _call(args, method, path, params, body) -> Reply:
     timeout = aiohttp.ClientTimeout(total=OPERATOR_TIMEOUT_S)
-    url = f"http://{args.instance}{path}"
+    scheme = "https" if args.ca_file else "http"
+    url = f"{scheme}://{args.instance}{path}"
     headers = _secret_header(args.secret_file)
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
-            session.request(method, url, params=params, data=body) as resp,
+            session.request(
+                method, url, params=params, data=body, ssl=_trust(args.ca_file)
+            ) as resp,
         ):
             return Reply(resp.status, await resp.json(content_type=None))
     except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
@@ -84,6 +91,11 @@
         raise CallError(str(exc) or type(exc).__name__, sent=method != "GET") from exc
 
 
+def _trust(path: str | None) -> ssl.SSLContext | bool:
+    """Return how a certificate is checked: by the authority in a file."""
+    return ssl.create_default_context(cafile=path) if path else True
+
+
 def _secret_header(path: str | None) -> dict[str, str]:
     if path is None:
         return {}
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -164,8 +164,9 @@
                 ServerLimits(
                     header_bytes=cfg.limits.header_bytes, cancel_handlers=True
                 ),
+                cfg.tls,
             ),
-            HttpServer(operators.app(), cfg.listen.operators),
+            HttpServer(operators.app(), cfg.listen.operators, tls=cfg.tls),
         )
 
     async def stop(self) -> None:
--- a/src/marjoramstage/settings.py
+++ b/src/marjoramstage/settings.py
@@ -28,6 +28,7 @@
 
 
 Address = Annotated[str, AfterValidator(_address)]
+File = Annotated[str, Field(min_length=1)]
 Secret = Annotated[str, Field(pattern="^[!-~]{16,256}$")]
 
 
@@ -40,6 +41,14 @@
     peers: Address = LISTEN_DEFAULTS["peers"]
 
 
+@dataclass(frozen=True, config=STRICT)
+class Tls:
+    """Files, PEM, with which callers' and operators' ports speak HTTPS."""
+
+    certificate: File
+    key: File
+
+
 @dataclass(frozen=True, config=STRICT)
 class Limits:
     """Bounds on what one caller and one queue may take.
@@ -93,6 +102,8 @@
         Peer addresses of some other instances.
     secret : str or None
         Shared secret of operators and peers; needed to listen beyond loopback.
+    tls : Tls or None
+        Certificate and key of the HTTP ports; plain HTTP without.
     statsd : str or None
         Address of the metrics server; metrics are dropped without one.
     log_level : str
@@ -107,6 +118,7 @@
     limits: Limits = Field(default_factory=Limits)
     peers: tuple[Address, ...] = ()
     secret: Secret | None = Field(default=None, repr=False)
+    tls: Tls | None = None
     statsd: Address | None = None
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
 
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -11,6 +12,7 @@
 
 from marjoramstage.addresses import join_address, split_address
 from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.settings import Tls
 from marjoramstage.transport._errors import error_response
 
 SHUTDOWN_TIMEOUT_S = 1.0
@@ -50,6 +52,8 @@
         ``ip:port``; port 0 lets the kernel choose.
     limits : ServerLimits, optional
         Bounds of each connection.
+    tls : Tls, optional
+        Certificate and key; plain HTTP without.
     """
 
     def __init__(
@@ -57,10 +61,12 @@
         app: web.Application,
         address: str,
         limits: ServerLimits | None = None,
+        tls: Tls | None = None,
     ):
         self._app = app
         self._address = address
         self._limits = limits or ServerLimits()
+        self._tls = tls
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
 
@@ -84,7 +90,9 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, host, port)
+        self._site = web.TCPSite(
+            self._runner, host, port, ssl_context=_ssl_context(self._tls)
+        )
         await self._site.start()
         bound = self._runner.addresses[0]
         self._address = join_address(host, bound[1])
@@ -101,6 +109,14 @@
             await self._runner.cleanup()
 
 
+def _ssl_context(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    ctx = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    ctx.load_cert_chain(tls.certificate, tls.key)
+    return ctx
+
+
 class _Runner(web.AppRunner):
     """A runner whose connections answer malformed HTTP with a typed error."""
 
