--- a/features/steps/tls.py
+++ b/features/steps/tls.py
@@ -3,6 +3,8 @@
 import contextlib
 import io
 import ssl
+import subprocess
+import sys
 import urllib.error
 import urllib.request
 from importlib import resources
@@ -81,3 +83,23 @@
     }
     wanted = {row["call"]: row["seen"] for row in context.table}
     assert seen == wanted, seen
+
+
+@given("settings with a certificate that is not there")
+def write_bad_settings(context):
+    context.deployment = Deployment()
+    context.deployment.platform = "127.0.0.1:9"
+    context.settings = context.deployment.write_settings(
+        "i1", extra="tls: {certificate: /nowhere/c.pem, key: /nowhere/k.pem}\n"
+    )
+
+
+@then("serving with that certificate ends with exit code 2 and one line that names it")
+def check_bad_certificate(context):
+    command = [sys.executable, "-m", "marjoramstage", "serve", "--settings"]
+    found = subprocess.run(
+        [*command, str(context.settings)], capture_output=True, text=True
+    )
+    assert found.returncode == 2, found
+    lines = [line for line in found.stderr.splitlines() if not line.startswith("{")]
+    assert len(lines) == 1 and "/nowhere/c.pem" in lines[0], lines
--- a/features/tls.feature
+++ b/features/tls.feature
@@ -11,3 +11,7 @@
       | models, unknown authority   | certificate refused        |
       | dump command with authority | exit code 0                |
       | dump command without        | exit code 1                |
+
+  Scenario: a certificate that cannot be used
+    Given settings with a certificate that is not there
+    Then serving with that certificate ends with exit code 2 and one line that names it
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -11,7 +11,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstage.addresses import join_address, split_address
-from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.exceptions import ConfigError, RequestError, Verdict
 from marjoramstage.settings import Tls
 from marjoramstage.transport._errors import error_response
 
@@ -113,7 +113,11 @@
     if tls is None:
         return None
     ctx = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    ctx.load_cert_chain(tls.certificate, tls.key)
+    try:
+        ctx.load_cert_chain(tls.certificate, tls.key)
+    except OSError as exc:
+        problem = f"tls: {tls.certificate} with {tls.key}: {exc.strerror or exc}"
+        raise ConfigError((problem,)) from exc
     return ctx
 
 
