Answer bad operator requests with JSON

Cause: an unknown path, a wrong method or a body that is too large gave the library's plain text at the operators' port, which the commands cannot read. One clause in transport/operators.py.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -155,3 +155,22 @@
       | no HTTP                  | 400    | http            |
       | header without colon     | 400    | http            |
       | two lengths              | 400    | http            |
+
+  Scenario: bad operator requests
+    Given an instance for bad caller requests
+    When each bad operator request is sent, a good one after it
+    Then each bad operator request gets its status and says why, and each good one 200
+      | request                       | status | says                            |
+      | unknown path                  | 404    | Not Found                       |
+      | unknown method                | 405    | Method Not Allowed              |
+      | inventory not YAML            | 400    | inventory:1: not YAML           |
+      | inventory not UTF-8           | 400    | inventory:1: not YAML           |
+      | inventory of one unknown key  | 400    | inventory:1: magic: unknown key |
+      | inventory too large           | 413    | Request Entity Too Large        |
+      | empty plan                    | 400    | a mapping is needed             |
+      | base a word                   | 400    | base: a whole number            |
+      | edit id too short             | 400    | edit: 8 to 64                   |
+      | rollback to nothing           | 400    | to: a generation is needed      |
+      | rollback to a huge number     | 400    | to: a whole number              |
+      | no HTTP                       | 400    | not HTTP                        |
+      | large header                  | 431    | too long                        |
--- a/features/bad_requests.py
+++ b/features/bad_requests.py
@@ -109,3 +109,26 @@
     "header without colon": b"GET /v1/models HTTP/1.1\r\nHost: m\r\nnonsense\r\n\r\n",
     "two lengths": get("/v1/models", ("Content-Length", "3"), ("Content-Length", "4")),
 }
+
+
+def operate(path, body=b"", method="POST"):
+    return request_bytes(method, path, (), body)
+
+
+GOOD_OPERATOR_REQUEST = operate("/dump", method="GET")
+
+BAD_OPERATOR_REQUESTS = {
+    "unknown path": operate("/nothing", method="GET"),
+    "unknown method": operate("/dump", method="DELETE"),
+    "inventory not YAML": operate("/inventory", b"models: [a"),
+    "inventory not UTF-8": operate("/inventory", b"\x80\x81\x00"),
+    "inventory of one unknown key": operate("/inventory", b"magic: 1"),
+    "inventory too large": operate("/inventory", b"#" * 1_100_000),
+    "empty plan": operate("/plan"),
+    "base a word": operate("/inventory?base=new", b"models: []"),
+    "edit id too short": operate("/inventory?edit=1", b"models: []"),
+    "rollback to nothing": operate("/rollback"),
+    "rollback to a huge number": operate("/rollback?to=" + "9" * 5000),
+    "no HTTP": BAD_REQUESTS["no HTTP"],
+    "large header": request_bytes("GET", "/dump", [("X-Filler", "x" * 20_000)]),
+}
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -8,8 +8,10 @@
 from behave import given, then, when
 
 from features.bad_requests import (
+    BAD_OPERATOR_REQUESTS,
     BAD_REQUESTS,
     BODY_BYTES,
+    GOOD_OPERATOR_REQUEST,
     GOOD_REQUEST,
     HEADER_BYTES,
 )
@@ -177,3 +179,25 @@
             wrong.append((row["request"], seen, error["message"]))
     assert not wrong, wrong
     assert not context.bad_answers, f"no row for {list(context.bad_answers)}"
+
+
+@when("each bad operator request is sent, a good one after it")
+def send_bad_operator_requests(context):
+    address = context.deployment.operators["i1"]
+    context.operator_answers = {}
+    for name, payload in BAD_OPERATOR_REQUESTS.items():
+        bad, good = exchange(address, payload), exchange(address, GOOD_OPERATOR_REQUEST)
+        context.operator_answers[name] = (bad, good)
+
+
+@then("each bad operator request gets its status and says why, and each good one 200")
+def check_operator_answers(context):
+    wrong = []
+    for row in context.table:
+        bad, good = context.operator_answers.pop(row["request"])
+        body = bad.body.decode()
+        whole = body.startswith("{") and row["says"] in body
+        if (bad.status, good.status, whole) != (int(row["status"]), 200, True):
+            wrong.append((row["request"], bad.status, good.status, body))
+    assert not wrong, wrong
+    assert not context.operator_answers, f"no row for {list(context.operator_answers)}"
--- a/src/marjoramstage/transport/operators.py
+++ b/src/marjoramstage/transport/operators.py
@@ -118,6 +118,8 @@
             return await handler(req)
         except ConfigError as exc:
             return web.json_response({"problems": list(exc.problems)}, status=400)
+        except web.HTTPException as exc:
+            return web.json_response({"error": exc.reason}, status=exc.status)
 
     async def _healthz(self, req: web.Request) -> web.Response:
         return web.json_response({"ok": True})
