Refuse a request target that is not a path

Cause: an absolute address as request target was put after the target's own address; the attempt failed as not-run and was made again and again (seen in the instance's log for 3 s, until the client gave up). A fragment was passed over in silence.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -142,6 +142,12 @@
       | dot segment              | 400    | path            |
       | encoded dot segment      | 400    | path            |
       | encoded slash            | 400    | path            |
+      | absolute address         | 400    | path            |
+      | another host in the path | 400    | http            |
+      | another host, colon      | 400    | http            |
+      | star for a path          | 400    | path            |
+      | fragment                 | 400    | path            |
+      | two slashes              | 404    | path            |
       | unknown path             | 404    | path            |
       | unknown method           | 405    | method          |
       | large body               | 413    | body-size       |
@@ -154,6 +160,7 @@
       | long request line        | 431    | header-size     |
       | no HTTP                  | 400    | http            |
       | header without colon     | 400    | http            |
+      | length and chunks        | 400    | http            |
       | two lengths              | 400    | http            |
 
   Scenario: bad operator requests
--- a/features/bad_requests.py
+++ b/features/bad_requests.py
@@ -95,6 +95,12 @@
     "dot segment": get("/services/booking/../exchange/list"),
     "encoded dot segment": get("/services/booking/%2e%2e/exchange/list"),
     "encoded slash": get("/services/booking/availability%2fx"),
+    "absolute address": get("http://m/services/booking/availability"),
+    "another host in the path": get("@10.0.0.9/services/booking/availability"),
+    "another host, colon": get(":80@10.0.0.9/services/booking/availability"),
+    "star for a path": request_bytes("OPTIONS", "*", (CREDENTIAL,)),
+    "fragment": get("/services/booking/availability#x"),
+    "two slashes": get("//10.0.0.9/services/booking/availability"),
     "unknown path": get("/v2/models"),
     "unknown method": request_bytes("DELETE", "/v1/models", (CREDENTIAL,)),
     "large body": request_bytes("POST", BOOKINGS, (CREDENTIAL,), LARGE),
@@ -107,6 +113,9 @@
     "long request line": get("/v1/" + "x" * (HEADER_BYTES + 1)),
     "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
     "header without colon": b"GET /v1/models HTTP/1.1\r\nHost: m\r\nnonsense\r\n\r\n",
+    "length and chunks": chunked_bytes(
+        "POST", BOOKINGS, (CREDENTIAL, ("Content-Length", "2")), [b"{}"]
+    ),
     "two lengths": get("/v1/models", ("Content-Length", "3"), ("Content-Length", "4")),
 }
 
--- a/src/marjoramstage/transport/_headers.py
+++ b/src/marjoramstage/transport/_headers.py
@@ -35,6 +35,9 @@
     if size + len(req.raw_path) > header_bytes:
         text = f"The request head is longer than {header_bytes} bytes."
         raise _refusal(431, "header-size", text)
+    if not req.raw_path.startswith("/") or "#" in req.raw_path:
+        text = "The request target is a path that begins with a slash."
+        raise _refusal(400, "path", text)
     for name in SINGLE_HEADERS:
         if len(req.headers.getall(name, ())) > 1:
             raise _refusal(400, "header", f"{name} is given more than once.")
