Answer an unknown Expect with the typed error

Cause: the library answered 417 with plain text and no verdict, past our middleware. A row fails without the handler (seen in a trial: 'Unknown Expect: 200-ok').

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -153,6 +153,7 @@
       | large body               | 413    | body-size       |
       | large chunked body       | 413    | body-size       |
       | compressed body          | 415    | encoding        |
+      | unknown expectation      | 417    | expect          |
       | half a body              | 408    | body-time       |
       | bad chunk size           | 400    | http            |
       | large header             | 431    | header-size     |
--- a/features/bad_requests.py
+++ b/features/bad_requests.py
@@ -106,6 +106,7 @@
     "large body": request_bytes("POST", BOOKINGS, (CREDENTIAL,), LARGE),
     "large chunked body": chunked_bytes("POST", BOOKINGS, (CREDENTIAL,), [LARGE]),
     "compressed body": chat(gzip.compress(body_bytes()), ("Content-Encoding", "gzip")),
+    "unknown expectation": chat(None, ("Expect", "200-ok")),
     "half a body": HALF_BODY,
     "bad chunk size": BAD_CHUNK.replace(b"\r\n2\r\n", b"\r\nzz\r\n"),
     "large header": get("/v1/models", ("X-Filler", "x" * (HEADER_BYTES + 1))),
--- a/src/marjoramstage/transport/_errors.py
+++ b/src/marjoramstage/transport/_errors.py
@@ -28,6 +28,16 @@
     return web.json_response({"error": error}, status=exc.status, headers=headers)
 
 
+async def answer_expect(req: web.Request) -> web.Response | None:
+    """Tell a caller to send its body, or refuse an unknown expectation."""
+    if req.headers.get("Expect", "").lower() != "100-continue":
+        text = "Expect is 100-continue."
+        return error_response(RequestError(417, "expect", text, Verdict.NOT_RUN))
+    await req.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    req.writer.output_size = 0  # the answer itself has not begun
+    return None
+
+
 def error_of_http(exc: web.HTTPException) -> RequestError:
     """Return the error of a request that the HTTP library refused."""
     code = CODE_OF_STATUS.get(exc.status, "http")
--- a/src/marjoramstage/transport/callers.py
+++ b/src/marjoramstage/transport/callers.py
@@ -22,6 +22,7 @@
 from marjoramstage.transport._bodies import EngineBody, parse_engine_body
 from marjoramstage.transport._errors import (
     HEADER_REQUEST_ID,
+    answer_expect,
     error_of_http,
     error_response,
 )
@@ -99,9 +100,14 @@
             client_max_size=self._limits.body_bytes, middlewares=[self._errors]
         )
         app.router.add_get("/v1/models", self._models)
-        app.router.add_post("/v1/completions", self._completions)
-        app.router.add_post("/v1/chat/completions", self._completions)
-        app.router.add_route("*", "/services/{service}/{tail:.*}", self._service)
+        for path in ("/v1/completions", "/v1/chat/completions"):
+            app.router.add_post(path, self._completions, expect_handler=answer_expect)
+        app.router.add_route(
+            "*",
+            "/services/{service}/{tail:.*}",
+            self._service,
+            expect_handler=answer_expect,
+        )
         return app
 
     @property
