--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -31,6 +31,7 @@
       | open operators' port | listen: {operators: "10.0.0.1:8081"}      | 4    | listen.operators: a secret is needed to listen beyond loopback |
       | open peers' port     | listen: {peers: "0.0.0.0:8082"}           | 4    | listen.peers: a secret is needed to listen beyond loopback |
       | short secret         | secret: hush                              | 4    | secret: String should match pattern                     |
+      | key without certificate | tls: {key: k.pem}                      | 4    | tls.certificate: Field required                         |
       | unknown log level    | log_level: loud                           | 4    | log_level: String should match pattern                  |
       | broken YAML          | peers: [                                  | 4    | not YAML: expected the node content                     |
       | an alias             | peers: &a [];listen: *a                   | 5    | alias *a: aliases are not allowed                       |
@@ -76,6 +77,21 @@
       | large   | :1: longer than            |
     Then each unreadable inventory is refused with exit code 2
 
+  Scenario Outline: a command line with <case>
+    When the command line "<args>" is run
+    Then the command line ends with exit code <code> and one error "<says>"
+
+    Examples:
+      | case                  | args                               | code | says                    |
+      | no command            |                                    | 2    | arguments are required  |
+      | unknown command       | sing                               | 2    | invalid choice          |
+      | unknown option        | check --colour red                 | 2    | unrecognized arguments  |
+      | missing option        | serve                              | 2    | --settings              |
+      | missing file          | serve --settings /nowhere/i.yaml   | 2    | cannot be read          |
+      | bad address           | demo --callers nowhere             | 2    | not ip:port             |
+      | number as a word      | standin engine --memory-mb many    | 2    | invalid int value       |
+      | address of no machine | standin platform --listen 192.0.2.1:1 | 1 | marjoramstage: [Errno   |
+
   Scenario: bad caller requests
     Given an instance for bad caller requests
     When each bad caller request is sent, a good one after it
@@ -126,11 +142,18 @@
       | dot segment              | 400    | path            |
       | encoded dot segment      | 400    | path            |
       | encoded slash            | 400    | path            |
+      | absolute address         | 400    | path            |
+      | another host in the path | 400    | http            |
+      | another host, colon      | 400    | http            |
+      | star for a path          | 400    | path            |
+      | fragment                 | 400    | path            |
+      | two slashes              | 404    | path            |
       | unknown path             | 404    | path            |
       | unknown method           | 405    | method          |
       | large body               | 413    | body-size       |
       | large chunked body       | 413    | body-size       |
       | compressed body          | 415    | encoding        |
+      | unknown expectation      | 417    | expect          |
       | half a body              | 408    | body-time       |
       | bad chunk size           | 400    | http            |
       | large header             | 431    | header-size     |
@@ -138,4 +161,24 @@
       | long request line        | 431    | header-size     |
       | no HTTP                  | 400    | http            |
       | header without colon     | 400    | http            |
+      | length and chunks        | 400    | http            |
       | two lengths              | 400    | http            |
+
+  Scenario: bad operator requests
+    Given an instance for bad caller requests
+    When each bad operator request is sent, a good one after it
+    Then each bad operator request gets its status and says why, and each good one 200
+      | request                       | status | says                            |
+      | unknown path                  | 404    | Not Found                       |
+      | unknown method                | 405    | Method Not Allowed              |
+      | inventory not YAML            | 400    | inventory:1: not YAML           |
+      | inventory not UTF-8           | 400    | inventory:1: not YAML           |
+      | inventory of one unknown key  | 400    | inventory:1: magic: unknown key |
+      | inventory too large           | 413    | Request Entity Too Large        |
+      | empty plan                    | 400    | a mapping is needed             |
+      | base a word                   | 400    | base: a whole number            |
+      | edit id too short             | 400    | edit: 8 to 64                   |
+      | rollback to nothing           | 400    | to: a generation is needed      |
+      | rollback to a huge number     | 400    | to: a whole number              |
+      | no HTTP                       | 400    | not HTTP                        |
+      | large header                  | 431    | too long                        |
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -11,7 +11,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstage.addresses import join_address, split_address
-from marjoramstage.exceptions import RequestError, Verdict
+from marjoramstage.exceptions import ConfigError, RequestError, Verdict
+from marjoramstage.settings import Tls
 from marjoramstage.transport._errors import error_response
 
 SHUTDOWN_TIMEOUT_S = 1.0
@@ -51,7 +52,7 @@
         ``ip:port``; port 0 lets the kernel choose.
     limits : ServerLimits, optional
         Bounds of each connection.
-    tls : ssl.SSLContext, optional
+    tls : Tls, optional
         Certificate and key; plain HTTP without.
     """
 
@@ -60,7 +61,7 @@
         app: web.Application,
         address: str,
         limits: ServerLimits | None = None,
-        tls: ssl.SSLContext | None = None,
+        tls: Tls | None = None,
     ):
         self._app = app
         self._address = address
@@ -89,7 +90,9 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
+        self._site = web.TCPSite(
+            self._runner, host, port, ssl_context=_ssl_context(self._tls)
+        )
         await self._site.start()
         bound = self._runner.addresses[0]
         self._address = join_address(host, bound[1])
@@ -106,6 +109,18 @@
             await self._runner.cleanup()
 
 
+def _ssl_context(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    ctx = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        ctx.load_cert_chain(tls.certificate, tls.key)
+    except OSError as exc:
+        problem = f"tls: {tls.certificate} with {tls.key}: {exc.strerror or exc}"
+        raise ConfigError((problem,)) from exc
+    return ctx
+
+
 class _Runner(web.AppRunner):
     """A runner whose connections answer malformed HTTP with a typed error."""
 
