--- a/features/steps/drain.py
+++ b/features/steps/drain.py
@@ -14,8 +14,9 @@
 
 CREDENTIAL = {"Authorization": "Bearer demo-credential"}
 BODY = {"model": "assistant", "max_tokens": 3, "prompt": "Which halls are free?"}
-CALLERS = 6
+CALLERS = 4
 NOT_READY = 503
+PAUSE_S = 0.03
 
 
 def start(deployment, name, data_centre, seeds, extra=""):
@@ -107,7 +108,7 @@
             turn += 1
             names = self.ready
             self.outcomes.append(self._one(names, turn))
-            time.sleep(0.01)
+            time.sleep(PAUSE_S)
 
     def _one(self, names, turn):
         """Send one request; go on to another instance only if it did not run."""
