--- a/features/config_net.py
+++ b/features/config_net.py
@@ -18,10 +18,15 @@
     NamedDocument,
     encode,
 )
-from marjoramstage.state.documents import build_tree, read_tree
+from marjoramstage.state.documents import (
+    build_tree,
+    compressed,
+    decompressed,
+    read_tree,
+)
 from marjoramstage.state.inventory import inventory_from_data
 
-TICK_S = 0.1
+TICK_S = 0.2
 LOCAL_S = 0.001
 REMOTE_S = 0.0015
 PLATFORM_S = 0.005
@@ -294,11 +299,12 @@
 
 
 def forged(message):
-    """The same documents with one byte changed."""
+    """The same documents with one byte of their content changed."""
     if not isinstance(message, DocumentsSent):
         return message
     documents = tuple(
-        NamedDocument(d.name, d.content[:-1] + b" ") for d in message.documents
+        NamedDocument(d.name, compressed(decompressed(d.content)[:-1] + b" "))
+        for d in message.documents
     )
     return replace(message, documents=documents)
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -72,5 +72,6 @@
     When d1-i1 is cut off from all config nodes for 700 s
     Then all config nodes of d1 know each other within 30 s
 
-  Scenario: exactly one watcher and two bridges in a settled data centre
-    Then each data centre has 1 watcher and 2 bridges
+  Scenario: exactly one watcher and three bridges in a settled data centre
+    Given 3 data centres of 6 config nodes with a generation in force
+    Then each data centre has 1 watcher and 3 bridges
--- a/src/marjoramstage/_instance/peering.py
+++ b/src/marjoramstage/_instance/peering.py
@@ -52,7 +52,7 @@
 
 log = part_logger("peering")
 
-TICK_EVERY_S = 0.1
+TICK_EVERY_S = 0.2
 READS_AT_ONCE = 8
 
 
--- a/src/marjoramstage/coordination/_loads.py
+++ b/src/marjoramstage/coordination/_loads.py
@@ -9,7 +9,7 @@
 from marjoramstage.protocol.peers import AdapterWanted, DemandEntry, Load
 
 LOAD_EVERY_S = 0.5
-LOAD_BYTES_PER_S = 3000
+LOAD_BYTES_PER_S = 2000
 MAX_HOPS = 2
 
 _FIXED_BYTES = 80
--- a/src/marjoramstage/coordination/distribution.py
+++ b/src/marjoramstage/coordination/distribution.py
@@ -31,6 +31,8 @@
     NamedDocument,
 )
 from marjoramstage.state.documents import (
+    compressed,
+    decompressed,
     document_name,
     missing_documents,
     reachable_documents,
@@ -184,8 +186,16 @@
     def documents_sent(
         self, message: DocumentsSent, own: MemberEntry, now_s: float
     ) -> list[NodeEffect]:
-        """Take in documents that a peer sent."""
-        return self._stage(message.documents, message.sender.address, own, now_s)
+        """Take in documents that a peer sent, compressed."""
+        found = []
+        for sent in message.documents:
+            try:
+                content = decompressed(sent.content)
+            except ValueError:
+                self.refused_documents += 1
+                continue
+            found.append(NamedDocument(sent.name, content))
+        return self._stage(tuple(found), message.sender.address, own, now_s)
 
     def answer(self, asked: DocumentsAsked, own: MemberEntry) -> list[NodeEffect]:
         """Send documents of the generation in force to a peer."""
@@ -195,10 +205,11 @@
             if content is None:
                 missing.append(name)
                 continue
-            size += len(content)
+            payload = compressed(content)
+            size += len(payload)
             if found and size > SENT_BYTES:
                 break
-            found.append(NamedDocument(name, content))
+            found.append(NamedDocument(name, payload))
         message = DocumentsSent(own, tuple(found), tuple(missing))
         return [SendPeer(asked.sender.address, message)]
 
@@ -259,10 +270,11 @@
     def _ask(self, own: MemberEntry, now_s: float) -> list[NodeEffect]:
         """Ask the present source for what is missing, or end the fetch."""
         fetch = self._fetch
-        known = {**self.documents, **self._staged}
+        root, whole = fetch.head.root, self.documents
         try:
-            missing = missing_documents(fetch.head.root, known)
+            missing = missing_documents(root, self._staged, whole)
             if not missing:
+                known = {**whole, **self._staged}
                 return self._put_in_force(known, own, now_s)
         except BAD_DOCUMENT:
             return self._give_up(own, now_s)
@@ -284,9 +296,9 @@
         fetch = self._fetch
         if fetch is None:
             return []
-        known = {**self.documents, **self._staged}
+        root, whole = fetch.head.root, self.documents
         try:
-            wanted = set(missing_documents(fetch.head.root, known))
+            wanted = set(missing_documents(root, self._staged, whole))
         except BAD_DOCUMENT:
             return self._give_up(own, now_s)
         progress = False
--- a/src/marjoramstage/coordination/gossip.py
+++ b/src/marjoramstage/coordination/gossip.py
@@ -35,8 +35,8 @@
 GOSSIP_EVERY_S = 1.0
 GOSSIP_PEERS = 2
 BRIDGE_EVERY_S = 2.0
-RUMOUR_PEERS = 4
-RUMOUR_DATA_CENTRES = 3
+RUMOUR_PEERS = 3
+RUMOUR_DATA_CENTRES = 1
 RECOVERY_SHARE = 0.2
 TOLD_LEAVING_S = 60.0
 TOLD_ADDRESS_S = 15.0
@@ -160,7 +160,10 @@
         if sender is None or not self._is_local(sender):
             effects += self._to_own_data_centre(rumour, now_s)
         if sender is None:
-            effects += self._to_data_centres(rumour, None)
+            # An instance that is dead may not be known to be.
+            contacts = self.summaries.contacts().values()
+            found = [entry for entries in contacts for entry in entries]
+            effects += [SendPeer(entry.address, rumour) for entry in found]
         return effects
 
     def forget_leaving(self, target: str) -> None:
@@ -175,7 +178,7 @@
         chosen = self._rng.sample(peers, min(RUMOUR_PEERS, len(peers)))
         effects: list[NodeEffect] = [SendPeer(e.address, rumour) for e in chosen]
         if self.is_bridge(now_s):
-            effects += self._to_data_centres(rumour, RUMOUR_DATA_CENTRES)
+            effects += self._to_data_centres(rumour)
         return effects
 
     def leave(self, state: MemberState, now_s: float) -> list[NodeEffect]:
@@ -288,14 +291,11 @@
     ) -> list[NodeEffect]:
         return [SendPeer(m.entry.address, message) for m in self._reachable(now_s)]
 
-    def _to_data_centres(
-        self, message: PeerMessage, count: int | None
-    ) -> list[NodeEffect]:
-        """Send to one contact in each of ``count`` other data centres, or in all."""
+    def _to_data_centres(self, message: PeerMessage) -> list[NodeEffect]:
+        """Send to one contact in each of a few other data centres."""
         contacts = self.summaries.contacts()
         names = sorted(contacts)
-        if count is not None:
-            names = self._rng.sample(names, min(count, len(names)))
+        names = self._rng.sample(names, min(RUMOUR_DATA_CENTRES, len(names)))
         return [
             SendPeer(self._rng.choice(contacts[name]).address, message)
             for name in names
--- a/src/marjoramstage/protocol/_thrift.py
+++ b/src/marjoramstage/protocol/_thrift.py
@@ -77,9 +77,18 @@
         self._names = names
         self._field_of = {cls: name for name, cls in messages.items()}
         self._hints: dict[type, dict[str, Any]] = {}
+        self._last: Any = None
+        self._last_payload = b""
 
     def encode(self, message: Any) -> bytes:
         """Return the payload of a frame."""
+        # The same message often goes to many peers in a row.
+        if message is not self._last:
+            self._last_payload = self._encoded(message)
+            self._last = message
+        return self._last_payload
+
+    def _encoded(self, message: Any) -> bytes:
         struct = self._to_struct(message)
         frame = self._idl.Frame(**{self._field_of[type(message)]: struct})
         buffer = TMemoryBuffer()
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -187,7 +187,10 @@
 
 @dataclass(frozen=True)
 class NamedDocument:
-    """A document; its name is the SHA-256 of its content."""
+    """A document; its name is the SHA-256 of its content.
+
+    Between peers the content is compressed by zlib, at the platform it is not.
+    """
 
     name: str
     content: bytes
--- a/src/marjoramstage/state/documents.py
+++ b/src/marjoramstage/state/documents.py
@@ -8,10 +8,13 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 import json
+import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any
 
 from marjoramstage.exceptions import ConfigError
@@ -49,6 +52,29 @@
     return hashlib.sha256(content).hexdigest()
 
 
+def compressed(content: bytes) -> bytes:
+    """Return a document as it is sent to a peer."""
+    return zlib.compress(content)
+
+
+def decompressed(payload: bytes) -> bytes:
+    """Return the document that was sent.
+
+    Raises
+    ------
+    ValueError
+        The payload is broken, or larger than a document may be.
+    """
+    stream = zlib.decompressobj()
+    try:
+        content = stream.decompress(payload, MAX_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise ValueError("a document that cannot be decompressed") from exc
+    if not stream.eof:
+        raise ValueError("a document that is cut off or too large")
+    return content
+
+
 def canonical(data: Any) -> bytes:
     """Return JSON data in the one form that is hashed."""
     return json.dumps(data, sort_keys=True, separators=(",", ":")).encode()
@@ -74,15 +100,25 @@
     return Tree(root, documents)
 
 
-def missing_documents(root: str, documents: Mapping[str, bytes]) -> list[str]:
+def missing_documents(
+    root: str,
+    documents: Mapping[str, bytes],
+    whole: Mapping[str, bytes] = MappingProxyType({}),
+) -> list[str]:
     """Return names that the tree is known to need and ``documents`` lacks.
 
+    Parameters
+    ----------
+    whole : Mapping
+        Documents of a tree that lacks nothing; they are not looked into.
+
     Raises
     ------
     ValueError
         A document is not one of a tree.
     """
-    return [name for name in _walk(root, documents) if name not in documents]
+    walked = _walk(root, documents, whole)
+    return [n for n in walked if n not in documents and n not in whole]
 
 
 def reachable_documents(root: str, documents: Mapping[str, bytes]) -> dict[str, bytes]:
@@ -138,7 +174,11 @@
     return hashlib.sha256(name.encode()).hexdigest()
 
 
-def _walk(root: str, documents: Mapping[str, bytes]) -> Iterable[str]:
+def _walk(
+    root: str,
+    documents: Mapping[str, bytes],
+    whole: Mapping[str, bytes] = MappingProxyType({}),
+) -> Iterable[str]:
     """Give each name of a tree once, as far as its documents are there."""
     seen = {root}
     level = [root]
@@ -146,7 +186,7 @@
         yield from level
         below = []
         for name in level:
-            if name in documents:
+            if name in documents and name not in whole:
                 below += _children(documents[name])
         level = [name for name in dict.fromkeys(below) if name not in seen]
         seen.update(level)
@@ -155,7 +195,8 @@
     raise ValueError("a tree that is too deep")
 
 
-def _children(content: bytes) -> list[str]:
+@functools.lru_cache(maxsize=8192)
+def _children(content: bytes) -> tuple[str, ...]:
     data = _parse(content)
     names = list(data.get("children", {}).values())
     names += data.get("sections", {}).values()
@@ -163,7 +204,7 @@
         names.append(data["rules"])
     if not all(isinstance(name, str) for name in names):
         raise ValueError("a document with a name that is no text")
-    return names
+    return tuple(names)
 
 
 def _parse(content: bytes) -> dict[str, Any]:
