Refuse an inventory that no placement on the engines can hold

Only what is certain counts: every listed engine has reported, and a model is larger than the largest engine or one copy of each than all together.

--- a/features/releases_commands.feature
+++ b/features/releases_commands.feature
@@ -11,6 +11,8 @@
       | i2       | apply --inventory SECOND --base 1 --who ana --wait   | 0    | in force everywhere: generation 2         |
       | i1       | apply --inventory THIRD --base 1 --who ben           | 3    | models/summaries: changed by ana in generation 2 |
       | i1       | apply --inventory OTHER --base 1 --who ben           | 0    | accepted: generation 3                    |
+      | i1       | apply --inventory LARGE                              | 5    | no engine has more than 48000 MB          |
+      | i1       | apply --inventory MANY                               | 5    | all engines together have 96000 MB        |
       | i1       | apply --inventory BROKEN                             | 2    | unknown model                             |
       | i2       | rollback --to 1 --who eva --message undo --wait      | 0    | in force everywhere: generation 4         |
       | i2       | rollback --to 9                                      | 5    | generation 9 is not in the history        |
--- a/features/steps/releases_commands.py
+++ b/features/steps/releases_commands.py
@@ -13,6 +13,7 @@
 
 SECRET = "secret-of-operators"
 LEAVING_S = 3.0
+MANY_MODELS = "".join(f"  - {{name: m{i}, memory_mb: 40000}}\n" for i in range(2))
 PATHS = ("/dump", "/status", "/inventory", "/history", "/edits/abcdefgh1")
 
 
@@ -30,7 +31,8 @@
     deployment.start_instance("i2", "d2", secret + f'peers: ["{peers}"]\n')
     wait_for(lambda: call(operators["i2"], "/healthz").status == 200, "i2 listens")
     wait_for(lambda: len(dump(context, "i1")["peers"]["data_centres"]) == 2, "met")
-    wait_for(lambda: len(dump(context, "i2")["targets"]) == 2, "targets listed")
+    for name in ("i1", "i2"):
+        wait_for(lambda name=name: reported(context, name) == 2, "targets report")
     write_files(context)
 
 
@@ -39,6 +41,13 @@
     return call(context.deployment.operators[name], "/dump", headers=headers).json()
 
 
+def reported(context, name):
+    headers = {"Authorization": f"Bearer {SECRET}"}
+    address = context.deployment.operators[name]
+    data = call(address, "/status", headers=headers).json()
+    return sum(target["reported"] for target in data["targets"])
+
+
 def write_files(context):
     text = resources.files("marjoramstage").joinpath("demo.yaml").read_text()
     summaries = 'name: summaries, version: "1"'
@@ -47,6 +56,8 @@
         "SECOND": text.replace(summaries, 'name: summaries, version: "2"'),
         "THIRD": text.replace(summaries, 'name: summaries, version: "3"'),
         "OTHER": text.replace("memory_mb: 200", "memory_mb: 300"),
+        "LARGE": text.replace("memory_mb: 14000", "memory_mb: 50000"),
+        "MANY": text.replace("models:\n", "models:\n" + MANY_MODELS),
         "BROKEN": text.replace("model: assistant", "model: nothing"),
     }
     context.files = {}
--- a/src/marjoramstage/_instance/dump.py
+++ b/src/marjoramstage/_instance/dump.py
@@ -17,6 +17,7 @@
         "kind": view.target.kind.value,
         "address": view.target.address,
         "leaving": view.target.leaving,
+        "reported": view.report is not None,
         "in_flight": view.in_flight,
         "ready": sorted(str(item) for item in view.ready),
     }
--- a/src/marjoramstage/_instance/operating.py
+++ b/src/marjoramstage/_instance/operating.py
@@ -26,6 +26,8 @@
     ----------
     incarnation : callable
         Gives the present incarnation of a target, or empty text.
+    refusals : callable
+        Gives reasons why an inventory cannot be carried out; none if it can.
     """
 
     def __init__(
@@ -34,12 +36,13 @@
         platform: Platform,
         clock: Clock,
         incarnation: Callable[[str], str],
+        refusals: Callable[[Inventory], list[str]],
     ):
         self._peers = peers
         self._platform = platform
         self._incarnation = incarnation
         self.acceptor = Acceptor(
-            platform, clock, lambda: peers.node.distributor.documents
+            platform, clock, lambda: peers.node.distributor.documents, refusals
         )
 
     def inventory(self) -> tuple[int, Inventory]:
--- a/src/marjoramstage/_instance/status.py
+++ b/src/marjoramstage/_instance/status.py
@@ -30,6 +30,7 @@
             for view in views
             if view.report is not None and not view.report.fencing
         ),
+        "shortfalls": instance.shortfalls(inventory),
         "models": models,
         "adapters": adapters,
         "unreachable": sorted(
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -27,6 +27,7 @@
 from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
+from marjoramstage.coordination._capacity import shortfalls
 from marjoramstage.coordination._loads import LOAD_EVERY_S
 from marjoramstage.coordination._release_store import Release
 from marjoramstage.coordination._steps import AdapterNeeded, LoadTold, StopPlanned
@@ -124,7 +125,11 @@
         )
         self.leaving = LeavingTargets(self.peers.knows_leaving, self.peers.post)
         self.operations = Operations(
-            self.peers, self.platform, clock, self.leaving.incarnation
+            self.peers,
+            self.platform,
+            clock,
+            self.leaving.incarnation,
+            self.shortfalls,
         )
         self.follower = Follower(
             self.platform, self._post, self.peers.post, self.peers.members, clock
@@ -223,6 +228,10 @@
         if not self.gate.drain.serving:
             self.gate.ask()
 
+    def shortfalls(self, inventory: Inventory) -> list[str]:
+        """Return why an inventory cannot fit the engines that are there."""
+        return shortfalls(inventory, self.requests.scheduler.table.views.values())
+
     def now(self) -> float:
         """Return the reading of the monotonic clock."""
         return self._clock.now()
