--- a/features/cutoff.feature
+++ b/features/cutoff.feature
@@ -4,6 +4,11 @@
   Background:
     Given 3 data centres of 3 config nodes with a generation in force
 
+  Scenario: an instance with neither platform nor peers says what it waits for
+    Given a separate instance that reaches neither platform nor peers
+    Then it is not ready and says that the platform is unavailable and 0 peers are met
+    And it ends with exit code 0 on SIGTERM though the platform is away
+
   Scenario Outline: reached in spite of a cut, <cut>
     When config nodes are cut off so that <cut>
     And a generation is accepted during the config cut
--- a/features/releases_commands.feature
+++ b/features/releases_commands.feature
@@ -7,10 +7,11 @@
       | i1       | check --inventory FIRST                              | 0    |                                           |
       | i1       | plan --inventory FIRST                               | 0    | + models/assistant                        |
       | i1       | apply --inventory FIRST --message start --who ana --wait | 0 | in force everywhere: generation 1         |
-      | i2       | plan --inventory SECOND                              | 0    | ~ models/summaries: version 1 -> 2        |
+      | i2       | plan --inventory SECOND                              | 0    | version 1 -> 2 1 changes, 1 items to load |
       | i2       | apply --inventory SECOND --base 1 --who ana --wait   | 0    | in force everywhere: generation 2         |
       | i1       | apply --inventory THIRD --base 1 --who ben           | 3    | models/summaries: changed by ana in generation 2 |
       | i1       | apply --inventory OTHER --base 1 --who ben           | 0    | accepted: generation 3                    |
+      | i1       | plan --inventory LARGE                               | 5    | would be refused: model 'summaries'       |
       | i1       | apply --inventory LARGE                              | 5    | no engine has more than 48000 MB          |
       | i1       | apply --inventory MANY                               | 5    | all engines together have 96000 MB        |
       | i1       | apply --inventory BROKEN                             | 2    | unknown model                             |
--- a/src/marjoramstage/_commands/inventory.py
+++ b/src/marjoramstage/_commands/inventory.py
@@ -82,8 +82,11 @@
     print(f"against generation {reply.data['generation']}:")
     for change in reply.data["changes"]:
         print(_change_line(change))
-    print(f"{len(reply.data['changes'])} changes")
-    return exits.OK
+    loads = [c for c in reply.data["changes"] if _is_load(c)]
+    print(f"{len(reply.data['changes'])} changes, {len(loads)} items to load")
+    for refusal in reply.data["refusals"]:
+        print(f"would be refused: {refusal}", file=sys.stderr)
+    return exits.REFUSED if reply.data["refusals"] else exits.OK
 
 
 def _apply(args: argparse.Namespace) -> int:
@@ -211,6 +214,15 @@
     return found
 
 
+def _is_load(change: dict) -> bool:
+    """Return whether a change asks for a version that is not held yet."""
+    after, before = change["after"], change["before"]
+    held = change["entry"].startswith(("models/", "adapters/"))
+    if not held or after is None:
+        return False
+    return before is None or before["version"] != after["version"]
+
+
 def _change_line(change: dict) -> str:
     if change["before"] is None:
         return f"+ {change['entry']}"
--- a/src/marjoramstage/coordination/releases.py
+++ b/src/marjoramstage/coordination/releases.py
@@ -131,7 +131,7 @@
         self.store = ReleaseStore(platform, cached)
         self._clock = clock
         self._cached = cached
-        self._refusals = refusals
+        self.refusals = refusals
 
     async def accept(self, edit: Edit) -> Result[Release, ApplyError]:
         """Submit an edit and settle its outcome within `APPLY_S`."""
@@ -216,7 +216,7 @@
         problems = inventory_problems(merged.inventory)
         if problems:
             return Err(ApplyError(ApplyFault.CONFLICT, tuple(problems)))
-        refusals = self._refusals(merged.inventory)
+        refusals = self.refusals(merged.inventory)
         if refusals:
             return Err(ApplyError(ApplyFault.REFUSED, tuple(refusals)))
         return Ok(merged.inventory)
--- a/src/marjoramstage/transport/operators.py
+++ b/src/marjoramstage/transport/operators.py
@@ -164,7 +164,10 @@
         wanted = parse_inventory(await req.read())
         generation, present = self._operations.inventory()
         changes = [asdict(change) for change in differences(present, wanted)]
-        return web.json_response({"generation": generation, "changes": changes})
+        refusals = self._operations.acceptor.refusals(wanted)
+        return web.json_response(
+            {"generation": generation, "changes": changes, "refusals": refusals}
+        )
 
     async def _history(self, req: web.Request) -> web.Response:
         limit = min(_number(req, "limit") or HISTORY_LIMIT, MAX_HISTORY)
