--- a/src/marjoramstage/_commands/inventory.py
+++ b/src/marjoramstage/_commands/inventory.py
@@ -26,6 +26,7 @@
 
 WAIT_S = 30.0
 POLL_S = 0.3
+SILENT_S = 30.0
 
 _EXIT_OF_OUTCOME = {
     "conflict": exits.CONFLICT,
@@ -183,23 +184,30 @@
 
 
 def _wait(args: argparse.Namespace, generation: int) -> int:
-    """Wait until every instance that is heard of has the generation."""
+    """Wait until each instance has the generation; name those not heard of."""
     end_s = time.monotonic() + args.wait_s
-    behind = ["not asked yet"]
+    behind, silent = ["not asked yet"], []
     while behind and time.monotonic() < end_s:
         try:
             reply = call(args, "GET", "/status")
         except CallError as exc:
             behind = [str(exc)]
         else:
-            behind = _behind(reply.data["in_force"], generation)
+            places = reply.data["in_force"]
+            silent = [p for p in places if p["heard_s_ago"] > SILENT_S]
+            heard = [place for place in places if place not in silent]
+            behind = _behind(heard, generation)
         if behind:
             time.sleep(POLL_S)
     for name in behind:
         print(f"not in force yet: {name}", file=sys.stderr)
     if behind:
         return exits.FAILED
-    print(f"in force everywhere: generation {generation}")
+    for place in silent:
+        ago = f"heard {place['heard_s_ago']} s ago"
+        print(f"not reached: {place['data_centre']} ({ago})", file=sys.stderr)
+    where = "where it can be reached" if silent else "everywhere"
+    print(f"in force {where}: generation {generation}")
     return exits.OK
 
 
--- a/src/marjoramstage/_instance/peering.py
+++ b/src/marjoramstage/_instance/peering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import random
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 
 from marjoramstage._instance.node_dump import dump_node
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock
 from marjoramstage.coordination._node import ConfigNode
 from marjoramstage.coordination._release_store import (
@@ -105,6 +107,8 @@
         """Listen, and build the node, which needs the address."""
         await self._server.start()
         cfg = self._settings
+        if ipaddress.ip_address(split_address(self.address)[0]).is_unspecified:
+            log.warning("peers cannot call this address", extra={"told": self.address})
         own = MemberEntry(
             name=cfg.name,
             incarnation=self.incarnation,
