--- a/features/membership.feature
+++ b/features/membership.feature
@@ -58,6 +58,7 @@
       | d1-i2 holds the shard       | d1-i2  |
       | d1-i1 holds the shard       | d1-i1  |
       | nobody holds the shard      | nobody |
+      | the shard is d2's at d2-i3  | d2-i3  |
 
   Scenario: instances find each other by the platform's list alone
     Given two config nodes without seeds
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -216,18 +216,21 @@
     "d1-i2 holds the shard": "d1-i2",
     "d1-i1 holds the shard": "d1-i1",
     "nobody holds the shard": "",
+    "the shard is d2's at d2-i3": "d2-i3",
 }
 
 
 @when("d1-i1 wants an adapter on a target while {case}")
 def want_adapter(context, case):
     net = context.net
-    for name in ("d1-i1", NODE):
-        shards = ("d1",) if HOLDERS[case] == name else ()
-        told = InstanceLoad(name, "d1", "inc", 1, {}, (), shards)
-        net.post(name, steps.LoadTold(told))
+    shard = "d2" if "d2's" in case else "d1"
+    for process in net.running():
+        shards = (shard,) if HOLDERS[case] == process.name else ()
+        place = process.data_centre
+        told = InstanceLoad(process.name, place, "inc", 1, {}, (), shards)
+        net.post(process.name, steps.LoadTold(told))
     net.run(1)
-    net.post("d1-i1", steps.AdapterNeeded("e1", Item("rooms", "1"), "d1"))
+    net.post("d1-i1", steps.AdapterNeeded("e1", Item("rooms", "1"), shard))
     net.run(1)
 
 
--- a/src/marjoramstage/coordination/_loads.py
+++ b/src/marjoramstage/coordination/_loads.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import replace
+
 from marjoramstage.coordination._steps import Emit, NodeEffect, SendPeer
 from marjoramstage.coordination.membership import Liveness, Membership
+from marjoramstage.coordination.shards import is_shard_of
 from marjoramstage.protocol.events import AdapterAsked, InstanceGone, InstanceLoaded
 from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
-from marjoramstage.protocol.peers import AdapterWanted, DemandEntry, Load
+from marjoramstage.protocol.peers import (
+    AdapterWanted,
+    DemandEntry,
+    Load,
+    MemberEntry,
+)
 
 LOAD_EVERY_S = 0.5
 LOAD_BYTES_PER_S = 2000
@@ -61,26 +70,31 @@
         return effects
 
     def want_adapter(
-        self, wanted: AdapterWanted, membership: Membership
+        self,
+        wanted: AdapterWanted,
+        membership: Membership,
+        contacts: Mapping[str, list[MemberEntry]],
     ) -> list[NodeEffect]:
-        """Hand a wish for an adapter to the holder of the target's shard."""
+        """Hand a wish for an adapter to the holder of the target's shard.
+
+        Parameters
+        ----------
+        contacts : Mapping
+            Instances of other data centres, by data centre.
+        """
         if self.own is not None and wanted.shard in self.own.shards:
             item = Item(wanted.name, wanted.version)
             return [Emit(AdapterAsked(wanted.target, item))]
         if wanted.hops >= MAX_HOPS:
             return []
+        passed = replace(wanted, hops=wanted.hops + 1)
         for name, load in sorted(self.latest.items()):
             member = membership.members.get(name)
-            if wanted.shard not in load.shards or member is None:
-                continue
-            passed = AdapterWanted(
-                wanted.target,
-                wanted.name,
-                wanted.version,
-                wanted.shard,
-                wanted.hops + 1,
-            )
-            return [SendPeer(member.entry.address, passed)]
+            if wanted.shard in load.shards and member is not None:
+                return [SendPeer(member.entry.address, passed)]
+        for data_centre, entries in contacts.items():
+            if is_shard_of(wanted.shard, data_centre):
+                return [SendPeer(entries[-1].address, passed)]
         return []
 
 
--- a/src/marjoramstage/coordination/_node.py
+++ b/src/marjoramstage/coordination/_node.py
@@ -107,7 +107,7 @@
                 return self.loads.tell(load, self.gossiper.membership, now_s)
             case AdapterNeeded(target, item, shard):
                 wanted = AdapterWanted(target, item.name, item.version, shard)
-                return self.loads.want_adapter(wanted, self.gossiper.membership)
+                return self._want_adapter(wanted)
             case StopPlanned():
                 return self.gossiper.leave(MemberState.LEAVING, now_s)
         return []
@@ -137,9 +137,14 @@
             case DocumentsSent():
                 return self.distributor.documents_sent(message, own, now_s)
             case AdapterWanted():
-                return self.loads.want_adapter(message, self.gossiper.membership)
+                return self._want_adapter(message)
         return []
 
+    def _want_adapter(self, wanted: AdapterWanted) -> list[NodeEffect]:
+        gossiper = self.gossiper
+        contacts = gossiper.summaries.contacts()
+        return self.loads.want_adapter(wanted, gossiper.membership, contacts)
+
     def _heard(self, message: Gossip | Rumour, now_s: float) -> list[NodeEffect]:
         """Hand the head of a message to the distributor."""
         if message.head is None:
--- a/src/marjoramstage/coordination/shards.py
+++ b/src/marjoramstage/coordination/shards.py
@@ -19,6 +19,14 @@
     ]
 
 
+def is_shard_of(shard: str, data_centre: str) -> bool:
+    """Return whether ``shard`` is one of the data centre's."""
+    if shard == data_centre:
+        return True
+    place, _, index = shard.rpartition(".")
+    return place == data_centre and index.isdigit()
+
+
 def rendezvous(key: str, names: list[str]) -> list[str]:
     """Return ``names`` in the order of preference for ``key``.
 
