--- a/src/marjoramstage/_commands/inventory.py
+++ b/src/marjoramstage/_commands/inventory.py
@@ -26,6 +26,7 @@
 
 WAIT_S = 30.0
 POLL_S = 0.3
+SILENT_S = 30.0
 
 _EXIT_OF_OUTCOME = {
     "conflict": exits.CONFLICT,
@@ -82,8 +83,11 @@
     print(f"against generation {reply.data['generation']}:")
     for change in reply.data["changes"]:
         print(_change_line(change))
-    print(f"{len(reply.data['changes'])} changes")
-    return exits.OK
+    loads = [c for c in reply.data["changes"] if _is_load(c)]
+    print(f"{len(reply.data['changes'])} changes, {len(loads)} items to load")
+    for refusal in reply.data["refusals"]:
+        print(f"would be refused: {refusal}", file=sys.stderr)
+    return exits.REFUSED if reply.data["refusals"] else exits.OK
 
 
 def _apply(args: argparse.Namespace) -> int:
@@ -180,23 +184,30 @@
 
 
 def _wait(args: argparse.Namespace, generation: int) -> int:
-    """Wait until every instance that is heard of has the generation."""
+    """Wait until each instance has the generation; name those not heard of."""
     end_s = time.monotonic() + args.wait_s
-    behind = ["not asked yet"]
+    behind, silent = ["not asked yet"], []
     while behind and time.monotonic() < end_s:
         try:
             reply = call(args, "GET", "/status")
         except CallError as exc:
             behind = [str(exc)]
         else:
-            behind = _behind(reply.data["in_force"], generation)
+            places = reply.data["in_force"]
+            silent = [p for p in places if p["heard_s_ago"] > SILENT_S]
+            heard = [place for place in places if place not in silent]
+            behind = _behind(heard, generation)
         if behind:
             time.sleep(POLL_S)
     for name in behind:
         print(f"not in force yet: {name}", file=sys.stderr)
     if behind:
         return exits.FAILED
-    print(f"in force everywhere: generation {generation}")
+    for place in silent:
+        ago = f"heard {place['heard_s_ago']} s ago"
+        print(f"not reached: {place['data_centre']} ({ago})", file=sys.stderr)
+    where = "where it can be reached" if silent else "everywhere"
+    print(f"in force {where}: generation {generation}")
     return exits.OK
 
 
@@ -211,6 +222,15 @@
     return found
 
 
+def _is_load(change: dict) -> bool:
+    """Return whether a change asks for a version that is not held yet."""
+    after, before = change["after"], change["before"]
+    held = change["entry"].startswith(("models/", "adapters/"))
+    if not held or after is None:
+        return False
+    return before is None or before["version"] != after["version"]
+
+
 def _change_line(change: dict) -> str:
     if change["before"] is None:
         return f"+ {change['entry']}"
