Ask for an adapter only when its request would go next; short work first

Cause: overnight work with a deadline of 60 s was raised at once, as the lead was 60 s whatever the deadline; it is now a quarter of its slack at most. A customer's own requests went by latest start; now by arrival plus a multiple of their length, so that more are met when not all can be.

--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 
@@ -10,7 +11,7 @@
 from marjoramstage.coordination.backlog import predicted_wait_s
 from marjoramstage.coordination.credits import PeerLoads
 from marjoramstage.coordination.fairness import CustomerCounters
-from marjoramstage.coordination.prediction import ServiceTimes
+from marjoramstage.coordination.prediction import Prediction, ServiceTimes
 from marjoramstage.coordination.queues import Lane, Queues, Waiting
 from marjoramstage.coordination.retries import RetryBudget
 from marjoramstage.coordination.routing import (
@@ -50,6 +51,8 @@
 from marjoramstage.state.inventory import Inventory
 
 AGEING_LEAD_S = 60.0
+AGEING_SHARE = 0.25
+LONG_WORK_DELAY = 4.0
 WAIT_TRUST = 0.8
 
 
@@ -178,14 +181,18 @@
             failed=failed,
             work_s=expected.total_s,
             latest_start_s=request.deadline_s - expected.safe_s,
+            order_s=_order_s(request, expected),
             level=request.request_class,
+            ages_at_s=_ages_at_s(request, expected),
         )
+        if waiting.ages_at_s < now_s:
+            waiting.level = RequestClass.INTERACTIVE
         if waiting.latest_start_s < now_s:
             return [refusals.too_late(request, expected.safe_s, self._rng)]
         effects = self._make_room(request)
         if effects is None:
             return [refusals.queue_full(request, self._wait_s(waiting), self._rng)]
-        lane = self._queues.push(waiting, self._ageing_at_s(waiting))
+        lane = self._queues.push(waiting)
         effects += self._serve_lane(lane, now_s)
         if waiting.gone:
             return effects
@@ -248,11 +255,6 @@
             waiting, self._queues, self._counters, self._selector.holders
         )
 
-    def _ageing_at_s(self, waiting: Waiting) -> float | None:
-        if waiting.level is not RequestClass.OVERNIGHT:
-            return None
-        return waiting.latest_start_s - AGEING_LEAD_S - waiting.work_s
-
     def _retry(
         self, request: Request, failed: tuple[str, ...], now_s: float
     ) -> list[Effect]:
@@ -309,7 +311,9 @@
         """Dispatch what is next in order among all that a target could serve."""
         effects: list[Effect] = []
         while view.open_to(now_s) and self._selector.free_slots(view, now_s) > 0:
-            waiting = self._next_for(view, now_s)
+            waiting, missing = self._next_for(view, now_s)
+            if missing is not None:
+                effects += self._selector.ask_adapter_at(view, missing, now_s)
             if waiting is None:
                 break
             if waiting.latest_start_s < now_s:
@@ -319,23 +323,37 @@
             effects.append(self._dispatch(waiting, view, now_s))
         return effects
 
-    def _next_for(self, view: TargetView, now_s: float) -> Waiting | None:
+    def _next_for(
+        self, view: TargetView, now_s: float
+    ) -> tuple[Waiting | None, Item | None]:
+        """Return what a target serves next, and an adapter to ask for.
+
+        The adapter is that of a request which would go first if it were there.
+        """
         free = self._selector.free_slots(view, now_s)
         most = RequestClass.OVERNIGHT
         if free <= view.reserve():
             most = RequestClass.INTERACTIVE
         service = view.target.kind is TargetKind.SERVICE
-        best = None
+        best, first_missing = None, None
         for base in (None,) if service else view.ready:
             for lane in self._queues.lanes_of(base):
-                if not view.holds(lane.items, now_s):
+                holds = view.holds(lane.items, now_s)
+                if not holds and not self._selector.lacks_adapter(view, lane):
                     continue
                 head = lane.head(self._counters, most)
                 if head is None or not self._selector.accepts(view, head[1]):
                     continue
-                if best is None or head[0] < best[0]:
+                if holds and (best is None or head[0] < best[0]):
                     best = head
-        return None if best is None else best[1]
+                elif not holds and (
+                    first_missing is None or head[0] < first_missing[0]
+                ):
+                    first_missing = head
+        missing = None
+        if first_missing and (best is None or first_missing[0] < best[0]):
+            missing = first_missing[1].items[-1]
+        return (None if best is None else best[1]), missing
 
     def _dispatch(self, waiting: Waiting, view: TargetView, now_s: float) -> Dispatch:
         self._queues.remove(waiting)
@@ -351,5 +369,25 @@
             self._tokens[item] += tokens
 
 
+def _ages_at_s(request: Request, expected: Prediction) -> float:
+    """Return when overnight work is raised to the interactive level."""
+    if request.request_class is not RequestClass.OVERNIGHT:
+        return math.inf
+    latest_start_s = request.deadline_s - expected.safe_s
+    slack_s = latest_start_s - request.arrived_s
+    return latest_start_s - min(AGEING_LEAD_S, AGEING_SHARE * slack_s)
+
+
+def _order_s(request: Request, expected: Prediction) -> float:
+    """Return the place of a request among its customer's own.
+
+    Urgent work goes by its deadline. Other work goes by arrival, long work
+    later, so that more requests are served in time when not all can be.
+    """
+    if request.request_class is RequestClass.URGENT:
+        return request.deadline_s
+    return request.arrived_s + LONG_WORK_DELAY * expected.total_s
+
+
 def _service_item(name: str) -> Item:
     return Item(name, "")
--- a/src/marjoramstage/coordination/attempts.py
+++ b/src/marjoramstage/coordination/attempts.py
@@ -36,6 +36,7 @@
     items: tuple[Item, ...]
     began_s: float
     cost: float
+    yields_until_s: float
 
 
 class Attempts:
@@ -58,7 +59,7 @@
         self._counters.charge(request.customer, cost)
         view.in_flight += 1
         view.breaker.dispatched()
-        attempt = _Attempt(request, view, waiting.items, now_s, cost)
+        attempt = _Attempt(request, view, waiting.items, now_s, cost, waiting.ages_at_s)
         self._under_way[request.id] = attempt
         if waiting.level is RequestClass.OVERNIGHT and request.repeatable:
             self._yielding.setdefault(view.name, {})[request.id] = attempt
@@ -95,6 +96,8 @@
         request_id, attempt = attempts.popitem()
         if not attempts:
             del self._yielding[target]
+        if attempt.yields_until_s < now_s:
+            return None
         self._refused_at_s[request_id] = now_s
         return attempt.request
 
--- a/src/marjoramstage/coordination/queues.py
+++ b/src/marjoramstage/coordination/queues.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -28,8 +29,12 @@
         Predicted time in a slot, in seconds.
     latest_start_s : float
         Latest dispatch that meets the deadline.
+    order_s : float
+        Place among the customer's own requests; the lowest goes first.
     level : RequestClass
         Its class; overnight work is raised when its time runs short.
+    ages_at_s : float
+        When overnight work is raised, and is no longer withdrawn.
     gone : bool
         Whether it has left the queue.
     """
@@ -39,7 +44,9 @@
     failed: tuple[str, ...]
     work_s: float
     latest_start_s: float
+    order_s: float
     level: RequestClass
+    ages_at_s: float = math.inf
     gone: bool = False
 
 
@@ -73,7 +80,7 @@
         """Add a waiting request; ``number`` breaks ties."""
         by_customer = self.heaps.setdefault(waiting.level, {})
         heap = by_customer.setdefault(waiting.request.customer, [])
-        heapq.heappush(heap, (waiting.latest_start_s, number, waiting))
+        heapq.heappush(heap, (waiting.order_s, number, waiting))
         self.work_s[waiting.level, waiting.request.customer] += waiting.work_s
         self.count += 1
         self.live += waiting.level < RequestClass.OVERNIGHT
@@ -95,10 +102,10 @@
             names = list(by_customer)
         total_s = 0.0
         for name in names:
-            for latest_start_s, _, other in by_customer.get(name, ()):
+            for order_s, _, other in by_customer.get(name, ()):
                 if other.gone or other is waiting:
                     continue
-                if latest_start_s <= waiting.latest_start_s:
+                if order_s <= waiting.order_s:
                     total_s += other.work_s
         return total_s
 
@@ -137,7 +144,7 @@
 def _order(level: RequestClass, waiting: Waiting, counters: CustomerCounters) -> Order:
     if level is RequestClass.URGENT:
         return (level, waiting.request.deadline_s, 0.0)
-    return (level, counters.served(waiting.request.customer), waiting.latest_start_s)
+    return (level, counters.served(waiting.request.customer), waiting.order_s)
 
 
 class Queues:
@@ -166,14 +173,8 @@
         """Return the lane of a waiting request."""
         return self.lanes[_key(waiting)]
 
-    def push(self, waiting: Waiting, age_at_s: float | None = None) -> Lane:
-        """Add a request.
-
-        Parameters
-        ----------
-        age_at_s : float or None
-            When overnight work is raised to the interactive level.
-        """
+    def push(self, waiting: Waiting) -> Lane:
+        """Add a request."""
         key = _key(waiting)
         lane = self.lanes.get(key)
         if lane is None:
@@ -186,8 +187,8 @@
         self.lengths[waiting.request.model] += 1
         self._counters.joined(waiting.request.customer)
         heapq.heappush(self._expiry, (waiting.latest_start_s, number, waiting))
-        if age_at_s is not None:
-            heapq.heappush(self._ageing, (age_at_s, number, waiting))
+        if waiting.level is RequestClass.OVERNIGHT:
+            heapq.heappush(self._ageing, (waiting.ages_at_s, number, waiting))
         return lane
 
     def remove(self, waiting: Waiting) -> None:
@@ -260,7 +261,7 @@
         for waiting in self._of_model(model):
             if waiting.level is not level or waiting.request.customer != customer:
                 continue
-            if last is None or waiting.latest_start_s >= last.latest_start_s:
+            if last is None or waiting.order_s >= last.order_s:
                 last = waiting
         return last
 
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -21,6 +21,7 @@
 
 LIMIT_KEPT_S = 0.5
 ASK_AGAIN_S = 1.0
+WAITING_PER_HOLDER = 4
 LEAST_SHARE = 4
 
 
@@ -105,21 +106,33 @@
         if len(lane.items) < 2:
             return []
         adapter = lane.items[-1]
-        nowhere = not self._table.holders(lane.items)
         best, most = None, 0
         for view in self._table.holders(lane.items[:1]):
             if adapter in view.ready or not view.open_to(now_s):
                 continue
             free = self.free_slots(view, now_s)
-            if free > most or (nowhere and best is None):
+            if free > most:
                 best, most = view, free
-        if best is None:
-            return []
-        key = (best.name, adapter)
+        return [] if best is None else self.ask_adapter_at(best, adapter, now_s)
+
+    def lacks_adapter(self, view: TargetView, lane: Lane) -> bool:
+        """Return whether only the adapter is missing for a lane at a target.
+
+        Waiting requests that few targets share have to wait for those.
+        """
+        if len(lane.items) < 2 or lane.items[-1] in view.ready:
+            return False
+        return lane.count > WAITING_PER_HOLDER * len(self._table.holders(lane.items))
+
+    def ask_adapter_at(
+        self, view: TargetView, adapter: Item, now_s: float
+    ) -> list[Effect]:
+        """Ask for an adapter at a target, unless that was asked lately."""
+        key = (view.name, adapter)
         if now_s - self._asked_at_s.get(key, -ASK_AGAIN_S) < ASK_AGAIN_S:
             return []
         self._asked_at_s[key] = now_s
-        return [AskAdapter(best.name, adapter)]
+        return [AskAdapter(view.name, adapter)]
 
     def _usable(self, view: TargetView, waiting: Waiting, now_s: float) -> bool:
         if not view.open_to(now_s) or not view.holds(waiting.items, now_s):
