--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import uuid
 from dataclasses import replace
@@ -52,6 +53,8 @@
 log = part_logger("instance")
 
 TICK_EVERY_S = 0.1
+HANDOVER_S = 2.0
+USAGE_S = 5.0
 
 
 class Instance:
@@ -164,12 +167,15 @@
         """Finish what is in flight within the bound, then end every task."""
         self.gate.ask()
         self.peers.post(StopPlanned())
+        handover = asyncio.create_task(self.leasing.stop())
+        await self.gate.lingered()
         await self._servers[0].close_listener()
-        await self.leasing.stop()
         await self.gate.finished()
+        await asyncio.wait({handover}, timeout=HANDOVER_S)
+        handover.cancel()
         for server in self._servers:
             await server.stop()
-        await self.usage.write()
+        await asyncio.wait({asyncio.create_task(self.usage.write())}, timeout=USAGE_S)
         await self._tasks.stop()
         await self._calls.close()
         await self.peers.stop()
