Pace the asking for adapters

Cause: overnight work that drained after a rush asked for another adapter at each free slot; at one target 25 adapter loads a second evicted each other. Now one ask a target in 0.2 s, and in 2 s for overnight work alone.

--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -52,7 +52,7 @@
 
 AGEING_LEAD_S = 60.0
 AGEING_SHARE = 0.25
-LONG_WORK_DELAY = 4.0
+LONG_WORK_DELAY = 10.0
 WAIT_TRUST = 0.8
 
 
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
@@ -40,6 +41,8 @@
         Attempts that this instance may have there.
     blocked_until_s : float
         Until when it gets no new work, as it was full.
+    asked_at_s : float
+        When an adapter was last asked for there.
     denied_until_s : dict
         Items that it lacked although it reported them, and until when that is
         believed.
@@ -56,6 +59,7 @@
     blocked_until_s: float = 0.0
     denied_until_s: dict[Item, float] = field(default_factory=dict)
     breaker: Breaker = field(default_factory=Breaker)
+    asked_at_s: float = -math.inf
     told_leaving: bool = False
     listed_leaving: bool = False
     earlier: tuple[str, ...] = ()
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -21,6 +21,8 @@
 
 LIMIT_KEPT_S = 0.5
 ASK_AGAIN_S = 1.0
+ASK_PAUSE_S = 0.2
+OVERNIGHT_PAUSE_S = 2.0
 WAITING_PER_HOLDER = 4
 LEAST_SHARE = 4
 
@@ -111,6 +113,8 @@
             if adapter in view.ready or not view.open_to(now_s):
                 continue
             free = self.free_slots(view, now_s)
+            if not lane.live and now_s - view.asked_at_s < OVERNIGHT_PAUSE_S:
+                continue
             if free > most:
                 best, most = view, free
         return [] if best is None else self.ask_adapter_at(best, adapter, now_s)
@@ -128,10 +132,13 @@
         self, view: TargetView, adapter: Item, now_s: float
     ) -> list[Effect]:
         """Ask for an adapter at a target, unless that was asked lately."""
+        if now_s - view.asked_at_s < ASK_PAUSE_S:
+            return []
         key = (view.name, adapter)
         if now_s - self._asked_at_s.get(key, -ASK_AGAIN_S) < ASK_AGAIN_S:
             return []
         self._asked_at_s[key] = now_s
+        view.asked_at_s = now_s
         return [AskAdapter(view.name, adapter)]
 
     def _usable(self, view: TargetView, waiting: Waiting, now_s: float) -> bool:
