Count overnight work at peers as no claim against live work

Cause: slots stood idle under load, as a peer's overnight work counted as a need of its share although the peer held it back for the reserve; with nine instances and shares of one or two slots overnight work alone never fit, as the reserve was taken from each share. The reserve is now one of the whole target, and live work has a limit of its own.

--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -329,9 +329,8 @@
 
         The adapter is that of a request which would go first if it were there.
         """
-        free = self._selector.free_slots(view, now_s)
         most = RequestClass.OVERNIGHT
-        if free <= view.reserve():
+        if self._selector.free_for_overnight(view, now_s) <= 0:
             most = RequestClass.INTERACTIVE
         service = view.target.kind is TargetKind.SERVICE
         best, first_missing = None, None
--- a/src/marjoramstage/coordination/credits.py
+++ b/src/marjoramstage/coordination/credits.py
@@ -69,7 +69,7 @@
     live_only : bool
         Whether overnight work that waits at a peer counts as no need.
     """
-    active = [peer for peer in peers if _is_active(peer)]
+    active = [peer for peer in peers if _is_active(peer, live_only)]
     if not active:
         return slots
     names = [peer.instance for peer in active]
@@ -85,8 +85,9 @@
     return max(shares[instance], slots - int(needed + 0.5))
 
 
-def _is_active(peer: PeerUse) -> bool:
-    return not peer.fresh or peer.in_flight > 0 or peer.waiting > 0
+def _is_active(peer: PeerUse, live_only: bool) -> bool:
+    waiting = peer.live if live_only else peer.waiting
+    return not peer.fresh or peer.in_flight > 0 or waiting > 0
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -37,8 +37,9 @@
     ----------
     in_flight : int
         Attempts of this instance at the target.
-    limit : int
-        Attempts that this instance may have there.
+    limit, overnight_limit : int
+        Attempts that this instance may have there, and up to which overnight
+        work may add to them.
     blocked_until_s : float
         Until when it gets no new work, as it was full.
     asked_at_s : float
@@ -53,6 +54,7 @@
     in_flight: int = 0
     ready: frozenset[Item] = field(default_factory=frozenset)
     limit: int = 0
+    overnight_limit: int = 0
     limit_epoch: int = -1
     limit_at_s: float = 0.0
     own_at_report: int = 0
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -50,11 +50,22 @@
         """Return the slots of a target that this instance may take now."""
         kept = now_s - view.limit_at_s <= LIMIT_KEPT_S
         if view.limit_epoch != self._peers.epoch or not kept:
-            view.limit = self._limit(view, now_s)
+            view.limit = self._limit(view, now_s, live_only=True)
+            view.overnight_limit = self._limit(view, now_s, live_only=False)
             view.limit_epoch = self._peers.epoch
             view.limit_at_s = now_s
         return view.free_slots
 
+    def free_for_overnight(self, view: TargetView, now_s: float) -> int:
+        """Return the slots that overnight work may take now.
+
+        Some slots of the whole target stay free for other work.
+        """
+        self.free_slots(view, now_s)
+        others = self._peers.in_flight(view.name)
+        unused = view.report.slots - view.reserve() - view.in_flight - others
+        return min(view.overnight_limit - view.in_flight, unused)
+
     def excess(self, view: TargetView, now_s: float) -> int:
         """Return how many attempts here peers need for work that is not overnight."""
         uses = self._uses(view, now_s)
@@ -146,16 +157,16 @@
             return False
         free = self.free_slots(view, now_s)
         if waiting.level is RequestClass.OVERNIGHT:
-            free -= view.reserve()
+            free = self.free_for_overnight(view, now_s)
         return free > 0 and self.accepts(view, waiting)
 
-    def _limit(self, view: TargetView, now_s: float) -> int:
+    def _limit(self, view: TargetView, now_s: float, live_only: bool) -> int:
         if view.report is None:
             return 0
         slots = view.report.slots
         if self._peers.known():
             uses = self._uses(view, now_s)
-            return own_limit(slots, self._instance, view.name, uses)
+            return own_limit(slots, self._instance, view.name, uses, live_only)
         unknown = view.report.running - view.own_at_report
         return max(slots - max(0, unknown), slots // LEAST_SHARE, 1)
 
