--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -41,6 +41,7 @@
 )
 from marjoramstage.protocol.messages import (
     AttemptEnd,
+    AttemptReason,
     InstanceLoad,
     Item,
     Request,
@@ -256,7 +257,14 @@
 
     def _ended(self, end: AttemptEnd, now_s: float) -> list[Effect]:
         view = self._attempts.ended(end, self._inventory, now_s)
-        return [] if view is None else self._serve_target(view, now_s)
+        if view is None:
+            return []
+        effects: list[Effect] = []
+        if end.reason == AttemptReason.BUSY and not end.request.yields:
+            request = self._attempts.withdraw(view.name, now_s)
+            if request is not None:
+                effects.append(Withdraw(request, view.name))
+        return effects + self._serve_target(view, now_s)
 
     def _accepted(self, inventory: Inventory, now_s: float) -> list[Effect]:
         self._inventory = inventory
--- a/src/marjoramstage/coordination/attempts.py
+++ b/src/marjoramstage/coordination/attempts.py
@@ -19,7 +19,7 @@
 )
 from marjoramstage.state.inventory import Inventory
 
-BUSY_PAUSE_S = (0.02, 0.1)
+BUSY_PAUSE_S = (0.01, 0.05)
 DENIED_S = 0.5
 REFUSAL_KEPT_S = 5.0
 
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -62,8 +62,9 @@
         Some slots of the whole target stay free for other work.
         """
         self.free_slots(view, now_s)
-        others = self._peers.in_flight(view.name)
-        unused = view.report.slots - view.reserve() - view.in_flight - others
+        in_flight = view.in_flight + self._peers.in_flight(view.name)
+        used = max(in_flight, view.report.running)
+        unused = view.report.slots - view.reserve() - used
         return min(view.overnight_limit - view.in_flight, unused)
 
     def excess(self, view: TargetView, now_s: float) -> int:
