--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections import Counter
 
 from marjoramstage.coordination import refusals
 from marjoramstage.coordination.attempts import Attempts
 from marjoramstage.coordination.backlog import predicted_wait_s
 from marjoramstage.coordination.credits import PeerLoads
 from marjoramstage.coordination.fairness import CustomerCounters
-from marjoramstage.coordination.prediction import ServiceTimes
+from marjoramstage.coordination.offered import OfferedDemand
+from marjoramstage.coordination.prediction import Prediction, ServiceTimes
 from marjoramstage.coordination.queues import Lane, Queues, Waiting
 from marjoramstage.coordination.retries import RetryBudget
 from marjoramstage.coordination.routing import (
@@ -40,9 +41,9 @@
 )
 from marjoramstage.protocol.messages import (
     AttemptEnd,
+    AttemptReason,
     InstanceLoad,
     Item,
-    ItemDemand,
     Request,
     RequestClass,
     TargetKind,
@@ -50,7 +51,10 @@
 from marjoramstage.state.inventory import Inventory
 
 AGEING_LEAD_S = 60.0
-WAIT_TRUST = 0.8
+AGEING_SHARE = 0.25
+LONG_WORK_DELAY = 10.0
+WAIT_TRUST = 0.5
+CHECKED_PER_TICK = 16
 
 
 class Scheduler:
@@ -80,9 +84,7 @@
         self._rng = rng or random.Random(0)
         self._inventory = Inventory()
         self._sequence = 0
-        self._requests: Counter[Item] = Counter()
-        self._tokens: Counter[Item] = Counter()
-        self._told: dict[Item, ItemDemand] = {}
+        self._offered = OfferedDemand()
         self._counters = CustomerCounters()
         self._queues = Queues(queue_requests, self._counters)
         self._times = ServiceTimes()
@@ -106,17 +108,6 @@
     def own_load(self, now_s: float) -> InstanceLoad:
         """Return what this instance tells its peers of its load."""
         self._sequence += 1
-        waiting: Counter[Item] = Counter()
-        live: Counter[Item] = Counter()
-        for lane in self._queues.lanes.values():
-            for item in lane.items or (_service_item(lane.name),):
-                waiting[item] += lane.count
-                live[item] += lane.live
-        for item, count in self._requests.items():
-            told = (count, self._tokens[item], waiting[item], live[item])
-            known = self._told.get(item)
-            if known is None or told != known.counts:
-                self._told[item] = ItemDemand(item, *told)
         in_flight = {
             name: view.in_flight
             for name, view in self._table.views.items()
@@ -128,7 +119,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             in_flight=in_flight,
-            demand=tuple(self._told.values()),
+            demand=self._offered.told(self._queues.lanes.values()),
         )
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
@@ -170,7 +161,7 @@
         except KeyError:
             return [refusals.unknown_model(request)]
         if not failed:
-            self._count_demand(request, items)
+            self._offered.note(request, items)
         expected = self._times.predict(request, self._inventory)
         waiting = Waiting(
             request=request,
@@ -178,14 +169,18 @@
             failed=failed,
             work_s=expected.total_s,
             latest_start_s=request.deadline_s - expected.safe_s,
+            order_s=_order_s(request, expected),
             level=request.request_class,
+            ages_at_s=_ages_at_s(request, expected),
         )
+        if waiting.ages_at_s < now_s:
+            waiting.level = RequestClass.INTERACTIVE
         if waiting.latest_start_s < now_s:
             return [refusals.too_late(request, expected.safe_s, self._rng)]
         effects = self._make_room(request)
         if effects is None:
             return [refusals.queue_full(request, self._wait_s(waiting), self._rng)]
-        lane = self._queues.push(waiting, self._ageing_at_s(waiting))
+        lane = self._queues.push(waiting)
         effects += self._serve_lane(lane, now_s)
         if waiting.gone:
             return effects
@@ -248,11 +243,6 @@
             waiting, self._queues, self._counters, self._selector.holders
         )
 
-    def _ageing_at_s(self, waiting: Waiting) -> float | None:
-        if waiting.level is not RequestClass.OVERNIGHT:
-            return None
-        return waiting.latest_start_s - AGEING_LEAD_S - waiting.work_s
-
     def _retry(
         self, request: Request, failed: tuple[str, ...], now_s: float
     ) -> list[Effect]:
@@ -267,7 +257,14 @@
 
     def _ended(self, end: AttemptEnd, now_s: float) -> list[Effect]:
         view = self._attempts.ended(end, self._inventory, now_s)
-        return [] if view is None else self._serve_target(view, now_s)
+        if view is None:
+            return []
+        effects: list[Effect] = []
+        if end.reason == AttemptReason.BUSY and not end.request.yields:
+            request = self._attempts.withdraw(view.name, now_s)
+            if request is not None:
+                effects.append(Withdraw(request, view.name))
+        return effects + self._serve_target(view, now_s)
 
     def _accepted(self, inventory: Inventory, now_s: float) -> list[Effect]:
         self._inventory = inventory
@@ -289,11 +286,23 @@
             effects += self._serve_target(view, now_s)
         for waiting in self._queues.pop_hopeless(now_s):
             effects.append(refusals.expired(waiting.request, self._rng))
+        effects += self._refuse_overtaken(now_s)
         for lane in list(self._queues.lanes.values()):
             effects += self._withdraw_for(lane, lane.live, now_s)
             effects += self._selector.ask_adapter(lane, now_s)
         return effects
 
+    def _refuse_overtaken(self, now_s: float) -> list[Effect]:
+        """Refuse waiting requests that others now keep from their deadline."""
+        effects: list[Effect] = []
+        for waiting in self._queues.next_to_check(CHECKED_PER_TICK):
+            late_s = self._wait_s(waiting) * WAIT_TRUST
+            late_s -= waiting.latest_start_s - now_s
+            if late_s > 0:
+                self._queues.remove(waiting)
+                effects.append(refusals.overload(waiting.request, late_s, self._rng))
+        return effects
+
     def _serve_lane(self, lane: Lane, now_s: float) -> list[Effect]:
         """Dispatch from the head of a lane while a target has a free slot."""
         effects: list[Effect] = []
@@ -309,7 +318,9 @@
         """Dispatch what is next in order among all that a target could serve."""
         effects: list[Effect] = []
         while view.open_to(now_s) and self._selector.free_slots(view, now_s) > 0:
-            waiting = self._next_for(view, now_s)
+            waiting, missing = self._next_for(view, now_s)
+            if missing is not None:
+                effects += self._selector.ask_adapter_at(view, missing, now_s)
             if waiting is None:
                 break
             if waiting.latest_start_s < now_s:
@@ -319,23 +330,36 @@
             effects.append(self._dispatch(waiting, view, now_s))
         return effects
 
-    def _next_for(self, view: TargetView, now_s: float) -> Waiting | None:
-        free = self._selector.free_slots(view, now_s)
+    def _next_for(
+        self, view: TargetView, now_s: float
+    ) -> tuple[Waiting | None, Item | None]:
+        """Return what a target serves next, and an adapter to ask for.
+
+        The adapter is that of a request which would go first if it were there.
+        """
         most = RequestClass.OVERNIGHT
-        if free <= view.reserve():
+        if self._selector.free_for_overnight(view, now_s) <= 0:
             most = RequestClass.INTERACTIVE
         service = view.target.kind is TargetKind.SERVICE
-        best = None
+        best, first_missing = None, None
         for base in (None,) if service else view.ready:
             for lane in self._queues.lanes_of(base):
-                if not view.holds(lane.items, now_s):
+                holds = view.holds(lane.items, now_s)
+                if not holds and not self._selector.lacks_adapter(view, lane):
                     continue
                 head = lane.head(self._counters, most)
                 if head is None or not self._selector.accepts(view, head[1]):
                     continue
-                if best is None or head[0] < best[0]:
+                if holds and (best is None or head[0] < best[0]):
                     best = head
-        return None if best is None else best[1]
+                elif not holds and (
+                    first_missing is None or head[0] < first_missing[0]
+                ):
+                    first_missing = head
+        missing = None
+        if first_missing and (best is None or first_missing[0] < best[0]):
+            missing = first_missing[1].items[-1]
+        return (None if best is None else best[1]), missing
 
     def _dispatch(self, waiting: Waiting, view: TargetView, now_s: float) -> Dispatch:
         self._queues.remove(waiting)
@@ -344,12 +368,22 @@
         request = waiting.request
         return Dispatch(request, name, address, served_as(request, waiting.items))
 
-    def _count_demand(self, request: Request, items: tuple[Item, ...]) -> None:
-        tokens = request.prompt_tokens + request.output_tokens
-        for item in items or (_service_item(request.model),):
-            self._requests[item] += 1
-            self._tokens[item] += tokens
 
+def _ages_at_s(request: Request, expected: Prediction) -> float:
+    """Return when overnight work is raised to the interactive level."""
+    if request.request_class is not RequestClass.OVERNIGHT:
+        return math.inf
+    latest_start_s = request.deadline_s - expected.safe_s
+    slack_s = latest_start_s - request.arrived_s
+    return latest_start_s - min(AGEING_LEAD_S, AGEING_SHARE * slack_s)
 
-def _service_item(name: str) -> Item:
-    return Item(name, "")
+
+def _order_s(request: Request, expected: Prediction) -> float:
+    """Return the place of a request among its customer's own.
+
+    Urgent work goes by its deadline. Other work goes by arrival, long work
+    later, so that more requests are served in time when not all can be.
+    """
+    if request.request_class is RequestClass.URGENT:
+        return request.deadline_s
+    return request.arrived_s + LONG_WORK_DELAY * expected.total_s
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
@@ -36,10 +37,13 @@
     ----------
     in_flight : int
         Attempts of this instance at the target.
-    limit : int
-        Attempts that this instance may have there.
+    limit, overnight_limit : int
+        Attempts that this instance may have there, and up to which overnight
+        work may add to them.
     blocked_until_s : float
         Until when it gets no new work, as it was full.
+    asked_at_s : float
+        When an adapter was last asked for there.
     denied_until_s : dict
         Items that it lacked although it reported them, and until when that is
         believed.
@@ -50,12 +54,14 @@
     in_flight: int = 0
     ready: frozenset[Item] = field(default_factory=frozenset)
     limit: int = 0
+    overnight_limit: int = 0
     limit_epoch: int = -1
     limit_at_s: float = 0.0
     own_at_report: int = 0
     blocked_until_s: float = 0.0
     denied_until_s: dict[Item, float] = field(default_factory=dict)
     breaker: Breaker = field(default_factory=Breaker)
+    asked_at_s: float = -math.inf
     told_leaving: bool = False
     listed_leaving: bool = False
     earlier: tuple[str, ...] = ()
--- a/src/marjoramstage/coordination/selection.py
+++ b/src/marjoramstage/coordination/selection.py
@@ -21,6 +21,9 @@
 
 LIMIT_KEPT_S = 0.5
 ASK_AGAIN_S = 1.0
+ASK_PAUSE_S = 0.2
+OVERNIGHT_PAUSE_S = 2.0
+WAITING_PER_HOLDER = 4
 LEAST_SHARE = 4
 
 
@@ -47,11 +50,23 @@
         """Return the slots of a target that this instance may take now."""
         kept = now_s - view.limit_at_s <= LIMIT_KEPT_S
         if view.limit_epoch != self._peers.epoch or not kept:
-            view.limit = self._limit(view, now_s)
+            view.limit = self._limit(view, now_s, live_only=True)
+            view.overnight_limit = self._limit(view, now_s, live_only=False)
             view.limit_epoch = self._peers.epoch
             view.limit_at_s = now_s
         return view.free_slots
 
+    def free_for_overnight(self, view: TargetView, now_s: float) -> int:
+        """Return the slots that overnight work may take now.
+
+        Some slots of the whole target stay free for other work.
+        """
+        self.free_slots(view, now_s)
+        in_flight = view.in_flight + self._peers.in_flight(view.name)
+        used = max(in_flight, view.report.running)
+        unused = view.report.slots - view.reserve() - used
+        return min(view.overnight_limit - view.in_flight, unused)
+
     def excess(self, view: TargetView, now_s: float) -> int:
         """Return how many attempts here peers need for work that is not overnight."""
         uses = self._uses(view, now_s)
@@ -105,37 +120,54 @@
         if len(lane.items) < 2:
             return []
         adapter = lane.items[-1]
-        nowhere = not self._table.holders(lane.items)
         best, most = None, 0
         for view in self._table.holders(lane.items[:1]):
             if adapter in view.ready or not view.open_to(now_s):
                 continue
             free = self.free_slots(view, now_s)
-            if free > most or (nowhere and best is None):
+            if not lane.live and now_s - view.asked_at_s < OVERNIGHT_PAUSE_S:
+                continue
+            if free > most:
                 best, most = view, free
-        if best is None:
+        return [] if best is None else self.ask_adapter_at(best, adapter, now_s)
+
+    def lacks_adapter(self, view: TargetView, lane: Lane) -> bool:
+        """Return whether only the adapter is missing for a lane at a target.
+
+        Waiting requests that few targets share have to wait for those.
+        """
+        if len(lane.items) < 2 or lane.items[-1] in view.ready:
+            return False
+        return lane.count > WAITING_PER_HOLDER * len(self._table.holders(lane.items))
+
+    def ask_adapter_at(
+        self, view: TargetView, adapter: Item, now_s: float
+    ) -> list[Effect]:
+        """Ask for an adapter at a target, unless that was asked lately."""
+        if now_s - view.asked_at_s < ASK_PAUSE_S:
             return []
-        key = (best.name, adapter)
+        key = (view.name, adapter)
         if now_s - self._asked_at_s.get(key, -ASK_AGAIN_S) < ASK_AGAIN_S:
             return []
         self._asked_at_s[key] = now_s
-        return [AskAdapter(best.name, adapter)]
+        view.asked_at_s = now_s
+        return [AskAdapter(view.name, adapter)]
 
     def _usable(self, view: TargetView, waiting: Waiting, now_s: float) -> bool:
         if not view.open_to(now_s) or not view.holds(waiting.items, now_s):
             return False
         free = self.free_slots(view, now_s)
         if waiting.level is RequestClass.OVERNIGHT:
-            free -= view.reserve()
+            free = self.free_for_overnight(view, now_s)
         return free > 0 and self.accepts(view, waiting)
 
-    def _limit(self, view: TargetView, now_s: float) -> int:
+    def _limit(self, view: TargetView, now_s: float, live_only: bool) -> int:
         if view.report is None:
             return 0
         slots = view.report.slots
         if self._peers.known():
             uses = self._uses(view, now_s)
-            return own_limit(slots, self._instance, view.name, uses)
+            return own_limit(slots, self._instance, view.name, uses, live_only)
         unknown = view.report.running - view.own_at_report
         return max(slots - max(0, unknown), slots // LEAST_SHARE, 1)
 
