Run a fault matrix and measure slopes

Cause: the promises need a proof that can fail for every fault at every step. Each cell drives the real machines, the configuration nodes and lease keepers among them, through one timeline of a small deployment.

--- a/src/marjoramstage/_commands/bench.py
+++ b/src/marjoramstage/_commands/bench.py
@@ -9,9 +9,12 @@
 
 from marjoramstage._commands import exits
 from marjoramstage.bench.expectations import unmet_expectations
+from marjoramstage.bench.faults import run_matrix
 from marjoramstage.bench.policies import POLICIES
+from marjoramstage.bench.proofs import write_proofs
 from marjoramstage.bench.replay import replay
 from marjoramstage.bench.scenarios import SCENARIOS, write_scenario
+from marjoramstage.bench.slopes import measure_slopes
 from marjoramstage.bench.trace import read_trace
 
 
@@ -21,6 +24,8 @@
     kinds = parser.add_subparsers(required=True, metavar="KIND")
     _add_replay(kinds)
     _add_make_trace(kinds)
+    _add_slopes(kinds)
+    _add_faults(kinds)
 
 
 def _add_replay(kinds) -> None:
@@ -49,6 +54,46 @@
     parser.set_defaults(run=_make_trace)
 
 
+def _add_slopes(kinds) -> None:
+    parser = kinds.add_parser("slopes", help="processor time, bytes and memory")
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    parser.set_defaults(run=_slopes)
+
+
+def _add_faults(kinds) -> None:
+    parser = kinds.add_parser("faults", help="run the fault matrix")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    parser.add_argument(
+        "--random", type=int, default=0, help="random runs, with seeds from SEED on"
+    )
+    parser.add_argument("--workers", type=int, default=1, help="processes")
+    parser.add_argument("--proofs", help="write the table of cells to this file")
+    parser.set_defaults(run=_faults)
+
+
+def _faults(args: argparse.Namespace) -> int:
+    matrix = run_matrix(args.seed, args.random, args.workers)
+    for result in matrix.results:
+        for text in result.broken:
+            print(f"{result.name}: {text}", file=sys.stderr)
+    if args.proofs:
+        write_proofs(matrix, args.proofs, args.seed)
+    summary = matrix.summary()
+    if args.json:
+        print(json.dumps(summary))
+    else:
+        for name, value in summary.items():
+            print(f"{name:12} {value}")
+    return exits.FAILED if matrix.failed else exits.OK
+
+
+def _slopes(args: argparse.Namespace) -> int:
+    found = measure_slopes()
+    print(json.dumps(found, indent=None if args.json else 2))
+    return exits.OK
+
+
 def _replay(args: argparse.Namespace) -> int:
     trace = read_trace(args.trace)
     for warning in trace.warnings:
--- /dev/null
+++ b/src/marjoramstage/bench/_config.py
@@ -0,0 +1,164 @@
+"""Drives the configuration nodes of the instances on the virtual clock."""
+
+from __future__ import annotations
+
+import random
+
+from marjoramstage.bench._instances import FakeInstance, Instances
+from marjoramstage.bench._links import Links
+from marjoramstage.bench._loop import EventLoop
+from marjoramstage.bench._platform import CALL_S, SLOW_CALL_S, FakePlatform
+from marjoramstage.coordination import _steps as steps
+from marjoramstage.coordination._node import ConfigNode
+from marjoramstage.protocol.events import InventoryAccepted
+from marjoramstage.protocol.peers import Head, MemberEntry, NamedDocument, PeerMessage
+from marjoramstage.state.documents import build_tree
+from marjoramstage.state.inventory import Inventory
+
+TICK_S = 0.1
+
+
+class ConfigFeed:
+    """Heads and documents at the platform, and a node at each instance.
+
+    Attributes
+    ----------
+    reverted : int
+        Times that an instance put a lower generation in force than before.
+    in_force_s : dict
+        When each generation came into force, by name and start of an instance.
+    joined_s : dict
+        When each of these starts was.
+    """
+
+    def __init__(
+        self,
+        instances: Instances,
+        links: Links,
+        platform: FakePlatform,
+        loop: EventLoop,
+        rng: random.Random,
+    ):
+        self.reverted = 0
+        self.accepted_s: dict[int, float] = {}
+        self.in_force_s: dict[int, dict[str, float]] = {}
+        self.joined_s: dict[str, float] = {}
+        self._instances = instances
+        self._links = links
+        self._platform = platform
+        self._loop = loop
+        self._rng = rng
+        self._heads: list[Head] = []
+        self._documents: dict[str, bytes] = {}
+        self._nodes: dict[str, ConfigNode] = {}
+        self._watching: set[str] = set()
+
+    def start(self, inventory: Inventory) -> None:
+        """Accept the first generation."""
+        self.accept(inventory)
+        self._loop.after(TICK_S, self._tick)
+
+    def accept(self, inventory: Inventory) -> None:
+        """Make an inventory the accepted one, whatever the platform's state."""
+        generation = len(self._heads) + 1
+        tree = build_tree(inventory)
+        self._documents.update(tree.documents)
+        self._heads.append(Head(generation, tree.root, f"edit-{generation}"))
+        self.accepted_s[generation] = self._loop.now_s
+        self.in_force_s[generation] = {}
+        for name in sorted(self._watching):
+            self._loop.after(self._call_s, self._watch_event, name)
+
+    def join(self, inst: FakeInstance) -> None:
+        """Give an instance that starts a node of its own."""
+        spec = inst.spec
+        own = MemberEntry(
+            spec.name, inst.start, 0, address=spec.name, data_centre=spec.data_centre
+        )
+        seeds = tuple(sorted(self._instances.by_name))
+        rng = random.Random(self._rng.random())
+        self._nodes[spec.name] = ConfigNode(own, seeds, rng, self._loop.now_s)
+        self._watching.discard(spec.name)
+        self.joined_s[f"{inst.name}/{inst.start}"] = self._loop.now_s
+
+    @property
+    def _call_s(self) -> float:
+        return SLOW_CALL_S if self._platform.slow else CALL_S
+
+    def _tick(self) -> None:
+        self._loop.after(TICK_S, self._tick)
+        for inst in self._instances.all:
+            if inst.serving:
+                self._handle(inst, inst.start, steps.NodeTick())
+                self._check_watch(inst)
+
+    def _check_watch(self, inst: FakeInstance) -> None:
+        if inst.name in self._watching and not self._answers(inst):
+            self._watching.discard(inst.name)
+            self._handle(inst, inst.start, steps.WatchEnded())
+
+    def _answers(self, inst: FakeInstance) -> bool:
+        return not self._platform.down and self._links.reaches_platform(inst.name)
+
+    def _watch_event(self, name: str) -> None:
+        inst = self._instances.by_name[name]
+        if name in self._watching and self._answers(inst):
+            self._post(inst, inst.start, steps.HeadSeen(self._heads[-1]))
+
+    def _post(self, inst: FakeInstance, start: int, event: steps.NodeEvent) -> None:
+        self._instances.run(inst, self._handle, inst, start, event)
+
+    def _handle(self, inst: FakeInstance, start: int, event: steps.NodeEvent) -> None:
+        if inst.start != start or not inst.alive:
+            return
+        node = self._nodes[inst.name]
+        for effect in node.handle(event, self._loop.now_s):
+            self._perform(inst, effect)
+
+    def _perform(self, inst: FakeInstance, effect: steps.NodeEffect) -> None:
+        match effect:
+            case steps.SendPeer(address, message):
+                self._send(inst, address, message)
+            case steps.ReadHead():
+                self._loop.after(self._call_s, self._read_head, inst, inst.start)
+            case steps.WatchHead():
+                self._watching.add(inst.name)
+                self._loop.after(self._call_s, self._watch_event, inst.name)
+            case steps.StopWatch():
+                self._watching.discard(inst.name)
+            case steps.ReadDocuments(names):
+                self._loop.after(
+                    self._call_s, self._read_documents, inst, inst.start, names
+                )
+            case steps.Emit(event) if isinstance(event, InventoryAccepted):
+                self._in_force(inst, event)
+
+    def _send(self, inst: FakeInstance, address: str, message: PeerMessage) -> None:
+        other = self._instances.by_name[address]
+        if self._links.joined(inst.name, address):
+            delay_s = self._links.delay_s(inst.name, address)
+            event = steps.PeerReceived(message)
+            self._loop.after(delay_s, self._post, other, other.start, event)
+
+    def _read_head(self, inst: FakeInstance, start: int) -> None:
+        event = steps.HeadMissed()
+        if self._answers(inst):
+            event = steps.HeadSeen(self._heads[-1])
+        self._post(inst, start, event)
+
+    def _read_documents(
+        self, inst: FakeInstance, start: int, names: tuple[str, ...]
+    ) -> None:
+        found: tuple[NamedDocument, ...] = ()
+        if self._answers(inst):
+            found = tuple(NamedDocument(n, self._documents[n]) for n in names)
+        self._post(inst, start, steps.DocumentsRead(found))
+
+    def _in_force(self, inst: FakeInstance, event: InventoryAccepted) -> None:
+        if event.generation < inst.generation:
+            self.reverted += 1
+        inst.generation = event.generation
+        for generation in range(1, event.generation + 1):
+            seen = self.in_force_s[generation]
+            seen.setdefault(f"{inst.name}/{inst.start}", self._loop.now_s)
+        self._instances.post_all(inst, event)
--- a/src/marjoramstage/bench/_links.py
+++ b/src/marjoramstage/bench/_links.py
@@ -5,6 +5,7 @@
 from marjoramstage.bench._references import PLATFORM
 from marjoramstage.bench.trace import Header
 
+PEERS = "peers"
 SAME_DATA_CENTRE_S = 0.0002
 OTHER_DATA_CENTRE_S = 0.0015
 
@@ -12,9 +13,10 @@
 class Links:
     """Fixed one-way delays, and the cuts that are in force.
 
-    A cut of a data centre parts it from the other data centres and from the
-    platform; a cut of an instance or a target parts it from everything; a cut
-    of the platform parts it from every instance.
+    ``peers:NAME`` cuts a data centre from the others alone, ``platform:NAME``
+    from the platform alone. A cut of a data centre parts it from the other
+    data centres and from the platform; a cut of an instance or a target parts
+    it from everything; a cut of the platform parts it from every instance.
     """
 
     def __init__(self, header: Header):
@@ -39,13 +41,15 @@
         place, other_place = self._place[one], self._place[other]
         if place == other_place:
             return True
-        return place not in self._cut and other_place not in self._cut
+        cuts = {place, other_place, f"{PEERS}:{place}", f"{PEERS}:{other_place}"}
+        return self._cut.isdisjoint(cuts)
 
     def reaches_platform(self, instance: str) -> bool:
         """Return whether an instance reaches the platform."""
         if not self._cut:
             return True
-        return self._cut.isdisjoint({PLATFORM, instance, self._place[instance]})
+        place = self._place[instance]
+        return self._cut.isdisjoint({PLATFORM, instance, place, f"{PLATFORM}:{place}"})
 
     def delay_s(self, one: str, other: str) -> float:
         """Return the one-way delay between two parts, in seconds."""
--- a/src/marjoramstage/bench/_tally.py
+++ b/src/marjoramstage/bench/_tally.py
@@ -34,6 +34,8 @@
         Lost requests that were inside a part when it was killed or cut off.
     model_offered, model_met : dict
         Requests by model or service.
+    last_met_s : dict
+        Latest arrival that was met, by model or service.
     """
 
     outcomes: dict[Outcome, int] = field(
@@ -48,6 +50,7 @@
     met_tokens: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     model_offered: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     model_met: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    last_met_s: dict[str, float] = field(default_factory=dict)
     first_token_ms: list[float] = field(default_factory=list)
     reasons: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     refused_but_ran: int = 0
@@ -61,6 +64,8 @@
         if outcome is Outcome.MET:
             self.met_tokens[request.customer] += tokens
             self.model_met[request.model] += 1
+            last_s = self.last_met_s.get(request.model, 0.0)
+            self.last_met_s[request.model] = max(last_s, request.arrived_s)
         self.outcomes[outcome] += 1
         self.by_class[request.request_class][outcome] += 1
         if reason:
--- a/src/marjoramstage/bench/driver.py
+++ b/src/marjoramstage/bench/driver.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from marjoramstage.bench._calls import Calls
+from marjoramstage.bench._config import ConfigFeed
 from marjoramstage.bench._faults import Faults
 from marjoramstage.bench._instances import FakeInstance, Instances
 from marjoramstage.bench._inventory import inventory_of, with_next_version
@@ -66,6 +67,12 @@
 class Replay:
     """One run of one policy over one trace.
 
+    Parameters
+    ----------
+    real_config : bool, default=False
+        Whether the accepted inventory reaches the instances through real
+        configuration nodes, instead of after a fixed time.
+
     Attributes
     ----------
     counts : Counts
@@ -74,7 +81,7 @@
         What the callers received.
     """
 
-    def __init__(self, trace: Trace, policy: str, seed: int):
+    def __init__(self, trace: Trace, policy: str, seed: int, real_config: bool = False):
         header = trace.header
         rng = random.Random(f"{seed}:{header.name}")
         self.trace = trace
@@ -95,6 +102,11 @@
             self.loop, self.links, self.instances, self.targets, customers, self.counts
         )
         self.faults = Faults(self)
+        self.config = None
+        if real_config:
+            self.config = ConfigFeed(
+                self.instances, self.links, self.platform, self.loop, rng
+            )
         self._listed: dict[str, Target] = {}
         self._turn = dict.fromkeys(header.data_centres, 0)
         self._lines = iter(trace.lines)
@@ -105,6 +117,8 @@
         """Replay the whole trace."""
         for name, fake in self.targets.items():
             self._listed[name] = self.listing(fake)
+        if self.config is not None:
+            self.config.start(self.inventory)
         for inst in self.instances.all:
             self.introduce(inst)
         self.leases.tick()
@@ -125,7 +139,10 @@
 
     def introduce(self, inst: FakeInstance) -> None:
         """Tell an instance what is in force and which targets there are."""
-        self.announce(inst, self.generation)
+        if self.config is not None:
+            self.config.join(inst)
+        else:
+            self.announce(inst, self.generation)
         for target in self._listed.values():
             self.instances.post_all(inst, TargetListed(target))
 
@@ -146,6 +163,9 @@
         """Put an edited inventory in force."""
         self.generation += 1
         self.inventory = with_next_version(self.inventory, document)
+        if self.config is not None:
+            self.config.accept(self.inventory)
+            return
         for inst in self.instances.all:
             self.loop.after(WATCH_S, self.announce, inst, self.generation)
 
@@ -210,9 +230,18 @@
         if isinstance(line, FaultLine):
             self.faults.begin(line)
         else:
-            self.calls.arrive(line, self._balance(line.data_centre))
+            self.arrive(line)
         self._next_line()
 
+    def add(self, line: RequestLine, delay_s: float) -> None:
+        """Offer a request beyond those of the trace."""
+        self._offered += 1
+        self.loop.after(delay_s, self.arrive, line)
+
+    def arrive(self, line: RequestLine) -> None:
+        """Take a request to an instance."""
+        self.calls.arrive(line, self._balance(line.data_centre))
+
     def _balance(self, data_centre: str) -> FakeInstance | None:
         """Return the next instance in turn, of another place if need be."""
         live = [i for i in self.instances.all if i.serving and i.generation]
--- a/src/marjoramstage/bench/trace.py
+++ b/src/marjoramstage/bench/trace.py
@@ -196,6 +196,11 @@
 }
 
 
+def parse_header(data: dict[str, Any]) -> Header:
+    """Build a header from plain data; raises pydantic's ``ValidationError``."""
+    return _TYPES["header"].validate_json(json.dumps(data))
+
+
 def read_trace(path: str | Path) -> Trace:
     """Read a trace file, plain or compressed by gzip.
 
