Show that the check of each promise can fail; order again what was not heard of

Cause: a lost load order kept its model away until its answer was given up after 60 s. A load that no report shows 10 s after it was sent is ordered again; the ledger counts it already, so a late first order does no harm. Ruled out: a shorter wait for the answer, as loads may take long.

--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -25,6 +25,31 @@
 Promises checked in each cell: {promises}.
 """
 
+DEMONSTRATIONS = """## Each check can fail
+
+Scenario `the check of each promise can fail` of features/faults.feature
+changes the code of a running cell and requires that the cell breaks the
+promise; CI runs it.
+
+| change | cell | promise broken |
+| --- | --- | --- |
+| `Ledger.free_mb` gives the whole capacity | target-killed at join.target \
+| memory-never-overcommitted |
+| `TargetBook._repair` does nothing | order-lost at order.new-version \
+| every-model-reachable |
+| `Scheduler._keep_waiting` drops the request | demand-surge at \
+request.waiting-and-running | whole-answer |
+| `Scheduler._ended` refuses what may have run | target-killed at \
+request.waiting-and-running | not-run-is-true |
+| a killed target's attempts end as not run | target-killed at \
+request.waiting-and-running | at-most-once |
+| `TargetTable.listed` and `TargetView.set_leaving` ignore leaving | demand-surge \
+at drain.target | leaving-gets-no-work |
+| `OBSOLETE_S` is 0 | demand-surge at apply.accepted | planned-stop-cuts-nothing |
+| `Distributor._want` takes the first head only | demand-surge at \
+apply.accepted | accepted-stays-in-force |
+"""
+
 
 def write_proofs(matrix: MatrixResult, path: str | Path, seed: int) -> None:
     """Write the page."""
@@ -46,6 +71,7 @@
         f"## Random runs\n\n{passed} of {len(randoms)} passed, seeds from {seed} on.\n"
     )
     parts.append(_failures(matrix))
+    parts.append(DEMONSTRATIONS)
     lines = "\n".join(f"- {name}" for name in matrix.not_covered)
     parts.append(f"## Not covered by the matrix\n\n{lines}\n")
     Path(path).write_text("\n".join(parts))
--- a/src/marjoramstage/coordination/_book.py
+++ b/src/marjoramstage/coordination/_book.py
@@ -31,6 +31,7 @@
 )
 
 READ_AGAIN_S = 0.5
+UNHEARD_S = 10.0
 ORDER_AGAIN_S = 2.0
 ABSENT_S = 3.0
 ORDER_LIFETIME_S = 120.0
@@ -217,7 +218,7 @@
                 self._absent_s.pop(item, None)
             if now_s - self._tried_s.get(item, -math.inf) < ORDER_AGAIN_S:
                 continue
-            if self._on_its_way(entry):
+            if self._on_its_way(entry) and not self._unheard(entry, held, now_s):
                 continue
             if entry.state is EntryState.REMOVING:
                 self.unload(item, lease_fence)
@@ -240,6 +241,12 @@
                 return True
         return False
 
+    def _unheard(self, entry: Entry, held: set[Item], now_s: float) -> bool:
+        """Whether the reports should have shown a load by now, and do not."""
+        waited_s = now_s - self._tried_s.get(entry.item, -math.inf)
+        absent = entry.state is EntryState.RESERVED and entry.item not in held
+        return absent and waited_s >= UNHEARD_S
+
     def _absent(self, item: Item, now_s: float) -> bool:
         """Whether the reports have missed a loaded item for long enough."""
         since_s = self._absent_s.setdefault(item, now_s)
