--- a/src/marjoramstage/_commands/bench.py
+++ b/src/marjoramstage/_commands/bench.py
@@ -13,6 +13,7 @@
 from marjoramstage.bench.policies import POLICIES
 from marjoramstage.bench.proofs import write_proofs
 from marjoramstage.bench.replay import replay
+from marjoramstage.bench.report import ReportSetting, replay_all, table, write_plots
 from marjoramstage.bench.scenarios import SCENARIOS, write_scenario
 from marjoramstage.bench.slopes import measure_slopes
 from marjoramstage.bench.trace import read_trace
@@ -24,6 +25,7 @@
     kinds = parser.add_subparsers(required=True, metavar="KIND")
     _add_replay(kinds)
     _add_make_trace(kinds)
+    _add_report(kinds)
     _add_slopes(kinds)
     _add_faults(kinds)
 
@@ -50,10 +52,31 @@
     parser.add_argument("--scenario", required=True, choices=sorted(SCENARIOS))
     parser.add_argument("--out", required=True, help="file, compressed if .gz")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--minutes", type=float, help="length; its own if left out")
+    parser.add_argument("--minutes", type=float, help="length; an hour if left out")
+    parser.add_argument("--load", type=float, default=1.0, help="factor on all rates")
     parser.set_defaults(run=_make_trace)
 
 
+def _add_report(kinds) -> None:
+    parser = kinds.add_parser("report", help="replay every scenario and policy")
+    parser.add_argument("--minutes", type=float, default=3.0, help="of each trace")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=1, help="processes")
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--scenarios", default=",".join(SCENARIOS))
+    parser.add_argument("--plots", help="write plots against load to this folder")
+    parser.set_defaults(run=_report)
+
+
+def _report(args: argparse.Namespace) -> int:
+    setting = ReportSetting(args.minutes, args.seed, args.workers)
+    policies = args.policies.split(",")
+    print(table(replay_all(args.scenarios.split(","), policies, setting)))
+    if args.plots:
+        write_plots(args.plots, policies, setting)
+    return exits.OK
+
+
 def _add_slopes(kinds) -> None:
     parser = kinds.add_parser("slopes", help="processor time, bytes and memory")
     parser.add_argument("--json", action="store_true", help="print one JSON object")
@@ -116,5 +139,5 @@
 
 
 def _make_trace(args: argparse.Namespace) -> int:
-    write_scenario(args.scenario, args.out, args.seed, args.minutes)
+    write_scenario(args.scenario, args.out, args.seed, args.minutes, args.load)
     return exits.OK
--- a/src/marjoramstage/bench/scenarios.py
+++ b/src/marjoramstage/bench/scenarios.py
@@ -161,10 +161,15 @@
 
 
 def write_scenario(
-    name: str, path: str | Path, seed: int = 1, minutes: float | None = None
+    name: str,
+    path: str | Path,
+    seed: int = 1,
+    minutes: float | None = None,
+    load: float = 1.0,
 ) -> None:
     """Write a scenario's trace to a file, compressed if it ends in ``.gz``."""
-    text = "".join(f"{line}\n" for line in scenario_lines(name, seed, minutes))
+    lines = scenario_lines(name, seed, minutes, load)
+    text = "".join(f"{line}\n" for line in lines)
     data = text.encode()
     if str(path).endswith(".gz"):
         data = gzip.compress(data, mtime=0)
@@ -172,16 +177,25 @@
 
 
 def scenario_lines(
-    name: str, seed: int = 1, minutes: float | None = None
+    name: str, seed: int = 1, minutes: float | None = None, load: float = 1.0
 ) -> Iterator[str]:
-    """Yield the lines of a scenario's trace."""
+    """Yield the lines of a scenario's trace.
+
+    Parameters
+    ----------
+    minutes : float, optional
+        Length; `MINUTES` if left out.
+    load : float, default=1.0
+        Factor on the rate of all requests.
+    """
     deployment_name, shape = SCENARIOS[name]
     deployment = DEPLOYMENTS[deployment_name]
     scenario = SHAPES[shape](deployment)
     length_s = (minutes or MINUTES) * 60.0
     expect = ALWAYS | scenario.expect
     yield _json(deployment.header(name, expect, scenario.store_slowdown))
-    maker = _Maker(deployment, scenario, length_s, random.Random(f"{name}:{seed}"))
+    rng = random.Random(f"{name}:{seed}")
+    maker = _Maker(deployment, scenario, length_s, load, rng)
     lines = [*maker.requests(), *maker.faults()]
     for line in sorted(lines, key=lambda line: line["at_ms"]):
         yield _json(line)
@@ -193,11 +207,13 @@
         deployment: Deployment,
         scenario: Scenario,
         length_s: float,
+        load: float,
         rng: random.Random,
     ):
         self._deployment = deployment
         self._scenario = scenario
         self._length_s = length_s
+        self._load = load
         self._rng = rng
         overnight_s = max(LEAST_OVERNIGHT_S, OVERNIGHT_SHARE * length_s)
         self._deadlines_ms = DEADLINES_MS | {"overnight": int(overnight_s * 1000)}
@@ -241,7 +257,7 @@
             part * scenario.class_load(name, share)
             for name, part in deployment.classes.items()
         ]
-        factor = scenario.load(share) * sum(ranks) / sum(self._skew)
+        factor = self._load * scenario.load(share) * sum(ranks) / sum(self._skew)
         factor *= sum(customers) / len(customers)
         factor *= sum(classes) / sum(deployment.classes.values())
         count = _poisson(rng, USUAL_PER_S * factor)
