--- a/src/marjoramstage/bench/slopes.py
+++ b/src/marjoramstage/bench/slopes.py
@@ -9,6 +9,7 @@
 import gc
 import importlib
 import json
+import logging
 import os
 import platform
 import statistics
@@ -52,6 +53,7 @@
 REPEATS = 2000
 MICRO = 1e6
 EVENT = b'id: 7\ndata: {"id":"c","choices":[{"index":0,"text":"w7 "}]}\n\n'
+PLACEMENT_SCALES = (0.25, 1.0)
 RELAY_SETTING = (50, 40)
 OTHER_COSTS = {
     "relay": "marjoramstage.bench.relay_cost",
@@ -282,5 +284,7 @@
         settings = [(n, 1, rate) for n in (8, 35) for rate in (0.0, 0.36)]
         return [asdict(module.measure(*each, 10.0, 1)) for each in settings]
     if name == "relay":
+        # Ending its streams makes asyncio log each of them.
+        logging.getLogger("asyncio").setLevel(logging.CRITICAL)
         return [asdict(module.relay_cost(*RELAY_SETTING)) for _ in range(RUNS)]
-    return module.measure()
+    return [asdict(module.measure(scale)) for scale in PLACEMENT_SCALES]
