Take test ports from below the kernel's own range

Cause: a port that was free when a scenario chose it could be an outgoing connection's by the time its process listened; 'a second signal' of drain.feature failed so once ('instance listens' never happened) on the busy machine, and passed in every other run. Not reproduced at will.

Runs: behave whole_path, drain, cutoff, releases_commands: 28 scenarios passed.

--- a/features/processes.py
+++ b/features/processes.py
@@ -1,6 +1,8 @@
 """The parts of a deployment as separate processes on loopback."""
 
+import itertools
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -14,12 +16,20 @@
 
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
+PORTS = itertools.cycle(
+    [10_000 + (os.getpid() * 97 + step) % 22_000 for step in range(22_000)]
+)
 
 
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """An address below the kernel's own ports, which others take meanwhile."""
+    for port in PORTS:
+        try:
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return f"127.0.0.1:{port}"
 
 
 @dataclass(frozen=True)
