--- a/features/bad_requests.py
+++ b/features/bad_requests.py
@@ -95,11 +95,18 @@
     "dot segment": get("/services/booking/../exchange/list"),
     "encoded dot segment": get("/services/booking/%2e%2e/exchange/list"),
     "encoded slash": get("/services/booking/availability%2fx"),
+    "absolute address": get("http://m/services/booking/availability"),
+    "another host in the path": get("@10.0.0.9/services/booking/availability"),
+    "another host, colon": get(":80@10.0.0.9/services/booking/availability"),
+    "star for a path": request_bytes("OPTIONS", "*", (CREDENTIAL,)),
+    "fragment": get("/services/booking/availability#x"),
+    "two slashes": get("//10.0.0.9/services/booking/availability"),
     "unknown path": get("/v2/models"),
     "unknown method": request_bytes("DELETE", "/v1/models", (CREDENTIAL,)),
     "large body": request_bytes("POST", BOOKINGS, (CREDENTIAL,), LARGE),
     "large chunked body": chunked_bytes("POST", BOOKINGS, (CREDENTIAL,), [LARGE]),
     "compressed body": chat(gzip.compress(body_bytes()), ("Content-Encoding", "gzip")),
+    "unknown expectation": chat(None, ("Expect", "200-ok")),
     "half a body": HALF_BODY,
     "bad chunk size": BAD_CHUNK.replace(b"\r\n2\r\n", b"\r\nzz\r\n"),
     "large header": get("/v1/models", ("X-Filler", "x" * (HEADER_BYTES + 1))),
@@ -107,5 +114,31 @@
     "long request line": get("/v1/" + "x" * (HEADER_BYTES + 1)),
     "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
     "header without colon": b"GET /v1/models HTTP/1.1\r\nHost: m\r\nnonsense\r\n\r\n",
+    "length and chunks": chunked_bytes(
+        "POST", BOOKINGS, (CREDENTIAL, ("Content-Length", "2")), [b"{}"]
+    ),
     "two lengths": get("/v1/models", ("Content-Length", "3"), ("Content-Length", "4")),
 }
+
+
+def operate(path, body=b"", method="POST"):
+    return request_bytes(method, path, (), body)
+
+
+GOOD_OPERATOR_REQUEST = operate("/dump", method="GET")
+
+BAD_OPERATOR_REQUESTS = {
+    "unknown path": operate("/nothing", method="GET"),
+    "unknown method": operate("/dump", method="DELETE"),
+    "inventory not YAML": operate("/inventory", b"models: [a"),
+    "inventory not UTF-8": operate("/inventory", b"\x80\x81\x00"),
+    "inventory of one unknown key": operate("/inventory", b"magic: 1"),
+    "inventory too large": operate("/inventory", b"#" * 1_100_000),
+    "empty plan": operate("/plan"),
+    "base a word": operate("/inventory?base=new", b"models: []"),
+    "edit id too short": operate("/inventory?edit=1", b"models: []"),
+    "rollback to nothing": operate("/rollback"),
+    "rollback to a huge number": operate("/rollback?to=" + "9" * 5000),
+    "no HTTP": BAD_REQUESTS["no HTTP"],
+    "large header": request_bytes("GET", "/dump", [("X-Filler", "x" * 20_000)]),
+}
--- a/src/marjoramstage/_instance/peering.py
+++ b/src/marjoramstage/_instance/peering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import random
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 
 from marjoramstage._instance.node_dump import dump_node
 from marjoramstage._instance.tasks import TaskGroup
+from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock
 from marjoramstage.coordination._node import ConfigNode
 from marjoramstage.coordination._release_store import (
@@ -45,14 +47,19 @@
     PlatformFault,
     PlatformObject,
 )
-from marjoramstage.protocol.peers import MemberEntry, NamedDocument, PeerMessage
+from marjoramstage.protocol.peers import (
+    LeavingTarget,
+    MemberEntry,
+    NamedDocument,
+    PeerMessage,
+)
 from marjoramstage.settings import Settings
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport.peers import Identity, PeerClient, PeerServer
 
 log = part_logger("peering")
 
-TICK_EVERY_S = 0.1
+TICK_EVERY_S = 0.2
 READS_AT_ONCE = 8
 
 
@@ -100,6 +107,8 @@
         """Listen, and build the node, which needs the address."""
         await self._server.start()
         cfg = self._settings
+        if ipaddress.ip_address(split_address(self.address)[0]).is_unspecified:
+            log.warning("peers cannot call this address", extra={"told": self.address})
         own = MemberEntry(
             name=cfg.name,
             incarnation=self.incarnation,
@@ -125,6 +134,11 @@
         """Return the number of serving instances of the data centre."""
         return len(self.node.gossiper.membership.serving(self._clock.now()))
 
+    def knows_leaving(self, leaving: LeavingTarget) -> bool:
+        """Return whether an incarnation of a target is known to leave."""
+        known = self.node.gossiper.leaving
+        return leaving in known or LeavingTarget(leaving.target) in known
+
     def waits_for(self) -> str:
         """Return what is needed before requests can be served; empty if nothing."""
         if self.generation > 0:
--- a/src/marjoramstage/coordination/_assignment.py
+++ b/src/marjoramstage/coordination/_assignment.py
@@ -19,7 +19,7 @@
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.state.residency import Residency
 
-GRACE_S = 10.0
+GRACE_S = 30.0
 MODELS_PER_PLAN = 64
 EVICTIONS_PER_PLAN = 2
 
@@ -74,7 +74,7 @@
             evicted: list[Item] = []
             if chosen is None and evictions > 0:
                 evictions -= 1
-                room = self._evictions.room_for(wanted, 0, now_s)
+                room = self._evictions.room_for(wanted, now_s)
                 if room is None:
                     continue
                 chosen, evicted = room
@@ -91,7 +91,7 @@
     def _choice(self, wanted: WantedItem, now_s: float) -> str | None:
         """Return the target chosen before, or choose one with free memory."""
         chosen = self._chosen.get(wanted.item)
-        elsewhere = True
+        avoided = ""
         if chosen is not None:
             space = self._residency.spaces.get(chosen.target)
             fits = space is not None and space.open
@@ -99,28 +99,49 @@
             late = now_s - chosen.since_s >= GRACE_S
             if fits and not late:
                 return chosen.target
-            elsewhere = not late
+            if space is not None and space.data_centre != self._data_centre:
+                avoided = space.data_centre
             self._release(wanted.item)
-        target = self._most_free(wanted.memory_mb, elsewhere)
-        if target is None and not elsewhere:
-            target = self._most_free(wanted.memory_mb, True)
+        target = self._most_free(wanted, avoided) or self._any_free(wanted, avoided)
+        if target is None and avoided:
+            target = self._any_free(wanted, "")
         if target is not None:
             self._choose(wanted, target, now_s)
         return target
 
-    def _most_free(self, memory_mb: int, elsewhere: bool) -> str | None:
-        """Return the target with the most memory that is not promised."""
-        best, best_mb = None, memory_mb - 1
+    def _most_free(self, wanted: WantedItem, avoided: str) -> str | None:
+        """Return the target with the most room beside its adapters.
+
+        Equal room is decided by name: placers see equal room in unlike order.
+
+        Parameters
+        ----------
+        avoided : str
+            Data centre that has let the model wait.
+        """
+        best = (wanted.memory_mb, "")
         for free_mb, name in reversed(self._residency.by_free()):
-            if free_mb <= best_mb:
+            if free_mb < best[0]:
                 break
             space = self._residency.spaces[name]
-            if not elsewhere and space.data_centre != self._data_centre:
+            if space.data_centre == avoided:
                 continue
             left_mb = free_mb - self._promised_mb.get(name, 0)
-            if left_mb > best_mb:
-                best, best_mb = name, left_mb
-        return best
+            left_mb -= self._evictions.adapter_room_mb(space, wanted)
+            best = max(best, (left_mb, name))
+        return best[1] or None
+
+    def _any_free(self, wanted: WantedItem, avoided: str) -> str | None:
+        """Return the target with the most memory, room for adapters or not."""
+        for free_mb, name in reversed(self._residency.by_free()):
+            if free_mb < wanted.memory_mb:
+                return None
+            space = self._residency.spaces[name]
+            if space.data_centre == avoided:
+                continue
+            if free_mb - self._promised_mb.get(name, 0) >= wanted.memory_mb:
+                return name
+        return None
 
     def _choose(self, wanted: WantedItem, target: str, now_s: float) -> None:
         self._release(wanted.item)
--- a/src/marjoramstage/coordination/gossip.py
+++ b/src/marjoramstage/coordination/gossip.py
@@ -35,13 +35,14 @@
 GOSSIP_EVERY_S = 1.0
 GOSSIP_PEERS = 2
 BRIDGE_EVERY_S = 2.0
-RUMOUR_PEERS = 4
-RUMOUR_DATA_CENTRES = 3
+RUMOUR_PEERS = 3
+RUMOUR_DATA_CENTRES = 1
 RECOVERY_SHARE = 0.2
 TOLD_LEAVING_S = 60.0
 TOLD_ADDRESS_S = 15.0
 MAX_TOLD_LEAVING = 64
 MAX_POINTED = 8
+KEPT_INCARNATIONS = 4
 
 
 @dataclass(frozen=True)
@@ -154,20 +155,21 @@
         """
         if leaving in self.leaving:
             return []
+        self._forget_oldest(leaving.target)
         self.leaving[leaving] = KnownLeaving(leaving, now_s)
-        effects: list[NodeEffect] = [Emit(TargetLeaving(leaving.target))]
+        effects: list[NodeEffect] = [
+            Emit(TargetLeaving(leaving.target, leaving.incarnation))
+        ]
         rumour = Rumour(self.membership.own, leaving=(leaving,))
         if sender is None or not self._is_local(sender):
             effects += self._to_own_data_centre(rumour, now_s)
         if sender is None:
-            effects += self._to_data_centres(rumour, None)
+            # An instance that is dead may not be known to be.
+            contacts = self.summaries.contacts().values()
+            found = [entry for entries in contacts for entry in entries]
+            effects += [SendPeer(entry.address, rumour) for entry in found]
         return effects
 
-    def forget_leaving(self, target: str) -> None:
-        """Forget a target that is gone."""
-        for leaving in [known for known in self.leaving if known.target == target]:
-            del self.leaving[leaving]
-
     def spread_head(self, head: Head, now_s: float) -> list[NodeEffect]:
         """Tell a few peers, and other data centres, of a head in force here."""
         rumour = Rumour(self.membership.own, head=head)
@@ -175,7 +177,7 @@
         chosen = self._rng.sample(peers, min(RUMOUR_PEERS, len(peers)))
         effects: list[NodeEffect] = [SendPeer(e.address, rumour) for e in chosen]
         if self.is_bridge(now_s):
-            effects += self._to_data_centres(rumour, RUMOUR_DATA_CENTRES)
+            effects += self._to_data_centres(rumour)
         return effects
 
     def leave(self, state: MemberState, now_s: float) -> list[NodeEffect]:
@@ -184,6 +186,12 @@
         own = self.membership.own
         return self._to_own_data_centre(Rumour(own, members=(own,)), now_s)
 
+    def _forget_oldest(self, target: str) -> None:
+        """Keep the last few leaving incarnations of a target."""
+        known = [leaving for leaving in self.leaving if leaving.target == target]
+        for leaving in known[: 1 - KEPT_INCARNATIONS]:
+            del self.leaving[leaving]
+
     def _meet(self, sender: MemberEntry, now_s: float) -> list[NodeEffect]:
         """Note the sender of a message."""
         if self._is_local(sender):
@@ -288,14 +296,11 @@
     ) -> list[NodeEffect]:
         return [SendPeer(m.entry.address, message) for m in self._reachable(now_s)]
 
-    def _to_data_centres(
-        self, message: PeerMessage, count: int | None
-    ) -> list[NodeEffect]:
-        """Send to one contact in each of ``count`` other data centres, or in all."""
+    def _to_data_centres(self, message: PeerMessage) -> list[NodeEffect]:
+        """Send to one contact in each of a few other data centres."""
         contacts = self.summaries.contacts()
         names = sorted(contacts)
-        if count is not None:
-            names = self._rng.sample(names, min(count, len(names)))
+        names = self._rng.sample(names, min(RUMOUR_DATA_CENTRES, len(names)))
         return [
             SendPeer(self._rng.choice(contacts[name]).address, message)
             for name in names
--- a/src/marjoramstage/transport/_errors.py
+++ b/src/marjoramstage/transport/_errors.py
@@ -11,6 +11,7 @@
 HEADER_REQUEST_ID = "X-Request-Id"
 HEADER_VERDICT = "X-Verdict"
 
+RETRIED_STATUSES = (429, 503)
 CODE_OF_STATUS = {404: "path", 405: "method", 413: "body-size"}
 
 
@@ -21,12 +22,22 @@
     if request_id:
         error["request_id"] = request_id
         headers[HEADER_REQUEST_ID] = request_id
-    if exc.retry_after_s is not None:
+    if exc.retry_after_s is not None and exc.status in RETRIED_STATUSES:
         headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after_s)))
         error["retry_after_ms"] = round(exc.retry_after_s * 1000)
     return web.json_response({"error": error}, status=exc.status, headers=headers)
 
 
+async def answer_expect(req: web.Request) -> web.Response | None:
+    """Tell a caller to send its body, or refuse an unknown expectation."""
+    if req.headers.get("Expect", "").lower() != "100-continue":
+        text = "Expect is 100-continue."
+        return error_response(RequestError(417, "expect", text, Verdict.NOT_RUN))
+    await req.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    req.writer.output_size = 0  # the answer itself has not begun
+    return None
+
+
 def error_of_http(exc: web.HTTPException) -> RequestError:
     """Return the error of a request that the HTTP library refused."""
     code = CODE_OF_STATUS.get(exc.status, "http")
--- a/src/marjoramstage/transport/callers.py
+++ b/src/marjoramstage/transport/callers.py
@@ -22,6 +22,7 @@
 from marjoramstage.transport._bodies import EngineBody, parse_engine_body
 from marjoramstage.transport._errors import (
     HEADER_REQUEST_ID,
+    answer_expect,
     error_of_http,
     error_response,
 )
@@ -99,11 +100,21 @@
             client_max_size=self._limits.body_bytes, middlewares=[self._errors]
         )
         app.router.add_get("/v1/models", self._models)
-        app.router.add_post("/v1/completions", self._completions)
-        app.router.add_post("/v1/chat/completions", self._completions)
-        app.router.add_route("*", "/services/{service}/{tail:.*}", self._service)
+        for path in ("/v1/completions", "/v1/chat/completions"):
+            app.router.add_post(path, self._completions, expect_handler=answer_expect)
+        app.router.add_route(
+            "*",
+            "/services/{service}/{tail:.*}",
+            self._service,
+            expect_handler=answer_expect,
+        )
         return app
 
+    @property
+    def open_requests(self) -> int:
+        """Requests that have no whole answer yet."""
+        return len(self._open)
+
     def dump(self) -> list[OpenRequest]:
         """Return the requests that have no whole answer yet, oldest first."""
         now_s = self._clock.now()
@@ -262,9 +273,26 @@
         self._open[request.id] = request
         try:
             with self.readers.watching(req.transport, request.id):
-                return await self._relay.serve(req, request, call_for, claim)
+                resp = await self._relay.serve(req, request, call_for, claim)
         finally:
             del self._open[request.id]
+        self._answered(request, resp.status)
+        return resp
+
+    def _answered(self, request: Request, status: int) -> None:
+        """Note a request that got its whole answer."""
+        now_s = self._clock.now()
+        took_ms = (now_s - request.arrived_s) * 1000
+        met = now_s <= request.deadline_s
+        self._metrics.count("callers.met" if met else "callers.late")
+        self._metrics.timing("callers.answer", took_ms)
+        extra = {
+            "request": request.id,
+            "customer": request.customer,
+            "status": status,
+            "took_ms": round(took_ms),
+        }
+        log.debug("request answered", extra=extra)
 
     def _check_paid(self, customer: Customer, body: EngineBody) -> None:
         inventory = self._inventory()
