--- /dev/null
+++ b/features/steps/promises.py
@@ -0,0 +1,43 @@
+"""Steps about the stated outcomes of recorded traces."""
+
+import json
+from dataclasses import replace
+
+from behave import given, then, when
+
+from marjoramstage.bench.expectations import unmet_expectations
+from marjoramstage.bench.replay import replay
+from marjoramstage.bench.scenarios import scenario_lines
+from marjoramstage.bench.trace import parse_trace
+
+
+@given("the recorded trace {name} of {minutes:d} minute")
+def recorded_trace(context, name, minutes):
+    context.recorded = parse_trace(scenario_lines(name, minutes=minutes), name)
+
+
+@when("the recorded trace is replayed with the current policy")
+def replay_recorded(context):
+    context.recorded_result = replay(context.recorded, "current", 1)
+
+
+@then("every stated outcome of the recorded trace is met")
+def outcomes_met(context):
+    assert context.recorded.header.expect, "nothing is stated"
+    unmet = unmet_expectations(context.recorded, *context.recorded_result)
+    assert not unmet, unmet
+
+
+@given("a recorded trace that states {name} as {wanted}")
+def trace_that_states(context, name, wanted):
+    lines = scenario_lines("tran-gia-usual", minutes=0.05)
+    trace = parse_trace(lines, "short")
+    header = replace(trace.header, expect={name: json.loads(wanted)})
+    context.recorded = replace(trace, header=header)
+
+
+@then('its replay by policy {policy} misses "{message}"')
+def misses(context, policy, message):
+    result = replay(context.recorded, policy, 1)
+    unmet = unmet_expectations(context.recorded, *result)
+    assert any(message in text for text in unmet), unmet
