Give the fault table of requests room on a busy machine

The bounds were wall time by accident: only a frozen target has to use its overrun up.

Change: the overrun is 15 s but for a frozen target, the deadline 3 s, the late answer 3.2 s. Every expected status, verdict, run count and byte is as before. Ruled out: a virtual clock, as sockets and aiohttp's own timers are under test. Before: flaky under load.

--- a/features/request_faults.py
+++ b/features/request_faults.py
@@ -49,9 +49,10 @@
 from marjoramstage.transport.relay import Relay
 from marjoramstage.transport.targets import CallClient, HttpTargets
 
-DEADLINE_MS = 400
-OVERRUN_S = 0.3
-LATE_S = 0.5
+DEADLINE_MS = 3000
+LATE_S = 3.2
+OVERRUN_S = 15.0
+FREEZE_OVERRUN_S = 0.1
 BOUND_S = 20.0
 CHUNKS = 4
 WHOLE = json.dumps({"text": "w0 w1 w2 w3", "usage": {"completion_tokens": 4}}).encode()
@@ -84,6 +85,11 @@
     fault: str = ""
     times: int = 1
 
+    @property
+    def overrun_s(self):
+        """How long an answer is waited for; only a frozen target uses it up."""
+        return FREEZE_OVERRUN_S if self.fault == "freeze" else OVERRUN_S
+
 
 @dataclass
 class ScriptedTarget:
@@ -326,9 +332,10 @@
 class Entry:
     """The request side of an instance, with a real callers' port."""
 
-    def __init__(self, name, platform, targets):
+    def __init__(self, name, platform, targets, overrun_s):
         self.name = name
         self.platform = platform
+        self._overrun_s = overrun_s
         self._known = targets
 
     async def start(self):
@@ -347,7 +354,7 @@
             self.metrics,
             self.usage,
             self.tasks.spawn,
-            overrun_s=OVERRUN_S,
+            overrun_s=self._overrun_s,
         )
         port = CallerPort(
             relay, lambda: INVENTORY, Limits(), clock, self.metrics, claims
@@ -490,7 +497,7 @@
         for target in self.targets:
             await target.start()
         for name in ("i1", "i2"):
-            entry = Entry(name, self.platform, self.targets)
+            entry = Entry(name, self.platform, self.targets, self.script.overrun_s)
             await entry.start()
             self.entries.append(entry)
         return self
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -17,7 +17,7 @@
     chunk,
 )
 
-AT_ONCE = 24
+AT_ONCE = 48
 CELL_BOUND_S = 30.0
 
 
