Give copies no new work for a while before they are unloaded

Ten seconds without a request stood in for "nothing runs", which long answers outlast; and between the decision and the order new requests still came.

Change: instances tell the attempts under way by item, which keeps a copy from being evicted; and the lease holder tells which copies are about to go, 2 s before it orders the unload, so that routing leaves them out. Adapters moved to make room for one that was asked for go without the wait.

Ruled out: waiting for a longer idle time (only moves the race); the wait for adapters as well (a request waits for the room).

Left: an instance that does not hear the holder (a cut between data centres) can still be cut off by an unload, and is told so.

--- /dev/null
+++ b/features/retiring.feature
@@ -0,0 +1,13 @@
+Feature: A copy gets no new work before it is unloaded
+
+  Scenario Outline: a retiring copy, <case>
+    Given a retiring world where targets t0 and t1 hold model m0
+    When t0's copy is told to retire <told> and 20 requests come <wait_s> s later
+    Then the retiring copy of t0 ran <runs> of them
+
+    Examples:
+      | case                      | told                 | wait_s | runs |
+      | heard just now            | by the lease holder  | 0.1    | none |
+      | heard within the time     | by the lease holder  | 1.0    | none |
+      | no longer told of         | by the lease holder  | 2.0    | some |
+      | of a model not asked for  | for another model    | 0.1    | some |
--- a/src/marjoramstage/bench/driver.py
+++ b/src/marjoramstage/bench/driver.py
@@ -42,6 +42,7 @@
     WriteLedger,
 )
 from marjoramstage.protocol.messages import (
+    CopyOnTarget,
     Order,
     OrderAnswer,
     OrderOutcome,
@@ -283,11 +284,17 @@
                 continue
             load = own_load(self.loop.now_s)
             if inst.holds:
-                load = replace(load, shards=tuple(sorted(inst.holds)))
+                shards = tuple(sorted(inst.holds))
+                load = replace(load, shards=shards, retiring=self._retiring(inst))
             event = InstanceLoaded(load)
             self.loop.after(LOAD_LAG_S, self._deliver_load, inst, event, True)
             self.loop.after(FAR_LOAD_LAG_S, self._deliver_load, inst, event, False)
 
+    def _retiring(self, inst: FakeInstance) -> tuple[CopyOnTarget, ...]:
+        placers = [inst.placers[data_centre] for data_centre in sorted(inst.holds)]
+        found = [getattr(placer, "retiring", ()) for placer in placers]
+        return tuple(copy for copies in found for copy in copies)
+
     def _deliver_load(
         self, sender: FakeInstance, event: InstanceLoaded, near: bool
     ) -> None:
--- a/src/marjoramstage/coordination/_loads.py
+++ b/src/marjoramstage/coordination/_loads.py
@@ -9,9 +9,15 @@
 from marjoramstage.coordination.membership import Liveness, Membership
 from marjoramstage.coordination.shards import is_shard_of
 from marjoramstage.protocol.events import AdapterAsked, InstanceGone, InstanceLoaded
-from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
+from marjoramstage.protocol.messages import (
+    CopyOnTarget,
+    InstanceLoad,
+    Item,
+    ItemDemand,
+)
 from marjoramstage.protocol.peers import (
     AdapterWanted,
+    CopyEntry,
     DemandEntry,
     Load,
     MemberEntry,
@@ -111,13 +117,24 @@
         dict(load.in_flight),
         demand,
         load.shards,
+        tuple(
+            CopyEntry(copy.target, copy.item.name, copy.item.version)
+            for copy in load.retiring
+        ),
     )
 
 
 def load_from_message(message: Load) -> InstanceLoad:
     """Return the load that was sent."""
     demand = tuple(
-        ItemDemand(Item(d.name, d.version), d.requests, d.tokens, d.waiting, d.live)
+        ItemDemand(
+            Item(d.name, d.version),
+            d.requests,
+            d.tokens,
+            d.waiting,
+            d.live,
+            d.running,
+        )
         for d in message.demand
     )
     return InstanceLoad(
@@ -128,4 +145,8 @@
         message.in_flight,
         demand,
         message.shards,
+        tuple(
+            CopyOnTarget(copy.target, Item(copy.name, copy.version))
+            for copy in message.retiring
+        ),
     )
--- a/src/marjoramstage/coordination/_planning.py
+++ b/src/marjoramstage/coordination/_planning.py
@@ -11,8 +11,9 @@
 from marjoramstage.coordination.adapters import adapters_to_evict
 from marjoramstage.coordination.demand import Demand
 from marjoramstage.coordination.moves import LoadBudget
+from marjoramstage.coordination.retiring import Retiring
 from marjoramstage.coordination.shards import rendezvous
-from marjoramstage.protocol.messages import Item
+from marjoramstage.protocol.messages import CopyOnTarget, Item
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.state.residency import Residency
 
@@ -48,6 +49,7 @@
         self._budget = LoadBudget()
         self._assignments = Assignments(data_centre, residency, demand)
         self._replicas = Replicas(data_centre, residency, demand)
+        self.retiring = Retiring()
         self._missing_adapters: dict[Item, None] = {}
         self._asked: dict[tuple[str, Item], float] = {}
         self._unwanted: set[Item] = set()
@@ -112,7 +114,8 @@
         if now_s >= self._settled_at_s:
             self._share_budget()
             yield from self._model_moves(models, can_change, now_s)
-            yield from self._obsolete_moves(can_change, now_s)
+            self._retire_obsolete(now_s)
+            yield from self._retired_moves(can_change, now_s)
         yield from self._adapter_moves(adapters, can_change, now_s)
 
     def _model_moves(
@@ -134,7 +137,7 @@
             if not can_change(target):
                 continue
             for item in evicted:
-                yield Move(target, unload=item)
+                self.retiring.begin(target, item, now_s)
             if evicted:
                 continue
             yield Move(target, load=wanted)
@@ -143,8 +146,32 @@
             if not self._budget.may_load(loading):
                 return
 
-    def _obsolete_moves(self, can_change: CanChange, now_s: float) -> Iterator[Move]:
-        """Unload what is no longer wanted, after its successor can serve."""
+    def _retired_moves(self, can_change: CanChange, now_s: float) -> Iterator[Move]:
+        """Unload copies that have got no new work for long enough."""
+
+        def may_go(copy: CopyOnTarget) -> bool:
+            return self._may_go(copy, now_s)
+
+        for copy in self.retiring.due(now_s, may_go):
+            if not can_change(copy.target):
+                continue
+            self.retiring.end(copy.target, copy.item)
+            yield Move(copy.target, unload=copy.item)
+
+    def _may_go(self, copy: CopyOnTarget, now_s: float) -> bool:
+        """Whether a copy is still there, unused and not the last wanted one."""
+        if copy.target not in self._residency.ready_at(copy.item):
+            return False
+        if self._wanted.get(copy.item) is None:
+            return not self._demand.running(copy.item)
+        if self._demand.in_use(copy.item, now_s):
+            return False
+        if copy.item in self._wanted.adapters:
+            return True
+        return len(self._residency.ready_at(copy.item)) > 1
+
+    def _retire_obsolete(self, now_s: float) -> None:
+        """Let go of what is no longer wanted, after its successor can serve."""
         if not self._wanted.models:
             return
         for item in sorted(self._unwanted):
@@ -163,8 +190,8 @@
                 del self._obsolete_s[item]
                 continue
             for target in sorted(held):
-                if self._is_own(target) and can_change(target):
-                    yield Move(target, unload=item)
+                if self._is_own(target):
+                    self.retiring.begin(target, item, now_s)
 
     def _adapter_moves(
         self, loading: int, can_change: CanChange, now_s: float
--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -13,6 +13,7 @@
 from marjoramstage.coordination.offered import OfferedDemand
 from marjoramstage.coordination.prediction import Prediction, ServiceTimes
 from marjoramstage.coordination.queues import Lane, Queues, Waiting
+from marjoramstage.coordination.retiring import HEARD_S
 from marjoramstage.coordination.retries import RetryBudget
 from marjoramstage.coordination.routing import (
     TargetTable,
@@ -119,7 +120,9 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             in_flight=in_flight,
-            demand=self._offered.told(self._queues.lanes.values()),
+            demand=self._offered.told(
+                self._queues.lanes.values(), self._attempts.running
+            ),
         )
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
@@ -223,7 +226,8 @@
         return effects
 
     def _heard(self, load: InstanceLoad, now_s: float) -> list[Effect]:
-        """Give up overnight attempts whose slots a peer needs for live work."""
+        """Take in a peer's load; give up overnight attempts for its live work."""
+        self._table.retire(load.retiring, now_s + HEARD_S)
         if not self._peers.heard(load, now_s):
             return []
         effects: list[Effect] = []
--- a/src/marjoramstage/coordination/attempts.py
+++ b/src/marjoramstage/coordination/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 from marjoramstage.coordination.fairness import CustomerCounters, request_cost
@@ -40,7 +41,13 @@
 
 
 class Attempts:
-    """Attempts under way, by request."""
+    """Attempts under way, by request.
+
+    Attributes
+    ----------
+    running : Counter
+        Attempts under way by item.
+    """
 
     def __init__(
         self, counters: CustomerCounters, times: ServiceTimes, rng: random.Random
@@ -49,6 +56,7 @@
         self._times = times
         self._rng = rng
         self._under_way: dict[str, _Attempt] = {}
+        self.running: Counter[Item] = Counter()
         self._refused_at_s: dict[str, float] = {}
         self._yielding: dict[str, dict[str, _Attempt]] = {}
 
@@ -61,6 +69,7 @@
         view.breaker.dispatched()
         attempt = _Attempt(request, view, waiting.items, now_s, cost, waiting.ages_at_s)
         self._under_way[request.id] = attempt
+        self.running.update(waiting.items)
         if waiting.level is RequestClass.OVERNIGHT and request.repeatable:
             self._yielding.setdefault(view.name, {})[request.id] = attempt
 
@@ -72,6 +81,7 @@
         if attempt is None or attempt.view.name != end.target:
             return None
         del self._under_way[end.request.id]
+        self.running.subtract(attempt.items)
         self._forget_yielding(end)
         attempt.view.in_flight -= 1
         if end.ok:
--- a/src/marjoramstage/coordination/demand.py
+++ b/src/marjoramstage/coordination/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
 from marjoramstage.protocol.messages import InstanceLoad, Item, ItemDemand
@@ -64,7 +65,8 @@
     def __init__(self):
         self._seen: dict[str, _Seen] = {}
         self._rates: dict[Item, ItemRate] = {}
-        self._waiting: dict[Item, int] = {}
+        self._waiting: Counter[Item] = Counter()
+        self._running: Counter[Item] = Counter()
         self._used_s: dict[Item, float] = {}
 
     def loaded(self, load: InstanceLoad, now_s: float) -> set[Item]:
@@ -88,12 +90,13 @@
         return changed
 
     def gone(self, instance: str) -> None:
-        """Forget the queue of an instance that ended."""
+        """Forget the queue and the attempts of an instance that ended."""
         seen = self._seen.pop(instance, None)
         if seen is None:
             return
         for demand in seen.counted.values():
-            self._wait(demand.item, -demand.waiting)
+            self._waiting[demand.item] -= demand.waiting
+            self._running[demand.item] -= demand.running
 
     def requests_per_s(self, item: Item, now_s: float) -> float:
         """Return the predicted arrivals a second."""
@@ -107,15 +110,21 @@
 
     def waiting(self, item: Item) -> int:
         """Return the requests that wait for the item, over all instances."""
-        return self._waiting.get(item, 0)
+        return self._waiting[item]
 
     def used_s(self, item: Item) -> float:
         """Return when the item was last asked for; -inf for never."""
         return self._used_s.get(item, -math.inf)
 
+    def running(self, item: Item) -> bool:
+        """Return whether an attempt is under way, at whatever target."""
+        return self._running[item] > 0
+
     def in_use(self, item: Item, now_s: float) -> bool:
         """Return whether work on the item may wait or be in flight."""
-        return self.waiting(item) > 0 or now_s - self.used_s(item) < IDLE_S
+        if self._waiting[item] > 0 or self.running(item):
+            return True
+        return now_s - self.used_s(item) < IDLE_S
 
     def _rate(self, item: Item, now_s: float) -> ItemRate | None:
         rate = self._rates.get(item)
@@ -127,7 +136,8 @@
         self, demand: ItemDemand, known: ItemDemand | None, now_s: float
     ) -> None:
         known = known or ItemDemand(demand.item, 0, 0)
-        self._wait(demand.item, demand.waiting - known.waiting)
+        self._waiting[demand.item] += demand.waiting - known.waiting
+        self._running[demand.item] += demand.running - known.running
         requests = max(0, demand.requests - known.requests)
         tokens = max(0, demand.tokens - known.tokens)
         if requests == 0 and tokens == 0:
@@ -138,10 +148,3 @@
             self._rates[demand.item] = rate
         rate.add(requests, tokens)
         self._used_s[demand.item] = now_s
-
-    def _wait(self, item: Item, change: int) -> None:
-        waiting = self._waiting.get(item, 0) + change
-        if waiting > 0:
-            self._waiting[item] = waiting
-        else:
-            self._waiting.pop(item, None)
--- a/src/marjoramstage/coordination/offered.py
+++ b/src/marjoramstage/coordination/offered.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from marjoramstage.coordination.queues import Lane
 from marjoramstage.protocol.messages import Item, ItemDemand, Request
@@ -27,8 +27,16 @@
             self._requests[item] += 1
             self._tokens[item] += tokens
 
-    def told(self, lanes: Iterable[Lane]) -> tuple[ItemDemand, ...]:
-        """Return the demand for every item ever asked for."""
+    def told(
+        self, lanes: Iterable[Lane], running: Mapping[Item, int]
+    ) -> tuple[ItemDemand, ...]:
+        """Return the demand for every item ever asked for.
+
+        Parameters
+        ----------
+        running : Mapping
+            Attempts under way by item.
+        """
         waiting: Counter[Item] = Counter()
         live: Counter[Item] = Counter()
         for lane in lanes:
@@ -36,7 +44,13 @@
                 waiting[item] += lane.count
                 live[item] += lane.live
         for item, count in self._requests.items():
-            counts = (count, self._tokens[item], waiting[item], live[item])
+            counts = (
+                count,
+                self._tokens[item],
+                waiting[item],
+                live[item],
+                running.get(item, 0),
+            )
             known = self._told.get(item)
             if known is None or counts != known.counts:
                 self._told[item] = ItemDemand(item, *counts)
--- a/src/marjoramstage/coordination/placement.py
+++ b/src/marjoramstage/coordination/placement.py
@@ -31,7 +31,12 @@
     Tick,
     WriteLedger,
 )
-from marjoramstage.protocol.messages import Target, TargetKind, TargetReport
+from marjoramstage.protocol.messages import (
+    CopyOnTarget,
+    Target,
+    TargetKind,
+    TargetReport,
+)
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.state.ledger import Ledger
 from marjoramstage.state.residency import Residency
@@ -93,6 +98,11 @@
         """Leases that this instance took for its own, by shard."""
         return dict(self._leases)
 
+    @property
+    def retiring(self) -> tuple[CopyOnTarget, ...]:
+        """Copies that are to get no new work before they are unloaded."""
+        return self._planner.retiring.copies
+
     def order_states(self) -> dict[str, list[str]]:
         """Return the orders that are not settled, by target."""
         return {
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -11,6 +11,7 @@
 
 from marjoramstage.coordination.breaker import Breaker
 from marjoramstage.protocol.messages import (
+    CopyOnTarget,
     Item,
     Request,
     ResidentState,
@@ -173,6 +174,13 @@
             self.leaving(report.target)
         return view
 
+    def retire(self, copies: tuple[CopyOnTarget, ...], until_s: float) -> None:
+        """Give copies that are about to be unloaded no new work for a while."""
+        for copy in copies:
+            view = self.views.get(copy.target)
+            if view is not None:
+                view.denied_until_s[copy.item] = until_s
+
     def _restarted(self, view: TargetView, earlier: str) -> None:
         """Begin anew with a target that runs a new incarnation."""
         view.earlier = (*view.earlier, earlier)[-KEPT_INCARNATIONS:]
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -259,7 +259,8 @@
         """Tell the peers and the own machines of this instance's load."""
         while True:
             load = self.requests.scheduler.own_load(self._clock.now())
-            load = replace(load, shards=self.leasing.held())
+            shards, retiring = self.leasing.held(), self.placing.placer.retiring
+            load = replace(load, shards=shards, retiring=retiring)
             self.peers.post(LoadTold(load))
             self.metrics.gauge("callers.open", self.callers.open_requests)
             self._post(InstanceLoaded(load))
--- a/src/marjoramstage/protocol/messages.py
+++ b/src/marjoramstage/protocol/messages.py
@@ -275,6 +275,8 @@
         Requests in the queue now.
     live : int
         Those of them that are not overnight work.
+    running : int
+        Attempts under way now, at whatever target.
     """
 
     item: Item
@@ -282,11 +284,20 @@
     tokens: int
     waiting: int = 0
     live: int = 0
+    running: int = 0
 
     @property
-    def counts(self) -> tuple[int, int, int, int]:
+    def counts(self) -> tuple[int, int, int, int, int]:
         """All counts, in the order of the fields."""
-        return self.requests, self.tokens, self.waiting, self.live
+        return self.requests, self.tokens, self.waiting, self.live, self.running
+
+
+@dataclass(frozen=True)
+class CopyOnTarget:
+    """An item in the memory of one target."""
+
+    target: str
+    item: Item
 
 
 @dataclass(frozen=True)
@@ -303,6 +314,8 @@
         Attempts of the instance by target.
     shards : tuple of str
         Shards of targets whose lease it holds.
+    retiring : tuple of CopyOnTarget
+        Copies that it is about to unload; they get no new work.
     """
 
     instance: str
@@ -312,3 +325,4 @@
     in_flight: Mapping[str, int] = field(default_factory=dict)
     demand: tuple[ItemDemand, ...] = ()
     shards: tuple[str, ...] = ()
+    retiring: tuple[CopyOnTarget, ...] = ()
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -152,6 +152,16 @@
     tokens: int = 0
     waiting: int = 0
     live: int = 0
+    running: int = 0
+
+
+@dataclass(frozen=True)
+class CopyEntry:
+    """A copy on a target; fields as in `messages.CopyOnTarget`."""
+
+    target: str
+    name: str
+    version: str
 
 
 @dataclass(frozen=True)
@@ -165,6 +175,7 @@
     in_flight: Mapping[str, int] = field(default_factory=dict)
     demand: tuple[DemandEntry, ...] = ()
     shards: tuple[str, ...] = ()
+    retiring: tuple[CopyEntry, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -59,6 +59,13 @@
   4: optional i64 tokens
   5: optional i64 waiting
   6: optional i64 live
+  7: optional i64 running
+}
+
+struct CopyEntry {
+  1: optional string target
+  2: optional string name
+  3: optional string version
 }
 
 struct Load {
@@ -69,6 +76,7 @@
   5: optional map<string, i64> in_flight
   6: optional list<ItemDemand> demand
   7: optional list<string> shards
+  8: optional list<CopyEntry> retiring
 }
 
 struct Rumour {
