Serve the version that is there until a target holds the new one

Routing asked for the accepted version at once, whether or not a target held it; where its copy had to wait for memory, every request waited with it.

Change: new work gets the wanted version as soon as a target reports it ready, until then the version with the most copies. An unwanted version is unloaded only while nothing waits for it or runs on it.

Ruled out: keeping the earlier inventory in each instance (a restarted one would not have it).

A version that only fits after the old one is gone is not loaded at all now while the old one serves; `status` has to say so next.

--- a/features/retiring.feature
+++ b/features/retiring.feature
@@ -11,3 +11,15 @@
       | heard within the time     | by the lease holder  | 1.0    | none |
       | no longer told of         | by the lease holder  | 2.0    | some |
       | of a model not asked for  | for another model    | 0.1    | some |
+
+  Scenario Outline: new work while version 2 of a model <case>
+    Given a retiring world where targets t0 and t1 hold model m0
+    When version 2 of m0 is accepted and <case>
+    Then new requests for m0 run on version <version>
+
+    Examples:
+      | case                      | version |
+      | no target holds it        | 1       |
+      | a target begins to load   | 1       |
+      | a target holds it ready   | 2       |
+      | its only holder is gone   | 1       |
--- a/features/steps/retiring.py
+++ b/features/steps/retiring.py
@@ -8,7 +8,10 @@
     AttemptEnded,
     Dispatch,
     InstanceLoaded,
+    InventoryAccepted,
     RequestSubmitted,
+    TargetGone,
+    TargetReported,
 )
 from marjoramstage.protocol.messages import (
     AttemptEnd,
@@ -16,7 +19,10 @@
     InstanceLoad,
     Item,
     Request,
+    Resident,
+    ResidentState,
     TargetKind,
+    TargetReport,
 )
 from marjoramstage.state.inventory import Inventory, Model
 
@@ -44,6 +50,10 @@
 
 def send(scheduler, number, now_s):
     """Send one request that ends at once; return the target that it ran on."""
+    return dispatch(scheduler, number, now_s).target
+
+
+def dispatch(scheduler, number, now_s):
     request = Request(
         id=f"r{number}",
         customer="luna",
@@ -55,10 +65,10 @@
         output_tokens=8,
     )
     effects = scheduler.handle(RequestSubmitted(request), now_s)
-    [target] = [effect.target for effect in effects if isinstance(effect, Dispatch)]
-    end = AttemptEnd(request, target, Verdict.RAN, True, tokens=8)
+    [sent] = [effect for effect in effects if isinstance(effect, Dispatch)]
+    end = AttemptEnd(request, sent.target, Verdict.RAN, True, tokens=8)
     scheduler.handle(AttemptEnded(end), now_s)
-    return target
+    return sent
 
 
 @then("the retiring copy of t0 ran {runs} of them")
@@ -66,3 +76,32 @@
     on_t0 = context.ran.count("t0")
     assert (on_t0 > 0) == (runs == "some"), context.ran
     assert len(context.ran) == 20, context.ran
+
+
+RESIDENTS = {
+    "no target holds it": (),
+    "a target begins to load": (ResidentState.LOADING,),
+    "a target holds it ready": (ResidentState.READY,),
+    "its only holder is gone": (ResidentState.READY,),
+}
+
+
+@when("version 2 of m0 is accepted and {case}")
+def accept_version(context, case):
+    world = context.retiring
+    scheduler = world.schedulers["i0"]
+    inventory = Inventory(models=(Model(name="m0", memory_mb=10, version="2"),))
+    scheduler.handle(InventoryAccepted(2, inventory), 0.0)
+    world.add_target("t2", 8)
+    new = tuple(Resident(Item("m0", "2"), 10, state) for state in RESIDENTS[case])
+    report = TargetReport("t2", "t2-1", 9, 100, 8, residents=new)
+    scheduler.handle(TargetReported(report), 0.0)
+    if case == "its only holder is gone":
+        scheduler.handle(TargetGone("t2"), 0.0)
+
+
+@then("new requests for m0 run on version {version}")
+def check_version(context, version):
+    scheduler = context.retiring.schedulers["i0"]
+    served = {dispatch(scheduler, number, 0.1).served_as for number in range(9)}
+    assert served == {f"m0@{version}"}, served
--- a/src/marjoramstage/coordination/_planning.py
+++ b/src/marjoramstage/coordination/_planning.py
@@ -163,7 +163,7 @@
         if copy.target not in self._residency.ready_at(copy.item):
             return False
         if self._wanted.get(copy.item) is None:
-            return not self._demand.running(copy.item)
+            return not self._demand.pending(copy.item)
         if self._demand.in_use(copy.item, now_s):
             return False
         if copy.item in self._wanted.adapters:
--- a/src/marjoramstage/coordination/admission.py
+++ b/src/marjoramstage/coordination/admission.py
@@ -160,7 +160,7 @@
         self, request: Request, failed: tuple[str, ...], now_s: float
     ) -> list[Effect]:
         try:
-            items = needed_items(request, self._inventory)
+            items = needed_items(request, self._inventory, self._table)
         except KeyError:
             return [refusals.unknown_model(request)]
         if not failed:
--- a/src/marjoramstage/coordination/demand.py
+++ b/src/marjoramstage/coordination/demand.py
@@ -116,13 +116,13 @@
         """Return when the item was last asked for; -inf for never."""
         return self._used_s.get(item, -math.inf)
 
-    def running(self, item: Item) -> bool:
-        """Return whether an attempt is under way, at whatever target."""
-        return self._running[item] > 0
+    def pending(self, item: Item) -> bool:
+        """Return whether a request waits or runs, at whatever target."""
+        return self._waiting[item] > 0 or self._running[item] > 0
 
     def in_use(self, item: Item, now_s: float) -> bool:
         """Return whether work on the item may wait or be in flight."""
-        if self._waiting[item] > 0 or self.running(item):
+        if self.pending(item):
             return True
         return now_s - self.used_s(item) < IDLE_S
 
--- a/src/marjoramstage/coordination/routing.py
+++ b/src/marjoramstage/coordination/routing.py
@@ -109,6 +109,7 @@
     def __init__(self):
         self.views: dict[str, TargetView] = {}
         self._by_item: dict[Item, list[TargetView]] = {}
+        self._versions: dict[str, set[str]] = {}
         self._services: list[TargetView] = []
 
     def holders(self, items: tuple[Item, ...]) -> Sequence[TargetView]:
@@ -120,6 +121,21 @@
             return self._services
         return self._by_item.get(items[-1], ())
 
+    def served_version(self, name: str, wanted: str) -> str:
+        """Return the version of a model or adapter that new work gets.
+
+        It is the wanted one as soon as a target holds it, until then the one
+        with the most copies.
+        """
+        versions = self._versions.get(name)
+        if not versions or wanted in versions:
+            return wanted
+
+        def copies(version: str) -> tuple[int, str]:
+            return len(self._by_item[Item(name, version)]), version
+
+        return max(versions, key=copies)
+
     def listed(self, target: Target) -> None:
         """Add a target, or take over what its listing says."""
         view = self.views.get(target.name)
@@ -195,14 +211,20 @@
             views.remove(view)
             if not views:
                 del self._by_item[item]
+                self._versions[item.name].discard(item.version)
         for item in ready - view.ready:
             self._by_item.setdefault(item, []).append(view)
+            self._versions.setdefault(item.name, set()).add(item.version)
         view.ready = ready
 
 
-def needed_items(request: Request, inventory: Inventory) -> tuple[Item, ...]:
+def needed_items(
+    request: Request, inventory: Inventory, table: TargetTable
+) -> tuple[Item, ...]:
     """Return what a target must hold to serve ``request``.
 
+    A new version gets work once a target holds it ready.
+
     Raises
     ------
     KeyError
@@ -211,10 +233,12 @@
     if request.kind is TargetKind.SERVICE:
         return ()
     model = inventory.model_by_name[request.model]
-    items = [Item(model.name, request.version or model.version)]
+    version = request.version or table.served_version(model.name, model.version)
+    items = [Item(model.name, version)]
     if request.adapter is not None:
         adapter = inventory.adapter_by_name[request.adapter]
-        items.append(Item(adapter.name, adapter.version))
+        version = table.served_version(adapter.name, adapter.version)
+        items.append(Item(adapter.name, version))
     return tuple(items)
 
 
