Judge what fits in one place; show memory after a loss in status

Cause: two modules judged whether an inventory fits: one that only says what is certain (used by apply) and one that tries to place it (used by nothing but its own test), so `status` could not say what the loss of a target would leave out.

Change: coordination/capacity.py has both. apply and plan still refuse only what is certain, now with the missing memory by data centre; status shows what has no room now and after the worst loss, and the least memory that would do. Plain services no longer stand among the targets that ignore fencing.

Ruled out: refusing by the trial placement, which may miss a way that exists.

Before: the row "missing by data centre" and the `without_room` field did not exist.

--- a/features/releases_commands.feature
+++ b/features/releases_commands.feature
@@ -14,12 +14,14 @@
       | i1       | plan --inventory LARGE                               | 5    | would be refused: model 'summaries'       |
       | i1       | apply --inventory LARGE                              | 5    | no engine has more than 48000 MB          |
       | i1       | apply --inventory MANY                               | 5    | all engines together have 96000 MB        |
+      | i1       | apply --inventory MANY                               | 5    | missing by data centre: d                 |
       | i1       | apply --inventory BROKEN                             | 2    | unknown model                             |
       | i2       | rollback --to 1 --who eva --message undo --wait      | 0    | in force everywhere: generation 4         |
       | i2       | rollback --to 9                                      | 5    | generation 9 is not in the history        |
       | i1       | history                                              | 0    | 'undo'                                    |
       | i1       | get                                                  | 0    | "generation": 4                           |
       | i1       | status                                               | 0    | "targets_without_fencing": [ "e2" ]       |
+      | i1       | status                                               | 0    | "without_room": []                        |
       | i1       | drain --target e1                                    | 0    | draining: e1                              |
       | nobody   | apply --inventory FIRST                              | 1    | Cannot connect                            |
     Then both instances show target e1 as leaving
--- a/src/marjoramstage/_instance/status.py
+++ b/src/marjoramstage/_instance/status.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 from marjoramstage._instance.dump import dump_target
 from marjoramstage._instance.node_dump import data_centres
+from marjoramstage.coordination.capacity import TargetCapacity, shortfall
+from marjoramstage.coordination.routing import TargetView
+from marjoramstage.protocol.messages import TargetKind
+from marjoramstage.state.inventory import Inventory
 
 
 def instance_status(instance) -> dict[str, Any]:
@@ -26,11 +31,10 @@
         "leases": _leases(peers.node),
         "targets": [dump_target(view) for view in views],
         "targets_without_fencing": sorted(
-            view.target.name
-            for view in views
-            if view.report is not None and not view.report.fencing
+            view.target.name for view in views if _ignores_fencing(view)
         ),
         "shortfalls": instance.shortfalls(inventory),
+        "memory": _memory(inventory, views),
         "models": models,
         "adapters": adapters,
         "unreachable": sorted(
@@ -39,6 +43,36 @@
     }
 
 
+def engine_capacities(views: Iterable[TargetView]) -> list[TargetCapacity]:
+    """Return the memory of the engines that stay; none if one is not known yet."""
+    found = []
+    for view in views:
+        if view.target.kind is not TargetKind.ENGINE or view.target.leaving:
+            continue
+        if view.report is None:
+            return []
+        memory_mb = view.report.memory_mb
+        found.append(TargetCapacity(view.name, view.target.data_centre, memory_mb))
+    return found
+
+
+def _memory(inventory: Inventory, views: Iterable[TargetView]) -> dict[str, Any]:
+    """Return what has no room, now and after the loss of any one engine."""
+    found = shortfall(inventory, engine_capacities(views))
+    return {
+        "without_room": list(found.unplaced),
+        "missing_mb": dict(found.missing_mb or {}),
+        "without_room_after_a_loss": list(found.unplaced_after_loss),
+        "missing_after_a_loss_mb": found.missing_after_loss_mb,
+    }
+
+
+def _ignores_fencing(view: TargetView) -> bool:
+    if view.target.kind is not TargetKind.ENGINE or view.report is None:
+        return False
+    return not view.report.fencing
+
+
 def _key(entry) -> str:
     return f"{entry.name}@{entry.version}"
 
--- a/src/marjoramstage/coordination/capacity.py
+++ b/src/marjoramstage/coordination/capacity.py
@@ -78,6 +78,36 @@
     )
 
 
+def impossible(inventory: Inventory, capacities: Iterable[TargetCapacity]) -> list[str]:
+    """Return why no placement of the inventory can exist; empty if one may.
+
+    Only what is certain counts, so that nothing is refused that would fit;
+    `shortfall` tries to place it and may miss a way.
+    """
+    engines = list(capacities)
+    if not engines:
+        return []
+    largest_mb = max(engine.memory_mb for engine in engines)
+    total_mb = sum(engine.memory_mb for engine in engines)
+    found = []
+    for model in inventory.models:
+        if model.memory_mb <= largest_mb:
+            continue
+        found.append(
+            f"model {model.name!r} needs {model.memory_mb} MB; no engine has more "
+            f"than {largest_mb} MB"
+        )
+    needed_mb = sum(model.memory_mb for model in inventory.models)
+    if needed_mb > total_mb:
+        shares = _shared(needed_mb - total_mb, engines)
+        places = ", ".join(f"{name} {mb} MB" for name, mb in sorted(shares.items()))
+        found.append(
+            f"one copy of each model needs {needed_mb} MB; all engines together "
+            f"have {total_mb} MB; missing by data centre: {places}"
+        )
+    return found
+
+
 def _parts(inventory: Inventory) -> list[_Part]:
     wanted = Wanted(inventory)
     parts = []
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -22,16 +22,16 @@
 from marjoramstage._instance.placing import PlacementDesk
 from marjoramstage._instance.reporting import Reporter
 from marjoramstage._instance.requests import RequestDesk
-from marjoramstage._instance.status import instance_status
+from marjoramstage._instance.status import engine_capacities, instance_status
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage._instance.usage import UsageDesk
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import Clock, SystemClock
-from marjoramstage.coordination._capacity import shortfalls
 from marjoramstage.coordination._loads import LOAD_EVERY_S
 from marjoramstage.coordination._release_store import Release
 from marjoramstage.coordination._steps import AdapterNeeded, LoadTold, StopPlanned
 from marjoramstage.coordination.admission import Scheduler
+from marjoramstage.coordination.capacity import impossible
 from marjoramstage.coordination.placement import Placer
 from marjoramstage.coordination.releases import ApplyError, Edit
 from marjoramstage.coordination.usage import UsageCollector
@@ -236,7 +236,8 @@
 
     def shortfalls(self, inventory: Inventory) -> list[str]:
         """Return why an inventory cannot fit the engines that are there."""
-        return shortfalls(inventory, self.requests.scheduler.table.views.values())
+        views = self.requests.scheduler.table.views.values()
+        return impossible(inventory, engine_capacities(views))
 
     def now(self) -> float:
         """Return the reading of the monotonic clock."""
