Let the changed program of planned stops cut off work again

The check of each promise is shown to be able to fail by a changed program; for planned stops the change unloaded old versions at once, which cuts nothing off any more since copies retire first. So the demonstration had no fault to find; the check itself was right.

Change: the changed program also leaves out the wait of retiring copies and the rule on pending requests. The expectation is as strict as before: that the cell breaks planned-stop-cuts-nothing.

--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -15,9 +15,10 @@
     check_cell,
     check_random,
 )
-from marjoramstage.coordination import _planning, refusals
+from marjoramstage.coordination import _planning, refusals, retiring
 from marjoramstage.coordination._book import TargetBook
 from marjoramstage.coordination.admission import Scheduler
+from marjoramstage.coordination.demand import Demand
 from marjoramstage.coordination.distribution import Distributor
 from marjoramstage.coordination.routing import TargetTable, TargetView
 from marjoramstage.exceptions import Verdict
@@ -86,7 +87,9 @@
         mock.patch.object(TargetTable, "listed", listed_as_staying),
     ],
     "an old version is unloaded at once": [
-        mock.patch.object(_planning, "OBSOLETE_S", 0.0)
+        mock.patch.object(_planning, "OBSOLETE_S", 0.0),
+        mock.patch.object(retiring, "RETIRE_S", 0.0),
+        mock.patch.object(Demand, "pending", lambda demand, item: False),
     ],
     "a later head is not taken": [
         mock.patch.object(Distributor, "_want", first_head_only)
--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -45,7 +45,8 @@
 request.waiting-and-running | at-most-once |
 | `TargetTable.listed` and `TargetView.set_leaving` ignore leaving | demand-surge \
 at drain.target | leaving-gets-no-work |
-| `OBSOLETE_S` is 0 | demand-surge at apply.accepted | planned-stop-cuts-nothing |
+| `OBSOLETE_S` and `RETIRE_S` are 0, `Demand.pending` is false | demand-surge at \
+apply.accepted | planned-stop-cuts-nothing |
 | `Distributor._want` takes the first head only | demand-surge at \
 apply.accepted | accepted-stays-in-force |
 """
