--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -5,11 +5,10 @@
 from unittest import mock
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis.stateful import run_state_machine_as_test
 from result import Err, Ok
 
 from features.lease_machine import SHARD, LeaseMachine, StoredLease
+from features.model_check import find_violation
 from marjoramstage._instance.leasing import LEASE_TICK_S, LeaseDesk
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage.clock import VirtualClock
@@ -42,22 +41,9 @@
 
 @when("the lease model is checked")
 def check_model(context):
+    examples = getattr(context, "examples", EXAMPLES)
     asked = os.environ.get("LEASE_MODEL_EXAMPLES")
-    examples = int(asked) if asked else getattr(context, "examples", EXAMPLES)
-    checked = settings(
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        derandomize=asked is None,
-        phases=(Phase.generate,),
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    context.found = None
-    try:
-        run_state_machine_as_test(LeaseMachine, settings=checked)
-    except AssertionError as exc:
-        context.found = exc
+    context.found = find_violation(LeaseMachine, examples, STEPS, asked)
 
 
 @then("the lease model finds one valid holder at most")
--- a/features/steps/memory_model.py
+++ b/features/steps/memory_model.py
@@ -5,10 +5,9 @@
 from unittest import mock
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from features.memory_machine import INVENTORIES, MACHINES, PLACERS, MemoryMachine
+from features.model_check import find_violation
 from marjoramstage.state import ledger as ledgers
 
 EXAMPLES = 80
@@ -56,22 +55,7 @@
 def check_model(context, engine):
     examples = getattr(context, "examples", EXAMPLES)
     asked = os.environ.get("MEMORY_MODEL_EXAMPLES")
-    if asked is not None:
-        examples = int(asked)
-    checked = settings(
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        derandomize=asked is None,
-        phases=(Phase.generate,),
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    context.found = None
-    try:
-        run_state_machine_as_test(MACHINES[engine], settings=checked)
-    except AssertionError as exc:
-        context.found = exc
+    context.found = find_violation(MACHINES[engine], examples, STEPS, asked)
 
 
 @then("the memory model finds no overcommitment")
