--- a/features/steps/binary.py
+++ b/features/steps/binary.py
@@ -14,7 +14,6 @@
 from features.processes import Deployment, call, wait_for
 
 BINARY = Path(__file__).resolve().parents[2] / "dist" / "marjoramstage"
-MEMORY_BACKED = ("/run", "/dev/shm")
 RUN_TIMEOUT_S = 60.0
 COMMANDS = ("serve", "check", "apply", "dump", "standin", "demo")
 CREDENTIAL = {"Authorization": "Bearer demo-credential"}
@@ -24,11 +23,11 @@
 def memory_backed_folder():
     """Return a writable tmpfs of this machine."""
     mounts = Path("/proc/mounts").read_text().splitlines()
-    tmpfs = {line.split()[1] for line in mounts if line.split()[2] == "tmpfs"}
-    for folder in MEMORY_BACKED:
-        if folder in tmpfs and os.access(folder, os.W_OK):
+    tmpfs = [line.split()[1] for line in mounts if line.split()[2] == "tmpfs"]
+    for folder in tmpfs:
+        if os.access(folder, os.W_OK):
             return folder
-    raise AssertionError(f"none of {MEMORY_BACKED} is a writable tmpfs")
+    raise AssertionError(f"none of {tmpfs} is writable")
 
 
 @given("the binary and an empty memory-backed directory")
--- a/src/marjoramstage/__init__.py
+++ b/src/marjoramstage/__init__.py
@@ -1,11 +1,17 @@
 """Serve many models on fewer accelerators.
 
 The public surface is small: the verdict of a request, the exception family,
-and the two loaders for the files an operator writes.
+and the loader of an instance's settings.
 """
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
 from marjoramstage.exceptions import MarjoramstageError, Verdict
-from marjoramstage.settings import Settings, load_settings
+
+if TYPE_CHECKING:
+    from marjoramstage.settings import Settings, load_settings
 
 __version__ = "0.1.0"
 
@@ -16,3 +22,12 @@
     "__version__",
     "load_settings",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    """Load the settings when they are asked for: their checks are large."""
+    if name in ("Settings", "load_settings"):
+        from marjoramstage import settings
+
+        return getattr(settings, name)
+    raise AttributeError(name)
--- /dev/null
+++ b/src/marjoramstage/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of an instance on the users' platform."""
--- /dev/null
+++ b/src/marjoramstage/_entry/figures.py
@@ -0,0 +1,56 @@
+"""Counters and histograms of an instance, as text for a scraper."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from marjoramstage.state.routes import Route
+
+BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
+
+
+class Figures:
+    """The series of one instance; no label comes from a caller."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "marjoramstage_requests",
+            "Requests by the urgency of their route and how they ended.",
+            ("rank", "outcome"),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "marjoramstage_request_seconds",
+            "Time from a request to its end.",
+            ("rank",),
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "marjoramstage_failed_attempts",
+            "Attempts at targets that failed, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            "marjoramstage_waiting",
+            "Requests that wait for a place.",
+            registry=self.registry,
+        )
+        self.holding = Gauge(
+            "marjoramstage_holds_lease",
+            "1 while this instance gives orders.",
+            registry=self.registry,
+        )
+
+    def ended(self, route: Route | None, outcome: str, took_s: float) -> None:
+        """Note the end of a request."""
+        rank = str(route.rank) if route is not None else "none"
+        self.requests.labels(rank, outcome).inc()
+        self.seconds.labels(rank).observe(took_s)
+
+    def text(self) -> bytes:
+        """Return every series."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/marjoramstage/_entry/following.py
@@ -0,0 +1,176 @@
+"""Follows the routes and the targets at the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from marjoramstage import platform
+from marjoramstage._entry.world import World
+from marjoramstage.protocol.objects import (
+    Kind,
+    Platform,
+    PlatformError,
+    PlatformFault,
+    PlatformObject,
+    WatchType,
+)
+
+RETRY_S = 0.3
+PACE_S = 0.25
+SETTLE_S = 2.2
+
+
+class Follower:
+    """Keeps up with one kind of object: a list, then watches.
+
+    Parameters
+    ----------
+    put, remove : callable
+        Take a present object, or the name of one that is gone.
+    replace : callable
+        Takes the objects of a whole list.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        store: Platform,
+        world: World,
+        put: Callable[[PlatformObject], None],
+        remove: Callable[[str], None],
+        replace: Callable[[tuple[PlatformObject, ...]], None],
+    ):
+        self._kind = kind
+        self._store = store
+        self._world = world
+        self._put = put
+        self._remove = remove
+        self._replace = replace
+        self._version: str | None = None
+        self.away = False
+        self.back_s = 0.0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            error = await self._once()
+            if error is None:
+                self._note_back()
+                await asyncio.sleep(PACE_S)
+                continue
+            if error.fault is PlatformFault.EXPIRED:
+                self._world.events.event("history lost", kind=self._kind.plural)
+                self._version = None
+                continue
+            self._note_away(error)
+            await asyncio.sleep(RETRY_S)
+
+    def settled(self) -> bool:
+        """Whether the list has been in reach long enough to be complete."""
+        return not self.away and self._world.clock.now() >= self.back_s + SETTLE_S
+
+    async def _once(self) -> PlatformError | None:
+        if self._version is None:
+            return await self._list()
+        return await self._watch(self._version)
+
+    async def _list(self) -> PlatformError | None:
+        listed = await self._store.list(self._kind)
+        if isinstance(listed, Err):
+            return listed.err_value
+        self._note_back()
+        self._version = listed.ok_value.version
+        self._replace(listed.ok_value.objects)
+        return None
+
+    async def _watch(self, version: str) -> PlatformError | None:
+        async for found in self._store.watch(self._kind, version):
+            if isinstance(found, Err):
+                return found.err_value
+            self._note_back()
+            event = found.ok_value
+            if event.type is WatchType.DELETED:
+                self._remove(event.obj.name)
+            elif event.type is WatchType.MODIFIED:
+                self._put(event.obj)
+            else:
+                self._version = event.version
+        return None
+
+    def _note_away(self, error: PlatformError) -> None:
+        if not self.away:
+            self.away = True
+            self._world.events.event(
+                "platform lost", kind=self._kind.plural, reason=error.message
+            )
+
+    def _note_back(self) -> None:
+        if self.away:
+            self.away = False
+            self.back_s = self._world.clock.now()
+            self._world.events.event("platform regained", kind=self._kind.plural)
+
+
+def follow_routes(store: Platform, world: World) -> Follower:
+    """Return the follower of the operator's configuration."""
+
+    def put(obj: PlatformObject) -> None:
+        if obj.name != platform.CONFIG_NAME:
+            return
+        table = platform.decode_table(obj.spec)
+        if isinstance(table, Err):
+            world.events.event("routes unreadable", reason=table.err_value)
+            return
+        world.accept(table.ok_value)
+
+    def replace(objects: tuple[PlatformObject, ...]) -> None:
+        for obj in objects:
+            put(obj)
+
+    def remove(name: str) -> None:
+        world.events.event("routes removed", object=name)
+
+    return Follower(platform.CONFIG, store, world, put, remove, replace)
+
+
+def follow_targets(store: Platform, world: World) -> Follower:
+    """Return the follower of the targets' own entries."""
+
+    def put(obj: PlatformObject) -> None:
+        target = platform.decode_target(obj.name, obj.spec)
+        if isinstance(target, Err):
+            world.events.event(
+                "target unreadable", target=obj.name, reason=target.err_value
+            )
+            remove(obj.name)
+            return
+        world.put_target(target.ok_value)
+
+    def remove(name: str) -> None:
+        if name in world.fleet.targets:
+            world.remove_target(name, follower.settled())
+
+    def replace(objects: tuple[PlatformObject, ...]) -> None:
+        names = {obj.name for obj in objects}
+        for name in [name for name in world.fleet.targets if name not in names]:
+            remove(name)
+        for obj in objects:
+            put(obj)
+        world.listed = True
+
+    follower = Follower(platform.TARGETS, store, world, put, remove, replace)
+    return follower
+
+
+async def settle_targets(follower: Follower, world: World) -> None:
+    """Take out targets that are still missing some time after an outage."""
+    while True:
+        await asyncio.sleep(RETRY_S)
+        if world.fleet.missing and follower.settled():
+            names = sorted(world.fleet.missing)
+            world.events.event("missing targets dropped", targets=names)
+            for name in names:
+                world.remove_target(name, settled=True)
--- /dev/null
+++ b/src/marjoramstage/_entry/holding.py
@@ -0,0 +1,440 @@
+"""Holds the placement lease when it can, and gives orders while it does."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+import zlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+from result import Err, Ok
+
+from marjoramstage import platform
+from marjoramstage._entry.world import World
+from marjoramstage.coordination.demand_rates import Counters
+from marjoramstage.coordination.leases import (
+    LeaseEffect,
+    LeaseKeeper,
+    LeaseRecord,
+    LeaseTiming,
+    ReadLease,
+    WriteLease,
+)
+from marjoramstage.coordination.stocking import LoadRate, Need, Stocking
+from marjoramstage.exceptions import TargetError, Verdict
+from marjoramstage.protocol.control import Order, OrderAnswer
+from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
+from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
+from marjoramstage.protocol.peers import EntryReport, FleetView, HeldItems
+from marjoramstage.state.fleet import FleetTarget, Item, TargetReport
+from marjoramstage.state.routes import Service
+from marjoramstage.transport.exchange import Call, Exchange
+
+SHARD = "placement"
+TICK_S = 0.02
+VIEW_EVERY_S = 0.25
+VIEW_LIVE_S = 1.0
+REPORT_LIVE_S = 1.5
+ORDER_TIMEOUT_S = 1.0
+RANKS = 3
+
+
+def boot_time() -> float:
+    """Return seconds since the machine's start, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Holder:
+    """One instance's part in ordering what targets hold.
+
+    Parameters
+    ----------
+    send_view : callable
+        Sends a view to the instance at an address.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        store: Platform,
+        exchange: Exchange,
+        address: str,
+        send_view: Callable[[str, FleetView], None],
+    ):
+        self._world = world
+        self._store = store
+        self._exchange = exchange
+        self._send_view = send_view
+        identity = f"{world.boot.name}/{uuid.uuid4().hex[:12]}"
+        lease_s = world.boot.bounds.lease_s
+        timing = LeaseTiming(
+            term_s=lease_s, renew_s=lease_s / 3, margin_s=0.4, stagger_s=0.3
+        )
+        self.keeper = LeaseKeeper(SHARD, identity, address, timing)
+        self._rank = zlib.crc32(identity.encode()) % RANKS
+        self._stockings: dict[str, Stocking] = {}
+        self._reports: dict[str, tuple[float, EntryReport]] = {}
+        self._counters = Counters()
+        self._sequence = 0
+        self._view_due_s = 0.0
+        self._view_heard_s = -VIEW_LIVE_S
+        self._first_order_s = 0.0
+        self._tasks: set[asyncio.Task] = set()
+        self._watched: set[str] = set()
+        self._refused_fence = 0
+
+    @property
+    def holder_address(self) -> str:
+        """Return where the holder of the lease is reached; empty if unknown."""
+        record = self.keeper.record
+        return record.address if record is not None and record.holder else ""
+
+    @property
+    def holds(self) -> bool:
+        """Whether the lease is valid now."""
+        return boot_time() < self.keeper.valid_until_s
+
+    async def run(self) -> None:
+        """Keep the lease and give orders until cancelled."""
+        while True:
+            now_s = boot_time()
+            if not self._is_led(now_s) or self.keeper.state == "holding":
+                self._perform(self.keeper.tick(self._rank, now_s))
+            if self.holds:
+                self._lead(now_s)
+            await asyncio.sleep(TICK_S)
+
+    async def stop(self) -> None:
+        """Give the lease up."""
+        for effect in self.keeper.stop(boot_time()):
+            if isinstance(effect, WriteLease):
+                await self._write(effect.record)
+        for task in list(self._tasks):
+            task.cancel()
+
+    def heard(self, report: EntryReport) -> None:
+        """Take in the report of an instance."""
+        if self._is_old(report):
+            return
+        now_s = boot_time()
+        self._reports[report.instance] = (now_s, report)
+        self._note_arrivals(report, now_s)
+
+    def _is_old(self, report: EntryReport) -> bool:
+        """Whether a later report of the same start is known."""
+        if report.instance not in self._reports:
+            return False
+        _, known = self._reports[report.instance]
+        same_start = known.incarnation == report.incarnation
+        return same_start and report.sequence <= known.sequence
+
+    def view_heard(self, view: FleetView) -> None:
+        """Note that another instance holds the lease and is alive."""
+        self._view_heard_s = boot_time()
+
+    def _is_led(self, now_s: float) -> bool:
+        """Whether a live holder is known, so that the lease need not be read."""
+        return now_s - self._view_heard_s < VIEW_LIVE_S
+
+    def _note_arrivals(self, report: EntryReport, now_s: float) -> None:
+        rises = self._counters.differences(
+            report.instance, report.incarnation, report.arrived
+        )
+        for key, count in rises.items():
+            service, item = _key(key)
+            stocking = self._stockings.get(service)
+            if stocking is not None:
+                stocking.note(item, count, now_s)
+
+    # Lease
+
+    def _perform(self, effects: list[LeaseEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case ReadLease():
+                    self._spawn(self._read())
+                case WriteLease(record):
+                    self._spawn(self._write(record))
+                case LeaseHeld() if self._first_order_s == 0.0:
+                    self._begin()
+                case LeaseLost():
+                    self._end()
+
+    def _begin(self) -> None:
+        """Start to lead; orders wait until no earlier holder can give any."""
+        now_s = boot_time()
+        fence = self.keeper.fence
+        wait_s = self._world.boot.bounds.lease_s if fence > 1 else 0.0
+        self._first_order_s = now_s + wait_s
+        self._stockings.clear()
+        self._world.events.event("lease held", fence=fence, orders_in_s=wait_s)
+
+    def _end(self) -> None:
+        self._first_order_s = 0.0
+        self._world.events.event("lease lost", fence=self.keeper.fence)
+
+    async def _read(self) -> None:
+        found = await self._store.get(platform.LEASES, SHARD)
+        now_s = boot_time()
+        match found:
+            case Ok(obj):
+                effects = self.keeper.read(_record(obj), now_s)
+            case Err(error) if error.fault is PlatformFault.NOT_FOUND:
+                effects = self.keeper.read(None, now_s)
+            case Err(error):
+                self._world.events.event("lease not read", reason=error.message)
+                effects = self.keeper.failed(now_s)
+        self._perform(effects)
+
+    async def _write(self, record: LeaseRecord) -> None:
+        call = self._store.update if record.version else self._store.create
+        written = await call(_object(record))
+        now_s = boot_time()
+        match written:
+            case Ok(obj):
+                effects = self.keeper.written(_record(obj), now_s)
+            case Err(error) if error.fault in (
+                PlatformFault.CONFLICT,
+                PlatformFault.EXISTS,
+            ):
+                effects = self.keeper.refused(now_s)
+            case Err(error):
+                self._world.events.event("lease not written", reason=error.message)
+                effects = self.keeper.failed(now_s)
+        self._perform(effects)
+
+    # Orders
+
+    def _lead(self, now_s: float) -> None:
+        table = self._world.table
+        if table is None or not self._world.listed:
+            return
+        need = self._need(now_s)
+        changed = False
+        for service in table.services.values():
+            if service.engine is None:
+                continue
+            stocking = self._stocking(service, now_s)
+            self._ask_reports(stocking, now_s)
+            if now_s < self._first_order_s:
+                continue
+            for order in stocking.step(need[service.name], now_s):
+                changed = True
+                self._spawn(self._give(stocking, order))
+        if changed or now_s >= self._view_due_s:
+            self._tell(now_s)
+
+    def _stocking(self, service: Service, now_s: float) -> Stocking:
+        stocking = self._stockings.get(service.name)
+        if stocking is None:
+            bounds = self._world.boot.bounds
+            rate = LoadRate(
+                service.engine.loads_per_s, bounds.load_window_s, bounds.load_over
+            )
+            stocking = Stocking(service.engine, rate)
+            self._stockings[service.name] = stocking
+        targets = self._world.fleet.of_service(service.name)
+        stocking.follow((t for t in targets if t.items is not None), now_s)
+        return stocking
+
+    def _need(self, now_s: float) -> dict[str, Need]:
+        """Sum up what the live instances reported, by service."""
+        waiting: dict[str, Counter[Item]] = {}
+        running: Counter[tuple[str, Item]] = Counter()
+        for name in list(self._reports):
+            heard_s, report = self._reports[name]
+            if now_s - heard_s > REPORT_LIVE_S:
+                del self._reports[name]
+                continue
+            for key, count in report.waiting.items():
+                service, item = _key(key)
+                waiting.setdefault(service, Counter())[item] += count
+            for key, count in report.running.items():
+                running[_key(key)] += count
+        services = self._world.table.services
+        return {name: Need(waiting.get(name, Counter()), running) for name in services}
+
+    def _ask_reports(self, stocking: Stocking, now_s: float) -> None:
+        for stock in stocking.stocks.values():
+            name = stock.target.name
+            if name in self._watched or not stock.wants_report(now_s):
+                continue
+            self._watched.add(name)
+            self._spawn(self._ask(stocking, stock.target))
+
+    async def _ask(self, stocking: Stocking, target: FleetTarget) -> None:
+        try:
+            report = await self._report(target)
+        finally:
+            self._watched.discard(target.name)
+        now_s = boot_time()
+        stock = stocking.stocks.get(target.name)
+        if stock is None or stock.target.incarnation != target.incarnation:
+            return
+        if report is None:
+            stock.not_reported(now_s)
+            return
+        known = stock.known
+        again = stock.reported(report, now_s)
+        if again is not None and self.holds:
+            self._spawn(self._give(stocking, again))
+        if not known or stock.pending is None:
+            self._view_due_s = 0.0
+
+    async def _report(self, target: FleetTarget) -> TargetReport | None:
+        call = Call(
+            target.address,
+            "GET",
+            platform.REPORT_PATH,
+            platform.order_headers(target.name),
+            b"",
+        )
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                answer = await self._exchange.send(call)
+                body = await answer.whole()
+        except (TargetError, TimeoutError) as exc:
+            self._world.events.event(
+                "report lost", target=target.name, reason=str(exc) or "timeout"
+            )
+            return None
+        if answer.status != 200:
+            return None
+        report = platform.decode_report(body)
+        if isinstance(report, Err):
+            self._world.events.event(
+                "report unreadable", target=target.name, reason=report.err_value
+            )
+            return None
+        return report.ok_value
+
+    async def _give(self, stocking: Stocking, order: Order) -> None:
+        """Send an order and note what came of it."""
+        target = self._world.fleet.targets.get(order.target)
+        stock = stocking.stocks.get(order.target)
+        if target is None or stock is None:
+            return
+        if not self.holds or self._refused_fence == self.keeper.fence:
+            stock.answered(OrderAnswer.NOT_SENT, boot_time())
+            return
+        signed = replace(order, holder=self.keeper.identity, fence=self.keeper.fence)
+        sent_s = boot_time()
+        answer = await self._send_order(target, signed)
+        if answer is OrderAnswer.FENCED:
+            self._refused_fence = signed.fence
+        now_s = boot_time()
+        if stocking.stocks.get(order.target) is stock:
+            stock.answered(answer, now_s)
+        self._world.events.event(
+            "order answered",
+            target=order.target,
+            item=str(order.item),
+            load=order.load,
+            count=order.order_count,
+            fence=signed.fence,
+            answer=answer.value,
+            took_ms=round((now_s - sent_s) * 1000, 1),
+        )
+        self._view_due_s = 0.0
+
+    async def _send_order(self, target: FleetTarget, order: Order) -> OrderAnswer:
+        call = Call(
+            target.address,
+            "POST",
+            platform.ORDER_PATH,
+            platform.order_headers(target.name),
+            platform.encode_order(order),
+            fresh=True,
+        )
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                answer = await self._exchange.send(call)
+                await answer.whole()
+        except TargetError as exc:
+            not_run = exc.verdict is Verdict.NOT_RUN
+            return OrderAnswer.NOT_SENT if not_run else OrderAnswer.UNKNOWN
+        except TimeoutError:
+            return OrderAnswer.UNKNOWN
+        return platform.order_answer(answer.status)
+
+    # Views
+
+    def _tell(self, now_s: float) -> None:
+        """Send every instance what targets hold and what runs elsewhere."""
+        self._view_due_s = now_s + VIEW_EVERY_S
+        self._sequence += 1
+        totals: Counter[str] = Counter()
+        for _, report in self._reports.values():
+            for key, count in report.running.items():
+                totals[key.partition(" ")[0]] += count
+        for _, report in self._reports.values():
+            own: Counter[str] = Counter()
+            for key, count in report.running.items():
+                own[key.partition(" ")[0]] += count
+            view = FleetView(
+                self.keeper.identity,
+                self.keeper.fence,
+                self._sequence,
+                len(self._reports),
+                self._held(totals, own),
+            )
+            self._send_view(report.address, view)
+
+    def _held(self, totals: Counter[str], own: Counter[str]) -> tuple[HeldItems, ...]:
+        held = []
+        listed = set()
+        for stocking in self._stockings.values():
+            for name, stock in stocking.stocks.items():
+                if not stock.known:
+                    continue
+                listed.add(name)
+                items = tuple(sorted(str(item) for item in stock.servable()))
+                born = stock.target.incarnation
+                elsewhere = totals[name] - own[name]
+                held.append(HeldItems(name, born, items, elsewhere))
+        for name, total in totals.items():
+            if name not in listed:
+                held.append(HeldItems(name, 0, (), total - own[name]))
+        return tuple(held)
+
+    def _spawn(self, coro) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._world.events.event("task failed", reason=repr(task.exception()))
+
+
+def _key(text: str) -> tuple[str, Item]:
+    """Read ``NAME ITEM``, NAME of a service or a target."""
+    name, _, rest = text.partition(" ")
+    model, _, adapter = rest.partition("/")
+    return name, Item(model, adapter)
+
+
+def _record(obj: PlatformObject) -> LeaseRecord:
+    spec = obj.spec or {}
+    return LeaseRecord(
+        shard=SHARD,
+        holder=str(spec.get("holder") or ""),
+        fence=int(spec.get("fence") or 0),
+        renewals=int(spec.get("renewals") or 0),
+        version=obj.version,
+        address=str(spec.get("address") or ""),
+    )
+
+
+def _object(record: LeaseRecord) -> PlatformObject:
+    spec = {
+        "holder": record.holder,
+        "fence": record.fence,
+        "renewals": record.renewals,
+        "address": record.address,
+    }
+    return PlatformObject(platform.LEASES, SHARD, spec, record.version)
--- /dev/null
+++ b/src/marjoramstage/_entry/linking.py
@@ -0,0 +1,105 @@
+"""Reports to the holder of the placement lease, and its views."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+from marjoramstage._entry.holding import Holder
+from marjoramstage._entry.world import World
+from marjoramstage.metrics import LocalMetrics
+from marjoramstage.protocol.peers import EntryReport, FleetView, PeerMessage
+from marjoramstage.transport.peers import Identity, PeerClient, PeerServer
+
+REPORT_EVERY_S = 0.2
+REPORT_GAP_S = 0.03
+
+
+class Link:
+    """The connections of one instance to the others."""
+
+    def __init__(self, world: World, address: str):
+        self._world = world
+        self._address = address
+        boot = world.boot
+        identity = Identity(boot.name, boot.data_centre, None)
+        metrics = LocalMetrics()
+        self._client = PeerClient(identity, metrics)
+        self._server = PeerServer(address, identity, self._receive, metrics)
+        self._incarnation = uuid.uuid4().hex[:12]
+        self._sequence = 0
+        self._wanted = asyncio.Event()
+        self._holder: Holder | None = None
+        world.on_wanted = self._wanted.set
+
+    def attach(self, holder: Holder) -> None:
+        """Set who takes reports."""
+        self._holder = holder
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        await self._client.stop()
+        await self._server.stop()
+
+    async def run(self) -> None:
+        """Report until cancelled: at once when an item is wanted, else by time."""
+        while True:
+            self._wanted.clear()
+            self._report()
+            await asyncio.sleep(REPORT_GAP_S)
+            try:
+                async with asyncio.timeout(REPORT_EVERY_S):
+                    await self._wanted.wait()
+            except TimeoutError:
+                continue
+
+    def send_view(self, address: str, view: FleetView) -> None:
+        """Send a view to an instance; this one takes it directly."""
+        if address == self._address:
+            self._receive(view)
+        else:
+            self._client.send(address, view)
+
+    def _report(self) -> None:
+        holder = self._holder
+        if holder is None:
+            return
+        address = self._address if holder.holds else holder.holder_address
+        if not address:
+            return
+        report = self._make_report()
+        if address == self._address:
+            holder.heard(report)
+        else:
+            self._client.send(address, report)
+
+    def _make_report(self) -> EntryReport:
+        world = self._world
+        self._sequence += 1
+        waiting = world.line.waiting().items()
+        running = world.loads.own.items()
+        return EntryReport(
+            instance=world.boot.name,
+            address=self._address,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            waiting={f"{service} {item}": n for (service, item), n in waiting},
+            arrived={f"{s} {item}": n for (s, item), n in world.arrived.items()},
+            running={f"{t} {item or ''}": n for (t, item), n in running},
+        )
+
+    def _receive(self, message: PeerMessage) -> None:
+        match message:
+            case EntryReport():
+                if self._holder is not None:
+                    self._holder.heard(message)
+            case FleetView():
+                if self._holder is not None and message.holder != (
+                    self._holder.keeper.identity
+                ):
+                    self._holder.view_heard(message)
+                self._world.saw(message)
--- /dev/null
+++ b/src/marjoramstage/_entry/serving.py
@@ -0,0 +1,426 @@
+"""Serves the requests of callers: route, wait, send, pass the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from marjoramstage import platform
+from marjoramstage._entry.figures import Figures
+from marjoramstage._entry.world import World
+from marjoramstage.coordination.dispatch import Wish
+from marjoramstage.coordination.patience import LATEST, Outlook, Patience
+from marjoramstage.exceptions import TargetError, Verdict
+from marjoramstage.platform import CallerHeaders
+from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.state.routes import Repeat, Route
+from marjoramstage.transport.event_stream import EventSplitter
+from marjoramstage.transport.exchange import Answer, Call, Exchange
+
+PROMISES = frozenset((408, 421, 429, 503))
+DEFAULT_WAIT_S = 30.0
+NOT_READY_RETRY_S = 0.5
+
+
+@dataclass
+class Work:
+    """One request of a caller on its way.
+
+    Attributes
+    ----------
+    arrived_s, until_s : float
+        When it came and when its final answer is due, on the steady clock.
+    runs : int
+        Attempts that may have run.
+    sent : int
+        Attempts that were sent, run or not.
+    """
+
+    req: web.BaseRequest
+    route: Route
+    service: str
+    headers: CallerHeaders
+    body: bytes
+    arrived_s: float
+    until_s: float
+    wish: Wish
+    runs: int = 0
+    sent: int = 0
+    last_event: str = ""
+    resp: web.StreamResponse | None = None
+    tried: list[str] = field(default_factory=list)
+
+
+class RefusalError(Exception):
+    """A request ends with an answer of this instance.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; one of `PROMISES` only for a request that has not run.
+    reason : str
+        Fixed name of the cause, for logs and counters.
+    retry_after_s : float or None
+        When to come back, in seconds.
+    """
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class Serving:
+    """The handler of callers' requests."""
+
+    def __init__(self, world: World, exchange: Exchange, figures: Figures):
+        self._world = world
+        self._exchange = exchange
+        self._figures = figures
+        self._patience = Patience()
+        self.in_flight = 0
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request; cancelled when the caller leaves."""
+        arrived_s = self._world.clock.now()
+        self.in_flight += 1
+        work: Work | None = None
+        outcome = "cancelled"
+        try:
+            work = await self._read(req, arrived_s)
+            resp = await self._run(work)
+            outcome = "answered"
+        except RefusalError as exc:
+            resp = self._refusal(exc)
+            outcome = exc.reason
+        except _CutError as exc:
+            outcome = exc.reason
+            resp = self._cut(req, work)
+        finally:
+            self.in_flight -= 1
+            self._ended(req, work, arrived_s, outcome)
+        if self._world.stopping and not resp.prepared:
+            resp.force_close()
+        return resp
+
+    async def _read(self, req: web.BaseRequest, arrived_s: float) -> Work:
+        """Find the route of a request and read its body."""
+        world = self._world
+        if world.table is None:
+            raise RefusalError(503, "no routes yet", NOT_READY_RETRY_S)
+        path = req.message.path
+        host = req.headers.get("Host", "").partition(":")[0].lower()
+        route = world.table.match(host, path.partition("?")[0])
+        if route is None:
+            raise RefusalError(404, "no route")
+        headers = platform.caller_headers(req.headers)
+        if not headers.request_id:
+            raise RefusalError(400, "no request id")
+        try:
+            body = await req.read()
+        except web.HTTPRequestEntityTooLarge:
+            raise RefusalError(413, "body too large") from None
+        except (web.HTTPException, ValueError, OSError) as exc:
+            raise RefusalError(400, f"body not read: {type(exc).__name__}") from exc
+        wait_s = (
+            headers.deadline_s if headers.deadline_s is not None else DEFAULT_WAIT_S
+        )
+        until_s = arrived_s + min(wait_s, route.timeout_s)
+        service = route.service_for(headers.request_id)
+        spec = world.table.services.get(service)
+        item = headers.item if spec is not None and spec.engine is not None else None
+        world.budget(service).earn(world.clock.now())
+        if item is not None:
+            world.arrived[service, item] += 1
+        work = Work(
+            req=req,
+            route=route,
+            service=service,
+            headers=headers,
+            body=body,
+            arrived_s=arrived_s,
+            until_s=until_s,
+            wish=Wish(service, item),
+        )
+        work.last_event = headers.last_event
+        return work
+
+    async def _run(self, work: Work) -> web.StreamResponse:
+        """Send a request to targets until there is an answer to pass on."""
+        while True:
+            target = await self._target(work)
+            try:
+                async with asyncio.timeout(self._left_s(work)):
+                    return await self._attempt(work, target)
+            except TargetError as exc:
+                self._failed(work, target, exc)
+            except TimeoutError:
+                self._figures.attempts.labels("timeout").inc()
+                if work.resp is not None:
+                    raise _CutError("timeout in the answer") from None
+                raise RefusalError(504, "timeout at the target") from None
+            finally:
+                self._world.give_back(target, work.wish)
+
+    def _failed(self, work: Work, target: FleetTarget, exc: TargetError) -> None:
+        """Decide whether a failed attempt may be followed by another.
+
+        Raises
+        ------
+        RefusalError, _CutError
+            It may not.
+        """
+        now_s = self._world.clock.now()
+        not_run = exc.verdict is Verdict.NOT_RUN
+        self._figures.attempts.labels(exc.reason or "failed").inc()
+        work.runs += 0 if not_run else 1
+        work.wish = Wish(work.service, work.wish.item, frozenset(work.tried))
+        fields = {
+            "request": work.headers.request_id,
+            "target": target.name,
+            "reason": str(exc),
+            "verdict": exc.verdict.value,
+            "attempt": work.sent,
+        }
+        self._world.events.event("attempt failed", **fields)
+        may = not_run or (
+            work.route.repeat is Repeat.ANY and work.runs < work.route.attempts
+        )
+        if work.resp is not None and not (work.route.resumable and may):
+            raise _CutError("the answer broke off")
+        arrived = exc.reason != "unreached"
+        if may and now_s < work.until_s:
+            if not arrived or self._world.budget(work.service).spend(now_s):
+                return
+            may = False
+        if work.resp is not None:
+            raise _CutError("no budget to go on")
+        if work.runs:
+            raise RefusalError(502, "the target's answer was lost")
+        raise RefusalError(503, "not run, no budget for a repeat", 0.2)
+
+    async def _target(self, work: Work) -> FleetTarget:
+        """Return a target with a place taken; wait for one within reason."""
+        world = self._world
+        target = world.take(work.wish)
+        if target is not None:
+            return target
+        now_s = world.clock.now()
+        outlook = self._outlook(work)
+        verdict = self._patience.judge(
+            outlook, work.route, now_s - work.arrived_s, work.until_s - now_s
+        )
+        if verdict.refuse:
+            raise self._no_place(work, verdict.reason, verdict.retry_after_s)
+        waiter = world.line.join(work.wish, work.route.rank, work.until_s)
+        world.on_wanted()
+        world.changed()
+        try:
+            async with asyncio.timeout(verdict.wait_s):
+                return await asyncio.shield(waiter.fut)
+        except TimeoutError:
+            reason = f"waited: {outlook.value}"
+            raise self._no_place(work, reason, verdict.retry_after_s) from None
+        finally:
+            world.line.leave(waiter)
+            self._return_unused(waiter, work)
+
+    def _return_unused(self, waiter, work: Work) -> None:
+        """Give back a place that came just as its waiter gave up."""
+        fut = waiter.fut
+        if not fut.done():
+            fut.cancel()
+            return
+        if asyncio.current_task().cancelling() and not fut.cancelled():
+            self._world.give_back(fut.result(), work.wish)
+
+    def _outlook(self, work: Work) -> Outlook:
+        world = self._world
+        targets = [t for t in world.fleet.of_service(work.service) if not t.leaving]
+        if not targets:
+            return Outlook.NO_TARGET
+        if world.able(work.wish):
+            return Outlook.FULL
+        if work.wish.tried:
+            return Outlook.TRIED_ALL
+        return Outlook.NOT_HELD
+
+    def _no_place(
+        self, work: Work, reason: str, retry_after_s: float
+    ) -> RefusalError | _CutError:
+        if work.resp is not None:
+            return _CutError(reason)
+        if work.runs:
+            return RefusalError(502, f"the answer was lost, {reason}")
+        return RefusalError(503, reason, retry_after_s)
+
+    async def _attempt(self, work: Work, target: FleetTarget) -> web.StreamResponse:
+        """Send a request to one target and pass its answer on."""
+        world = self._world
+        work.sent += 1
+        work.tried.append(target.name)
+        answer = await self._send(work, target)
+        ok = False
+        try:
+            self._check(work, target, answer)
+            content_type = answer.headers.get("Content-Type", "")
+            if answer.status == 200 and content_type.startswith("text/event-stream"):
+                resp = await self._stream(work, answer)
+            else:
+                resp = await self._whole(work, answer)
+            ok = answer.status < 500
+            return resp
+        finally:
+            answer.close()
+            world.health.ended(target.name, ok, world.clock.now())
+
+    async def _send(self, work: Work, target: FleetTarget) -> Answer:
+        call = Call(
+            address=target.address,
+            method=work.req.method,
+            path=work.req.message.path,
+            headers=self._headers(work, target),
+            body=work.body,
+            request_id=work.headers.request_id,
+            fresh=work.route.repeat is Repeat.ONCE,
+        )
+        try:
+            return await self._exchange.send(call)
+        except TargetError as exc:
+            now_s = self._world.clock.now()
+            if exc.verdict is Verdict.NOT_RUN:
+                self._world.health.unreached(target.name, now_s)
+            else:
+                self._world.health.ended(target.name, False, now_s)
+            raise
+
+    def _headers(self, work: Work, target: FleetTarget) -> CIMultiDict[str]:
+        return platform.target_headers(
+            work.req.headers.items(),
+            work.req.headers.get("Connection", ""),
+            target.name,
+            self._left_s(work),
+            work.route.rank if work.wish.item is not None else None,
+            work.last_event,
+        )
+
+    def _check(self, work: Work, target: FleetTarget, answer: Answer) -> None:
+        """Raise a `TargetError` for an answer that is not to be passed on."""
+        status, headers = answer.status, answer.headers
+        found = platform.request_id_of(headers)
+        if found and found != work.headers.request_id:
+            raise TargetError(
+                "the answer is for another request",
+                Verdict.MAY_HAVE_RUN,
+                status,
+                "foreign",
+            )
+        if platform.is_not_run(status, headers):
+            raise TargetError(
+                f"not run there: {status}", Verdict.NOT_RUN, status, "rejected"
+            )
+        if status in PROMISES:
+            raise TargetError(
+                f"status {status} without proof",
+                Verdict.MAY_HAVE_RUN,
+                status,
+                "unproved",
+            )
+        may_repeat = (
+            work.route.repeat is Repeat.ANY
+            and work.runs + 1 < work.route.attempts
+            and status >= 500
+        )
+        if may_repeat or (work.resp is not None and status != 200):
+            raise TargetError(
+                f"status {status}", Verdict.MAY_HAVE_RUN, status, "failed"
+            )
+
+    async def _whole(self, work: Work, answer: Answer) -> web.StreamResponse:
+        body = await answer.whole()
+        headers = platform.answer_headers(answer.headers)
+        resp = web.Response(
+            status=answer.status, reason=answer.reason, body=body, headers=headers
+        )
+        if "Content-Type" not in headers:
+            resp.headers.popall("Content-Type", None)
+        return resp
+
+    async def _stream(self, work: Work, answer: Answer) -> web.StreamResponse:
+        """Pass whole events on as they arrive."""
+        resp = work.resp
+        if resp is None:
+            headers = platform.answer_headers(answer.headers)
+            resp = web.StreamResponse(
+                status=answer.status, reason=answer.reason, headers=headers
+            )
+            resp.enable_chunked_encoding()
+            if self._world.stopping:
+                resp.force_close()
+            await resp.prepare(work.req)
+            work.resp = resp
+        splitter = EventSplitter()
+        async for block in answer.blocks():
+            events = splitter.feed(block)
+            if not events:
+                continue
+            await resp.write(events)
+            work.last_event = splitter.last_id or work.last_event
+        if splitter.rest:
+            await resp.write(splitter.rest)
+        await resp.write_eof()
+        return resp
+
+    def _left_s(self, work: Work) -> float:
+        return max(0.001, work.until_s - self._world.clock.now())
+
+    def _refusal(self, exc: RefusalError) -> web.Response:
+        headers = {}
+        if exc.status in PROMISES:
+            after_s = max(exc.retry_after_s or 0.0, LATEST.shortest_retry_s)
+            headers["Retry-After"] = f"{after_s:.2f}"
+        return web.Response(status=exc.status, text=exc.reason + "\n", headers=headers)
+
+    def _cut(self, req: web.BaseRequest, work: Work | None) -> web.StreamResponse:
+        """End an answer that cannot be finished so that it looks unfinished."""
+        if req.transport is not None:
+            req.transport.close()
+        if work is not None and work.resp is not None:
+            return work.resp
+        return web.Response(status=502)
+
+    def _ended(
+        self,
+        req: web.BaseRequest,
+        work: Work | None,
+        arrived_s: float,
+        outcome: str,
+    ) -> None:
+        """Count a request and write its line."""
+        took_s = self._world.clock.now() - arrived_s
+        self._figures.ended(work.route if work else None, outcome, took_s)
+        fields = {
+            "request": platform.request_id_of(req.headers),
+            "route": work.route.name if work else None,
+            "item": str(work.wish.item) if work and work.wish.item else None,
+            "tried": work.tried if work else [],
+            "outcome": outcome,
+            "took_ms": round(took_s * 1000, 1),
+            "table": self._world.table.version if self._world.table else None,
+        }
+        if outcome == "answered":
+            self._world.events.sampled("request answered", **fields)
+        else:
+            self._world.events.event("request ended", **fields)
+
+
+class _CutError(Exception):
+    """An answer that has begun cannot be finished."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -5,20 +5,17 @@
 import argparse
 import sys
 from collections.abc import Sequence
-from importlib import metadata
+from importlib import import_module
 from typing import NoReturn
 
-from marjoramstage._commands import (
-    bench,
-    exits,
-    inventory,
-    operate,
-    serve,
-    standin,
-    usage,
-)
+from marjoramstage import __version__
+from marjoramstage._commands import exits
 from marjoramstage.exceptions import ConfigError
 
+# The module of each command; only the one that is called is loaded.
+COMMAND_MODULES = {"entry": ("entry",)}
+ALL_MODULES = ("serve", "entry", "inventory", "operate", "usage", "standin", "bench")
+
 DESCRIPTION = "Serve many models on fewer accelerators."
 EPILOG = """\
 exit codes:
@@ -42,7 +39,8 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line; return its exit code."""
-    args = _parser().parse_args(argv)
+    argv = list(sys.argv[1:] if argv is None else argv)
+    args = _parser(argv).parse_args(argv)
     try:
         return args.run(args)
     except ConfigError as exc:
@@ -54,16 +52,16 @@
         return exits.FAILED
 
 
-def _parser() -> argparse.ArgumentParser:
+def _parser(argv: Sequence[str]) -> argparse.ArgumentParser:
     parser = _Parser(
         prog="marjoramstage",
         description=DESCRIPTION,
         epilog=EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    version = metadata.version("marjoramstage")
-    parser.add_argument("--version", action="version", version=version)
+    parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    for group in (serve, inventory, operate, usage, standin, bench):
-        group.add(commands)
+    called = argv[0] if argv else ""
+    for name in COMMAND_MODULES.get(called, ALL_MODULES):
+        import_module(f"marjoramstage._commands.{name}").add(commands)
     return parser
--- /dev/null
+++ b/src/marjoramstage/coordination/dispatch.py
@@ -0,0 +1,162 @@
+"""Chooses the target of a request among those that can serve it.
+
+Answers the load of many short requests and streams over targets with few
+slots: what runs at each target, also from other instances, decides first;
+then the data centre, then what the target failed at lately.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from marjoramstage.coordination.health import TargetHealth
+from marjoramstage.state.fleet import FleetTarget, Item
+
+FAR_COST = 0.15
+FAULT_COST = 1.5
+UNREACHED_COST = 10.0
+SPREAD = 0.03
+QUEUE_SHARE = 0.25
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What a request needs of its target.
+
+    Attributes
+    ----------
+    tried : frozenset of str
+        Targets that this request was sent to already.
+    """
+
+    service: str
+    item: Item | None = None
+    tried: frozenset[str] = frozenset()
+
+
+class Holdings:
+    """What each target can be sent, by the newest word on it.
+
+    The holder of the placement lease knows more than the platform's list, as
+    it knows which copies are on their way out and which adapters came.
+    """
+
+    def __init__(self):
+        self._told: dict[str, tuple[int, frozenset[Item]]] = {}
+
+    def tell(self, target: str, incarnation: int, items: frozenset[Item]) -> None:
+        """Take in the holder's word."""
+        self._told[target] = (incarnation, items)
+
+    def of(self, target: FleetTarget) -> frozenset[Item]:
+        """Return the items that requests may be sent for."""
+        told = self._told.get(target.name)
+        if told is not None and told[0] == target.incarnation:
+            return told[1]
+        return target.items or frozenset()
+
+    def forget_except(self, names: Iterable[str]) -> None:
+        """Drop what was told of targets that are gone."""
+        keep = set(names)
+        for name in [name for name in self._told if name not in keep]:
+            del self._told[name]
+
+
+class LoadBook:
+    """Requests at each target: this instance's own and those of the others."""
+
+    def __init__(self):
+        self.own: Counter[tuple[str, Item | None]] = Counter()
+        self._own_at: Counter[str] = Counter()
+        self._elsewhere: dict[str, int] = {}
+
+    def begin(self, target: str, item: Item | None) -> None:
+        """Note a request that is sent."""
+        self.own[target, item] += 1
+        self._own_at[target] += 1
+
+    def end(self, target: str, item: Item | None) -> None:
+        """Note that a request is over."""
+        self.own[target, item] -= 1
+        self._own_at[target] -= 1
+        if self.own[target, item] <= 0:
+            del self.own[target, item]
+        if self._own_at[target] <= 0:
+            del self._own_at[target]
+
+    def set_elsewhere(self, running: Mapping[str, int]) -> None:
+        """Take in what the other instances have at targets."""
+        self._elsewhere = dict(running)
+
+    def running(self, target: str) -> int:
+        """Return the requests at a target."""
+        return self._own_at[target] + self._elsewhere.get(target, 0)
+
+
+class Dispatcher:
+    """Choice of targets.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where this instance is.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        holdings: Holdings,
+        loads: LoadBook,
+        health: TargetHealth,
+        rng: random.Random,
+    ):
+        self._data_centre = data_centre
+        self._holdings = holdings
+        self._loads = loads
+        self._health = health
+        self._rng = rng
+
+    def able(self, wish: Wish, targets: Iterable[FleetTarget]) -> list[FleetTarget]:
+        """Return the targets that hold what is wished for."""
+        found = []
+        for target in targets:
+            if target.leaving or target.service != wish.service:
+                continue
+            if target.name in wish.tried:
+                continue
+            if not self._has(target, wish.item):
+                continue
+            found.append(target)
+        return found
+
+    def choose(
+        self, wish: Wish, targets: Iterable[FleetTarget], now_s: float
+    ) -> FleetTarget | None:
+        """Return the best target with room, or None."""
+        best: tuple[float, FleetTarget] | None = None
+        for target in self.able(wish, targets):
+            running = self._loads.running(target.name)
+            if running >= target.slots * (1 + QUEUE_SHARE):
+                continue
+            cost = self._cost(target, running, now_s)
+            if best is None or cost < best[0]:
+                best = (cost, target)
+        return best[1] if best else None
+
+    def _has(self, target: FleetTarget, item: Item | None) -> bool:
+        if item is None or target.items is None:
+            return True
+        held = self._holdings.of(target)
+        return item in held and item.base in held
+
+    def _cost(self, target: FleetTarget, running: int, now_s: float) -> float:
+        cost = running / target.slots + self._rng.random() * SPREAD
+        if target.data_centre != self._data_centre:
+            cost += FAR_COST
+        cost += FAULT_COST * self._health.fault_share(target.name, now_s)
+        if not self._health.reachable(target.name, now_s):
+            cost += UNREACHED_COST
+        return cost
--- /dev/null
+++ b/src/marjoramstage/coordination/health.py
@@ -0,0 +1,61 @@
+"""What this instance saw of targets lately: failures and silence."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+HALF_LIFE_S = 3.0
+PRIOR_REQUESTS = 4.0
+UNREACHED_S = 1.0
+
+
+@dataclass
+class _Seen:
+    at_s: float = 0.0
+    ended: float = 0.0
+    failed: float = 0.0
+    unreached_until_s: float = 0.0
+
+
+class TargetHealth:
+    """Decayed shares of failed requests for each target."""
+
+    def __init__(self):
+        self._seen: dict[str, _Seen] = {}
+
+    def ended(self, target: str, ok: bool, now_s: float) -> None:
+        """Note the end of a request at a target."""
+        seen = self._at(target, now_s)
+        seen.ended += 1
+        seen.failed += 0 if ok else 1
+        if ok:
+            seen.unreached_until_s = 0.0
+
+    def unreached(self, target: str, now_s: float) -> None:
+        """Note that a target could not be connected to."""
+        self._at(target, now_s).unreached_until_s = now_s + UNREACHED_S
+
+    def fault_share(self, target: str, now_s: float) -> float:
+        """Return the share of failed requests; few requests count little."""
+        if target not in self._seen:
+            return 0.0
+        seen = self._at(target, now_s)
+        return seen.failed / (seen.ended + PRIOR_REQUESTS)
+
+    def reachable(self, target: str, now_s: float) -> bool:
+        """Whether a connection is likely to come about."""
+        seen = self._seen.get(target)
+        return seen is None or now_s >= seen.unreached_until_s
+
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self._seen.pop(target, None)
+
+    def _at(self, target: str, now_s: float) -> _Seen:
+        seen = self._seen.setdefault(target, _Seen(at_s=now_s))
+        factor = math.exp(-math.log(2) / HALF_LIFE_S * max(0.0, now_s - seen.at_s))
+        seen.ended *= factor
+        seen.failed *= factor
+        seen.at_s = now_s
+        return seen
--- a/src/marjoramstage/coordination/leases.py
+++ b/src/marjoramstage/coordination/leases.py
@@ -6,7 +6,7 @@
 
 from transitions import Machine
 
-from marjoramstage.protocol.events import LeaseHeld, LeaseLost
+from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 
 TERM_S = 9.0
 RENEW_S = 3.0
@@ -32,6 +32,26 @@
 ]
 
 
+@dataclass(frozen=True)
+class LeaseTiming:
+    """Times of a lease, in seconds.
+
+    Attributes
+    ----------
+    term_s, renew_s : float
+        Validity of one write, and when the holder writes again.
+    margin_s : float
+        How much sooner the holder stops than a taker may begin.
+    stagger_s : float
+        How much longer each next rank waits before it takes a lease.
+    """
+
+    term_s: float = TERM_S
+    renew_s: float = RENEW_S
+    margin_s: float = CLOCK_MARGIN_S
+    stagger_s: float = STAGGER_S
+
+
 @dataclass(frozen=True)
 class LeaseRecord:
     """A lease as the platform holds it.
@@ -47,6 +67,8 @@
         lost from the one before it.
     version : str
         Resource version; empty before the first write.
+    address : str
+        Where the other instances reach the holder; may be empty.
     """
 
     shard: str
@@ -54,6 +76,7 @@
     fence: int
     renewals: int = 0
     version: str = ""
+    address: str = ""
 
 
 @dataclass(frozen=True)
@@ -86,11 +109,23 @@
         Name of the shard and of its lease.
     identity : str
         Unique for each start of a process.
+    address : str
+        Written into the lease for the other instances.
+    timing : LeaseTiming
+        Term and intervals.
     """
 
-    def __init__(self, shard: str, identity: str):
+    def __init__(
+        self,
+        shard: str,
+        identity: str,
+        address: str = "",
+        timing: LeaseTiming | None = None,
+    ):
         self.shard = shard
         self.identity = identity
+        self.address = address
+        self.timing = timing or LeaseTiming()
         self.until_s = 0.0
         self.record: LeaseRecord | None = None
         self._seen_s = 0.0
@@ -141,7 +176,7 @@
         if self._sent is None and self.state == HOLDING:
             renewed = replace(self.record, renewals=self.record.renewals + 1)
             return [*effects, self._write(renewed, now_s)]
-        self._next_call_s = now_s + _read_interval(rank)
+        self._next_call_s = now_s + self._read_interval(rank)
         return [*effects, self._read()]
 
     def read(self, record: LeaseRecord | None, now_s: float) -> list[LeaseEffect]:
@@ -201,8 +236,8 @@
 
     def _proved(self, record: LeaseRecord, now_s: float) -> list[LeaseEffect]:
         """Hold on from the time at which the proved write was sent."""
-        self.until_s = self._sent_s + TERM_S - CLOCK_MARGIN_S
-        self._next_call_s = self._sent_s + RENEW_S
+        self.until_s = self._sent_s + self.timing.term_s - self.timing.margin_s
+        self._next_call_s = self._sent_s + self.timing.renew_s
         if now_s >= self.until_s:
             if self.state == TAKING:
                 self.miss()
@@ -216,7 +251,11 @@
     def _taken_over(self) -> LeaseRecord:
         record = self.record
         return LeaseRecord(
-            self.shard, self.identity, record.fence + 1, version=record.version
+            self.shard,
+            self.identity,
+            record.fence + 1,
+            version=record.version,
+            address=self.address,
         )
 
     def _may_take(self, rank: int) -> bool:
@@ -229,7 +268,7 @@
     def _wait_s(self, rank: int) -> float:
         """How long a version has to be unchanged before it is replaced."""
         free = self.record.holder in ("", self.identity)
-        return rank * STAGGER_S + (0.0 if free else TERM_S)
+        return rank * self.timing.stagger_s + (0.0 if free else self.timing.term_s)
 
     def _due(self, rank: int, now_s: float) -> bool:
         """Whether one more read could show that the lease can be taken."""
@@ -241,6 +280,9 @@
     def _is_own(self, record: LeaseRecord | None) -> bool:
         return record is not None and record.holder == self.identity
 
+    def _read_interval(self, rank: int) -> float:
+        return self.timing.renew_s if rank < CLOSE_RANKS else FAR_READ_S
+
     def _read(self) -> ReadLease:
         self._calling = True
         return ReadLease(self.shard)
@@ -252,10 +294,6 @@
         return WriteLease(record)
 
 
-def _read_interval(rank: int) -> float:
-    return RENEW_S if rank < CLOSE_RANKS else FAR_READ_S
-
-
 def _same_write(sent: LeaseRecord, found: LeaseRecord) -> bool:
     return (
         sent.holder == found.holder
--- /dev/null
+++ b/src/marjoramstage/coordination/stock.py
@@ -0,0 +1,288 @@
+"""The book of what one target holds, as the giver of its orders keeps it.
+
+An item takes up its room from the moment its load is ordered until a report
+proves that it is gone.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marjoramstage.protocol.control import Order, OrderAnswer
+from marjoramstage.state.fleet import FleetTarget, Item, TargetReport
+from marjoramstage.state.routes import EngineSpec
+
+RESEND_S = 0.3
+ADAPTER_LOAD_S = 0.015
+REPORT_LAG_S = 0.25
+
+
+class Presence(enum.Enum):
+    """What is known of an item at a target."""
+
+    LOADING = "loading"
+    HELD = "held"
+    RETIRING = "retiring"
+    UNLOADING = "unloading"
+
+
+@dataclass
+class HeldItem:
+    """An item that takes up room at a target.
+
+    Attributes
+    ----------
+    since_s : float
+        When it came into this presence.
+    used_s : float
+        When it was asked for last.
+    """
+
+    presence: Presence
+    since_s: float
+    used_s: float
+
+
+@dataclass
+class PendingOrder:
+    """An order that has no outcome yet.
+
+    Attributes
+    ----------
+    accepted : bool
+        The target said that it carries it out.
+    """
+
+    order: Order
+    sent_s: float
+    accepted: bool = False
+
+
+class Stock:
+    """What one target holds and which order it is carrying out.
+
+    Parameters
+    ----------
+    target : FleetTarget
+        The target, in the incarnation that the book is for.
+    spec : EngineSpec
+        Room of the target.
+    """
+
+    def __init__(self, target: FleetTarget, spec: EngineSpec):
+        self.target = target
+        self.spec = spec
+        self.items: dict[Item, HeldItem] = {}
+        self.pending: PendingOrder | None = None
+        self.order_count = 0
+        self.known = False
+        self.next_report_s = 0.0
+        self.kept: list[str] = []
+
+    # What it holds
+
+    def servable(self) -> list[Item]:
+        """Return the items that requests may be sent for."""
+        return [i for i, held in self.items.items() if held.presence is Presence.HELD]
+
+    def holds(self, item: Item) -> bool:
+        """Whether requests for an item may be sent."""
+        held = self.items.get(item)
+        return held is not None and held.presence is Presence.HELD
+
+    def is_coming(self, item: Item) -> bool:
+        """Whether an item is being loaded."""
+        held = self.items.get(item)
+        return held is not None and held.presence is Presence.LOADING
+
+    def models(self) -> list[Item]:
+        """Return the models, in whatever presence."""
+        return [item for item in self.items if not item.adapter]
+
+    def adapters(self) -> list[Item]:
+        """Return the adapters, in whatever presence."""
+        return [item for item in self.items if item.adapter]
+
+    def memory_mb(self, item: Item) -> float:
+        """Return the memory of an item."""
+        model = self.spec.models.get(item.model)
+        if model is None:
+            return self.spec.memory_mb
+        return model.adapter_mb if item.adapter else model.memory_mb
+
+    def free_mb(self) -> float:
+        """Return the memory that no item takes up."""
+        return self.spec.memory_mb - sum(self.memory_mb(item) for item in self.items)
+
+    def fits(self, item: Item) -> bool:
+        """Whether an item can be loaded with nothing unloaded before."""
+        if item.adapter and len(self.adapters()) >= self.spec.adapter_places:
+            return False
+        return self.memory_mb(item) <= self.free_mb()
+
+    def is_kept_near(self, model: str) -> bool:
+        """Whether the weights are likely to be on the target's own disk."""
+        return model in self.kept
+
+    def touch(self, item: Item, now_s: float) -> None:
+        """Note that an item is in use."""
+        held = self.items.get(item)
+        if held is not None:
+            held.used_s = now_s
+
+    # Orders
+
+    def retire(self, item: Item, now_s: float) -> None:
+        """Send an item no further requests."""
+        held = self.items[item]
+        held.presence, held.since_s = Presence.RETIRING, now_s
+
+    def sent(self, order: Order, now_s: float) -> None:
+        """Note an order before it is sent: from here on it may take effect."""
+        if order.load:
+            self.items[order.item] = HeldItem(Presence.LOADING, now_s, now_s)
+        else:
+            held = self.items[order.item]
+            held.presence, held.since_s = Presence.UNLOADING, now_s
+        self.pending = PendingOrder(order, now_s)
+        self.next_report_s = now_s + RESEND_S
+
+    def answered(self, answer: OrderAnswer, now_s: float) -> None:
+        """Take in the answer to the pending order."""
+        pending = self.pending
+        if pending is None:
+            return
+        item = pending.order.item
+        if answer is OrderAnswer.ACCEPTED:
+            pending.accepted = True
+            self.order_count += 1
+            self.next_report_s = now_s + self._expected_s(pending.order)
+            return
+        if answer is OrderAnswer.HOLDS:
+            self._done(pending.order, now_s)
+            return
+        if answer in (OrderAnswer.INVALID, OrderAnswer.NOT_SENT, OrderAnswer.FENCED):
+            self._undo(pending.order, now_s)
+            return
+        # Busy, another target or no answer: a report tells what holds.
+        self.next_report_s = now_s
+        if answer is OrderAnswer.UNKNOWN:
+            self.next_report_s = now_s + RESEND_S
+            self.items[item].since_s = now_s
+
+    def reported(self, report: TargetReport, now_s: float) -> Order | None:
+        """Take in a report that was asked for after the last answer.
+
+        Returns
+        -------
+        Order or None
+            The pending order, if it has to be sent once more: it was not
+            accepted, and sent again under the same count it also makes void
+            what may still be on its way.
+        """
+        pending = self.pending
+        if not self.known or report.order_count < self.order_count:
+            self._adopt(report, now_s)
+            return None
+        if pending is None:
+            self.order_count = report.order_count
+            return None
+        expected = pending.order.order_count
+        if not pending.accepted:
+            if expected is not None and report.order_count > expected:
+                # The order was carried out though no answer said so.
+                pending.accepted = True
+                self.order_count = report.order_count
+            elif report.busy:
+                self.next_report_s = now_s + RESEND_S
+                return None
+            else:
+                self.next_report_s = now_s + RESEND_S
+                return pending.order
+        item = pending.order.item
+        there = item in report.items
+        moving = report.busy or item in report.coming
+        if not moving and there == pending.order.load:
+            self._done(pending.order, now_s)
+            return None
+        if not moving and now_s - pending.sent_s > 4 * RESEND_S:
+            self._undo(pending.order, now_s)
+            return None
+        self.next_report_s = now_s + REPORT_LAG_S
+        return None
+
+    def tick(self, now_s: float) -> None:
+        """Let an adapter that was accepted become usable after its load time."""
+        pending = self.pending
+        if pending is None or not pending.accepted or not pending.order.item.adapter:
+            return
+        if pending.order.load and now_s - pending.sent_s >= ADAPTER_LOAD_S:
+            self._done(pending.order, now_s)
+
+    def wants_report(self, now_s: float) -> bool:
+        """Whether the target is to be asked what holds."""
+        if not self.known:
+            return now_s >= self.next_report_s
+        return self.pending is not None and now_s >= self.next_report_s
+
+    def not_reported(self, now_s: float) -> None:
+        """Note that the target did not answer."""
+        self.next_report_s = now_s + RESEND_S
+
+    def _expected_s(self, order: Order) -> float:
+        """Return how long the target is likely to take."""
+        model = self.spec.models.get(order.item.model)
+        if order.item.adapter or model is None:
+            return REPORT_LAG_S
+        if not order.load:
+            return REPORT_LAG_S
+        near = self.is_kept_near(order.item.model)
+        return model.memory_load_s if near else model.disk_load_s
+
+    def _done(self, order: Order, now_s: float) -> None:
+        self.pending = None
+        if order.load:
+            self.items[order.item] = HeldItem(Presence.HELD, now_s, now_s)
+            self._keep(order.item)
+            return
+        for item in self._with_adapters(order.item):
+            self.items.pop(item, None)
+
+    def _undo(self, order: Order, now_s: float) -> None:
+        """Take back an order that is proved to have had no effect."""
+        self.pending = None
+        if order.load:
+            self.items.pop(order.item, None)
+            return
+        held = self.items.get(order.item)
+        if held is not None:
+            held.presence, held.since_s = Presence.HELD, now_s
+
+    def _adopt(self, report: TargetReport, now_s: float) -> None:
+        """Start the book from a report, when nothing is under way there."""
+        if report.busy or report.coming:
+            self.next_report_s = now_s + REPORT_LAG_S
+            return
+        self.known = True
+        self.pending = None
+        self.order_count = report.order_count
+        before = self.items
+        self.items = {}
+        for item in report.items:
+            used_s = before[item].used_s if item in before else now_s
+            self.items[item] = HeldItem(Presence.HELD, now_s, used_s)
+            self._keep(item)
+
+    def _keep(self, item: Item) -> None:
+        if item.adapter:
+            return
+        if item.model in self.kept:
+            self.kept.remove(item.model)
+        self.kept.append(item.model)
+
+    def _with_adapters(self, item: Item) -> Iterable[Item]:
+        if item.adapter:
+            return (item,)
+        return [found for found in self.items if found.model == item.model]
--- /dev/null
+++ b/src/marjoramstage/entry.py
@@ -0,0 +1,196 @@
+"""An instance on the users' platform, from its start to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from marjoramstage import logs, platform
+from marjoramstage._entry.events import EventLog
+from marjoramstage._entry.figures import Figures
+from marjoramstage._entry.following import (
+    follow_routes,
+    follow_targets,
+    settle_targets,
+)
+from marjoramstage._entry.holding import Holder
+from marjoramstage._entry.linking import Link
+from marjoramstage._entry.serving import Serving
+from marjoramstage._entry.world import World
+from marjoramstage.addresses import split_address
+from marjoramstage.clock import SystemClock
+from marjoramstage.exceptions import ConfigError
+from marjoramstage.state.boot import Boot
+from marjoramstage.transport.exchange import Exchange
+from marjoramstage.transport.sockets import client_socket
+
+LISTEN_AFTER_STOP_S = 3.0
+END_MARGIN_S = 0.6
+IDLE_S = 75.0
+MAX_HEAD_BYTES = 32_768
+BACKLOG = 1024
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+
+
+class Entry:
+    """One running instance.
+
+    Parameters
+    ----------
+    boot : Boot
+        What the machine told.
+    path : str
+        Its settings file, read again on SIGHUP.
+    """
+
+    def __init__(self, boot: Boot, path: str):
+        self._path = path
+        clock = SystemClock()
+        self._events = EventLog(logs.part_logger("entry"), clock)
+        self._world = World(boot, clock, self._events)
+        self._figures = Figures()
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._servers: list[asyncio.Server] = []
+
+    async def run(self) -> None:
+        """Serve until a signal asks for the end."""
+        await self._start()
+        await self._stop.wait()
+        await self._leave()
+
+    async def _start(self) -> None:
+        boot = self._world.boot
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._exchange = Exchange()
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=client_socket)
+        self._session = aiohttp.ClientSession(connector=connector)
+        store = platform.ObjectStore(self._session, boot.platform)
+        self._serving = Serving(self._world, self._exchange, self._figures)
+        address = f"{boot.ip}:{boot.ports[0]}"
+        self._link = Link(self._world, address)
+        self._holder = Holder(
+            self._world, store, self._exchange, address, self._link.send_view
+        )
+        self._link.attach(self._holder)
+        await self._listen(loop)
+        await self._link.start()
+        targets = follow_targets(store, self._world)
+        for coro in (
+            follow_routes(store, self._world).run(),
+            targets.run(),
+            settle_targets(targets, self._world),
+            self._holder.run(),
+            self._link.run(),
+        ):
+            self._tasks.append(asyncio.create_task(self._guard(coro)))
+        self._events.event("started", data_centre=boot.data_centre)
+
+    async def _guard(self, coro) -> None:
+        """Say why a part that should run for ever has ended."""
+        try:
+            await coro
+        except Exception as exc:
+            self._events.event("part failed", reason=repr(exc))
+            raise
+
+    async def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
+        boot = self._world.boot
+        self._callers = web.Server(
+            self._serving.handle,
+            handler_cancellation=True,
+            request_factory=self._request,
+            keepalive_timeout=IDLE_S,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            access_log=None,
+        )
+        self._probes = web.Server(self._probe, access_log=None)
+        host, port = split_address(boot.callers)
+        self._front = await loop.create_server(
+            self._callers, host, port, backlog=BACKLOG
+        )
+        host, port = split_address(boot.ready)
+        self._servers.append(await loop.create_server(self._probes, host, port))
+        self._servers.append(
+            await loop.create_server(self._probes, boot.ip, METRICS_PORT)
+        )
+
+    def _request(self, message, payload, protocol, writer, task) -> web.BaseRequest:
+        """Make a request object that takes bodies up to the operator's limit."""
+        table = self._world.table
+        most = table.limits.body_bytes if table is not None else 0
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=most,
+        )
+
+    async def _probe(self, req: web.BaseRequest) -> web.Response:
+        if req.path == METRICS_PATH:
+            self._figures.waiting.set(len(self._world.line))
+            self._figures.holding.set(1 if self._holder.holds else 0)
+            return web.Response(body=self._figures.text(), content_type="text/plain")
+        if req.path != platform.READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._world.ready else 503)
+
+    def _reload(self) -> None:
+        """Read the settings again; a broken file changes nothing."""
+        try:
+            boot = platform.load_boot(self._path)
+        except ConfigError as exc:
+            self._events.event("settings unreadable", reason=str(exc))
+            return
+        self._world.boot = boot
+        self._events.event("settings reloaded", path=self._path)
+
+    async def _leave(self) -> None:
+        """Stop without cutting off what is in flight."""
+        world = self._world
+        began_s = world.clock.now()
+        world.stopping = True
+        self._events.event("stopping", in_flight=self._serving.in_flight)
+        await self._holder.stop()
+        end_s = began_s + world.boot.bounds.grace_s - END_MARGIN_S
+        while world.clock.now() < end_s:
+            listened_s = world.clock.now() - began_s
+            if listened_s >= LISTEN_AFTER_STOP_S:
+                self._front.close()
+                if self._serving.in_flight == 0:
+                    break
+            await asyncio.sleep(0.05)
+        self._events.event("stopped", in_flight=self._serving.in_flight)
+        for task in self._tasks:
+            task.cancel()
+        for server in self._servers:
+            server.close()
+        await self._callers.shutdown(0.1)
+        await self._link.stop()
+        await self._exchange.stop()
+        await self._session.close()
+
+
+def run(path: str) -> int:
+    """Run an instance with the settings file at ``path``."""
+    boot = platform.load_boot(path)
+    logs.configure_stdout("info", boot.name)
+    gc.freeze()
+    asyncio.run(_run(boot, path))
+    return 0
+
+
+async def _run(boot: Boot, path: str) -> None:
+    await Entry(boot, path).run()
--- a/src/marjoramstage/logs.py
+++ b/src/marjoramstage/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 from collections.abc import MutableMapping
 from typing import Any
@@ -38,6 +39,36 @@
         return True
 
 
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor; drops those that would block.
+
+    Parameters
+    ----------
+    number : int
+        Descriptor; it is set to not block.
+    """
+
+    def __init__(self, number: int):
+        super().__init__()
+        os.set_blocking(number, False)
+        self._number = number
+        self._cut = b""
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line whole, or drop it and count it."""
+        line = self.format(record).encode() + b"\n"
+        try:
+            if self._cut:
+                self._cut = self._cut[os.write(self._number, self._cut) :]
+            if self._cut:
+                self.dropped += 1
+                return
+            self._cut = line[os.write(self._number, line) :]
+        except OSError:
+            self.dropped += 1
+
+
 def configure(level: str, instance: str) -> None:
     """Send log lines to standard error as JSON.
 
@@ -48,7 +79,15 @@
     instance : str
         Name of the process, put in each line.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    _configure(logging.StreamHandler(sys.stderr), level, instance)
+
+
+def configure_stdout(level: str, instance: str) -> None:
+    """Send log lines to standard output, never waiting for its reader."""
+    _configure(NonBlockingHandler(sys.stdout.fileno()), level, instance)
+
+
+def _configure(handler: logging.Handler, level: str, instance: str) -> None:
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
--- a/src/marjoramstage/metrics.py
+++ b/src/marjoramstage/metrics.py
@@ -5,8 +5,6 @@
 from collections import Counter
 from typing import Protocol
 
-import statsd
-
 PREFIX = "marjoramstage"
 
 
@@ -52,6 +50,8 @@
     """
 
     def __init__(self, host: str, port: int):
+        import statsd
+
         super().__init__()
         self._client = statsd.StatsClient(host, port, PREFIX, ipv6=":" in host)
         self._client._sock.setblocking(False)
--- /dev/null
+++ b/src/marjoramstage/platform/__init__.py
@@ -0,0 +1,53 @@
+"""Adapter to the users' platform: names, formats and calls; no decisions.
+
+What the platform sends is decoded here, once, into types of the product.
+"""
+
+from marjoramstage.platform._config import decode_table
+from marjoramstage.platform._headers import (
+    CallerHeaders,
+    answer_headers,
+    caller_headers,
+    is_not_run,
+    order_headers,
+    request_id_of,
+    target_headers,
+)
+from marjoramstage.platform._orders import (
+    decode_report,
+    encode_order,
+    order_answer,
+)
+from marjoramstage.platform._settings import SETTINGS_VARIABLE, load_boot
+from marjoramstage.platform._store import CONFIG, LEASES, TARGETS, ObjectStore
+from marjoramstage.platform._targets import decode_target
+
+CONFIG_NAME = "main"
+READY_PATH = "/api/ready"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+
+__all__ = [
+    "CONFIG",
+    "CONFIG_NAME",
+    "LEASES",
+    "ORDER_PATH",
+    "READY_PATH",
+    "REPORT_PATH",
+    "SETTINGS_VARIABLE",
+    "TARGETS",
+    "CallerHeaders",
+    "ObjectStore",
+    "answer_headers",
+    "caller_headers",
+    "decode_report",
+    "decode_table",
+    "decode_target",
+    "encode_order",
+    "is_not_run",
+    "load_boot",
+    "order_answer",
+    "order_headers",
+    "request_id_of",
+    "target_headers",
+]
--- /dev/null
+++ b/src/marjoramstage/platform/_config.py
@@ -0,0 +1,107 @@
+"""Decodes the operator's configuration into a `RouteTable`."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from marjoramstage.state.routes import (
+    EngineSpec,
+    Limits,
+    ModelSpec,
+    Repeat,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+
+MS = 0.001
+
+
+def decode_table(spec: Any) -> Result[RouteTable, str]:
+    """Return the table of a configuration, or why it cannot be read.
+
+    A route that leads to no known service is left out; the others hold.
+    """
+    try:
+        data = json.loads(spec) if isinstance(spec, str | bytes) else spec
+        services = {item["name"]: _service(item) for item in data["services"]}
+        routes = [_route(item) for item in data["routes"]]
+        known = [r for r in routes if all(s.service in services for s in r.shares)]
+        limits = _limits(data.get("limits") or {})
+        return Ok(RouteTable(int(data["version"]), tuple(known), services, limits))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(f"{type(exc).__name__}: {exc}")
+
+
+def _route(data: dict[str, Any]) -> Route:
+    kind = data.get("kind")
+    streams = kind == "stream"
+    resumable = bool(data.get("resumable"))
+    repeat = kind == "safe" or (streams and resumable)
+    split = data.get("split") or [{"service": data.get("service"), "weight": 1}]
+    return Route(
+        name=str(data["name"]),
+        host=str(data["host"]).lower(),
+        prefix=str(data["path_prefix"]),
+        shares=tuple(Share(s["service"], float(s["weight"])) for s in split),
+        repeat=Repeat.ANY if repeat else Repeat.ONCE,
+        streams=streams,
+        resumable=resumable,
+        attempts=max(1, int(data.get("attempts") or 1)),
+        timeout_s=float(data.get("timeout_ms") or 30_000) * MS,
+        aim_s=float(data.get("target_latency_ms") or 1_000) * MS,
+        rank=int(data.get("priority") or 0),
+    )
+
+
+def _service(data: dict[str, Any]) -> Service:
+    engine = data.get("engine")
+    return Service(
+        name=data["name"],
+        health_path=data.get("health_path") or "/health",
+        max_conns=int(data.get("max_conns") or 100),
+        engine=_engine(engine) if engine and engine.get("models") else None,
+    )
+
+
+def _engine(data: dict[str, Any]) -> EngineSpec:
+    models = [_model(item) for item in data["models"]]
+    return EngineSpec(
+        slots=int(data["slots"]),
+        memory_mb=float(data["weights_mb"]),
+        adapter_places=int(data.get("adapter_slots") or 0),
+        loads_per_s=float(data.get("loads_per_s") or 1),
+        models={model.name: model for model in models},
+    )
+
+
+def _model(data: dict[str, Any]) -> ModelSpec:
+    load_s = float(data.get("load_s") or 1.0)
+    return ModelSpec(
+        name=data["name"],
+        memory_mb=float(data["weights_mb"]),
+        load_s=load_s,
+        disk_load_s=float(data.get("disk_s") or load_s),
+        memory_load_s=float(data.get("warm_s") or load_s),
+        adapters=int(data.get("adapters") or 0),
+        adapter_mb=float(data.get("adapter_mb") or 0.0),
+    )
+
+
+def _limits(data: dict[str, Any]) -> Limits:
+    default = Limits()
+    return Limits(
+        header_bytes=int(data.get("max_header_bytes") or default.header_bytes),
+        body_bytes=int(data.get("max_body_bytes") or default.body_bytes),
+        header_timeout_s=_seconds(data, "header_timeout_ms", default.header_timeout_s),
+        idle_timeout_s=_seconds(data, "idle_timeout_ms", default.idle_timeout_s),
+    )
+
+
+def _seconds(data: dict[str, Any], key: str, fallback: float) -> float:
+    value = data.get(key)
+    return float(value) * MS if value else fallback
--- /dev/null
+++ b/src/marjoramstage/platform/_orders.py
@@ -0,0 +1,64 @@
+"""Encodes orders to targets and decodes their answers and reports."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from marjoramstage.platform._targets import decode_items
+from marjoramstage.protocol.control import Order, OrderAnswer
+from marjoramstage.state.fleet import Item, TargetReport
+
+_ANSWERS = {
+    200: OrderAnswer.HOLDS,
+    202: OrderAnswer.ACCEPTED,
+    400: OrderAnswer.INVALID,
+    409: OrderAnswer.BUSY,
+    412: OrderAnswer.FENCED,
+    421: OrderAnswer.OTHER_TARGET,
+}
+
+
+def encode_order(order: Order) -> bytes:
+    """Return the body of an order."""
+    body: dict[str, Any] = {
+        "op": "load" if order.load else "unload",
+        "model": order.item.model,
+        "holder": order.holder,
+        "fence": order.fence,
+    }
+    if order.item.adapter:
+        body["adapter"] = order.item.adapter
+    if order.order_count is not None:
+        body["precondition"] = order.order_count
+    return json.dumps(body).encode()
+
+
+def order_answer(status: int) -> OrderAnswer:
+    """Return what a target's status says of an order."""
+    return _ANSWERS.get(status, OrderAnswer.UNKNOWN)
+
+
+def decode_report(body: bytes) -> Result[TargetReport, str]:
+    """Return the report of a target, or why it cannot be read."""
+    try:
+        data = json.loads(body)
+        report = TargetReport(
+            order_count=int(data["seq"]),
+            busy=bool(data["busy"]),
+            running=int(data.get("running") or 0),
+            waiting=int(data.get("waiting") or 0),
+            items=decode_items(data.get("models") or ()),
+            coming=frozenset(_coming(text) for text in data.get("coming") or ()),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(f"{type(exc).__name__}: {exc}")
+    return Ok(report)
+
+
+def _coming(text: str) -> Item:
+    """Read MODEL/NAME@VERSION."""
+    model, _, rest = text.partition("/")
+    return Item(model, rest.partition("@")[0])
--- /dev/null
+++ b/src/marjoramstage/platform/_settings.py
@@ -0,0 +1,82 @@
+"""Reads the settings file of a machine: lines of ``a.b=value``."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+
+from marjoramstage.exceptions import ConfigError
+from marjoramstage.state.boot import Boot, BootBounds
+
+SETTINGS_VARIABLE = "MARJORAMSTAGE_NODE_FILE"
+MS = 0.001
+
+_REQUIRED = ("node_name", "ip", "zone", "listen.front", "listen.ready", "platform.addr")
+
+
+def load_boot(path: str) -> Boot:
+    """Read a settings file.
+
+    Raises
+    ------
+    ConfigError
+        A field is missing or cannot be read; unknown fields are ignored.
+    """
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigError((f"{path}: {exc}",)) from exc
+    return parse_boot(text, path)
+
+
+def parse_boot(text: str, path: str = "settings") -> Boot:
+    """Read the text of a settings file; errors as in `load_boot`."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        key, found, value = line.partition("=")
+        if found:
+            fields[key.strip()] = value.strip()
+    problems = [f"{path}: {key} is missing" for key in _REQUIRED if not fields.get(key)]
+    if problems:
+        raise ConfigError(tuple(problems))
+    try:
+        return _boot(fields)
+    except ValueError as exc:
+        raise ConfigError((f"{path}: {exc}",)) from exc
+
+
+def _boot(fields: Mapping[str, str]) -> Boot:
+    first, _, last = fields.get("port_range", "").partition(",")
+    ports = tuple(range(int(first), int(last) + 1)) if first and last else ()
+    return Boot(
+        name=fields["node_name"],
+        ip=fields["ip"],
+        data_centre=fields["zone"],
+        callers=fields["listen.front"],
+        ready=fields["listen.ready"],
+        platform=fields["platform.addr"],
+        ports=ports,
+        first_start=fields.get("bootstrap") == "true",
+        bounds=_bounds(fields),
+    )
+
+
+def _bounds(fields: Mapping[str, str]) -> BootBounds:
+    default = BootBounds()
+
+    def figure(key: str, fallback: float, unit: float = 1.0) -> float:
+        text = fields.get(f"bounds.{key}")
+        return float(text) * unit if text else fallback
+
+    return BootBounds(
+        drain_s=figure("drain_ms", default.drain_s, MS),
+        config_s=figure("config_ms", default.config_s, MS),
+        grace_s=figure("grace_s", default.grace_s),
+        repeat_ratio=figure("budget_ratio", default.repeat_ratio),
+        repeat_extra=figure("budget_extra", default.repeat_extra),
+        repeat_window_s=figure("budget_window_s", default.repeat_window_s),
+        lease_s=figure("lease_ms", default.lease_s, MS),
+        load_window_s=figure("ceiling_window_s", default.load_window_s),
+        load_over=figure("ceiling_over", default.load_over),
+        checks_fence=fields.get("bounds.checks_fence", "true") == "true",
+    )
--- /dev/null
+++ b/src/marjoramstage/platform/_store.py
@@ -0,0 +1,220 @@
+"""Client of the platform's object store over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+from result import Err, Ok, Result
+
+from marjoramstage.exceptions import Verdict
+from marjoramstage.protocol.objects import (
+    Kind,
+    ObjectList,
+    PlatformError,
+    PlatformFault,
+    PlatformObject,
+    WatchEvent,
+    WatchType,
+)
+from marjoramstage.transport._once import BrokenCallError, send_once
+
+CALL_TIMEOUT_S = 1.5
+WATCH_WAIT_S = 20.0
+WATCH_SLACK_S = 3.0
+
+CONFIG = Kind("", "", "config", "config")
+TARGETS = Kind("", "", "servers", "servers")
+LEASES = Kind("", "", "marjoramstage-leases", "lease")
+
+_BROKEN = (aiohttp.ClientError, BrokenCallError, TimeoutError, OSError, ValueError)
+
+_FAULT_OF_STATUS = {
+    400: PlatformFault.REFUSED,
+    404: PlatformFault.NOT_FOUND,
+    409: PlatformFault.CONFLICT,
+    410: PlatformFault.EXPIRED,
+    413: PlatformFault.REFUSED,
+}
+# These say that a call did nothing; any other failure leaves a write open.
+_DID_NOTHING = frozenset((400, 404, 409, 410, 413, 429, 503))
+
+
+class ObjectStore:
+    """The object store at one address; a `Platform`.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections to use; not closed by this class.
+    address : str
+        ``ip:port`` of the store.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        watch_wait_s: float = WATCH_WAIT_S,
+    ):
+        self._session = session
+        self._base = f"http://{address}/api/objects"
+        self._call_timeout_s = call_timeout_s
+        self._watch_wait_s = watch_wait_s
+
+    async def get(self, kind: Kind, name: str) -> Result[PlatformObject, PlatformError]:
+        """Read one object."""
+        found = await self._call("GET", self._url(kind, name))
+        return _decoded(found, lambda data: _object(kind, data))
+
+    async def list(
+        self, kind: Kind, labels: Mapping[str, str] | None = None
+    ) -> Result[ObjectList, PlatformError]:
+        """Read all objects of a kind, page by page; ``labels`` are not used."""
+        objects: list[PlatformObject] = []
+        after: str | None = None
+        while True:
+            params = {"after": after} if after else {}
+            found = await self._call("GET", self._url(kind), params)
+            page = _decoded(found, lambda data: _page(kind, data))
+            if isinstance(page, Err):
+                return page
+            items, more, revision = page.ok_value
+            objects += items
+            if not more or not items:
+                return Ok(ObjectList(tuple(objects), revision))
+            after = items[-1].name
+
+    async def create(
+        self, obj: PlatformObject
+    ) -> Result[PlatformObject, PlatformError]:
+        """Create an object if there is none of its name."""
+        found = await self._call("POST", self._url(obj.kind), body=_data(obj))
+        created = _decoded(found, lambda data: _object(obj.kind, data))
+        if isinstance(created, Err):
+            error = created.err_value
+            if error.fault is PlatformFault.CONFLICT:
+                return Err(
+                    PlatformError(PlatformFault.EXISTS, error.verdict, error.message)
+                )
+        return created
+
+    async def update(
+        self, obj: PlatformObject
+    ) -> Result[PlatformObject, PlatformError]:
+        """Replace the object if its version is still ``obj.version``."""
+        url = self._url(obj.kind, obj.name)
+        found = await self._call("PUT", url, body=_data(obj))
+        return _decoded(found, lambda data: _object(obj.kind, data))
+
+    async def delete(
+        self, kind: Kind, name: str, version: str
+    ) -> Result[None, PlatformError]:
+        """Remove the object if its version is still ``version``."""
+        found = await self._call("DELETE", self._url(kind, name), {"rev": version})
+        return found.map(lambda data: None)
+
+    async def watch(
+        self, kind: Kind, version: str, labels: Mapping[str, str] | None = None
+    ) -> AsyncIterator[Result[WatchEvent, PlatformError]]:
+        """Wait once for changes after ``version``.
+
+        Ends after the events of one call; the last is a bookmark.
+        """
+        params = {"watch": version, "wait_ms": str(int(self._watch_wait_s * 1000))}
+        timeout_s = self._watch_wait_s + WATCH_SLACK_S
+        found = await self._call("GET", self._url(kind), params, timeout_s=timeout_s)
+        events = _decoded(found, lambda data: _events(kind, data))
+        if isinstance(events, Err):
+            yield events
+            return
+        for event in events.ok_value:
+            yield Ok(event)
+
+    def _url(self, kind: Kind, name: str = "") -> str:
+        if not name:
+            return f"{self._base}/{kind.plural}"
+        return f"{self._base}/{kind.plural}/{quote(name, safe='')}"
+
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        params: Mapping[str, str] | None = None,
+        body: dict[str, Any] | None = None,
+        timeout_s: float | None = None,
+    ) -> Result[Any, PlatformError]:
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s or self._call_timeout_s, sock_connect=CALL_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method,
+                url,
+                params=params,
+                json=body,
+                timeout=timeout,
+                middlewares=(send_once,),
+            ) as resp:
+                payload = await resp.read()
+                if resp.status >= 300:
+                    return Err(_refusal(method, resp.status, payload))
+                return Ok(json.loads(payload) if payload else None)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            return Err(_unavailable(Verdict.NOT_RUN, exc))
+        except _BROKEN as exc:
+            verdict = Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN
+            return Err(_unavailable(verdict, exc))
+
+
+def _unavailable(verdict: Verdict, exc: BaseException) -> PlatformError:
+    text = f"{type(exc).__name__}: {exc}"
+    return PlatformError(PlatformFault.UNAVAILABLE, verdict, text)
+
+
+def _refusal(method: str, status: int, payload: bytes) -> PlatformError:
+    fault = _FAULT_OF_STATUS.get(status, PlatformFault.UNAVAILABLE)
+    proved = method == "GET" or status in _DID_NOTHING
+    verdict = Verdict.NOT_RUN if proved else Verdict.MAY_HAVE_RUN
+    return PlatformError(fault, verdict, f"status {status} {payload[:80]!r}")
+
+
+def _decoded(found: Result[Any, PlatformError], read) -> Result[Any, PlatformError]:
+    """Read a body; one that cannot be read is an error, not an exception."""
+    if isinstance(found, Err):
+        return found
+    try:
+        return Ok(read(found.ok_value))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(_unavailable(Verdict.MAY_HAVE_RUN, exc))
+
+
+def _object(kind: Kind, data: dict[str, Any]) -> PlatformObject:
+    meta = data["meta"]
+    return PlatformObject(kind, meta["name"], data.get("spec"), str(meta["rev"]))
+
+
+def _page(kind: Kind, data: dict[str, Any]) -> tuple[list[PlatformObject], bool, str]:
+    items = [_object(kind, item) for item in data["items"]]
+    return items, bool(data.get("more")), str(data["store_revision"])
+
+
+def _events(kind: Kind, data: dict[str, Any]) -> list[WatchEvent]:
+    revision = str(data["store_revision"])
+    events = []
+    for item in data["events"]:
+        obj = _object(kind, item["object"])
+        type_ = WatchType.DELETED if item.get("deleted") else WatchType.MODIFIED
+        events.append(WatchEvent(type_, revision, obj))
+    return [*events, WatchEvent(WatchType.BOOKMARK, revision)]
+
+
+def _data(obj: PlatformObject) -> dict[str, Any]:
+    meta: dict[str, Any] = {"name": obj.name, "finalizers": []}
+    if obj.version:
+        meta["rev"] = int(obj.version)
+    return {"meta": meta, "spec": dict(obj.spec)}
--- /dev/null
+++ b/src/marjoramstage/platform/_targets.py
@@ -0,0 +1,71 @@
+"""Decodes the entry that a target keeps of itself at the platform."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from marjoramstage.state.fleet import FleetTarget, Item
+
+MS = 0.001
+STATES = ("ready", "draining")
+
+
+def decode_target(name: str, spec: Any) -> Result[FleetTarget, str]:
+    """Return the target of an entry, or why the entry names none."""
+    try:
+        data = json.loads(spec) if isinstance(spec, str | bytes) else spec
+        return Ok(_target(name, data))
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        return Err(f"{type(exc).__name__}: {exc}")
+
+
+def _target(name: str, data: dict[str, Any]) -> FleetTarget:
+    state = data["state"]
+    if state not in STATES:
+        raise ValueError(f"state {state!r}")
+    service, address, zone = data["service"], data["addr"], data["zone"]
+    host, _, port = _text(address).rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"addr {address!r}")
+    left = data.get("remaining_ms")
+    models = data.get("models")
+    return FleetTarget(
+        name=name,
+        incarnation=_whole(data.get("born") or 0),
+        service=_text(service),
+        address=address,
+        data_centre=_text(zone),
+        slots=max(1, _whole(data["slots"])),
+        leaving=state == "draining",
+        leaves_in_s=float(left) * MS if left is not None else None,
+        # `seq` counts the orders that the target has accepted.
+        order_count=_whole(data.get("seq") or 0),
+        items=decode_items(models) if models is not None else None,
+    )
+
+
+def decode_items(models: Any) -> frozenset[Item]:
+    """Return the models and adapters of a list of what a target holds."""
+    items = set()
+    for model in models:
+        name = _text(model["name"])
+        items.add(Item(name))
+        for adapter in model.get("adapters") or ():
+            # An adapter may be given as NAME or NAME@VERSION.
+            items.add(Item(name, _text(adapter).partition("@")[0]))
+    return frozenset(items)
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"text expected, got {value!r:.40}")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"whole number expected, got {value!r:.40}")
+    return value
--- a/src/marjoramstage/protocol/events.py
+++ b/src/marjoramstage/protocol/events.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.messages import (
     AttemptEnd,
     InstanceLoad,
@@ -102,30 +103,6 @@
     """Time went on."""
 
 
-@dataclass(frozen=True)
-class LeaseHeld:
-    """This instance holds the lease of a shard of targets.
-
-    Attributes
-    ----------
-    until_s : float
-        Reading of the monotonic clock at which validity ends.
-    fence : int
-        Fencing number of this holding.
-    """
-
-    shard: str
-    fence: int
-    until_s: float
-
-
-@dataclass(frozen=True)
-class LeaseLost:
-    """This instance no longer holds the lease of a shard."""
-
-    shard: str
-
-
 @dataclass(frozen=True)
 class LedgerRead:
     """The platform holds this ledger, after a read or a successful write."""
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -235,8 +235,68 @@
     hops: int = 0
 
 
+@dataclass(frozen=True)
+class EntryReport:
+    """What an instance tells the holder of the placement lease.
+
+    Attributes
+    ----------
+    waiting : Mapping
+        Requests that wait now, by service and item, joined by a space.
+    arrived : Mapping
+        Requests since the sender's start, by service and item.
+    running : Mapping
+        Requests at targets now, by target and item.
+    """
+
+    instance: str
+    address: str
+    incarnation: str
+    sequence: int
+    waiting: Mapping[str, int] = field(default_factory=dict)
+    arrived: Mapping[str, int] = field(default_factory=dict)
+    running: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class HeldItems:
+    """What a target can be sent now.
+
+    Attributes
+    ----------
+    items : tuple of str
+        Models and adapters that it holds and that are not on their way out.
+    running_elsewhere : int
+        Requests that other instances than the receiver have there.
+    """
+
+    target: str
+    incarnation: int
+    items: tuple[str, ...] = ()
+    running_elsewhere: int = 0
+
+
+@dataclass(frozen=True)
+class FleetView:
+    """What the holder of the placement lease tells an instance."""
+
+    holder: str
+    fence: int
+    sequence: int
+    instances: int
+    held: tuple[HeldItems, ...] = ()
+
+
 PeerMessage = (
-    Hello | Gossip | Load | Rumour | DocumentsAsked | DocumentsSent | AdapterWanted
+    Hello
+    | Gossip
+    | Load
+    | Rumour
+    | DocumentsAsked
+    | DocumentsSent
+    | AdapterWanted
+    | EntryReport
+    | FleetView
 )
 
 _MESSAGES = {
@@ -247,6 +307,8 @@
     "documents_asked": DocumentsAsked,
     "documents_sent": DocumentsSent,
     "adapter_wanted": AdapterWanted,
+    "entry_report": EntryReport,
+    "fleet_view": FleetView,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(load_idl("peers.thrift"), _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -110,6 +110,31 @@
   5: optional i32 hops
 }
 
+struct EntryReport {
+  1: optional string instance
+  2: optional string address
+  3: optional string incarnation
+  4: optional i64 sequence
+  5: optional map<string, i64> waiting
+  6: optional map<string, i64> arrived
+  7: optional map<string, i64> running
+}
+
+struct HeldItems {
+  1: optional string target
+  2: optional i64 incarnation
+  3: optional list<string> items
+  4: optional i64 running_elsewhere
+}
+
+struct FleetView {
+  1: optional string holder
+  2: optional i64 fence
+  3: optional i64 sequence
+  4: optional i64 instances
+  5: optional list<HeldItems> held
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello
@@ -119,4 +144,6 @@
   5: optional DocumentsAsked documents_asked
   6: optional DocumentsSent documents_sent
   7: optional AdapterWanted adapter_wanted
+  8: optional EntryReport entry_report
+  9: optional FleetView fleet_view
 }
--- /dev/null
+++ b/src/marjoramstage/state/routes.py
@@ -0,0 +1,159 @@
+"""Routes by host and path prefix, and the services they lead to."""
+
+from __future__ import annotations
+
+import enum
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+MAX_URGENCY = 9
+
+
+class Repeat(enum.Enum):
+    """How often one request may be run."""
+
+    ANY = "any"
+    ONCE = "once"
+
+
+@dataclass(frozen=True)
+class Share:
+    """A service's part of a route's requests; weights need not add up."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where requests of a host and path prefix go.
+
+    Attributes
+    ----------
+    repeat : Repeat
+        Whether a request may run again after it may have run.
+    streams : bool
+        Answers are event streams.
+    resumable : bool
+        A broken stream may go on at another target after its last event.
+    attempts : int
+        Targets at which one request may run at most.
+    timeout_s : float
+        When an unfinished request gets its final answer, in seconds.
+    aim_s : float
+        Wanted time to the answer or to the first event, in seconds.
+    rank : int
+        Urgency; 0 is first.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    repeat: Repeat = Repeat.ONCE
+    streams: bool = False
+    resumable: bool = False
+    attempts: int = 1
+    timeout_s: float = 30.0
+    aim_s: float = 1.0
+    rank: int = 0
+
+    def service_for(self, request_id: str) -> str:
+        """Return the service of a request; the same id always gets the same."""
+        total = sum(share.weight for share in self.shares)
+        if total <= 0:
+            return self.shares[0].service
+        point = zlib.crc32(request_id.encode()) / 2**32 * total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@dataclass(frozen=True)
+class ModelSpec:
+    """A model that the targets of a service may hold.
+
+    Attributes
+    ----------
+    memory_mb, adapter_mb : float
+        Memory of the weights and of each adapter.
+    load_s, disk_load_s, memory_load_s : float
+        Load time from the weight store, the target's disk and its memory.
+    """
+
+    name: str
+    memory_mb: float
+    load_s: float
+    disk_load_s: float
+    memory_load_s: float
+    adapters: int = 0
+    adapter_mb: float = 0.0
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What every target of an engine service has room for."""
+
+    slots: int
+    memory_mb: float
+    adapter_places: int
+    loads_per_s: float
+    models: Mapping[str, ModelSpec] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Service:
+    """A group of targets that serve the same requests."""
+
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Bounds on what callers may send and how long they may stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class RouteTable:
+    """One accepted version of the routes, immutable.
+
+    Parameters
+    ----------
+    version : int
+        Versions rise; a table never replaces one of a higher version.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: Mapping[str, Service],
+        limits: Limits,
+    ):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self.routes = routes
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host, []).append(route)
+        for found in by_host.values():
+            found.sort(key=lambda route: -len(route.prefix))
+        self._by_host = by_host
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
