Tell when a model comes, hand the lease over sooner

Ruled out: longer waiting at the entry, since callers leave before. Conclusion: an instance waits for a model only when the holder of the lease says that it comes in time; a holder that ends says so, and a taker need not wait the whole term where targets refuse old fencing numbers.

--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -36,7 +36,10 @@
 SHARD = "placement"
 TICK_S = 0.02
 VIEW_EVERY_S = 0.25
-VIEW_LIVE_S = 1.0
+VIEW_LIVE_S = 0.7
+CLOCK_MARGIN_S = 0.4
+STAGGER_S = 0.3
+FENCED_WAIT_SHARE = 0.6
 REPORT_LIVE_S = 1.5
 ORDER_TIMEOUT_S = 1.0
 RANKS = 3
@@ -70,8 +73,13 @@
         self._send_view = send_view
         identity = f"{world.boot.name}/{uuid.uuid4().hex[:12]}"
         lease_s = world.boot.bounds.lease_s
+        fenced = world.boot.bounds.checks_fence
         timing = LeaseTiming(
-            term_s=lease_s, renew_s=lease_s / 3, margin_s=0.4, stagger_s=0.3
+            term_s=lease_s,
+            renew_s=lease_s / 3,
+            margin_s=CLOCK_MARGIN_S,
+            stagger_s=STAGGER_S,
+            wait_s=lease_s * FENCED_WAIT_SHARE if fenced else None,
         )
         self.keeper = LeaseKeeper(SHARD, identity, address, timing)
         self._rank = zlib.crc32(identity.encode()) % RANKS
@@ -109,7 +117,11 @@
 
     async def stop(self) -> None:
         """Give the lease up."""
-        for effect in self.keeper.stop(boot_time()):
+        held = self.holds
+        effects = self.keeper.stop(boot_time())
+        if held:
+            self._end()
+        for effect in effects:
             if isinstance(effect, WriteLease):
                 await self._write(effect.record)
         for task in list(self._tasks):
@@ -132,7 +144,11 @@
         return same_start and report.sequence <= known.sequence
 
     def view_heard(self, view: FleetView) -> None:
-        """Note that another instance holds the lease and is alive."""
+        """Note that another instance holds the lease, or that it ended."""
+        if view.ended:
+            self._view_heard_s = -VIEW_LIVE_S
+            self.keeper.ended(view.holder)
+            return
         self._view_heard_s = boot_time()
 
     def _is_led(self, now_s: float) -> bool:
@@ -167,13 +183,15 @@
         """Start to lead; orders wait until no earlier holder can give any."""
         now_s = boot_time()
         fence = self.keeper.fence
-        wait_s = self._world.boot.bounds.lease_s if fence > 1 else 0.0
+        bounds = self._world.boot.bounds
+        wait_s = bounds.lease_s if fence > 1 and not bounds.checks_fence else 0.0
         self._first_order_s = now_s + wait_s
         self._stockings.clear()
         self._world.events.event("lease held", fence=fence, orders_in_s=wait_s)
 
     def _end(self) -> None:
         self._first_order_s = 0.0
+        self._tell(boot_time(), ended=True)
         self._world.events.event("lease lost", fence=self.keeper.fence)
 
     async def _read(self) -> None:
@@ -362,10 +380,11 @@
 
     # Views
 
-    def _tell(self, now_s: float) -> None:
+    def _tell(self, now_s: float, ended: bool = False) -> None:
         """Send every instance what targets hold and what runs elsewhere."""
         self._view_due_s = now_s + VIEW_EVERY_S
         self._sequence += 1
+        coming = self._coming_ms(now_s)
         totals: Counter[str] = Counter()
         for _, report in self._reports.values():
             for key, count in report.running.items():
@@ -380,9 +399,23 @@
                 self._sequence,
                 len(self._reports),
                 self._held(totals, own),
+                coming,
+                ended,
             )
             self._send_view(report.address, view)
 
+    def _coming_ms(self, now_s: float) -> dict[str, int]:
+        """Return when the items that are waited for are likely to come."""
+        wanted = {key for _, report in self._reports.values() for key in report.waiting}
+        coming = {}
+        for key in wanted:
+            service, item = _key(key)
+            stocking = self._stockings.get(service)
+            coming_s = stocking.coming_s(item, now_s) if stocking else None
+            if coming_s is not None:
+                coming[key] = int(coming_s * 1000)
+        return coming
+
     def _held(self, totals: Counter[str], own: Counter[str]) -> tuple[HeldItems, ...]:
         held = []
         listed = set()
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -12,7 +12,8 @@
 from marjoramstage._entry.figures import Figures
 from marjoramstage._entry.world import World
 from marjoramstage.coordination.dispatch import Wish
-from marjoramstage.coordination.patience import LATEST, Outlook, Patience
+from marjoramstage.coordination.line import Waiter
+from marjoramstage.coordination.patience import LATEST, Outlook, Patience, Ruling
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.fleet import FleetTarget
@@ -209,34 +210,47 @@
         target = world.take(work.wish)
         if target is not None:
             return target
-        now_s = world.clock.now()
-        outlook = self._outlook(work)
-        verdict = self._patience.judge(
-            outlook, work.route, now_s - work.arrived_s, work.until_s - now_s
-        )
-        if verdict.refuse:
-            raise self._no_place(work, verdict.reason, verdict.retry_after_s)
         waiter = world.line.join(work.wish, work.route.rank, work.until_s)
         world.on_wanted()
         world.changed()
         try:
-            async with asyncio.timeout(verdict.wait_s):
-                return await asyncio.shield(waiter.fut)
-        except TimeoutError:
-            reason = f"waited: {outlook.value}"
-            raise self._no_place(work, reason, verdict.retry_after_s) from None
+            return await self._wait(work, waiter)
         finally:
             world.line.leave(waiter)
             self._return_unused(waiter, work)
 
-    def _return_unused(self, waiter, work: Work) -> None:
+    async def _wait(self, work: Work, waiter: Waiter) -> FleetTarget:
+        """Wait in the line for as long as it makes sense."""
+        while True:
+            ruling, outlook = self._ruling(work)
+            if ruling.refuse:
+                raise self._no_place(work, outlook.value, ruling.retry_after_s)
+            await asyncio.wait((waiter.fut,), timeout=ruling.wait_s)
+            if waiter.fut.done():
+                waiter.used = True
+                return waiter.fut.result()
+
+    def _ruling(self, work: Work) -> tuple[Ruling, Outlook]:
+        world = self._world
+        now_s = world.clock.now()
+        item = work.wish.item
+        outlook = self._outlook(work)
+        coming_s = world.coming_s(work.service, item) if item is not None else None
+        waited_s = now_s - work.arrived_s
+        left_s = min(work.until_s, work.arrived_s + work.route.first_s) - now_s
+        if work.resp is not None:
+            left_s = work.until_s - now_s
+        ruling = self._patience.judge(outlook, waited_s, left_s, coming_s)
+        return ruling, outlook
+
+    def _return_unused(self, waiter: Waiter, work: Work) -> None:
         """Give back a place that came just as its waiter gave up."""
-        fut = waiter.fut
-        if not fut.done():
-            fut.cancel()
+        if waiter.used:
             return
-        if asyncio.current_task().cancelling() and not fut.cancelled():
-            self._world.give_back(fut.result(), work.wish)
+        if not waiter.fut.done():
+            waiter.fut.cancel()
+        elif not waiter.fut.cancelled():
+            self._world.give_back(waiter.fut.result(), work.wish)
 
     def _outlook(self, work: Work) -> Outlook:
         world = self._world
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from marjoramstage._entry.events import EventLog
 from marjoramstage.clock import Clock
@@ -50,6 +50,7 @@
         self._budgets: dict[str, SharedBudget] = {}
         self._instances = 0
         self._view: tuple[str, int, int] = ("", 0, 0)
+        self._coming: tuple[float, Mapping[str, int]] = (0.0, {})
         self._dispatcher = Dispatcher(
             boot.data_centre, self.holdings, self.loads, self.health, random.Random()
         )
@@ -149,8 +150,17 @@
             self.holdings.tell(held.target, held.incarnation, items)
             running[held.target] = held.running_elsewhere
         self.loads.set_elsewhere(running)
+        self._coming = (self.clock.now(), view.coming_ms)
         self.changed()
 
+    def coming_s(self, service: str, item: Item) -> float | None:
+        """Return when an item is likely to be at a target; None if unknown."""
+        told_s, coming = self._coming
+        coming_ms = coming.get(f"{service} {item}")
+        if coming_ms is None:
+            return None
+        return max(0.0, told_s + coming_ms * 0.001 - self.clock.now())
+
     def _serve(self) -> None:
         self._serve_handle = None
         self.line.serve()
--- a/src/marjoramstage/coordination/leases.py
+++ b/src/marjoramstage/coordination/leases.py
@@ -44,12 +44,17 @@
         How much sooner the holder stops than a taker may begin.
     stagger_s : float
         How much longer each next rank waits before it takes a lease.
+    wait_s : float or None
+        How long a taker sees a version unchanged before it takes the lease;
+        None for the whole term. Less is safe only where targets refuse the
+        orders of a holder with an older fencing number.
     """
 
     term_s: float = TERM_S
     renew_s: float = RENEW_S
     margin_s: float = CLOCK_MARGIN_S
     stagger_s: float = STAGGER_S
+    wait_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -132,6 +137,7 @@
         self._read_s = 0.0
         self._sent: LeaseRecord | None = None
         self._sent_s = 0.0
+        self._ended: str | None = None
         self._calling = False
         self._next_call_s = 0.0
         self._again_s = 0.0
@@ -179,6 +185,11 @@
         self._next_call_s = now_s + self._read_interval(rank)
         return [*effects, self._read()]
 
+    def ended(self, holder: str) -> None:
+        """Note that a holder said itself that it gives no more orders."""
+        self._ended = holder
+        self._next_call_s = 0.0
+
     def read(self, record: LeaseRecord | None, now_s: float) -> list[LeaseEffect]:
         """Take in what the platform holds; None if there is no lease yet."""
         self._calling = False
@@ -267,8 +278,10 @@
 
     def _wait_s(self, rank: int) -> float:
         """How long a version has to be unchanged before it is replaced."""
-        free = self.record.holder in ("", self.identity)
-        return rank * self.timing.stagger_s + (0.0 if free else self.timing.term_s)
+        free = self.record.holder in ("", self.identity, self._ended)
+        timing = self.timing
+        wait_s = timing.term_s if timing.wait_s is None else timing.wait_s
+        return rank * timing.stagger_s + (0.0 if free else wait_s)
 
     def _due(self, rank: int, now_s: float) -> bool:
         """Whether one more read could show that the lease can be taken."""
--- a/src/marjoramstage/coordination/line.py
+++ b/src/marjoramstage/coordination/line.py
@@ -20,6 +20,7 @@
     number: int
     wish: Wish = field(compare=False)
     fut: asyncio.Future[FleetTarget] = field(compare=False)
+    used: bool = field(compare=False, default=False)
 
 
 class Line:
--- a/src/marjoramstage/coordination/stock.py
+++ b/src/marjoramstage/coordination/stock.py
@@ -53,11 +53,14 @@
     ----------
     accepted : bool
         The target said that it carries it out.
+    rejected : bool
+        The target said that it does not.
     """
 
     order: Order
     sent_s: float
     accepted: bool = False
+    rejected: bool = False
 
 
 class Stock:
@@ -161,8 +164,12 @@
             self.next_report_s = now_s + self._expected_s(pending.order)
             return
         if answer is OrderAnswer.HOLDS:
+            # An adapter that is unloaded on the spot counts as an order too.
+            if item.adapter and not pending.order.load:
+                self.order_count += 1
             self._done(pending.order, now_s)
             return
+        pending.rejected = answer is OrderAnswer.BUSY
         if answer in (OrderAnswer.INVALID, OrderAnswer.NOT_SENT, OrderAnswer.FENCED):
             self._undo(pending.order, now_s)
             return
@@ -189,6 +196,8 @@
         if pending is None:
             self.order_count = report.order_count
             return None
+        if pending.rejected:
+            return self._reported_rejected(report, now_s)
         expected = pending.order.order_count
         if not pending.accepted:
             if expected is not None and report.order_count > expected:
@@ -213,6 +222,17 @@
         self.next_report_s = now_s + REPORT_LAG_S
         return None
 
+    def _reported_rejected(self, report: TargetReport, now_s: float) -> None:
+        """Take up the true count of orders; the next step orders anew."""
+        if report.busy:
+            self.next_report_s = now_s + REPORT_LAG_S
+            return
+        self.order_count = report.order_count
+        if (self.pending.order.item in report.items) == self.pending.order.load:
+            self._done(self.pending.order, now_s)
+        else:
+            self._undo(self.pending.order, now_s)
+
     def tick(self, now_s: float) -> None:
         """Let an adapter that was accepted become usable after its load time."""
         pending = self.pending
@@ -221,6 +241,16 @@
         if pending.order.load and now_s - pending.sent_s >= ADAPTER_LOAD_S:
             self._done(pending.order, now_s)
 
+    def expected_s(self, item: Item, now_s: float) -> float:
+        """Return how long an item that is being loaded is likely to take yet."""
+        pending = self.pending
+        if pending is None or pending.order.item != item:
+            return 0.0
+        model = self.spec.models[item.model]
+        near = item.adapter or self.is_kept_near(item.model)
+        load_s = model.disk_load_s if near else model.load_s
+        return max(REPORT_LAG_S, load_s - (now_s - pending.sent_s))
+
     def wants_report(self, now_s: float) -> bool:
         """Whether the target is to be asked what holds."""
         if not self.known:
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -18,6 +18,9 @@
 from marjoramstage.state.routes import EngineSpec
 
 RETIRE_S = 0.12
+RETIRE_ADAPTER_S = 0.08
+UNLOAD_S = 0.7
+ADAPTER_S = 0.06
 MIN_STAY_S = 1.0
 BUSY_SHARE = 0.5
 SPARE_SHARE = 0.25
@@ -128,8 +131,27 @@
             if order is not None:
                 orders.append(order)
         orders += self._adapter_orders(need, now_s)
+        orders += self._spare_orders(need, now_s)
         return orders
 
+    def coming_s(self, item: Item, now_s: float) -> float | None:
+        """Return when an item is likely to be there; None if nobody knows."""
+        if item.adapter:
+            if any(stock.holds(item.base) for stock in self._usable()):
+                return ADAPTER_S
+            base_s = self.coming_s(item.base, now_s)
+            return None if base_s is None else base_s + ADAPTER_S
+        found = []
+        for stock in self._usable():
+            if stock.is_coming(item):
+                found.append(stock.expected_s(item, now_s))
+            elif self._planned.get(stock.target.name) == item:
+                model = self.spec.models[item.model]
+                near = stock.is_kept_near(item.model)
+                load_s = model.disk_load_s if near else model.load_s
+                found.append(load_s + (0.0 if stock.fits(item) else UNLOAD_S))
+        return min(found, default=None)
+
     # Models
 
     def _plan_models(self, need: Need, now_s: float) -> None:
@@ -316,9 +338,36 @@
         for stock in ready:
             if stock.fits(item):
                 return self._order(stock, item, True, now_s)
-            idle = self._idle_adapter(stock, need, now_s)
-            if idle is not None:
-                return self._order(stock, idle, False, now_s)
+            order = self._make_place(stock, need, now_s)
+            if order is not None:
+                return order
+        return None
+
+    def _spare_orders(self, need: Need, now_s: float) -> list[Order]:
+        """Keep an adapter place free at each target that has none."""
+        orders = []
+        for stock in self._usable():
+            if stock.pending is not None or stock.target.name in self._planned:
+                continue
+            if len(stock.adapters()) < self.spec.adapter_places:
+                continue
+            order = self._make_place(stock, need, now_s)
+            if order is not None:
+                orders.append(order)
+        return orders
+
+    def _make_place(self, stock: Stock, need: Need, now_s: float) -> Order | None:
+        """Retire an adapter, or unload one that was retired long enough ago."""
+        for item in stock.adapters():
+            held = stock.items[item]
+            if held.presence is not Presence.RETIRING:
+                continue
+            if now_s - held.since_s < RETIRE_ADAPTER_S:
+                return None
+            return self._order(stock, item, False, now_s)
+        idle = self._idle_adapter(stock, need, now_s)
+        if idle is not None:
+            stock.retire(idle, now_s)
         return None
 
     def _idle_adapter(self, stock: Stock, need: Need, now_s: float) -> Item | None:
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -278,13 +278,24 @@
 
 @dataclass(frozen=True)
 class FleetView:
-    """What the holder of the placement lease tells an instance."""
+    """What the holder of the placement lease tells an instance.
+
+    Attributes
+    ----------
+    coming_ms : Mapping
+        When items that are wanted are likely to come, in milliseconds, by
+        service and item.
+    ended : bool
+        The sender gives no more orders, another may take the lease.
+    """
 
     holder: str
     fence: int
     sequence: int
     instances: int
     held: tuple[HeldItems, ...] = ()
+    coming_ms: Mapping[str, int] = field(default_factory=dict)
+    ended: bool = False
 
 
 PeerMessage = (
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -133,6 +133,8 @@
   3: optional i64 sequence
   4: optional i64 instances
   5: optional list<HeldItems> held
+  6: optional map<string, i64> coming_ms
+  7: optional bool ended
 }
 
 // Exactly one field is set.
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 
 MAX_URGENCY = 9
+# Callers of streams wait at least this long for the next event.
+SHORTEST_PATIENCE_S = 2.0
 
 
 class Repeat(enum.Enum):
@@ -43,6 +45,8 @@
         When an unfinished request gets its final answer, in seconds.
     aim_s : float
         Wanted time to the answer or to the first event, in seconds.
+    gap_aim_s : float
+        Longest pause between events for an answer in time, in seconds.
     rank : int
         Urgency; 0 is first.
     """
@@ -57,8 +61,17 @@
     attempts: int = 1
     timeout_s: float = 30.0
     aim_s: float = 1.0
+    gap_aim_s: float = 0.0
     rank: int = 0
 
+    @property
+    def first_s(self) -> float:
+        """Return how long callers wait for the first sign of an answer."""
+        if not self.streams:
+            return self.timeout_s
+        patience_s = max(SHORTEST_PATIENCE_S, 4 * self.aim_s, 8 * self.gap_aim_s)
+        return min(self.timeout_s, patience_s)
+
     def service_for(self, request_id: str) -> str:
         """Return the service of a request; the same id always gets the same."""
         total = sum(share.weight for share in self.shares)
