Value copies by demand that instances report as decayed rates

Ruled out: counting requests at the holder (a new holder takes totals for arrivals of this moment and then evicts nothing).

--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -7,14 +7,14 @@
 import uuid
 import zlib
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from result import Err, Ok
 
 from marjoramstage import platform
 from marjoramstage._entry.world import World
-from marjoramstage.coordination.demand_rates import Counters
+from marjoramstage.coordination.demand_rates import PER_THOUSAND_S
 from marjoramstage.coordination.leases import (
     LeaseEffect,
     LeaseKeeper,
@@ -36,6 +36,8 @@
 SHARD = "placement"
 TICK_S = 0.02
 VIEW_EVERY_S = 0.25
+SUMMARY_EVERY_S = 2.0
+TAKE_OVER_S = 0.5
 VIEW_LIVE_S = 0.7
 CLOCK_MARGIN_S = 0.4
 STAGGER_S = 0.3
@@ -85,9 +87,9 @@
         self._rank = zlib.crc32(identity.encode()) % RANKS
         self._stockings: dict[str, Stocking] = {}
         self._reports: dict[str, tuple[float, EntryReport]] = {}
-        self._counters = Counters()
         self._sequence = 0
         self._view_due_s = 0.0
+        self._summary_due_s = 0.0
         self._view_heard_s = -VIEW_LIVE_S
         self._first_order_s = 0.0
         self._tasks: set[asyncio.Task] = set()
@@ -133,7 +135,6 @@
             return
         now_s = boot_time()
         self._reports[report.instance] = (now_s, report)
-        self._note_arrivals(report, now_s)
 
     def _is_old(self, report: EntryReport) -> bool:
         """Whether a later report of the same start is known."""
@@ -155,16 +156,6 @@
         """Whether a live holder is known, so that the lease need not be read."""
         return now_s - self._view_heard_s < VIEW_LIVE_S
 
-    def _note_arrivals(self, report: EntryReport, now_s: float) -> None:
-        rises = self._counters.differences(
-            report.instance, report.incarnation, report.arrived
-        )
-        for key, count in rises.items():
-            service, item = _key(key)
-            stocking = self._stockings.get(service)
-            if stocking is not None:
-                stocking.note(item, count, now_s)
-
     # Lease
 
     def _perform(self, effects: list[LeaseEffect]) -> None:
@@ -244,6 +235,9 @@
                 self._spawn(self._give(stocking, order))
         if changed or now_s >= self._view_due_s:
             self._tell(now_s)
+        if now_s >= self._summary_due_s:
+            self._summary_due_s = now_s + SUMMARY_EVERY_S
+            self._summarise(need)
 
     def _stocking(self, service: Service, now_s: float) -> Stocking:
         stocking = self._stockings.get(service.name)
@@ -252,7 +246,9 @@
             rate = LoadRate(
                 service.engine.loads_per_s, bounds.load_window_s, bounds.load_over
             )
-            stocking = Stocking(service.engine, rate)
+            first = self.keeper.fence <= 1
+            ask_from_s = now_s if first else now_s + TAKE_OVER_S
+            stocking = Stocking(service.engine, rate, ask_from_s)
             self._stockings[service.name] = stocking
         targets = self._world.fleet.of_service(service.name)
         stocking.follow((t for t in targets if t.items is not None), now_s)
@@ -260,20 +256,29 @@
 
     def _need(self, now_s: float) -> dict[str, Need]:
         """Sum up what the live instances reported, by service."""
-        waiting: dict[str, Counter[Item]] = {}
-        running: Counter[tuple[str, Item]] = Counter()
         for name in list(self._reports):
-            heard_s, report = self._reports[name]
+            heard_s, _ = self._reports[name]
             if now_s - heard_s > REPORT_LIVE_S:
                 del self._reports[name]
-                continue
-            for key, count in report.waiting.items():
-                service, item = _key(key)
-                waiting.setdefault(service, Counter())[item] += count
+        reports = [report for _, report in self._reports.values()]
+        waiting = _by_service(report.waiting for report in reports)
+        fast = _by_service(report.fast_rates for report in reports)
+        slow = _by_service(report.slow_rates for report in reports)
+        pressing = _by_service(report.pressing_rates for report in reports)
+        running: Counter[tuple[str, Item]] = Counter()
+        for report in reports:
             for key, count in report.running.items():
                 running[_key(key)] += count
-        services = self._world.table.services
-        return {name: Need(waiting.get(name, Counter()), running) for name in services}
+        return {
+            name: Need(
+                waiting.get(name, {}),
+                running,
+                _a_second(fast.get(name, {})),
+                _a_second(slow.get(name, {})),
+                _a_second(pressing.get(name, {})),
+            )
+            for name in self._world.table.services
+        }
 
     def _ask_reports(self, stocking: Stocking, now_s: float) -> None:
         for stock in stocking.stocks.values():
@@ -404,6 +409,19 @@
             )
             self._send_view(report.address, view)
 
+    def _summarise(self, need: dict[str, Need]) -> None:
+        """Log what each target holds and runs, as this instance believes."""
+        for service, stocking in self._stockings.items():
+            targets = {}
+            for name, stock in stocking.stocks.items():
+                models = {
+                    item.model: f"{stock.items[item].presence.value} "
+                    f"{need[service].of_model_at(name, item.model)}"
+                    for item in stock.models()
+                }
+                targets[name] = models
+            self._world.events.event("placement", service=service, targets=targets)
+
     def _coming_ms(self, now_s: float) -> dict[str, int]:
         """Return when the items that are waited for are likely to come."""
         wanted = {key for _, report in self._reports.values() for key in report.waiting}
@@ -451,6 +469,22 @@
     return name, Item(model, adapter)
 
 
+def _by_service(
+    maps: Iterable[Mapping[str, int]],
+) -> dict[str, Counter[Item]]:
+    """Add up the counts of several instances, by service."""
+    found: dict[str, Counter[Item]] = {}
+    for counts in maps:
+        for key, count in counts.items():
+            service, item = _key(key)
+            found.setdefault(service, Counter())[item] += count
+    return found
+
+
+def _a_second(counts: Mapping[Item, int]) -> dict[Item, float]:
+    return {item: count / PER_THOUSAND_S for item, count in counts.items()}
+
+
 def _record(obj: PlatformObject) -> LeaseRecord:
     spec = obj.spec or {}
     return LeaseRecord(
--- a/src/marjoramstage/_entry/linking.py
+++ b/src/marjoramstage/_entry/linking.py
@@ -80,6 +80,7 @@
     def _make_report(self) -> EntryReport:
         world = self._world
         self._sequence += 1
+        now_s = world.clock.now()
         waiting = world.line.waiting().items()
         running = world.loads.own.items()
         return EntryReport(
@@ -88,8 +89,10 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             waiting={f"{service} {item}": n for (service, item), n in waiting},
-            arrived={f"{s} {item}": n for (s, item), n in world.arrived.items()},
             running={f"{t} {item or ''}": n for (t, item), n in running},
+            fast_rates=world.demand.fast.per_thousand_s(now_s),
+            slow_rates=world.demand.slow.per_thousand_s(now_s),
+            pressing_rates=world.demand.pressing.per_thousand_s(now_s),
         )
 
     def _receive(self, message: PeerMessage) -> None:
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -38,6 +38,12 @@
         Attempts that may have run.
     sent : int
         Attempts that were sent, run or not.
+    first_s : float or None
+        Time to the first sign of an answer.
+    waited_s : float
+        Time in the line.
+    event_s, pause_s : float
+        When the last event was passed on, and the longest pause.
     """
 
     req: web.BaseRequest
@@ -52,6 +58,10 @@
     sent: int = 0
     last_event: str = ""
     resp: web.StreamResponse | None = None
+    first_s: float | None = None
+    waited_s: float = 0.0
+    event_s: float = 0.0
+    pause_s: float = 0.0
     tried: list[str] = field(default_factory=list)
 
 
@@ -134,9 +144,12 @@
         service = route.service_for(headers.request_id)
         spec = world.table.services.get(service)
         item = headers.item if spec is not None and spec.engine is not None else None
+        if item is not None and item.model not in spec.engine.models:
+            raise RefusalError(404, "no such model")
         world.budget(service).earn(world.clock.now())
         if item is not None:
-            world.arrived[service, item] += 1
+            pressing = spec.engine.is_pressing(item.model, route.aim_s)
+            world.demand.note(f"{service} {item.model}", pressing, arrived_s)
         work = Work(
             req=req,
             route=route,
@@ -211,11 +224,13 @@
         if target is not None:
             return target
         waiter = world.line.join(work.wish, work.route.rank, work.until_s)
+        joined_s = world.clock.now()
         world.on_wanted()
         world.changed()
         try:
             return await self._wait(work, waiter)
         finally:
+            work.waited_s += world.clock.now() - joined_s
             world.line.leave(waiter)
             self._return_unused(waiter, work)
 
@@ -383,12 +398,21 @@
             if not events:
                 continue
             await resp.write(events)
+            self._note_event(work)
             work.last_event = splitter.last_id or work.last_event
         if splitter.rest:
             await resp.write(splitter.rest)
         await resp.write_eof()
         return resp
 
+    def _note_event(self, work: Work) -> None:
+        now_s = self._world.clock.now()
+        if work.first_s is None:
+            work.first_s = now_s - work.arrived_s
+        else:
+            work.pause_s = max(work.pause_s, now_s - work.event_s)
+        work.event_s = now_s
+
     def _left_s(self, work: Work) -> float:
         return max(0.001, work.until_s - self._world.clock.now())
 
@@ -417,6 +441,9 @@
         """Count a request and write its line."""
         took_s = self._world.clock.now() - arrived_s
         self._figures.ended(work.route if work else None, outcome, took_s)
+        first_s = took_s
+        if work is not None and work.first_s is not None:
+            first_s = work.first_s
         fields = {
             "request": platform.request_id_of(req.headers),
             "route": work.route.name if work else None,
@@ -424,9 +451,17 @@
             "tried": work.tried if work else [],
             "outcome": outcome,
             "took_ms": round(took_s * 1000, 1),
+            "waited_ms": round(work.waited_s * 1000, 1) if work else None,
+            "first_ms": round(first_s * 1000, 1),
+            "pause_ms": round(work.pause_s * 1000, 1) if work else None,
             "table": self._world.table.version if self._world.table else None,
         }
-        if outcome == "answered":
+        late = work is not None and (
+            first_s > work.route.aim_s or work.pause_s > work.route.gap_aim_s > 0
+        )
+        if outcome == "answered" and late:
+            self._world.events.event("request late", **fields)
+        elif outcome == "answered":
             self._world.events.sampled("request answered", **fields)
         else:
             self._world.events.event("request ended", **fields)
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-from collections import Counter
 from collections.abc import Callable, Mapping
 
 from marjoramstage._entry.events import EventLog
 from marjoramstage.clock import Clock
+from marjoramstage.coordination.demand_rates import DemandRates
 from marjoramstage.coordination.dispatch import Dispatcher, Holdings, LoadBook, Wish
 from marjoramstage.coordination.health import TargetHealth
 from marjoramstage.coordination.line import Line
@@ -45,7 +45,7 @@
         self.holdings = Holdings()
         self.loads = LoadBook()
         self.health = TargetHealth()
-        self.arrived: Counter[tuple[str, Item]] = Counter()
+        self.demand = DemandRates()
         self.on_wanted: Callable[[], None] = lambda: None
         self._budgets: dict[str, SharedBudget] = {}
         self._instances = 0
--- a/src/marjoramstage/coordination/demand_rates.py
+++ b/src/marjoramstage/coordination/demand_rates.py
@@ -1,11 +1,13 @@
-"""Rates at which items are asked for, decayed over time."""
+"""Rates at which models are asked for, decayed over time."""
 
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 
-HALF_LIFE_S = 4.0
+FAST_HALF_LIFE_S = 2.5
+SLOW_HALF_LIFE_S = 12.0
+PRESSING_HALF_LIFE_S = 60.0
+PER_THOUSAND_S = 1000.0
 
 
 class Rates:
@@ -17,42 +19,48 @@
         After this time a request counts half.
     """
 
-    def __init__(self, half_life_s: float = HALF_LIFE_S):
+    def __init__(self, half_life_s: float):
         self._decay = math.log(2) / half_life_s
-        self._sums: dict[object, float] = {}
-        self._at: dict[object, float] = {}
+        self._sums: dict[str, float] = {}
+        self._at_s: dict[str, float] = {}
 
-    def add(self, key: object, count: float, now_s: float) -> None:
-        """Note ``count`` requests."""
-        self._sums[key] = self._sum(key, now_s) + count
-        self._at[key] = now_s
+    def add(self, key: str, now_s: float) -> None:
+        """Note a request."""
+        self._sums[key] = self._sum(key, now_s) + 1.0
+        self._at_s[key] = now_s
 
-    def rate(self, key: object, now_s: float) -> float:
+    def rate(self, key: str, now_s: float) -> float:
         """Return the requests a second."""
         return self._sum(key, now_s) * self._decay
 
-    def _sum(self, key: object, now_s: float) -> float:
+    def per_thousand_s(self, now_s: float) -> dict[str, int]:
+        """Return every rate as a whole number, at least 1 for what was seen."""
+        return {
+            key: max(1, round(self.rate(key, now_s) * PER_THOUSAND_S))
+            for key in self._sums
+        }
+
+    def _sum(self, key: str, now_s: float) -> float:
         found = self._sums.get(key)
         if found is None:
             return 0.0
-        return found * math.exp(-self._decay * (now_s - self._at[key]))
+        return found * math.exp(-self._decay * (now_s - self._at_s[key]))
+
 
+class DemandRates:
+    """Demand that one instance sees, over three spans of time.
 
-class Counters:
-    """Turns counts that only rise, of several senders, into differences."""
+    Keys are the name of a service and of a model, joined by a space.
+    """
 
     def __init__(self):
-        self._last: dict[tuple[str, str], Mapping[str, int]] = {}
-
-    def differences(
-        self, sender: str, incarnation: str, counts: Mapping[str, int]
-    ) -> dict[str, int]:
-        """Return what came on since the sender's last counts."""
-        before = self._last.get((sender, incarnation), {})
-        self._last[sender, incarnation] = counts
-        found = {}
-        for key, count in counts.items():
-            rise = count - before.get(key, 0)
-            if rise > 0:
-                found[key] = rise
-        return found
+        self.fast = Rates(FAST_HALF_LIFE_S)
+        self.slow = Rates(SLOW_HALF_LIFE_S)
+        self.pressing = Rates(PRESSING_HALF_LIFE_S)
+
+    def note(self, key: str, pressing: bool, now_s: float) -> None:
+        """Note a request, and whether a load would make it late."""
+        self.fast.add(key, now_s)
+        self.slow.add(key, now_s)
+        if pressing:
+            self.pressing.add(key, now_s)
--- a/src/marjoramstage/coordination/patience.py
+++ b/src/marjoramstage/coordination/patience.py
@@ -20,6 +20,8 @@
     ask_s : float
         Time within which the holder of the placement lease says when a model
         comes.
+    ask_share : float
+        Part of the caller's patience for the same, where that is more.
     look_s : float
         A ruling holds so long, then it is made anew.
     begin_s : float
@@ -31,6 +33,7 @@
     """
 
     ask_s: float = 0.35
+    ask_share: float = 0.25
     look_s: float = 0.1
     begin_s: float = 0.15
     full_share: float = 0.5
@@ -101,7 +104,8 @@
             wait_s = (waited_s + left_s) * limits.full_share
             return self._until(wait_s, waited_s, left_s, limits.full_retry_s)
         if coming_s is None:
-            return self._until(limits.ask_s, waited_s, left_s, limits.load_s)
+            most_s = max(limits.ask_s, (waited_s + left_s) * limits.ask_share)
+            return self._until(most_s, waited_s, left_s, limits.load_s)
         if coming_s + limits.begin_s > left_s:
             return Ruling(True, retry_after_s=coming_s + limits.begin_s)
         return Ruling(False, limits.look_s)
--- a/src/marjoramstage/coordination/stock.py
+++ b/src/marjoramstage/coordination/stock.py
@@ -17,6 +17,8 @@
 RESEND_S = 0.3
 ADAPTER_LOAD_S = 0.015
 REPORT_LAG_S = 0.25
+SETTLE_S = 1.0
+UNLOAD_S = 0.7
 
 
 class Presence(enum.Enum):
@@ -72,17 +74,21 @@
         The target, in the incarnation that the book is for.
     spec : EngineSpec
         Room of the target.
+    ask_from_s : float
+        When a report shows what an earlier holder ordered last.
     """
 
-    def __init__(self, target: FleetTarget, spec: EngineSpec):
+    def __init__(self, target: FleetTarget, spec: EngineSpec, ask_from_s: float = 0.0):
         self.target = target
         self.spec = spec
         self.items: dict[Item, HeldItem] = {}
         self.pending: PendingOrder | None = None
         self.order_count = 0
         self.known = False
-        self.next_report_s = 0.0
-        self.kept: list[str] = []
+        self.next_report_s = ask_from_s
+        self.in_memory: frozenset[str] = frozenset()
+        self.on_disk: frozenset[str] = frozenset()
+        self._changed_s = 0.0
 
     # What it holds
 
@@ -125,9 +131,26 @@
             return False
         return self.memory_mb(item) <= self.free_mb()
 
-    def is_kept_near(self, model: str) -> bool:
-        """Whether the weights are likely to be on the target's own disk."""
-        return model in self.kept
+    def is_at_hand(self, model: str) -> bool:
+        """Whether a load needs nothing from the weight store."""
+        return model in self.in_memory or model in self.on_disk
+
+    def load_s(self, item: Item) -> float:
+        """Return how long a load of an item is likely to take, in seconds."""
+        if item.adapter:
+            return ADAPTER_LOAD_S
+        model = self.spec.models[item.model]
+        if item.model in self.in_memory:
+            return model.memory_load_s
+        return model.disk_load_s if item.model in self.on_disk else model.load_s
+
+    def busy_s(self, now_s: float) -> float:
+        """Return how long the order under way is likely to take yet."""
+        pending = self.pending
+        if pending is None:
+            return 0.0
+        took_s = self.load_s(pending.order.item) if pending.order.load else UNLOAD_S
+        return max(REPORT_LAG_S, took_s - (now_s - pending.sent_s))
 
     def touch(self, item: Item, now_s: float) -> None:
         """Note that an item is in use."""
@@ -135,8 +158,16 @@
         if held is not None:
             held.used_s = now_s
 
+    def is_retiring(self, item: Item) -> bool:
+        """Whether an item gets no requests and is still to be unloaded."""
+        return self.items[item].presence is Presence.RETIRING
+
     # Orders
 
+    def stay(self, item: Item) -> None:
+        """Take an item that was retired into use again."""
+        self.items[item].presence = Presence.HELD
+
     def retire(self, item: Item, now_s: float) -> None:
         """Send an item no further requests."""
         held = self.items[item]
@@ -161,12 +192,14 @@
         if answer is OrderAnswer.ACCEPTED:
             pending.accepted = True
             self.order_count += 1
+            self._changed_s = now_s
             self.next_report_s = now_s + self._expected_s(pending.order)
             return
         if answer is OrderAnswer.HOLDS:
             # An adapter that is unloaded on the spot counts as an order too.
             if item.adapter and not pending.order.load:
                 self.order_count += 1
+                self._changed_s = now_s
             self._done(pending.order, now_s)
             return
         pending.rejected = answer is OrderAnswer.BUSY
@@ -190,9 +223,14 @@
             what may still be on its way.
         """
         pending = self.pending
+        self.in_memory, self.on_disk = report.in_memory, report.on_disk
+        if report.order_count < self.order_count and self._is_settling(now_s):
+            self.next_report_s = now_s + REPORT_LAG_S
+            return None
         if not self.known or report.order_count < self.order_count:
             self._adopt(report, now_s)
             return None
+        self._count_unknown(report, now_s)
         if pending is None:
             self.order_count = report.order_count
             return None
@@ -223,15 +261,14 @@
         return None
 
     def _reported_rejected(self, report: TargetReport, now_s: float) -> None:
-        """Take up the true count of orders; the next step orders anew."""
+        """Forget what is known, so that a later report starts the book anew."""
         if report.busy:
             self.next_report_s = now_s + REPORT_LAG_S
             return
-        self.order_count = report.order_count
-        if (self.pending.order.item in report.items) == self.pending.order.load:
-            self._done(self.pending.order, now_s)
-        else:
-            self._undo(self.pending.order, now_s)
+        # Another holder's order came in between: what it did is not in the book.
+        self._undo(self.pending.order, now_s)
+        self.known = False
+        self.next_report_s = now_s + REPORT_LAG_S
 
     def tick(self, now_s: float) -> None:
         """Let an adapter that was accepted become usable after its load time."""
@@ -246,10 +283,7 @@
         pending = self.pending
         if pending is None or pending.order.item != item:
             return 0.0
-        model = self.spec.models[item.model]
-        near = item.adapter or self.is_kept_near(item.model)
-        load_s = model.disk_load_s if near else model.load_s
-        return max(REPORT_LAG_S, load_s - (now_s - pending.sent_s))
+        return self.busy_s(now_s)
 
     def wants_report(self, now_s: float) -> bool:
         """Whether the target is to be asked what holds."""
@@ -263,19 +297,14 @@
 
     def _expected_s(self, order: Order) -> float:
         """Return how long the target is likely to take."""
-        model = self.spec.models.get(order.item.model)
-        if order.item.adapter or model is None:
+        if order.item.adapter or not order.load:
             return REPORT_LAG_S
-        if not order.load:
-            return REPORT_LAG_S
-        near = self.is_kept_near(order.item.model)
-        return model.memory_load_s if near else model.disk_load_s
+        return self.load_s(order.item)
 
     def _done(self, order: Order, now_s: float) -> None:
         self.pending = None
         if order.load:
             self.items[order.item] = HeldItem(Presence.HELD, now_s, now_s)
-            self._keep(order.item)
             return
         for item in self._with_adapters(order.item):
             self.items.pop(item, None)
@@ -303,14 +332,16 @@
         for item in report.items:
             used_s = before[item].used_s if item in before else now_s
             self.items[item] = HeldItem(Presence.HELD, now_s, used_s)
-            self._keep(item)
 
-    def _keep(self, item: Item) -> None:
-        if item.adapter:
-            return
-        if item.model in self.kept:
-            self.kept.remove(item.model)
-        self.kept.append(item.model)
+    def _count_unknown(self, report: TargetReport, now_s: float) -> None:
+        """Give room in the book to what is there without an order of ours."""
+        for item in report.items:
+            if item not in self.items and not self._is_settling(now_s):
+                self.items[item] = HeldItem(Presence.HELD, now_s, now_s)
+
+    def _is_settling(self, now_s: float) -> bool:
+        """Whether a report may be older than the last order that was accepted."""
+        return now_s - self._changed_s < SETTLE_S
 
     def _with_adapters(self, item: Item) -> Iterable[Item]:
         if item.adapter:
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -7,26 +7,53 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from marjoramstage.coordination.demand_rates import Rates
-from marjoramstage.coordination.stock import Presence, Stock
+from marjoramstage.coordination.stock import UNLOAD_S, Presence, Stock
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import EngineSpec
 
+# Times in seconds, rates a second.
 RETIRE_S = 0.12
 RETIRE_ADAPTER_S = 0.08
-UNLOAD_S = 0.7
 ADAPTER_S = 0.06
 MIN_STAY_S = 1.0
-BUSY_SHARE = 0.5
-SPARE_SHARE = 0.25
-SECOND_COPY_PER_S = 4.0
+SECOND_COPY_PER_S = 3.0
+ACTIVE_PER_S = 0.7
+SHIFT_EVERY_S = 12.0
+RISE_SHARE = 0.4
+RISE_MARGIN = 1.3
+LONGEST_RUN_S = 3.0
+WAITING_NEED = 0.25
+IDLE_WEIGHT = 2.0
+PRESSING_PER_S = 0.003
 LOADS_EXTRA = 2
 
+# Part of a target's slots for one model: a copy is added over the first, and
+# may go under the second.
+ADD_SHARE = 0.25
+KEEP_SHARE = 0.12
+
+# What copies are worth against each other, in requests a second that miss. A
+# further copy of a busy model takes the place of one that can wait for a load,
+# never that of the last copy of one that can't.
+FIRST_PRESSING_NEED = 30.0
+LAST_COPY_VALUE = 20.0
+KEPT_COPY_VALUE = 12.0
+FURTHER_COPY_NEED = 11.0
+MOST_LOOSE_NEED = 10.0
+SPARE_COPY_VALUE = 0.3
+RUN_VALUE = 0.05
+
+# In seconds of waiting: a load from the weight store is paid for, and takes
+# room on the disk of a target from models that come back there.
+STORE_LOAD_COST = 1.0
+HOME_COST = 0.3
+
 
 @dataclass(frozen=True)
 class Need:
@@ -38,10 +65,35 @@
         Requests that wait for an item now.
     running : Mapping
         Requests at targets now, by target and item.
+    fast_rates, slow_rates : Mapping
+        Requests a second for each model, over a short and a long time.
+    pressing_rates : Mapping
+        Those that a load would make late, over a very long time.
     """
 
     waiting: Mapping[Item, int] = field(default_factory=dict)
     running: Mapping[tuple[str, Item], int] = field(default_factory=dict)
+    fast_rates: Mapping[Item, float] = field(default_factory=dict)
+    slow_rates: Mapping[Item, float] = field(default_factory=dict)
+    pressing_rates: Mapping[Item, float] = field(default_factory=dict)
+
+    def rate(self, item: Item) -> float:
+        """Return the requests a second for a model just now."""
+        return self.fast_rates.get(item, 0.0)
+
+    def slow_rate(self, item: Item) -> float:
+        """Return the requests a second for a model over a longer time."""
+        return self.slow_rates.get(item, 0.0)
+
+    def is_pressing(self, item: Item) -> bool:
+        """Whether a miss costs more than a wait; taken for so until seen."""
+        if item not in self.slow_rates:
+            return True
+        return self.pressing_rates.get(item, 0.0) >= PRESSING_PER_S
+
+    def is_active(self, item: Item) -> bool:
+        """Whether a model that can't wait is asked for all the time."""
+        return self.rate(item) >= ACTIVE_PER_S and self.is_pressing(item)
 
     def at(self, target: str) -> int:
         """Return all requests at a target."""
@@ -88,14 +140,18 @@
         Room and models of the service's targets.
     load_rate : LoadRate
         Shared bound on loads.
+    ask_from_s : float
+        When reports of targets show what an earlier holder ordered last.
     """
 
-    def __init__(self, spec: EngineSpec, load_rate: LoadRate):
+    def __init__(self, spec: EngineSpec, load_rate: LoadRate, ask_from_s: float = 0.0):
         self.spec = spec
+        self._ask_from_s = ask_from_s
         self.stocks: dict[str, Stock] = {}
-        self.rates = Rates()
         self._load_rate = load_rate
         self._planned: dict[str, Item] = {}
+        self._run_s = 0.0
+        self._idle_value = LAST_COPY_VALUE
 
     def follow(self, targets: Iterable[FleetTarget], now_s: float) -> None:
         """Take in the targets that there are."""
@@ -106,24 +162,19 @@
         for name, target in found.items():
             stock = self.stocks.get(name)
             if stock is None or stock.target.incarnation != target.incarnation:
-                self.stocks[name] = Stock(target, self.spec)
+                self.stocks[name] = Stock(target, self.spec, self._ask_from_s)
                 self._planned.pop(name, None)
             else:
                 stock.target = target
 
-    def note(self, item: Item, count: int, now_s: float) -> None:
-        """Note requests for an item."""
-        self.rates.add(item, count, now_s)
-        if item.adapter:
-            self.rates.add(item.base, count, now_s)
-        for stock in self.stocks.values():
-            stock.touch(item, now_s)
-            stock.touch(item.base, now_s)
-
     def step(self, need: Need, now_s: float) -> list[Order]:
         """Return the orders to send now; each is in its target's book."""
         for stock in self.stocks.values():
             stock.tick(now_s)
+        for name, item in need.running:
+            if name in self.stocks:
+                self.stocks[name].touch(item, now_s)
+        self._sum_up(need)
         self._plan_models(need, now_s)
         orders = []
         for name, item in list(self._planned.items()):
@@ -146,52 +197,62 @@
             if stock.is_coming(item):
                 found.append(stock.expected_s(item, now_s))
             elif self._planned.get(stock.target.name) == item:
-                model = self.spec.models[item.model]
-                near = stock.is_kept_near(item.model)
-                load_s = model.disk_load_s if near else model.load_s
-                found.append(load_s + (0.0 if stock.fits(item) else UNLOAD_S))
+                unload_s = 0.0 if stock.fits(item) else UNLOAD_S
+                found.append(stock.load_s(item) + unload_s)
         return min(found, default=None)
 
     # Models
 
     def _plan_models(self, need: Need, now_s: float) -> None:
         """Choose a target for each model that needs a further copy."""
-        for item in self._wanted_models(need, now_s):
-            stock = self._place_for(item, need, now_s)
-            if stock is not None:
-                self._planned[stock.target.name] = item
+        for item in self._wanted_models(need):
+            found = self._place_for(item, need, now_s)
+            if found is None:
+                continue
+            stock, victims = found
+            for victim in victims:
+                stock.retire(victim, now_s)
+            self._planned[stock.target.name] = item
 
-    def _wanted_models(self, need: Need, now_s: float) -> list[Item]:
+    def _wanted_models(self, need: Need) -> list[Item]:
         """Return the models that lack a copy, the most needed first."""
         lacking: list[tuple[float, Item]] = []
         for name in self.spec.models:
             item = Item(name)
-            waiting = sum(n for i, n in need.waiting.items() if i.model == name)
-            copies = self._copies(item)
-            coming = self._coming(item)
-            if copies + coming == 0:
-                if waiting:
-                    lacking.append((1000.0 + waiting, item))
-                continue
-            if coming:
-                continue
-            rate = self.rates.rate(item, now_s)
-            running = need.of_model(name)
-            if self._is_crowded(item, running, need):
-                lacking.append((100.0 + running, item))
-            elif copies < 2 and rate >= SECOND_COPY_PER_S:
-                lacking.append((rate, item))
+            worth = self._need_of(item, need)
+            if worth > 0:
+                lacking.append((worth, item))
         return [item for _, item in sorted(lacking, key=lambda pair: -pair[0])]
 
-    def _is_crowded(self, item: Item, running: int, need: Need) -> bool:
-        """Whether every target with the model has most of its slots taken."""
-        holders = [s for s in self._usable() if s.holds(item)]
-        if not holders or running == 0:
-            return False
-        if running < BUSY_SHARE * self.spec.slots * len(holders):
-            return False
-        least = min(need.at(stock.target.name) for stock in holders)
-        return least >= BUSY_SHARE * self.spec.slots
+    def _need_of(self, item: Item, need: Need) -> float:
+        """Return what one more copy of a model is worth; 0 if it needs none."""
+        waiting = sum(n for i, n in need.waiting.items() if i.model == item.model)
+        copies = self._copies(item) + self._coming(item)
+        if copies == 0:
+            if not waiting:
+                return 0.0
+            if need.is_active(item):
+                return FIRST_PRESSING_NEED + waiting
+            need_now = need.slow_rate(item) + WAITING_NEED * waiting
+            return min(need_now, MOST_LOOSE_NEED)
+        if copies < self._enough(item, need, ADD_SHARE):
+            return FURTHER_COPY_NEED
+        return 0.0
+
+    def _enough(self, item: Item, need: Need, slot_share: float) -> int:
+        """Return how many copies carry what a model's callers ask for.
+
+        Parameters
+        ----------
+        slot_share : float
+            Part of a target's slots that one copy should take.
+        """
+        rate = need.rate(item)
+        rising = rate * self._run_s * RISE_MARGIN
+        running = max(need.of_model(item.model), rising)
+        copies = math.ceil(running / (slot_share * self.spec.slots))
+        busy = rate >= SECOND_COPY_PER_S
+        return max(copies, 2 if busy else 1)
 
     def _copies(self, item: Item) -> int:
         return sum(1 for stock in self._usable() if stock.holds(item))
@@ -208,78 +269,123 @@
     def _usable(self) -> list[Stock]:
         return [s for s in self.stocks.values() if s.known and not s.target.leaving]
 
-    def _place_for(self, item: Item, need: Need, now_s: float) -> Stock | None:
-        """Return the target where a load costs least."""
-        best: tuple[float, Stock] | None = None
+    def _place_for(
+        self, item: Item, need: Need, now_s: float
+    ) -> tuple[Stock, tuple[Item, ...]] | None:
+        """Return the target where a load costs least, if it can begin now.
+
+        A target that has the weights at hand and is busy for a moment is
+        worth waiting for: a load from the weight store takes far longer.
+
+        Returns
+        -------
+        tuple or None
+            The target and the models that make way there.
+        """
+        best: tuple[float, Stock, tuple[Item, ...]] | None = None
+        worth = self._need_of(item, need)
         for stock in self._usable():
-            if stock.target.name in self._planned or stock.pending is not None:
-                continue
             if item in stock.items:
                 continue
-            cost = self._cost(stock, item, need, now_s)
-            if cost is None:
+            if not stock.is_at_hand(item.model) and not self._load_rate.allows(now_s):
+                continue
+            victims = self._victims(stock, item, worth, need, now_s)
+            if victims is None:
                 continue
+            cost = self._cost(stock, item, need, now_s)
+            cost += sum(self._value(stock, v, need) for v in victims)
             if best is None or cost < best[0]:
-                best = (cost, stock)
-        return best[1] if best else None
-
-    def _cost(self, stock: Stock, item: Item, need: Need, now_s: float) -> float | None:
-        """Return the cost of a load in seconds of waiting; None if it can't be."""
-        model = self.spec.models[item.model]
-        near = stock.is_kept_near(item.model)
-        if not near and not self._load_rate.allows(now_s):
-            return None
-        load_s = model.disk_load_s if near else model.load_s
-        crowd = need.at(stock.target.name) / self.spec.slots
-        cost = load_s + crowd
-        if stock.fits(item):
-            return cost
-        victim = self._victim(stock, item, need, now_s)
-        if victim is None:
+                best = (cost, stock, victims)
+        if best is None or not self._is_idle(best[1]):
             return None
-        return cost + self._value(stock, victim, need, now_s)
+        return best[1], best[2]
 
-    def _victim(
-        self, stock: Stock, item: Item, need: Need, now_s: float
-    ) -> Item | None:
-        """Return the model that is missed least, if it makes enough room."""
-        best: tuple[float, Item] | None = None
+    def _is_idle(self, stock: Stock) -> bool:
+        return stock.target.name not in self._planned and stock.pending is None
+
+    def _cost(self, stock: Stock, item: Item, need: Need, now_s: float) -> float:
+        """Return the cost of a load in seconds of waiting."""
+        crowd = need.at(stock.target.name) / self.spec.slots
+        cost = stock.load_s(item) + stock.busy_s(now_s) + crowd
+        if not stock.is_at_hand(item.model):
+            cost += STORE_LOAD_COST + HOME_COST * len(stock.on_disk)
+        planned = self._planned.get(stock.target.name)
+        if planned is not None:
+            cost += UNLOAD_S + stock.load_s(planned)
+        return cost
+
+    def _victims(
+        self, stock: Stock, item: Item, worth: float, need: Need, now_s: float
+    ) -> tuple[Item, ...] | None:
+        """Return the models that make room and are missed least.
+
+        Returns
+        -------
+        tuple of Item or None
+            Empty where there is room; None where what would make way is worth
+            as much as ``item`` or more.
+        """
         lack_mb = stock.memory_mb(item) - stock.free_mb()
-        wanted = self._need_of(item, need, now_s)
+        if lack_mb <= 0:
+            return ()
+        valued = []
         for found in stock.models():
             held = stock.items[found]
-            if held.presence is not Presence.HELD or stock.memory_mb(found) < lack_mb:
+            if held.presence is not Presence.HELD or need.waiting.get(found):
                 continue
             if now_s - held.since_s < MIN_STAY_S:
                 continue
-            if any(n for i, n in need.waiting.items() if i == found):
-                continue
-            value = self._value(stock, found, need, now_s)
-            if value >= wanted:
-                continue
-            if best is None or value < best[0]:
-                best = (value, found)
-        return best[1] if best else None
-
-    def _need_of(self, item: Item, need: Need, now_s: float) -> float:
-        """Return what a copy of a model that lacks one is worth."""
-        waiting = sum(n for i, n in need.waiting.items() if i.model == item.model)
-        return 1.0 + waiting + self.rates.rate(item, now_s)
+            valued.append((self._value(stock, found, need), found))
+        valued.sort()
+        for value, found in valued:
+            if value < worth and stock.memory_mb(found) >= lack_mb:
+                return (found,)
+        chosen: list[Item] = []
+        for value, found in valued:
+            worth -= value
+            lack_mb -= stock.memory_mb(found)
+            chosen.append(found)
+            if worth <= 0:
+                return None
+            if lack_mb <= 0:
+                return tuple(chosen)
+        return None
 
-    def _value(self, stock: Stock, item: Item, need: Need, now_s: float) -> float:
+    def _value(self, stock: Stock, item: Item, need: Need) -> float:
         """Return what a copy is worth where it is: misses and cut capacity."""
-        rate = self.rates.rate(item, now_s)
-        others = [s for s in self._usable() if s is not stock and s.holds(item)]
-        running_here = need.of_model_at(stock.target.name, item.model)
-        wait = 0.05 * running_here
-        if not others:
-            return rate * 2.0 + wait
-        free = sum(
-            max(0.0, self.spec.slots * (1 - SPARE_SHARE) - need.at(s.target.name))
-            for s in others
-        )
-        crowding = max(0.0, running_here - free)
-        return 0.2 * rate / len(others) + wait + crowding
+        rate = need.rate(item)
+        wait = RUN_VALUE * need.of_model_at(stock.target.name, item.model)
+        copies = self._copies(item)
+        if copies <= 1:
+            if need.is_active(item):
+                return LAST_COPY_VALUE + rate + wait
+            if need.is_pressing(item):
+                return self._idle_value + rate + wait
+            return need.slow_rate(item) + wait
+        if copies <= self._enough(item, need, KEEP_SHARE):
+            return KEPT_COPY_VALUE + wait
+        return SPARE_COPY_VALUE * rate / copies + wait
+
+    def _sum_up(self, need: Need) -> None:
+        """Work out what holds for all models in this step.
+
+        An idle model that could rise is worth what would be missed while it
+        is loaded, times how often one of its like rises.
+        """
+        rates = {name: need.rate(Item(name)) for name in self.spec.models}
+        total = sum(rates.values())
+        running = sum(n for (name, _), n in need.running.items() if name in self.stocks)
+        self._run_s = min(LONGEST_RUN_S, running / total) if total > 1.0 else 0.0
+        active = [n for n in rates if need.is_active(Item(n))]
+        pressing = [n for n in rates if need.is_pressing(Item(n))]
+        idle = max(1, len(pressing) - len(active))
+        if not active:
+            self._idle_value = LAST_COPY_VALUE
+            return
+        rise = sum(rates[n] for n in active) / len(active)
+        load_s = max(model.load_s for model in self.spec.models.values())
+        missed = rise * load_s * RISE_SHARE
+        self._idle_value = IDLE_WEIGHT * missed / (SHIFT_EVERY_S * idle)
 
     def _next_for_model(
         self, stock: Stock, item: Item, need: Need, now_s: float
@@ -289,29 +395,30 @@
         if stock.pending is not None or not stock.known:
             return None
         if stock.target.leaving or item in stock.items:
-            del self._planned[name]
+            self._drop_plan(stock)
             return None
         if stock.fits(item):
             del self._planned[name]
-            if not stock.is_kept_near(item.model):
+            if not stock.is_at_hand(item.model):
                 if not self._load_rate.allows(now_s):
                     return None
                 self._load_rate.begin(now_s)
             return self._order(stock, item, True, now_s)
-        for found in stock.models():
-            held = stock.items[found]
-            if held.presence is not Presence.RETIRING:
-                continue
-            if now_s - held.since_s < RETIRE_S:
-                return None
-            return self._order(stock, found, False, now_s)
-        victim = self._victim(stock, item, need, now_s)
-        if victim is None:
+        retiring = [m for m in stock.models() if stock.is_retiring(m)]
+        for found in retiring:
+            if now_s - stock.items[found].since_s >= RETIRE_S:
+                return self._order(stock, found, False, now_s)
+        if not retiring:
             del self._planned[name]
-            return None
-        stock.retire(victim, now_s)
         return None
 
+    def _drop_plan(self, stock: Stock) -> None:
+        """Give up a planned load; what was to make way stays."""
+        del self._planned[stock.target.name]
+        for item in stock.models():
+            if stock.is_retiring(item):
+                stock.stay(item)
+
     # Adapters
 
     def _adapter_orders(self, need: Need, now_s: float) -> list[Order]:
--- a/src/marjoramstage/platform/_orders.py
+++ b/src/marjoramstage/platform/_orders.py
@@ -52,12 +52,19 @@
             waiting=int(data.get("waiting") or 0),
             items=decode_items(data.get("models") or ()),
             coming=frozenset(_coming(text) for text in data.get("coming") or ()),
+            in_memory=_at_hand(data, "in_memory"),
+            on_disk=_at_hand(data, "on_disk"),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
     return Ok(report)
 
 
+def _at_hand(data: dict[str, Any], place: str) -> frozenset[str]:
+    at_hand = data.get("at_hand") or {}
+    return frozenset(str(name) for name in at_hand.get(place) or ())
+
+
 def _coming(text: str) -> Item:
     """Read MODEL/NAME@VERSION."""
     model, _, rest = text.partition("/")
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -243,10 +243,13 @@
     ----------
     waiting : Mapping
         Requests that wait now, by service and item, joined by a space.
-    arrived : Mapping
-        Requests since the sender's start, by service and item.
     running : Mapping
         Requests at targets now, by target and item.
+    fast_rates, slow_rates : Mapping
+        Requests for each model in a thousand seconds, by service and model,
+        over a short and a long time.
+    pressing_rates : Mapping
+        Those that can't wait for a load, over a very long time.
     """
 
     instance: str
@@ -254,8 +257,10 @@
     incarnation: str
     sequence: int
     waiting: Mapping[str, int] = field(default_factory=dict)
-    arrived: Mapping[str, int] = field(default_factory=dict)
     running: Mapping[str, int] = field(default_factory=dict)
+    fast_rates: Mapping[str, int] = field(default_factory=dict)
+    slow_rates: Mapping[str, int] = field(default_factory=dict)
+    pressing_rates: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -116,8 +116,10 @@
   3: optional string incarnation
   4: optional i64 sequence
   5: optional map<string, i64> waiting
-  6: optional map<string, i64> arrived
-  7: optional map<string, i64> running
+  6: optional map<string, i64> running
+  7: optional map<string, i64> fast_rates
+  8: optional map<string, i64> slow_rates
+  9: optional map<string, i64> pressing_rates
 }
 
 struct HeldItems {
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -64,6 +64,8 @@
         An order is being carried out.
     coming : frozenset of Item
         Adapters that are on their way.
+    in_memory, on_disk : frozenset of str
+        Models whose weights the target keeps at hand.
     """
 
     order_count: int
@@ -72,6 +74,8 @@
     waiting: int
     items: frozenset[Item] = frozenset()
     coming: frozenset[Item] = frozenset()
+    in_memory: frozenset[str] = frozenset()
+    on_disk: frozenset[str] = frozenset()
 
 
 @dataclass
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -10,6 +10,8 @@
 MAX_URGENCY = 9
 # Callers of streams wait at least this long for the next event.
 SHORTEST_PATIENCE_S = 2.0
+# A swap takes an unload and a load, together as long as this many loads.
+SWAP_LOADS = 2.0
 
 
 class Repeat(enum.Enum):
@@ -116,6 +118,10 @@
     loads_per_s: float
     models: Mapping[str, ModelSpec] = field(default_factory=dict)
 
+    def is_pressing(self, model: str, aim_s: float) -> bool:
+        """Whether an answer is late if its model has to be swapped in first."""
+        return aim_s < SWAP_LOADS * self.models[model].disk_load_s
+
 
 @dataclass(frozen=True)
 class Service:
