Drain models before unloading them; load from what is at hand

Cause: an unload waits for its runs, up to four seconds, and blocks every other order at its target; most loads came from the weight store though nearly every model lay on some target's disk. Ruled out: longer stay alone (tried with 1 s and 1.5 s, same order of figures).

--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -420,6 +420,7 @@
                     for item in stock.models()
                 }
                 targets[name] = models
+                targets[name]["at_hand"] = sorted(stock.in_memory | stock.on_disk)
             self._world.events.event("placement", service=service, targets=targets)
 
     def _coming_ms(self, now_s: float) -> dict[str, int]:
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -19,24 +19,28 @@
 
 # Times in seconds, rates a second.
 RETIRE_S = 0.12
+LONGEST_RETIRE_S = 2.5
 RETIRE_ADAPTER_S = 0.08
 ADAPTER_S = 0.06
-MIN_STAY_S = 1.0
+MIN_STAY_S = 1.5
 SECOND_COPY_PER_S = 3.0
 ACTIVE_PER_S = 0.7
 SHIFT_EVERY_S = 12.0
 RISE_SHARE = 0.4
-RISE_MARGIN = 1.3
+RISE_MARGIN = 1.15
 LONGEST_RUN_S = 3.0
 WAITING_NEED = 0.25
-IDLE_WEIGHT = 2.0
+IDLE_WEIGHT = 3.0
 PRESSING_PER_S = 0.003
 LOADS_EXTRA = 2
 
 # Part of a target's slots for one model: a copy is added over the first, and
 # may go under the second.
-ADD_SHARE = 0.25
-KEEP_SHARE = 0.12
+ADD_SHARE = 0.3
+KEEP_SHARE = 0.15
+
+# A further copy is fetched from the weight store only over this part.
+FETCH_SHARE = 0.4
 
 # What copies are worth against each other, in requests a second that miss. A
 # further copy of a busy model takes the place of one that can wait for a load,
@@ -47,11 +51,10 @@
 FURTHER_COPY_NEED = 11.0
 MOST_LOOSE_NEED = 10.0
 SPARE_COPY_VALUE = 0.3
-RUN_VALUE = 0.05
+RUN_VALUE = 0.15
 
-# In seconds of waiting: a load from the weight store is paid for, and takes
-# room on the disk of a target from models that come back there.
-STORE_LOAD_COST = 1.0
+# In seconds of waiting, for each model that a target keeps on its disk: one
+# more drives out another that would come back there.
 HOME_COST = 0.3
 
 
@@ -151,6 +154,7 @@
         self._load_rate = load_rate
         self._planned: dict[str, Item] = {}
         self._run_s = 0.0
+        self._next_fetch_s = 0.0
         self._idle_value = LAST_COPY_VALUE
 
     def follow(self, targets: Iterable[FleetTarget], now_s: float) -> None:
@@ -282,13 +286,29 @@
         tuple or None
             The target and the models that make way there.
         """
-        best: tuple[float, Stock, tuple[Item, ...]] | None = None
         worth = self._need_of(item, need)
-        for stock in self._usable():
+        near = [s for s in self._usable() if s.is_at_hand(item.model)]
+        found = self._best_of(near, item, worth, need, now_s)
+        if found is None and self._may_fetch(item, bool(near), need, now_s):
+            far = [s for s in self._usable() if not s.is_at_hand(item.model)]
+            found = self._best_of(far, item, worth, need, now_s)
+        if found is None or not self._is_idle(found[0]):
+            return None
+        return found
+
+    def _best_of(
+        self,
+        stocks: list[Stock],
+        item: Item,
+        worth: float,
+        need: Need,
+        now_s: float,
+    ) -> tuple[Stock, tuple[Item, ...]] | None:
+        """Return the cheapest of some targets and what makes way there."""
+        best: tuple[float, Stock, tuple[Item, ...]] | None = None
+        for stock in stocks:
             if item in stock.items:
                 continue
-            if not stock.is_at_hand(item.model) and not self._load_rate.allows(now_s):
-                continue
             victims = self._victims(stock, item, worth, need, now_s)
             if victims is None:
                 continue
@@ -296,9 +316,21 @@
             cost += sum(self._value(stock, v, need) for v in victims)
             if best is None or cost < best[0]:
                 best = (cost, stock, victims)
-        if best is None or not self._is_idle(best[1]):
-            return None
-        return best[1], best[2]
+        return best[1:] if best else None
+
+    def _may_fetch(self, item: Item, near: bool, need: Need, now_s: float) -> bool:
+        """Whether a load from the weight store is worth its long time.
+
+        Models that can wait are fetched one at a time, and only where no
+        target has them at hand.
+        """
+        if not self._load_rate.allows(now_s):
+            return False
+        if need.is_active(item):
+            copies = self._copies(item)
+            crowded = FETCH_SHARE * self.spec.slots * copies
+            return need.of_model(item.model) >= crowded
+        return not near and now_s >= self._next_fetch_s
 
     def _is_idle(self, stock: Stock) -> bool:
         return stock.target.name not in self._planned and stock.pending is None
@@ -308,7 +340,7 @@
         crowd = need.at(stock.target.name) / self.spec.slots
         cost = stock.load_s(item) + stock.busy_s(now_s) + crowd
         if not stock.is_at_hand(item.model):
-            cost += STORE_LOAD_COST + HOME_COST * len(stock.on_disk)
+            cost += HOME_COST * len(stock.on_disk)
         planned = self._planned.get(stock.target.name)
         if planned is not None:
             cost += UNLOAD_S + stock.load_s(planned)
@@ -383,8 +415,8 @@
             self._idle_value = LAST_COPY_VALUE
             return
         rise = sum(rates[n] for n in active) / len(active)
-        load_s = max(model.load_s for model in self.spec.models.values())
-        missed = rise * load_s * RISE_SHARE
+        load_s = max(model.disk_load_s for model in self.spec.models.values())
+        missed = rise * (load_s + UNLOAD_S) * RISE_SHARE
         self._idle_value = IDLE_WEIGHT * missed / (SHIFT_EVERY_S * idle)
 
     def _next_for_model(
@@ -403,10 +435,13 @@
                 if not self._load_rate.allows(now_s):
                     return None
                 self._load_rate.begin(now_s)
+                self._next_fetch_s = now_s + stock.load_s(item)
             return self._order(stock, item, True, now_s)
         retiring = [m for m in stock.models() if stock.is_retiring(m)]
         for found in retiring:
-            if now_s - stock.items[found].since_s >= RETIRE_S:
+            retired_s = now_s - stock.items[found].since_s
+            runs = need.of_model_at(name, found.model)
+            if retired_s >= (LONGEST_RETIRE_S if runs else RETIRE_S):
                 return self._order(stock, found, False, now_s)
         if not retiring:
             del self._planned[name]
