Take no requests late in a planned stop

Ruled out: the closed listener (new connections were turned away as wanted). Conclusion: connections without a request are closed 2.6 s after the signal.

--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -24,6 +24,7 @@
 PROMISES = frozenset((408, 421, 429, 503))
 DEFAULT_WAIT_S = 30.0
 NOT_READY_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.05
 
 
 @dataclass
@@ -93,12 +94,22 @@
         self._exchange = exchange
         self._figures = figures
         self._patience = Patience()
-        self.in_flight = 0
+        self._busy: set[object] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests are being served."""
+        return len(self._busy)
+
+    def is_busy(self, conn: object) -> bool:
+        """Whether a connection has a request that is being served."""
+        return conn in self._busy
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; cancelled when the caller leaves."""
         arrived_s = self._world.clock.now()
-        self.in_flight += 1
+        conn = req.protocol
+        self._busy.add(conn)
         work: Work | None = None
         outcome = "cancelled"
         try:
@@ -112,7 +123,7 @@
             outcome = exc.reason
             resp = self._cut(req, work)
         finally:
-            self.in_flight -= 1
+            self._busy.discard(conn)
             self._ended(req, work, arrived_s, outcome)
         if self._world.stopping and not resp.prepared:
             resp.force_close()
@@ -121,6 +132,8 @@
     async def _read(self, req: web.BaseRequest, arrived_s: float) -> Work:
         """Find the route of a request and read its body."""
         world = self._world
+        if world.closed:
+            raise RefusalError(503, "stopping", STOPPING_RETRY_S)
         if world.table is None:
             raise RefusalError(503, "no routes yet", NOT_READY_RETRY_S)
         path = req.message.path
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -32,6 +32,8 @@
         The targets have been listed at least once.
     stopping : bool
         A stop was asked for.
+    closed : bool
+        No more requests are taken.
     """
 
     def __init__(self, boot: Boot, clock: Clock, events: EventLog):
@@ -42,6 +44,7 @@
         self.fleet = Fleet()
         self.listed = False
         self.stopping = False
+        self.closed = False
         self.holdings = Holdings()
         self.loads = LoadBook()
         self.health = TargetHealth()
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -28,7 +28,7 @@
 from marjoramstage.transport.exchange import Exchange
 from marjoramstage.transport.sockets import client_socket
 
-LISTEN_AFTER_STOP_S = 3.0
+LISTEN_AFTER_STOP_S = 2.6
 END_MARGIN_S = 0.6
 IDLE_S = 75.0
 MAX_HEAD_BYTES = 32_768
@@ -157,6 +157,19 @@
         self._world.boot = boot
         self._events.event("settings reloaded", path=self._path)
 
+    def _close_front(self) -> None:
+        """Take no more requests; those that came are answered."""
+        if self._world.closed:
+            return
+        self._world.closed = True
+        self._front.close()
+        # The library's own way to close leaves idle connections open.
+        for conn in self._callers.connections:
+            if self._serving.is_busy(conn):
+                conn.close()
+            else:
+                conn.force_close()
+
     async def _leave(self) -> None:
         """Stop without cutting off what is in flight."""
         world = self._world
@@ -168,7 +181,7 @@
         while world.clock.now() < end_s:
             listened_s = world.clock.now() - began_s
             if listened_s >= LISTEN_AFTER_STOP_S:
-                self._front.close()
+                self._close_front()
                 if self._serving.in_flight == 0:
                     break
             await asyncio.sleep(0.05)
