Go on giving orders while the store is away

Cause: a lease that could not be renewed stopped every order for the six to eight seconds of an outage of the store; targets that had crashed counted as holding their models until their entry lapsed. Ruled out: a longer term (a killed holder would then be missed for as long). Conclusion: where targets refuse old fencing numbers a holder goes on until a successor shows; targets that two instances cannot reach hold nothing.

--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -16,6 +16,7 @@
 from marjoramstage._entry.world import World
 from marjoramstage.coordination.demand_rates import PER_THOUSAND_S
 from marjoramstage.coordination.leases import (
+    HOLDING,
     LeaseEffect,
     LeaseKeeper,
     LeaseRecord,
@@ -38,6 +39,8 @@
 VIEW_EVERY_S = 0.25
 SUMMARY_EVERY_S = 2.0
 TAKE_OVER_S = 0.5
+UNRENEWED_S = 30.0
+DOWN_REPORTS = 2
 VIEW_LIVE_S = 0.7
 CLOCK_MARGIN_S = 0.4
 STAGGER_S = 0.3
@@ -95,6 +98,9 @@
         self._tasks: set[asyncio.Task] = set()
         self._watched: set[str] = set()
         self._refused_fence = 0
+        self._fence = 0
+        self._unrenewed_until_s = 0.0
+        self._stopping = False
 
     @property
     def holder_address(self) -> str:
@@ -104,14 +110,20 @@
 
     @property
     def holds(self) -> bool:
-        """Whether the lease is valid now."""
-        return boot_time() < self.keeper.valid_until_s
+        """Whether this instance may give orders now.
+
+        Where targets refuse old fencing numbers, a holder that can't renew
+        goes on until another has taken the lease: the store may be away for
+        all, and a successor's first order at a target shuts it out there.
+        """
+        now_s = boot_time()
+        return now_s < self.keeper.valid_until_s or now_s < self._unrenewed_until_s
 
     async def run(self) -> None:
         """Keep the lease and give orders until cancelled."""
         while True:
             now_s = boot_time()
-            if not self._is_led(now_s) or self.keeper.state == "holding":
+            if not self._is_led(now_s) or self.keeper.state == HOLDING:
                 self._perform(self.keeper.tick(self._rank, now_s))
             if self.holds:
                 self._lead(now_s)
@@ -120,6 +132,7 @@
     async def stop(self) -> None:
         """Give the lease up."""
         held = self.holds
+        self._stopping = True
         effects = self.keeper.stop(boot_time())
         if held:
             self._end()
@@ -146,6 +159,8 @@
 
     def view_heard(self, view: FleetView) -> None:
         """Note that another instance holds the lease, or that it ended."""
+        if view.fence > self._fence:
+            self._displaced("a view under a higher fence")
         if view.ended:
             self._view_heard_s = -VIEW_LIVE_S
             self.keeper.ended(view.holder)
@@ -165,15 +180,41 @@
                     self._spawn(self._read())
                 case WriteLease(record):
                     self._spawn(self._write(record))
-                case LeaseHeld() if self._first_order_s == 0.0:
-                    self._begin()
+                case LeaseHeld(fence=fence):
+                    self._held_lease(fence)
                 case LeaseLost():
-                    self._end()
+                    self._lost_lease()
+
+    def _held_lease(self, fence: int) -> None:
+        self._fence = fence
+        if self._unrenewed_until_s:
+            self._unrenewed_until_s = 0.0
+            self._world.events.event("lease renewed late", fence=fence)
+        if self._first_order_s == 0.0:
+            self._begin(fence)
+
+    def _lost_lease(self) -> None:
+        """Go on without a valid lease, if nobody else has taken it."""
+        record = self.keeper.record
+        displaced = record is None or record.holder != self.keeper.identity
+        if displaced or self._stopping or not self._world.boot.bounds.checks_fence:
+            self._end()
+            return
+        now_s = boot_time()
+        self._unrenewed_until_s = now_s + UNRENEWED_S
+        self._world.events.event("lease not renewed", fence=self._fence)
+        self._tell(now_s)
+
+    def _displaced(self, why: str) -> None:
+        """Stop leading: another instance holds the lease."""
+        if self._unrenewed_until_s:
+            self._world.events.event("lease taken over", reason=why)
+            self._unrenewed_until_s = 0.0
+            self._end()
 
-    def _begin(self) -> None:
+    def _begin(self, fence: int) -> None:
         """Start to lead; orders wait until no earlier holder can give any."""
         now_s = boot_time()
-        fence = self.keeper.fence
         bounds = self._world.boot.bounds
         wait_s = bounds.lease_s if fence > 1 and not bounds.checks_fence else 0.0
         self._first_order_s = now_s + wait_s
@@ -182,8 +223,9 @@
 
     def _end(self) -> None:
         self._first_order_s = 0.0
+        self._unrenewed_until_s = 0.0
         self._tell(boot_time(), ended=True)
-        self._world.events.event("lease lost", fence=self.keeper.fence)
+        self._world.events.event("lease lost", fence=self._fence)
 
     async def _read(self) -> None:
         found = await self._store.get(platform.LEASES, SHARD)
@@ -191,6 +233,8 @@
         match found:
             case Ok(obj):
                 effects = self.keeper.read(_record(obj), now_s)
+                if self.keeper.record.holder not in ("", self.keeper.identity):
+                    self._displaced("the lease names another holder")
             case Err(error) if error.fault is PlatformFault.NOT_FOUND:
                 effects = self.keeper.read(None, now_s)
             case Err(error):
@@ -246,7 +290,7 @@
             rate = LoadRate(
                 service.engine.loads_per_s, bounds.load_window_s, bounds.load_over
             )
-            first = self.keeper.fence <= 1
+            first = self._fence <= 1
             ask_from_s = now_s if first else now_s + TAKE_OVER_S
             stocking = Stocking(service.engine, rate, ask_from_s)
             self._stockings[service.name] = stocking
@@ -269,6 +313,10 @@
         for report in reports:
             for key, count in report.running.items():
                 running[_key(key)] += count
+        down: Counter[str] = Counter()
+        for report in reports:
+            down.update(report.unreached)
+        unreached = frozenset(n for n, count in down.items() if count >= DOWN_REPORTS)
         return {
             name: Need(
                 waiting.get(name, {}),
@@ -276,6 +324,7 @@
                 _a_second(fast.get(name, {})),
                 _a_second(slow.get(name, {})),
                 _a_second(pressing.get(name, {})),
+                unreached,
             )
             for name in self._world.table.services
         }
@@ -340,14 +389,15 @@
         stock = stocking.stocks.get(order.target)
         if target is None or stock is None:
             return
-        if not self.holds or self._refused_fence == self.keeper.fence:
+        if not self.holds or self._refused_fence == self._fence:
             stock.answered(OrderAnswer.NOT_SENT, boot_time())
             return
-        signed = replace(order, holder=self.keeper.identity, fence=self.keeper.fence)
+        signed = replace(order, holder=self.keeper.identity, fence=self._fence)
         sent_s = boot_time()
         answer = await self._send_order(target, signed)
         if answer is OrderAnswer.FENCED:
             self._refused_fence = signed.fence
+            self._displaced("a target refused the fence")
         now_s = boot_time()
         if stocking.stocks.get(order.target) is stock:
             stock.answered(answer, now_s)
@@ -389,6 +439,7 @@
         """Send every instance what targets hold and what runs elsewhere."""
         self._view_due_s = now_s + VIEW_EVERY_S
         self._sequence += 1
+        ended = ended or self._unrenewed_until_s > 0
         coming = self._coming_ms(now_s)
         totals: Counter[str] = Counter()
         for _, report in self._reports.values():
@@ -400,7 +451,7 @@
                 own[key.partition(" ")[0]] += count
             view = FleetView(
                 self.keeper.identity,
-                self.keeper.fence,
+                self._fence,
                 self._sequence,
                 len(self._reports),
                 self._held(totals, own),
--- a/src/marjoramstage/_entry/linking.py
+++ b/src/marjoramstage/_entry/linking.py
@@ -92,6 +92,7 @@
             running={f"{t} {item or ''}": n for (t, item), n in running},
             fast_rates=world.demand.fast.per_thousand_s(now_s),
             slow_rates=world.demand.slow.per_thousand_s(now_s),
+            unreached=world.unreached(),
             pressing_rates=world.demand.pressing.per_thousand_s(now_s),
         )
 
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -25,6 +25,7 @@
 DEFAULT_WAIT_S = 30.0
 NOT_READY_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.05
+STOPPING_WAIT_S = 1.0
 
 
 @dataclass
@@ -265,6 +266,8 @@
         outlook = self._outlook(work)
         coming_s = world.coming_s(work.service, item) if item is not None else None
         waited_s = now_s - work.arrived_s
+        if world.stopping and (coming_s is None or coming_s > STOPPING_WAIT_S):
+            return Ruling(True, retry_after_s=STOPPING_RETRY_S), Outlook.STOPPING
         left_s = min(work.until_s, work.arrived_s + work.route.first_s) - now_s
         if work.resp is not None:
             left_s = work.until_s - now_s
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -164,6 +164,12 @@
             return None
         return max(0.0, told_s + coming_ms * 0.001 - self.clock.now())
 
+    def unreached(self) -> tuple[str, ...]:
+        """Return the targets that could not be connected to lately."""
+        now_s = self.clock.now()
+        names = self.fleet.targets
+        return tuple(n for n in names if not self.health.reachable(n, now_s))
+
     def _serve(self) -> None:
         self._serve_handle = None
         self.line.serve()
--- a/src/marjoramstage/coordination/patience.py
+++ b/src/marjoramstage/coordination/patience.py
@@ -53,6 +53,7 @@
     NOT_HELD = "model not held"
     NO_TARGET = "no target"
     TRIED_ALL = "every target tried"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -72,6 +72,8 @@
         Requests a second for each model, over a short and a long time.
     pressing_rates : Mapping
         Those that a load would make late, over a very long time.
+    unreached : frozenset of str
+        Targets that several instances could not connect to lately.
     """
 
     waiting: Mapping[Item, int] = field(default_factory=dict)
@@ -79,6 +81,7 @@
     fast_rates: Mapping[Item, float] = field(default_factory=dict)
     slow_rates: Mapping[Item, float] = field(default_factory=dict)
     pressing_rates: Mapping[Item, float] = field(default_factory=dict)
+    unreached: frozenset[str] = frozenset()
 
     def rate(self, item: Item) -> float:
         """Return the requests a second for a model just now."""
@@ -153,6 +156,7 @@
         self.stocks: dict[str, Stock] = {}
         self._load_rate = load_rate
         self._planned: dict[str, Item] = {}
+        self._down: frozenset[str] = frozenset()
         self._run_s = 0.0
         self._next_fetch_s = 0.0
         self._idle_value = LAST_COPY_VALUE
@@ -178,6 +182,7 @@
         for name, item in need.running:
             if name in self.stocks:
                 self.stocks[name].touch(item, now_s)
+        self._down = need.unreached
         self._sum_up(need)
         self._plan_models(need, now_s)
         orders = []
@@ -271,7 +276,11 @@
         return planned + len(loading) - extra
 
     def _usable(self) -> list[Stock]:
-        return [s for s in self.stocks.values() if s.known and not s.target.leaving]
+        return [
+            s
+            for s in self.stocks.values()
+            if s.known and not s.target.leaving and s.target.name not in self._down
+        ]
 
     def _place_for(
         self, item: Item, need: Need, now_s: float
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -250,6 +250,8 @@
         over a short and a long time.
     pressing_rates : Mapping
         Those that can't wait for a load, over a very long time.
+    unreached : tuple of str
+        Targets that the sender could not connect to lately.
     """
 
     instance: str
@@ -261,6 +263,7 @@
     fast_rates: Mapping[str, int] = field(default_factory=dict)
     slow_rates: Mapping[str, int] = field(default_factory=dict)
     pressing_rates: Mapping[str, int] = field(default_factory=dict)
+    unreached: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -120,6 +120,7 @@
   7: optional map<string, i64> fast_rates
   8: optional map<string, i64> slow_rates
   9: optional map<string, i64> pressing_rates
+  10: optional list<string> unreached
 }
 
 struct HeldItems {
