--- /dev/null
+++ b/features/objects_standin.py
@@ -0,0 +1,239 @@
+"""Stand-ins of the users' platform: its store, engines and services.
+
+They run on a loop in a thread of the test; addresses are on loopback.
+"""
+
+import asyncio
+import json
+import threading
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+WATCH_S = 2.0
+EVENTS = 5
+
+
+class LoopThread:
+    """An event loop in a thread."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+        self._runners = []
+
+    def call(self, coro, timeout_s=10):
+        return asyncio.run_coroutine_threadsafe(coro, self.loop).result(timeout_s)
+
+    def serve(self, handler, host, port):
+        """Serve every request by ``handler``."""
+
+        async def start():
+            runner = web.ServerRunner(
+                web.Server(handler, handler_cancellation=True, access_log=None)
+            )
+            await runner.setup()
+            await web.TCPSite(runner, host, port).start()
+            self._runners.append(runner)
+
+        self.call(start())
+
+    def stop(self):
+        async def cleanup():
+            for runner in self._runners:
+                await runner.cleanup()
+
+        self.call(cleanup())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(5)
+
+
+class ObjectStore:
+    """The store: objects by kind and name, one revision, watches."""
+
+    def __init__(self):
+        self.objects = {}
+        self.events = []
+        self.revision = 1
+        self.away = False
+        self._changed = asyncio.Condition()
+
+    async def put(self, kind, name, spec):
+        """Write as the operator or a target does."""
+        self._store(kind, name, spec)
+        await self._tell()
+
+    async def remove(self, kind, name):
+        self._drop(kind, name)
+        await self._tell()
+
+    async def handle(self, req):
+        if self.away:
+            req.transport.abort()
+            return web.Response(status=503)
+        parts = req.path.removeprefix("/api/objects/").split("/")
+        kind, name = parts[0], parts[1] if len(parts) > 1 else ""
+        if req.method == "GET":
+            return await self._read(req, kind, name)
+        body = json.loads(await req.read() or b"{}")
+        name = name or body["meta"]["name"]
+        held = self.objects.get((kind, name))
+        if req.method == "POST" and held is not None:
+            return web.json_response(held, status=409)
+        if req.method == "PUT" and held is None:
+            return web.Response(status=404)
+        wanted = body.get("meta", {}).get("rev")
+        if req.method == "PUT" and wanted and wanted != held["meta"]["rev"]:
+            return web.json_response(held, status=409)
+        self._store(kind, name, body.get("spec"))
+        await self._tell()
+        return web.json_response(self.objects[kind, name])
+
+    async def _read(self, req, kind, name):
+        if name:
+            held = self.objects.get((kind, name))
+            return web.json_response(held, status=200 if held else 404)
+        if "watch" in req.query:
+            return await self._watch(kind, int(req.query["watch"]))
+        items = [obj for (k, _), obj in sorted(self.objects.items()) if k == kind]
+        return web.json_response(
+            {"items": items, "more": False, "store_revision": self.revision}
+        )
+
+    async def _watch(self, kind, since):
+        def found():
+            return [e for rev, k, e in self.events if k == kind and rev > since]
+
+        async with self._changed:
+            try:
+                await asyncio.wait_for(self._changed.wait_for(found), WATCH_S)
+            except TimeoutError:
+                pass
+        return web.json_response({"events": found(), "store_revision": self.revision})
+
+    def _store(self, kind, name, spec):
+        self.revision += 1
+        obj = {"meta": {"name": name, "rev": self.revision}, "spec": spec}
+        self.objects[kind, name] = obj
+        self.events.append((self.revision, kind, {"object": obj, "deleted": False}))
+
+    def _drop(self, kind, name):
+        self.revision += 1
+        obj = self.objects.pop((kind, name))
+        self.events.append((self.revision, kind, {"object": obj, "deleted": True}))
+
+    async def _tell(self):
+        async with self._changed:
+            self._changed.notify_all()
+
+
+@dataclass
+class Worker:
+    """A target: an engine with models, or a plain service without."""
+
+    name: str
+    host: str
+    port: int
+    service: str
+    models: set | None = None
+    on_disk: set = field(default_factory=set)
+    runs: list = field(default_factory=list)
+    headers: list = field(default_factory=list)
+    left: list = field(default_factory=list)
+    orders: list = field(default_factory=list)
+    seq: int = 0
+    born: int = 1
+    fault: str = ""
+    pause_s: float = 0.01
+
+    def entry(self, state="ready"):
+        found = {
+            "service": self.service,
+            "addr": f"{self.host}:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "seq": self.seq,
+            "born": self.born,
+        }
+        if self.models is not None:
+            found["models"] = [
+                {"name": name, "version": 1, "adapters": []} for name in self.models
+            ]
+        return found
+
+    async def handle(self, req):
+        if req.path == "/api/report":
+            return web.json_response(self._report())
+        if req.path == "/api/order":
+            return await self._order(req)
+        body = await req.read()
+        request_id = req.headers.get("Request-Id", "")
+        headers = {"Request-Id": request_id, "Stamp": f"{self.name}.{request_id}"}
+        if self.fault == "busy":
+            return web.Response(status=503, headers={"Not-Run": "1"})
+        model = req.headers.get("Model")
+        if model and model not in self.models:
+            return web.Response(status=421)
+        self.runs.append(request_id)
+        self.headers.append(dict(req.headers))
+        if model:
+            return await self._stream(req, headers)
+        return await self._answer(req, body, headers)
+
+    async def _answer(self, req, body, headers):
+        if self.fault == "error":
+            return web.Response(status=500, body=b"broken", headers=headers)
+        if self.fault == "foreign":
+            headers["Request-Id"] = "another"
+        if self.fault == "cut":
+            resp = web.StreamResponse(headers={**headers, "Content-Length": "1000"})
+            await resp.prepare(req)
+            await resp.write(b"half")
+            req.transport.close()
+            return resp
+        return web.Response(body=b"ran " + body, headers=headers)
+
+    async def _stream(self, req, headers):
+        headers["Content-Type"] = "text/event-stream"
+        resp = web.StreamResponse(headers=headers)
+        resp.enable_chunked_encoding()
+        await resp.prepare(req)
+        first = int(req.headers.get("Last-Event-Id", 0)) + 1
+        try:
+            for number in range(first, EVENTS + 1):
+                await asyncio.sleep(self.pause_s)
+                if self.fault == "break" and number == 3:
+                    await resp.write(b"id: 3\nda")
+                    req.transport.close()
+                    return resp
+                await resp.write(f"id: {number}\ndata: {self.name}\n\n".encode())
+        except (asyncio.CancelledError, ConnectionError):
+            self.left.append(req.headers["Request-Id"])
+            raise
+        await resp.write_eof()
+        return resp
+
+    async def _order(self, req):
+        order = json.loads(await req.read())
+        self.orders.append(order)
+        if order["precondition"] != self.seq:
+            return web.Response(status=409)
+        self.seq += 1
+        if order["op"] == "load":
+            self.models.add(order["model"])
+        else:
+            self.models.discard(order["model"])
+        return web.Response(status=202)
+
+    def _report(self):
+        return {
+            "models": self.entry()["models"],
+            "busy": False,
+            "seq": self.seq,
+            "waiting": 0,
+            "running": 0,
+            "at_hand": {"in_memory": [], "on_disk": sorted(self.on_disk)},
+        }
