Answer what waits when a stop begins; wait longer where callers are patient

Requests of patient callers were refused after a quarter of their patience. A target that could not be connected to counted as tried, so that a single holder that had crashed led to refusals. Ruled out: a longer grace at the end; the request had not been sent at all.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -30,6 +30,7 @@
       | t1 and t2 have 5 requests         | t3     |
       | t1 is leaving and t2 lacks m      | t3     |
       | t1 and t2 could not be reached    | t3     |
+      | no target could be reached        | none   |
       | t1 and t2 fail half their requests | t3    |
       | every target is full              | none   |
       | t2 and t3 were tried              | t1     |
--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -86,6 +86,12 @@
         context.health.unreached(name, NOW_S)
 
 
+@when("no target could be reached")
+def cut_all(context):
+    for name in context.targets:
+        context.health.unreached(name, NOW_S - 0.5)
+
+
 @when("t1 and t2 fail half their requests")
 def fail_two(context):
     for name in ("t1", "t2"):
--- a/src/marjoramstage/_entry/following.py
+++ b/src/marjoramstage/_entry/following.py
@@ -19,7 +19,7 @@
 )
 
 RETRY_S = 0.3
-PACE_S = 0.6
+PACE_S = 0.9
 SETTLE_S = 2.2
 
 
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -266,7 +266,7 @@
         outlook = self._outlook(work)
         coming_s = world.coming_s(work.service, item) if item is not None else None
         waited_s = now_s - work.arrived_s
-        if world.stopping and (coming_s is None or coming_s > STOPPING_WAIT_S):
+        if world.stopping and not self._comes_before_stop(coming_s, now_s):
             return Ruling(True, retry_after_s=STOPPING_RETRY_S), Outlook.STOPPING
         left_s = min(work.until_s, work.arrived_s + work.route.first_s) - now_s
         if work.resp is not None:
@@ -274,6 +274,12 @@
         ruling = self._patience.judge(outlook, waited_s, left_s, coming_s)
         return ruling, outlook
 
+    def _comes_before_stop(self, coming_s: float | None, now_s: float) -> bool:
+        """Whether a stop leaves time for a model to come and to be used."""
+        if coming_s is None:
+            return False
+        return now_s + coming_s < self._world.stopping_s + STOPPING_WAIT_S
+
     def _return_unused(self, waiter: Waiter, work: Work) -> None:
         """Give back a place that came just as its waiter gave up."""
         if waiter.used:
@@ -306,8 +312,6 @@
     async def _attempt(self, work: Work, target: FleetTarget) -> web.StreamResponse:
         """Send a request to one target and pass its answer on."""
         world = self._world
-        work.sent += 1
-        work.tried.append(target.name)
         answer = await self._send(work, target)
         ok = False
         try:
@@ -334,15 +338,21 @@
             fresh=work.route.repeat is Repeat.ONCE,
         )
         try:
-            return await self._exchange.send(call)
+            answer = await self._exchange.send(call)
         except TargetError as exc:
             now_s = self._world.clock.now()
             if exc.verdict is Verdict.NOT_RUN:
                 self._world.health.unreached(target.name, now_s)
             else:
                 self._world.health.ended(target.name, False, now_s)
+                work.sent += 1
+                work.tried.append(target.name)
             raise
 
+        work.sent += 1
+        work.tried.append(target.name)
+        return answer
+
     def _headers(self, work: Work, target: FleetTarget) -> CIMultiDict[str]:
         return platform.target_headers(
             work.req.headers.items(),
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -32,6 +32,8 @@
         The targets have been listed at least once.
     stopping : bool
         A stop was asked for.
+    stopping_s : float
+        When the stop was asked for.
     closed : bool
         No more requests are taken.
     """
@@ -44,6 +46,7 @@
         self.fleet = Fleet()
         self.listed = False
         self.stopping = False
+        self.stopping_s = 0.0
         self.closed = False
         self.holdings = Holdings()
         self.loads = LoadBook()
@@ -81,7 +84,8 @@
 
     def able(self, wish: Wish) -> list[FleetTarget]:
         """Return the targets that hold what is wished for, with room or not."""
-        return self._dispatcher.able(wish, self.fleet.of_service(wish.service))
+        targets = self.fleet.of_service(wish.service)
+        return self._dispatcher.able(wish, targets, self.clock.now())
 
     def changed(self) -> None:
         """Let those that wait try again, soon and not too often."""
--- a/src/marjoramstage/coordination/dispatch.py
+++ b/src/marjoramstage/coordination/dispatch.py
@@ -17,7 +17,6 @@
 
 FAR_COST = 0.15
 FAULT_COST = 1.5
-UNREACHED_COST = 10.0
 SPREAD = 0.03
 QUEUE_SHARE = 0.25
 
@@ -119,8 +118,10 @@
         self._health = health
         self._rng = rng
 
-    def able(self, wish: Wish, targets: Iterable[FleetTarget]) -> list[FleetTarget]:
-        """Return the targets that hold what is wished for."""
+    def able(
+        self, wish: Wish, targets: Iterable[FleetTarget], now_s: float
+    ) -> list[FleetTarget]:
+        """Return the targets that hold what is wished for and can be reached."""
         found = []
         for target in targets:
             if target.leaving or target.service != wish.service:
@@ -129,6 +130,8 @@
                 continue
             if not self._has(target, wish.item):
                 continue
+            if not self._health.reachable(target.name, now_s):
+                continue
             found.append(target)
         return found
 
@@ -137,7 +140,7 @@
     ) -> FleetTarget | None:
         """Return the best target with room, or None."""
         best: tuple[float, FleetTarget] | None = None
-        for target in self.able(wish, targets):
+        for target in self.able(wish, targets, now_s):
             running = self._loads.running(target.name)
             if running >= target.slots * (1 + QUEUE_SHARE):
                 continue
@@ -157,6 +160,4 @@
         if target.data_centre != self._data_centre:
             cost += FAR_COST
         cost += FAULT_COST * self._health.fault_share(target.name, now_s)
-        if not self._health.reachable(target.name, now_s):
-            cost += UNREACHED_COST
         return cost
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -174,7 +174,7 @@
         """Stop without cutting off what is in flight."""
         world = self._world
         began_s = world.clock.now()
-        world.stopping = True
+        world.stopping, world.stopping_s = True, began_s
         self._events.event("stopping", in_flight=self._serving.in_flight)
         await self._holder.stop()
         end_s = began_s + world.boot.bounds.grace_s - END_MARGIN_S
