Estimate turns of models that wait, count refused requests that return

Cause: requests for models that can wait were refused after a fixed share of their callers' patience, whether or not a turn was near; a refused one was forgotten, so that its model was not loaded when it came back. Settings that changed without a signal were not read.

--- a/features/entry_path.feature
+++ b/features/entry_path.feature
@@ -65,6 +65,12 @@
     Then every stream is whole
     And each order bears one holder and a fence
 
+  Scenario: settings that change while an instance runs
+    When the settings of an instance get a grace of 5 s, without a signal
+    Then it says within 4 s that it has read them
+    When the settings of an instance lose a line, with a signal
+    Then it says within 4 s what is missing and goes on
+
   Scenario: figures and logs
     When a booking request is sent 6 times
     Then the metrics address shows 6 requests that were answered
--- a/features/steps/entry_path.py
+++ b/features/steps/entry_path.py
@@ -421,6 +421,39 @@
     assert all(o["fence"] >= 1 for o in orders), orders
 
 
+def _settings(context, change):
+    path = context.deployment.folder / "i1.conf"
+    path.write_text(change(path.read_text()))
+
+
+def _says(context, event):
+    lines = (context.deployment.folder / "i1.log").read_text().splitlines()
+    return [line for line in lines if json.loads(line)["event"] == event]
+
+
+@when("the settings of an instance get a grace of 5 s, without a signal")
+def change_settings(context):
+    _settings(context, lambda text: text.replace("grace_s=8", "grace_s=5"))
+
+
+@then("it says within 4 s that it has read them")
+def check_settings(context):
+    wait_for(lambda: _says(context, "settings reloaded"), "settings are read")
+
+
+@when("the settings of an instance lose a line, with a signal")
+def break_settings(context):
+    _settings(context, lambda text: text.replace("zone=a\n", ""))
+    context.deployment.processes["i1"].send_signal(signal.SIGHUP)
+
+
+@then("it says within 4 s what is missing and goes on")
+def check_broken(context):
+    wait_for(lambda: _says(context, "settings unreadable"), "it says so")
+    assert "zone" in _says(context, "settings unreadable")[0]
+    assert _send(context, "GET", "/any/x").status == 200
+
+
 @then("the metrics address shows {count:d} requests that were answered")
 def check_metrics(context, count):
     text = _get(context.instances["i1"], 9464, "/metrics").body.decode()
--- a/src/marjoramstage/_entry/linking.py
+++ b/src/marjoramstage/_entry/linking.py
@@ -81,7 +81,7 @@
         world = self._world
         self._sequence += 1
         now_s = world.clock.now()
-        waiting = world.line.waiting().items()
+        waiting = world.wanted().items()
         running = world.loads.own.items()
         return EntryReport(
             instance=world.boot.name,
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -253,6 +253,8 @@
         while True:
             ruling, outlook = self._ruling(work)
             if ruling.refuse:
+                if outlook is Outlook.NOT_HELD:
+                    self._world.note_return(work.wish, ruling.retry_after_s)
                 raise self._no_place(work, outlook.value, ruling.retry_after_s)
             await asyncio.wait((waiter.fut,), timeout=ruling.wait_s)
             if waiter.fut.done():
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 
 from marjoramstage._entry.events import EventLog
@@ -19,6 +20,7 @@
 from marjoramstage.state.routes import RouteTable
 
 SERVE_EVERY_S = 0.01
+RETURN_SLACK_S = 0.3
 
 
 class World:
@@ -53,6 +55,7 @@
         self.health = TargetHealth()
         self.demand = DemandRates()
         self.on_wanted: Callable[[], None] = lambda: None
+        self._returns: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedBudget] = {}
         self._instances = 0
         self._view: tuple[str, int, int] = ("", 0, 0)
@@ -168,6 +171,21 @@
             return None
         return max(0.0, told_s + coming_ms * 0.001 - self.clock.now())
 
+    def note_return(self, wish: Wish, after_s: float) -> None:
+        """Note that a refused request is likely to come back for its item."""
+        if wish.item is not None:
+            until_s = self.clock.now() + after_s + RETURN_SLACK_S
+            self._returns.append((until_s, wish.service, wish.item))
+
+    def wanted(self) -> Counter[tuple[str, Item]]:
+        """Return the requests that wait for an item, or will come back for it."""
+        now_s = self.clock.now()
+        self._returns = [entry for entry in self._returns if entry[0] > now_s]
+        found = self.line.waiting()
+        for _, service, item in self._returns:
+            found[service, item] += 1
+        return found
+
     def unreached(self) -> tuple[str, ...]:
         """Return the targets that could not be connected to lately."""
         now_s = self.clock.now()
--- a/src/marjoramstage/coordination/patience.py
+++ b/src/marjoramstage/coordination/patience.py
@@ -33,7 +33,7 @@
     """
 
     ask_s: float = 0.35
-    ask_share: float = 0.6
+    ask_share: float = 0.25
     look_s: float = 0.1
     begin_s: float = 0.15
     full_share: float = 0.5
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -32,6 +32,7 @@
 RISE_MARGIN = 1.15
 LONGEST_RUN_S = 3.0
 WAITING_NEED = 0.25
+TURN_MARGIN = 1.0
 IDLE_WEIGHT = 3.0
 PRESSING_PER_S = 0.003
 LOADS_EXTRA = 2
@@ -183,6 +184,7 @@
         self.stocks: dict[str, Stock] = {}
         self._load_rate = load_rate
         self._planned: dict[str, Item] = {}
+        self._turns_s: dict[Item, float] = {}
         self._down: frozenset[str] = frozenset()
         self._run_s = 0.0
         self._next_fetch_s = 0.0
@@ -238,21 +240,37 @@
             elif self._planned.get(stock.target.name) == item:
                 unload_s = 0.0 if stock.fits(item) else UNLOAD_S
                 found.append(stock.load_s(item) + unload_s)
-        return min(found, default=None)
+        return min(found, default=self._turns_s.get(item))
 
     # Models
 
     def _plan_models(self, need: Need, now_s: float) -> None:
         """Choose a target for each model that needs a further copy."""
+        self._turns_s.clear()
         for item in self._wanted_models(need):
             found = self._place_for(item, need, now_s)
             if found is None:
+                self._turns_s[item] = self._turn_s(len(self._turns_s), need)
                 continue
             stock, victims = found
             for victim in victims:
                 stock.retire(victim, now_s)
             self._planned[stock.target.name] = item
 
+    def _turn_s(self, ahead: int, need: Need) -> float:
+        """Return when a model that no target can take now is likely to come.
+
+        Models that can wait take turns in the places that the others leave.
+        """
+        loose = sum(
+            not need.is_pressing(item)
+            for stock in self._usable()
+            for item in stock.models()
+        )
+        disk_load_s = max(model.disk_load_s for model in self.spec.models.values())
+        stay_s = MIN_STAY_S + UNLOAD_S + disk_load_s
+        return (ahead + 1) * TURN_MARGIN * stay_s / max(1, loose)
+
     def _wanted_models(self, need: Need) -> list[Item]:
         """Return the models that lack a copy, the most needed first."""
         lacking: list[tuple[float, Item]] = []
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import os
 import signal
 
 import aiohttp
@@ -31,6 +32,7 @@
 LISTEN_AFTER_STOP_S = 2.6
 END_MARGIN_S = 0.6
 IDLE_S = 75.0
+SETTINGS_EVERY_S = 2.0
 MAX_HEAD_BYTES = 32_768
 BACKLOG = 1024
 METRICS_PORT = 9464
@@ -90,6 +92,7 @@
             settle_targets(targets, self._world),
             self._holder.run(),
             self._link.run(),
+            self._watch_settings(),
         ):
             self._tasks.append(asyncio.create_task(self._guard(coro)))
         self._events.event("started", data_centre=boot.data_centre)
@@ -157,6 +160,24 @@
         self._world.boot = boot
         self._events.event("settings reloaded", path=self._path)
 
+    async def _watch_settings(self) -> None:
+        """Read the settings again when the file changed and no signal came."""
+        seen = self._settings_time()
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY_S)
+            found = self._settings_time()
+            if found != seen:
+                seen = found
+                self._reload()
+
+    def _settings_time(self) -> int:
+        """Return when the settings file changed last, in nanoseconds."""
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError as exc:
+            self._events.event("settings unreadable", reason=str(exc))
+            return 0
+
     def _close_front(self) -> None:
         """Take no more requests; those that came are answered."""
         if self._world.closed:
