Notice silent connections between instances; start without the metrics port

Cause: a connection to the holder that goes silent without a reset was kept for as long as its buffer took messages, so an instance's wanted models were not heard; a taken metrics port ended the process at each start; a caller that waits for leave to send its body was not given it. Found by reading the code. Ruled out: a time-out in the peers' protocol (the kernel's serves all of them).

--- a/features/entry_path.feature
+++ b/features/entry_path.feature
@@ -44,6 +44,8 @@
   Scenario: bytes that are no request, and a caller that leaves
     When an instance is sent bytes that are no request
     Then it answers 400 and closes
+    When a caller waits for leave to send its body
+    Then it is told to go on and its request is served
     When a caller leaves in the middle of a stream
     Then the engine sees it leave within 1 s
 
--- a/features/platform_formats.feature
+++ b/features/platform_formats.feature
@@ -12,6 +12,7 @@
       | with an unknown field   | later.field    | 7               | the machine's settings  |
       | without a name          | node_name      |                 | an error that names it  |
       | without a front address | listen.front   |                 | an error that names it  |
+      | without ports           | port_range     |                 | an error that names it  |
       | with a broken number    | port_range     | a,b             | an error                |
       | with a broken bound     | bounds.grace_s | soon            | an error                |
 
--- a/features/steps/entry_path.py
+++ b/features/steps/entry_path.py
@@ -295,6 +295,29 @@
     assert re.match(rb"HTTP/1\.[01] 400 ", context.junk), context.junk
 
 
+@when("a caller waits for leave to send its body")
+def wait_for_leave(context):
+    request_id = f"{next(context.numbers):016x}"
+    with socket.create_connection((context.instances["i1"], 8149)) as sock:
+        sock.settimeout(WAIT_S)
+        sock.sendall(
+            f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+            "Expect: 100-continue\r\nContent-Length: 3\r\n"
+            "Connection: close\r\n\r\n".encode()
+        )
+        context.leave = sock.recv(100)
+        sock.sendall(b"abc")
+        context.rest = b""
+        while block := sock.recv(4096):
+            context.rest += block
+
+
+@then("it is told to go on and its request is served")
+def check_leave(context):
+    assert context.leave == b"HTTP/1.1 100 Continue\r\n\r\n", context.leave
+    assert context.rest.endswith(b"ran abc"), context.rest
+
+
 @when("a caller leaves in the middle of a stream")
 def leave_stream(context):
     context.workers["e1"].pause_s = 0.5
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -20,8 +20,11 @@
     DemandEntry,
     DocumentsAsked,
     DocumentsSent,
+    EntryReport,
+    FleetView,
     Gossip,
     Head,
+    HeldItems,
     Hello,
     LeavingTarget,
     Load,
@@ -229,6 +232,19 @@
     DocumentsAsked(SENDER, ("a", "b")),
     DocumentsSent(SENDER, (NamedDocument("a", b"\x00\xff"),), ("b",)),
     GOOD,
+    EntryReport(
+        "i1",
+        "10.0.0.1:9",
+        "7",
+        3,
+        {"s m/a": 1},
+        {"t m": 2},
+        {"s m": 300},
+        {"s m": 400},
+        {"s m": 5},
+        ("t2",),
+    ),
+    FleetView("i2/x", 4, 5, 6, (HeldItems("t", 7, ("m",), 8),), {"s m": 90}, True),
 )
 
 
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -22,6 +22,7 @@
 from marjoramstage.transport.exchange import Answer, Call, Exchange
 
 PROMISES = frozenset((408, 421, 429, 503))
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 DEFAULT_WAIT_S = 30.0
 NOT_READY_RETRY_S = 0.5
 STOPPING_RETRY_S = 0.05
@@ -145,6 +146,8 @@
         headers = platform.caller_headers(req.headers)
         if not headers.request_id:
             raise RefusalError(400, "no request id")
+        if req.headers.get("Expect", "").lower() == "100-continue":
+            await req.writer.write(CONTINUE)
         try:
             body = await req.read()
         except web.HTTPRequestEntityTooLarge:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -123,9 +123,17 @@
         )
         host, port = split_address(boot.ready)
         self._servers.append(await loop.create_server(self._probes, host, port))
-        self._servers.append(
-            await loop.create_server(self._probes, boot.ip, METRICS_PORT)
-        )
+        await self._listen_metrics(loop)
+
+    async def _listen_metrics(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Serve the figures; callers are served without them too."""
+        ip = self._world.boot.ip
+        try:
+            server = await loop.create_server(self._probes, ip, METRICS_PORT)
+        except OSError as exc:
+            self._events.event("metrics not served", reason=str(exc))
+            return
+        self._servers.append(server)
 
     def _request(self, message, payload, protocol, writer, task) -> web.BaseRequest:
         """Make a request object that takes bodies up to the operator's limit."""
--- a/src/marjoramstage/platform/_settings.py
+++ b/src/marjoramstage/platform/_settings.py
@@ -11,7 +11,15 @@
 SETTINGS_VARIABLE = "MARJORAMSTAGE_NODE_FILE"
 MS = 0.001
 
-_REQUIRED = ("node_name", "ip", "zone", "listen.front", "listen.ready", "platform.addr")
+_REQUIRED = (
+    "node_name",
+    "ip",
+    "zone",
+    "listen.front",
+    "listen.ready",
+    "platform.addr",
+    "port_range",
+)
 
 
 def load_boot(path: str) -> Boot:
--- a/src/marjoramstage/transport/peers.py
+++ b/src/marjoramstage/transport/peers.py
@@ -24,6 +24,7 @@
     decode,
     encode,
 )
+from marjoramstage.transport.sockets import watch_peer
 
 log = part_logger("peers")
 
@@ -228,6 +229,7 @@
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, port), CONNECT_S
             )
+            watch_peer(writer.get_extra_info("socket"))
             await greet(reader, writer, self._identity)
             while True:
                 message = await asyncio.wait_for(queue.get(), IDLE_S / 2)
