Remove what nothing calls from the exchange and the fleet

Cause: read of the whole change: Answer.release, Fleet.settle and replace_all were never called, and Call.request_id was filled in and never looked at though its text said that the answer has to bear it (_entry/serving checks that). Conclusion: no behaviour changes.

--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -339,7 +339,6 @@
             path=work.req.message.path,
             headers=self._headers(work, target),
             body=work.body,
-            request_id=work.headers.request_id,
             fresh=work.route.repeat is Repeat.ONCE,
         )
         try:
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 
@@ -82,8 +82,8 @@
 class Fleet:
     """The targets that are known now.
 
-    A target that left the list in a spell in which the list could not be
-    trusted stays until `settle` is called.
+    A target that left the list while the list could not be trusted stays among
+    ``missing`` until it is removed as settled.
     """
 
     targets: dict[str, FleetTarget] = field(default_factory=dict)
@@ -95,28 +95,13 @@
         self.missing.discard(target.name)
 
     def remove(self, name: str, settled: bool = True) -> None:
-        """Take out a target, at once or at the next `settle`."""
+        """Take out a target, or note that it is missing."""
         if not settled and name in self.targets:
             self.missing.add(name)
             return
         self.targets.pop(name, None)
         self.missing.discard(name)
 
-    def replace_all(
-        self, listed: Mapping[str, FleetTarget], settled: bool = True
-    ) -> None:
-        """Take in a whole list."""
-        for name in [name for name in self.targets if name not in listed]:
-            self.remove(name, settled)
-        for target in listed.values():
-            self.put(target)
-
-    def settle(self) -> None:
-        """Take out what is still missing."""
-        for name in self.missing:
-            self.targets.pop(name, None)
-        self.missing.clear()
-
     def of_service(self, service: str) -> Iterable[FleetTarget]:
         """Return the targets of a service."""
         return [t for t in self.targets.values() if t.service == service]
--- a/src/marjoramstage/transport/exchange.py
+++ b/src/marjoramstage/transport/exchange.py
@@ -50,8 +50,6 @@
     ----------
     path : str
         Path and query, byte for byte.
-    request_id : str
-        Id that the answer has to bear.
     fresh : bool
         Use a new connection: one that was idle may break just now, and then
         nobody knows whether the request ran.
@@ -62,7 +60,6 @@
     path: str
     headers: CIMultiDict[str]
     body: bytes
-    request_id: str = ""
     fresh: bool = False
 
 
@@ -127,10 +124,6 @@
         """Close the connection, unless the answer was read to its end."""
         self._resp.close()
 
-    def release(self) -> None:
-        """Give the connection back for another request."""
-        self._resp.release()
-
 
 class Exchange:
     """Client of targets; owns its connections."""
