Hold prompts back at targets so that running streams keep their pauses

Of 1,085 `request late` lines 495 are pauses of 250 to 320 ms, also at targets with 20 to 35 requests: an engine reads up to 2,048 prompt tokens between two tokens of its streams, and five such steps in a row are one late event for all of them. Instances tell each other of prompts within 4 ms.

--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -9,6 +9,7 @@
 from marjoramstage.coordination.health import TargetHealth
 from marjoramstage.coordination.line import Line
 from marjoramstage.coordination.patience import Outlook, Patience
+from marjoramstage.coordination.prefill import PrefillBook
 from marjoramstage.coordination.retries import SharedBudget
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Limits, Route, RouteTable, Share
@@ -129,7 +130,12 @@
 @then("a request from a for m goes to {choice}")
 def check_choice(context, choice):
     dispatcher = Dispatcher(
-        "a", context.holdings, context.loads, context.health, random.Random(1)
+        "a",
+        context.holdings,
+        context.loads,
+        context.health,
+        PrefillBook(),
+        random.Random(1),
     )
     for _ in range(20):
         wish = Wish("s", MODEL, context.tried)
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -31,6 +31,7 @@
     MemberEntry,
     MemberState,
     NamedDocument,
+    PromptsSent,
     Rumour,
     decode,
     encode,
@@ -244,7 +245,10 @@
         {"s m": 5},
         ("t2",),
     ),
-    FleetView("i2/x", 4, 5, 6, (HeldItems("t", 7, ("m",), 8),), {"s m": 90}, True),
+    FleetView(
+        "i2/x", 4, 5, 6, (HeldItems("t", 7, ("m",), 8),), {"s m": 90}, True, ("a:1",)
+    ),
+    PromptsSent("i1", {"t": 800}),
 )
 
 
--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -441,6 +441,7 @@
         self._sequence += 1
         ended = ended or self._unrenewed_until_s > 0
         coming = self._coming_ms(now_s)
+        peers = tuple(report.address for _, report in self._reports.values())
         totals: Counter[str] = Counter()
         for _, report in self._reports.values():
             for key, count in report.running.items():
@@ -457,6 +458,7 @@
                 self._held(totals, own),
                 coming,
                 ended,
+                peers,
             )
             self._send_view(report.address, view)
 
--- a/src/marjoramstage/_entry/linking.py
+++ b/src/marjoramstage/_entry/linking.py
@@ -8,11 +8,18 @@
 from marjoramstage._entry.holding import Holder
 from marjoramstage._entry.world import World
 from marjoramstage.metrics import LocalMetrics
-from marjoramstage.protocol.peers import EntryReport, FleetView, PeerMessage
+from marjoramstage.protocol.peers import (
+    EntryReport,
+    FleetView,
+    PeerMessage,
+    PromptsSent,
+)
 from marjoramstage.transport.peers import Identity, PeerClient, PeerServer
 
 REPORT_EVERY_S = 0.2
 REPORT_GAP_S = 0.03
+# Prompts sent within this time are told together.
+TELL_PROMPTS_S = 0.004
 
 
 class Link:
@@ -30,7 +37,9 @@
         self._sequence = 0
         self._wanted = asyncio.Event()
         self._holder: Holder | None = None
+        self._tell_handle: asyncio.TimerHandle | None = None
         world.on_wanted = self._wanted.set
+        world.on_prompt = self._prompt_sent
 
     def attach(self, holder: Holder) -> None:
         """Set who takes reports."""
@@ -64,6 +73,20 @@
         else:
             self._client.send(address, view)
 
+    def _prompt_sent(self) -> None:
+        """Tell the others of prompts soon, several at once."""
+        if self._tell_handle is None:
+            loop = asyncio.get_running_loop()
+            self._tell_handle = loop.call_later(TELL_PROMPTS_S, self._tell_prompts)
+
+    def _tell_prompts(self) -> None:
+        self._tell_handle = None
+        world = self._world
+        told = PromptsSent(world.boot.name, world.prefill.take_untold())
+        for address in world.peers:
+            if address != self._address:
+                self._client.send(address, told)
+
     def _report(self) -> None:
         holder = self._holder
         if holder is None:
@@ -107,3 +130,5 @@
                 ):
                     self._holder.view_heard(message)
                 self._world.saw(message)
+            case PromptsSent():
+                self._world.prefill.told(message.tokens, self._world.clock.now())
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -16,7 +16,7 @@
 from marjoramstage.coordination.patience import LATEST, Outlook, Patience, Ruling
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.platform import CallerHeaders
-from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Repeat, Route
 from marjoramstage.transport.event_stream import EventSplitter
 from marjoramstage.transport.exchange import Answer, Call, Exchange
@@ -28,6 +28,9 @@
 STOPPING_RETRY_S = 0.05
 STOPPING_WAIT_S = 1.0
 
+# Part of the wanted time to the first event that a prompt may be held back for.
+PACED_SHARE = 0.5
+
 
 @dataclass
 class Work:
@@ -175,11 +178,29 @@
             body=body,
             arrived_s=arrived_s,
             until_s=until_s,
-            wish=Wish(service, item),
+            wish=self._wish(service, item, route, headers, arrived_s),
         )
         work.last_event = headers.last_event
         return work
 
+    def _wish(
+        self,
+        service: str,
+        item: Item | None,
+        route: Route,
+        headers: CallerHeaders,
+        arrived_s: float,
+    ) -> Wish:
+        if item is None:
+            return Wish(service)
+        return Wish(
+            service,
+            item,
+            tokens=headers.prompt_tokens,
+            pause_s=route.gap_aim_s,
+            paced_until_s=arrived_s + PACED_SHARE * route.aim_s,
+        )
+
     async def _run(self, work: Work) -> web.StreamResponse:
         """Send a request to targets until there is an answer to pass on."""
         while True:
@@ -209,7 +230,7 @@
         not_run = exc.verdict is Verdict.NOT_RUN
         self._figures.attempts.labels(exc.reason or "failed").inc()
         work.runs += 0 if not_run else 1
-        work.wish = Wish(work.service, work.wish.item, frozenset(work.tried))
+        work.wish = replace(work.wish, tried=frozenset(work.tried))
         fields = {
             "request": work.headers.request_id,
             "target": target.name,
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -13,6 +13,7 @@
 from marjoramstage.coordination.dispatch import Dispatcher, Holdings, LoadBook, Wish
 from marjoramstage.coordination.health import TargetHealth
 from marjoramstage.coordination.line import Line
+from marjoramstage.coordination.prefill import PrefillBook
 from marjoramstage.coordination.retries import SharedBudget
 from marjoramstage.protocol.peers import FleetView
 from marjoramstage.state.boot import Boot
@@ -53,15 +54,23 @@
         self.holdings = Holdings()
         self.loads = LoadBook()
         self.health = TargetHealth()
+        self.prefill = PrefillBook()
         self.demand = DemandRates()
+        self.peers: tuple[str, ...] = ()
         self.on_wanted: Callable[[], None] = lambda: None
+        self.on_prompt: Callable[[], None] = lambda: None
         self._returns: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedBudget] = {}
         self._instances = 0
         self._view: tuple[str, int, int] = ("", 0, 0)
         self._coming: tuple[float, Mapping[str, int]] = (0.0, {})
         self._dispatcher = Dispatcher(
-            boot.data_centre, self.holdings, self.loads, self.health, random.Random()
+            boot.data_centre,
+            self.holdings,
+            self.loads,
+            self.health,
+            self.prefill,
+            random.Random(),
         )
         self.line = Line(self.take)
         self._serve_handle: asyncio.TimerHandle | None = None
@@ -76,8 +85,12 @@
         now_s = self.clock.now()
         targets = self.fleet.of_service(wish.service)
         target = self._dispatcher.choose(wish, targets, now_s)
-        if target is not None:
-            self.loads.begin(target.name, wish.item)
+        if target is None:
+            return None
+        self.loads.begin(target.name, wish.item)
+        if wish.item is not None:
+            self.prefill.sent(target.name, wish.tokens, now_s)
+            self.on_prompt()
         return target
 
     def give_back(self, target: FleetTarget, wish: Wish) -> None:
@@ -141,6 +154,7 @@
         self.fleet.remove(name, settled)
         if settled:
             self.health.forget(name)
+            self.prefill.forget(name)
         self.events.event("target gone", target=name, settled=settled)
 
     def saw(self, view: FleetView) -> None:
@@ -152,6 +166,7 @@
             self.events.event("holder changed", holder=order[0], fence=view.fence)
         self._view = order
         self._instances = max(1, view.instances)
+        self.peers = view.peers
         for budget in self._budgets.values():
             budget.instances = self._instances
         running = {}
@@ -195,6 +210,11 @@
     def _serve(self) -> None:
         self._serve_handle = None
         self.line.serve()
+        read_s = self.prefill.next_free_s(self.clock.now())
+        if len(self.line) and read_s is not None and self._serve_handle is None:
+            loop = asyncio.get_running_loop()
+            delay_s = max(read_s, SERVE_EVERY_S)
+            self._serve_handle = loop.call_later(delay_s, self._serve)
 
 
 def _item(text: str) -> Item:
--- a/src/marjoramstage/coordination/dispatch.py
+++ b/src/marjoramstage/coordination/dispatch.py
@@ -13,10 +13,13 @@
 from dataclasses import dataclass
 
 from marjoramstage.coordination.health import TargetHealth
+from marjoramstage.coordination.prefill import PrefillBook
 from marjoramstage.state.fleet import FleetTarget, Item
 
 FAR_COST = 0.15
 FAULT_COST = 1.5
+# For each second of prompts that a target has yet to read.
+READ_COST_PER_S = 1.0
 SPREAD = 0.03
 QUEUE_SHARE = 0.25
 
@@ -29,11 +32,20 @@
     ----------
     tried : frozenset of str
         Targets that this request was sent to already.
+    tokens : int
+        Size of its prompt.
+    pause_s : float
+        Longest wanted pause between events of an answer; 0 if any will do.
+    paced_until_s : float
+        Until then it can wait for a target that reads no other prompts.
     """
 
     service: str
     item: Item | None = None
     tried: frozenset[str] = frozenset()
+    tokens: int = 0
+    pause_s: float = 0.0
+    paced_until_s: float = 0.0
 
 
 class Holdings:
@@ -110,12 +122,14 @@
         holdings: Holdings,
         loads: LoadBook,
         health: TargetHealth,
+        prefill: PrefillBook,
         rng: random.Random,
     ):
         self._data_centre = data_centre
         self._holdings = holdings
         self._loads = loads
         self._health = health
+        self._prefill = prefill
         self._rng = rng
 
     def able(
@@ -144,6 +158,10 @@
             running = self._loads.running(target.name)
             if running >= target.slots * (1 + QUEUE_SHARE):
                 continue
+            if now_s < wish.paced_until_s and not self._prefill.admits(
+                target.name, wish.tokens, wish.pause_s, now_s
+            ):
+                continue
             cost = self._cost(target, running, now_s)
             if best is None or cost < best[0]:
                 best = (cost, target)
@@ -160,4 +178,5 @@
         if target.data_centre != self._data_centre:
             cost += FAR_COST
         cost += FAULT_COST * self._health.fault_share(target.name, now_s)
+        cost += READ_COST_PER_S * self._prefill.backlog_s(target.name, now_s)
         return cost
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -295,6 +295,8 @@
         service and item.
     ended : bool
         The sender gives no more orders, another may take the lease.
+    peers : tuple of str
+        Addresses of the instances that reported lately.
     """
 
     holder: str
@@ -304,6 +306,21 @@
     held: tuple[HeldItems, ...] = ()
     coming_ms: Mapping[str, int] = field(default_factory=dict)
     ended: bool = False
+    peers: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class PromptsSent:
+    """Prompts that the sender sent to targets since it told last.
+
+    Attributes
+    ----------
+    tokens : Mapping
+        Tokens for each target.
+    """
+
+    instance: str
+    tokens: Mapping[str, int] = field(default_factory=dict)
 
 
 PeerMessage = (
@@ -316,6 +333,7 @@
     | AdapterWanted
     | EntryReport
     | FleetView
+    | PromptsSent
 )
 
 _MESSAGES = {
@@ -328,6 +346,7 @@
     "adapter_wanted": AdapterWanted,
     "entry_report": EntryReport,
     "fleet_view": FleetView,
+    "prompts_sent": PromptsSent,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(load_idl("peers.thrift"), _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -138,6 +138,12 @@
   5: optional list<HeldItems> held
   6: optional map<string, i64> coming_ms
   7: optional bool ended
+  8: optional list<string> peers
+}
+
+struct PromptsSent {
+  1: optional string instance
+  2: optional map<string, i64> tokens
 }
 
 // Exactly one field is set.
@@ -151,4 +157,5 @@
   7: optional AdapterWanted adapter_wanted
   8: optional EntryReport entry_report
   9: optional FleetView fleet_view
+  10: optional PromptsSent prompts_sent
 }
