Value copies by how crowded the others would be; a holder that is cut off stops

(c) the successor's first order came 2.2 s after it held the lease: what it found counted as just loaded. Ruled out: the rate of loads (none refused).

--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -46,6 +46,7 @@
 STAGGER_S = 0.3
 FENCED_WAIT_SHARE = 0.6
 REPORT_LIVE_S = 1.5
+KNOWN_INSTANCE_S = 10.0
 ORDER_TIMEOUT_S = 1.0
 RANKS = 3
 
@@ -90,6 +91,7 @@
         self._rank = zlib.crc32(identity.encode()) % RANKS
         self._stockings: dict[str, Stocking] = {}
         self._reports: dict[str, tuple[float, EntryReport]] = {}
+        self._heard_s: dict[str, float] = {}
         self._sequence = 0
         self._view_due_s = 0.0
         self._summary_due_s = 0.0
@@ -125,7 +127,7 @@
             now_s = boot_time()
             if not self._is_led(now_s) or self.keeper.state == HOLDING:
                 self._perform(self.keeper.tick(self._rank, now_s))
-            if self.holds:
+            if self.holds and not self._is_cut_off(now_s):
                 self._lead(now_s)
             await asyncio.sleep(TICK_S)
 
@@ -148,6 +150,7 @@
             return
         now_s = boot_time()
         self._reports[report.instance] = (now_s, report)
+        self._heard_s[report.instance] = now_s
 
     def _is_old(self, report: EntryReport) -> bool:
         """Whether a later report of the same start is known."""
@@ -171,6 +174,20 @@
         """Whether a live holder is known, so that the lease need not be read."""
         return now_s - self._view_heard_s < VIEW_LIVE_S
 
+    def _is_cut_off(self, now_s: float) -> bool:
+        """Whether a holder that can't renew has lost most instances as well.
+
+        It is then itself cut off, and another can take the lease and give
+        orders that it knows nothing of.
+        """
+        if not self._unrenewed_until_s:
+            return False
+        own = self._world.boot.name
+        others = [at_s for name, at_s in self._heard_s.items() if name != own]
+        known = [at_s for at_s in others if now_s - at_s < KNOWN_INSTANCE_S]
+        live = [at_s for at_s in known if now_s - at_s < REPORT_LIVE_S]
+        return 2 * len(live) < len(known)
+
     # Lease
 
     def _perform(self, effects: list[LeaseEffect]) -> None:
--- a/src/marjoramstage/coordination/prefill.py
+++ b/src/marjoramstage/coordination/prefill.py
@@ -16,7 +16,7 @@
 READ_TOKENS_PER_S = 33_000.0
 
 # Part of the longest wanted pause that prompts may take up.
-PAUSE_SHARE = 0.85
+PAUSE_SHARE = 0.75
 
 
 @dataclass
--- a/src/marjoramstage/coordination/stock.py
+++ b/src/marjoramstage/coordination/stock.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -19,6 +20,8 @@
 REPORT_LAG_S = 0.25
 SETTLE_S = 1.0
 UNLOAD_S = 0.7
+# When an item came that was there before its book was begun.
+LONG_AGO_S = -math.inf
 
 
 class Presence(enum.Enum):
@@ -331,7 +334,7 @@
         self.items = {}
         for item in report.items:
             used_s = before[item].used_s if item in before else now_s
-            self.items[item] = HeldItem(Presence.HELD, now_s, used_s)
+            self.items[item] = HeldItem(Presence.HELD, LONG_AGO_S, used_s)
 
     def _count_unknown(self, report: TargetReport, now_s: float) -> None:
         """Give room in the book to what is there without an order of ours."""
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -29,31 +28,30 @@
 ACTIVE_PER_S = 0.7
 SHIFT_EVERY_S = 12.0
 RISE_SHARE = 0.4
-RISE_MARGIN = 1.15
 LONGEST_RUN_S = 3.0
 WAITING_NEED = 0.25
+WAITING_PRESSING_NEED = 1.0
 TURN_MARGIN = 1.0
 IDLE_WEIGHT = 3.0
 PRESSING_PER_S = 0.003
 LOADS_EXTRA = 2
 
-# Part of a target's slots for one model: a copy is added over the first, and
-# may go under the second.
-ADD_SHARE = 0.3
-KEEP_SHARE = 0.15
+# Part of a target's slots that one model should take there at most.
+WANTED_SHARE = 0.3
 
 # A further copy is fetched from the weight store only over this part.
 FETCH_SHARE = 0.4
 
 # What copies are worth against each other, in requests a second that miss. A
-# further copy of a busy model takes the place of one that can wait for a load,
-# never that of the last copy of one that can't.
+# further copy of a crowded model takes the place of one that is missed less,
+# never that of the last copy of a busy model that can't wait.
 FIRST_PRESSING_NEED = 30.0
 LAST_COPY_VALUE = 20.0
-KEPT_COPY_VALUE = 12.0
-FURTHER_COPY_NEED = 11.0
+MOST_FURTHER_NEED = 18.0
+CROWDED_NEED = 11.0
+SECOND_COPY_NEED = 8.0
+SECOND_COPY_VALUE = 6.0
 MOST_LOOSE_NEED = 10.0
-SPARE_COPY_VALUE = 0.3
 RUN_VALUE = 0.15
 
 # In seconds of waiting, for each model that a target keeps on its disk: one
@@ -290,26 +288,22 @@
                 return 0.0
             if need.is_active(item):
                 return FIRST_PRESSING_NEED + waiting
-            need_now = need.slow_rate(item) + WAITING_NEED * waiting
+            each = WAITING_PRESSING_NEED if need.is_pressing(item) else WAITING_NEED
+            need_now = need.slow_rate(item) + each * waiting
             return min(need_now, MOST_LOOSE_NEED)
-        if copies < self._enough(item, need, ADD_SHARE):
-            return FURTHER_COPY_NEED
+        crowding = self._crowding(item, need, copies)
+        if crowding > 1.0:
+            return min(CROWDED_NEED * crowding, MOST_FURTHER_NEED)
+        if copies < 2 and need.rate(item) >= SECOND_COPY_PER_S:
+            return SECOND_COPY_NEED
         return 0.0
 
-    def _enough(self, item: Item, need: Need, slot_share: float) -> int:
-        """Return how many copies carry what a model's callers ask for.
-
-        Parameters
-        ----------
-        slot_share : float
-            Part of a target's slots that one copy should take.
-        """
-        rate = need.rate(item)
-        rising = rate * self._run_s * RISE_MARGIN
-        running = max(need.of_model(item.model), rising)
-        copies = math.ceil(running / (slot_share * self.spec.slots))
-        busy = rate >= SECOND_COPY_PER_S
-        return max(copies, 2 if busy else 1)
+    def _crowding(self, item: Item, need: Need, copies: int) -> float:
+        """Return the load of each copy of a model; over 1 there are too few."""
+        rising = need.rate(item) * self._run_s
+        asked = max(need.of_model(item.model), rising)
+        asked += need.waiting_by_model[item.model]
+        return asked / (copies * WANTED_SHARE * self.spec.slots)
 
     def _copies(self, item: Item) -> int:
         return sum(1 for stock in self._usable() if stock.holds(item))
@@ -385,8 +379,8 @@
             return False
         if need.is_active(item):
             copies = self._copies(item)
-            crowded = FETCH_SHARE * self.spec.slots * copies
-            return need.of_model(item.model) >= crowded
+            crowded = FETCH_SHARE / WANTED_SHARE
+            return copies == 0 or self._crowding(item, need, copies) >= crowded
         return not near and now_s >= self._next_fetch_s
 
     def _is_idle(self, stock: Stock) -> bool:
@@ -451,9 +445,11 @@
             if need.is_pressing(item):
                 return self._idle_value + rate + wait
             return need.slow_rate(item) + wait
-        if copies <= self._enough(item, need, KEEP_SHARE):
-            return KEPT_COPY_VALUE + wait
-        return SPARE_COPY_VALUE * rate / copies + wait
+        crowding = self._crowding(item, need, copies - 1)
+        value = min(CROWDED_NEED * crowding, MOST_FURTHER_NEED)
+        if copies == 2 and rate >= SECOND_COPY_PER_S:
+            value = max(value, SECOND_COPY_VALUE)
+        return value + wait
 
     def _sum_up(self, need: Need) -> None:
         """Work out what holds for all models in this step.
