--- /dev/null
+++ b/features/played_load.py
@@ -0,0 +1,745 @@
+"""A service under load on a virtual clock: callers, instances, engines.
+
+The decisions are the product's own; the engines read prompts in pieces between
+the tokens of their running streams, as the platform's pages say.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field, replace
+
+from marjoramstage.coordination.demand_rates import PER_THOUSAND_S, DemandRates
+from marjoramstage.coordination.dispatch import Dispatcher, Holdings, LoadBook, Wish
+from marjoramstage.coordination.health import TargetHealth
+from marjoramstage.coordination.patience import Outlook, Patience
+from marjoramstage.coordination.prefill import PrefillBook
+from marjoramstage.coordination.stocking import LoadRate, Need, Stocking
+from marjoramstage.protocol.control import OrderAnswer
+from marjoramstage.state.fleet import FleetTarget, Item, TargetReport
+from marjoramstage.state.routes import EngineSpec, ModelSpec
+
+SERVICE = "s"
+WARM_UP_S = 2.0
+PACED_SHARE = 1.0
+RETURN_SLACK_S = 0.3
+TOLD_AFTER_S = 0.006
+REPORT_LAG_S = 0.2
+
+
+@dataclass(frozen=True)
+class Traffic:
+    """One kind of request."""
+
+    name: str
+    per_s: float
+    aim_s: float
+    pause_s: float
+    deadline_s: float
+    worth: float
+    late_worth: float
+    rank: int
+    prompt: tuple
+    events: tuple
+    models: tuple
+    adapter_share: float = 0.0
+    busy: int = 0
+
+
+@dataclass(frozen=True)
+class Shift:
+    """Demand moves on by some places in the list of models."""
+
+    at_s: float
+    places: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class Loss:
+    """Targets are gone for a time and come back with their disks."""
+
+    at_s: float
+    count: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class Speed:
+    """How fast an engine works."""
+
+    step_s: float = 0.00547
+    slot_s: float = 0.0000121
+    context_s: float = 0.000000023
+    read_s: float = 1 / 38_700
+    pair_s: float = 0.737e-9
+    chunk: int = 2048
+    stride: int = 5
+    memory: int = 155_174
+
+
+@dataclass
+class Request:
+    """One request of a caller, through a repeat of its own."""
+
+    traffic: Traffic
+    item: Item
+    prompt: int
+    tokens: int
+    begun_s: float
+    entry: int
+    arrived_s: float = 0.0
+    again: bool = False
+    first_s: float | None = None
+    last_s: float = 0.0
+    pause_s: float = 0.0
+    made: int = 0
+    read: int = 0
+    wish: Wish | None = None
+    target: str = ""
+    outcome: str = ""
+
+    @property
+    def until_s(self):
+        return self.begun_s + self.traffic.deadline_s
+
+    @property
+    def patience_s(self):
+        return max(2.0, 4 * self.traffic.aim_s, 8 * self.traffic.pause_s)
+
+
+class Loop:
+    """Calls functions at virtual times."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self._due = []
+        self._number = itertools.count()
+
+    def at(self, at_s, func, *args):
+        at_s = max(at_s, self.now_s)
+        heapq.heappush(self._due, (at_s, next(self._number), func, args))
+
+    def after(self, delay_s, func, *args):
+        self.at(self.now_s + delay_s, func, *args)
+
+    def run(self, until_s):
+        while self._due and self._due[0][0] <= until_s:
+            self.now_s, _, func, args = heapq.heappop(self._due)
+            func(*args)
+
+
+class Engine:
+    """A target that batches requests and carries out orders."""
+
+    def __init__(self, loop, name, place, spec, speed, born=1):
+        self.loop, self.name, self.place = loop, name, place
+        self.spec, self.speed, self.born = spec, speed, born
+        self.items, self.memory, self.disk = set(), [], []
+        self.count, self.doing = 0, None
+        self.running, self.queue = [], deque()
+        self.up, self.stepping = True, False
+        self.past = deque(maxlen=40)
+        self.store_loads = 0
+        self.broke_room = False
+
+    def entry(self):
+        return FleetTarget(
+            self.name,
+            self.born,
+            SERVICE,
+            "10.0.0.1:80",
+            self.place,
+            self.spec.slots,
+            items=frozenset(self.items),
+        )
+
+    # Requests
+
+    def take(self, req):
+        """Queue a request; False if it is refused."""
+        if not self.up or req.item not in self.items:
+            return False
+        self.queue.append(req)
+        if not self.stepping:
+            self.stepping = True
+            self.loop.after(0.0005, self._step)
+        return True
+
+    def _step(self):
+        if not self.up:
+            return
+        used = sum(req.prompt + req.tokens for req in self.running)
+        while self.queue and len(self.running) < self.spec.slots:
+            best = min(self.queue, key=lambda r: r.traffic.rank)
+            if used + best.prompt + best.tokens > self.speed.memory:
+                break
+            self.queue.remove(best)
+            used += best.prompt + best.tokens
+            self.running.append(best)
+        if not self.running:
+            self.stepping = False
+            return
+        took_s, done = self._work()
+        self.loop.after(took_s, self._stepped, done)
+
+    def _work(self):
+        speed, left = self.speed, self.speed.chunk
+        took_s = speed.step_s + speed.slot_s * len(self.running)
+        done = []
+        for req in self.running:
+            if req.read < req.prompt:
+                piece = min(left, req.prompt - req.read)
+                left -= piece
+                took_s += piece * speed.read_s + speed.pair_s * piece * (
+                    req.read + piece / 2
+                )
+                req.read += piece
+                if req.read < req.prompt:
+                    continue
+            took_s += speed.context_s * (req.prompt + req.made)
+            done.append(req)
+        return took_s, done
+
+    def _stepped(self, done):
+        if not self.up:
+            return
+        for req in done:
+            req.made += 1
+            ended = req.made >= req.tokens
+            if ended or req.made % self.speed.stride == 0:
+                req.on_event(ended)
+            if ended and req in self.running:
+                self.running.remove(req)
+        self._step()
+
+    def drop(self, req):
+        """Stop work on a request."""
+        if req in self.running:
+            self.running.remove(req)
+        if req in self.queue:
+            self.queue.remove(req)
+
+    def crash(self):
+        """Lose everything but the disk."""
+        lost = [*self.running, *self.queue]
+        self.up, self.stepping, self.doing = False, False, None
+        self.running, self.queue = [], deque()
+        self.items, self.memory, self.count = set(), [], 0
+        self.past.clear()
+        return lost
+
+    def back(self):
+        self.up = True
+        self.born += 1
+
+    # Orders
+
+    def order(self, order):
+        if not self.up:
+            return OrderAnswer.NOT_SENT
+        item, there = order.item, order.item in self.items
+        if self.doing is not None or order.order_count != self.count:
+            return OrderAnswer.BUSY
+        if there == order.load:
+            return OrderAnswer.HOLDS
+        if item.adapter and item.base not in self.items:
+            return OrderAnswer.INVALID
+        self.count += 1
+        if item.adapter:
+            if order.load:
+                self.items.add(item)
+                self._check_room()
+                return OrderAnswer.ACCEPTED
+            self.items.discard(item)
+            return OrderAnswer.HOLDS
+        self.doing = order
+        if order.load:
+            self._check_room(item)
+            self.loop.after(self._load_s(item.model), self._loaded, order, self.born)
+        else:
+            self._unload(order, self.born)
+        return OrderAnswer.ACCEPTED
+
+    def _load_s(self, model):
+        spec = self.spec.models[model]
+        if model in self.memory:
+            return spec.memory_load_s
+        if model in self.disk:
+            return spec.disk_load_s
+        self.store_loads += 1
+        return spec.load_s
+
+    def keep(self, model):
+        """Keep a copy of weights, the newest last."""
+        for kept, room_mb in ((self.memory, 130_000), (self.disk, 400_000)):
+            if model in kept:
+                kept.remove(model)
+            kept.append(model)
+            while sum(self.spec.models[m].memory_mb for m in kept) > room_mb:
+                kept.pop(0)
+
+    def _loaded(self, order, born):
+        if not self.up or born != self.born:
+            return
+        self.items.add(order.item)
+        self.keep(order.item.model)
+        self.doing = None
+
+    def _unload(self, order, born):
+        if not self.up or born != self.born:
+            return
+        model = order.item.model
+        if any(req.item.model == model for req in [*self.running, *self.queue]):
+            self.loop.after(0.05, self._unload, order, born)
+            return
+        self.items = {item for item in self.items if item.model != model}
+        self.doing = None
+
+    def _check_room(self, item=None):
+        items = self.items | ({item} if item else set())
+        models = self.spec.models
+        used = sum(
+            models[i.model].adapter_mb if i.adapter else models[i.model].memory_mb
+            for i in items
+        )
+        adapters = sum(1 for i in items if i.adapter)
+        if used > self.spec.memory_mb or adapters > self.spec.adapter_places:
+            self.broke_room = True
+
+    def note(self):
+        report = TargetReport(
+            self.count,
+            self.doing is not None,
+            0,
+            0,
+            frozenset(self.items),
+            frozenset(),
+            frozenset(self.memory),
+            frozenset(self.disk),
+        )
+        self.past.append((self.loop.now_s, report))
+
+    def report(self):
+        old = [r for at, r in self.past if at <= self.loop.now_s - REPORT_LAG_S]
+        return old[-1] if self.up and old else None
+
+
+class Instance:
+    """The deciding parts of one instance."""
+
+    def __init__(self, day, number, place):
+        self.day, self.number, self.place = day, number, place
+        self.holdings, self.loads = Holdings(), LoadBook()
+        self.health, self.prefill = TargetHealth(), PrefillBook()
+        self.rates, self.patience = DemandRates(), Patience()
+        self.line, self.returns = [], []
+        self.dispatcher = Dispatcher(
+            place, self.holdings, self.loads, self.health, self.prefill, day.rng
+        )
+        self.polling = False
+
+    def arrive(self, req):
+        now_s = self.day.loop.now_s
+        pressing = self.day.spec.is_pressing(req.item.model, req.traffic.aim_s)
+        self.rates.note(f"{SERVICE} {req.item.model}", pressing, now_s)
+        req.wish = Wish(
+            SERVICE,
+            req.item,
+            tokens=req.prompt,
+            pause_s=req.traffic.pause_s,
+            paced_until_s=now_s + PACED_SHARE * req.traffic.aim_s,
+        )
+        if self.place_it(req):
+            return
+        self.line.append(req)
+        self.rule(req)
+        self.poll()
+
+    def place_it(self, req):
+        now_s = self.day.loop.now_s
+        targets = self.day.entries()
+        for _ in range(3):
+            target = self.dispatcher.choose(req.wish, targets, now_s)
+            if target is None:
+                return False
+            if self.day.engines[target.name].take(req):
+                break
+            self.health.unreached(target.name, now_s)
+        else:
+            return False
+        self.loads.begin(target.name, req.item)
+        self.prefill.sent(target.name, req.prompt, now_s)
+        self.day.tell_prompts(self)
+        req.target = target.name
+        return True
+
+    def poll(self):
+        if self.polling or not self.line:
+            return
+        self.polling = True
+        self.day.loop.after(0.01, self._polled)
+
+    def _polled(self):
+        self.polling = False
+        key = lambda req: (req.traffic.rank, req.until_s)  # noqa: E731
+        for req in sorted(self.line, key=key):
+            if req.outcome:
+                self.line.remove(req)
+            elif self.place_it(req):
+                self.line.remove(req)
+        self.poll()
+
+    def rule(self, req):
+        if req.outcome or req not in self.line:
+            return
+        now_s = self.day.loop.now_s
+        able = self.dispatcher.able(req.wish, self.day.entries(), now_s)
+        outlook = Outlook.FULL if able else Outlook.NOT_HELD
+        left_s = min(req.until_s, req.arrived_s + req.patience_s) - now_s
+        waited_s = now_s - req.arrived_s
+        coming_s = self.day.coming_s(req.item)
+        ruling = self.patience.judge(outlook, waited_s, left_s, coming_s)
+        if not ruling.refuse:
+            self.day.loop.after(max(ruling.wait_s, 0.001), self.rule, req)
+            return
+        self.line.remove(req)
+        if outlook is Outlook.NOT_HELD:
+            until_s = now_s + ruling.retry_after_s + RETURN_SLACK_S
+            self.returns.append((until_s, req.item))
+        self.day.refused(req, ruling.retry_after_s)
+
+    def ended(self, req):
+        self.loads.end(req.target, req.item)
+
+    def wanted(self):
+        now_s = self.day.loop.now_s
+        self.returns = [pair for pair in self.returns if pair[0] > now_s]
+        found = Counter(req.item for req in self.line)
+        found.update(item for _, item in self.returns)
+        return found
+
+
+@dataclass
+class Day:
+    """A day that is played; `play` returns the requests with their outcomes."""
+
+    spec: EngineSpec
+    traffic: tuple
+    shifts: tuple = ()
+    losses: tuple = ()
+    seed: int = 1
+    length_s: float = 30.0
+    places: tuple = ("a", "b", "c")
+    targets: int = 6
+    instances: int = 7
+    clump: int = 3
+    speed: Speed = field(default_factory=Speed)
+
+    def __post_init__(self):
+        self.rng, self.loop = random.Random(self.seed), Loop()
+        self.engines = {}
+        for n in range(self.targets):
+            place = self.places[n % len(self.places)]
+            name = f"t{n}"
+            self.engines[name] = Engine(self.loop, name, place, self.spec, self.speed)
+        self._stock_first()
+        self.gone = set()
+        self.members = [
+            Instance(self, n, self.places[n % len(self.places)])
+            for n in range(self.instances)
+        ]
+        rate = LoadRate(self.spec.loads_per_s, 5.0, 1.1)
+        self.stocking = Stocking(self.spec, rate, 0.0)
+        self.requests = []
+        self._coming = (0.0, {})
+        self._entries = []
+        self._need_due_s, self._need_found = 0.0, Need()
+
+    def _stock_first(self):
+        """Busy models on many targets, the others on one, as far as there is room."""
+        engines = list(self.engines.values())
+        names = [name for t in self.traffic if t.busy for name in t.models[:1]]
+        names += list(self.spec.models)
+        for name in itertools.islice(itertools.cycle(names), 4 * len(names)):
+            fits = [
+                e
+                for e in engines
+                if Item(name) not in e.items
+                and len([i for i in e.items]) < 2
+                and sum(self.spec.models[i.model].memory_mb for i in e.items)
+                + self.spec.models[name].memory_mb
+                <= self.spec.memory_mb
+            ]
+            if fits:
+                engine = min(fits, key=lambda e: len(e.items))
+                engine.items.add(Item(name))
+                engine.keep(name)
+        for engine in engines:
+            others = self.rng.sample(list(self.spec.models), 4)
+            engine.disk = [m for m in others if m not in engine.disk] + engine.disk
+            while sum(self.spec.models[m].memory_mb for m in engine.disk) > 400_000:
+                engine.disk.pop(0)
+
+    # Callers
+
+    def _shares(self, traffic, at_s):
+        """Return the models of a kind of request and their shares at a moment."""
+        if not traffic.busy:
+            weights = [(n + 1) ** -0.4 for n in range(len(traffic.models))]
+            return list(traffic.models), weights
+        weights = Counter()
+        shares = (0.533, 0.197, 0.148, 0.123)
+        moved = 0.0
+        for shift in self.shifts:
+            part = min(1.0, max(0.0, (at_s - shift.at_s) / shift.for_s))
+            moved += shift.places * part
+        low = int(moved // 2 * 2)
+        part = (moved - low) / 2
+        for offset, weight in ((low, 1 - part), (low + 2, part)):
+            for n, share in enumerate(shares):
+                name = traffic.models[(offset + n) % len(traffic.models)]
+                weights[name] += weight * share
+        return list(weights), list(weights.values())
+
+    def _arrivals(self):
+        for traffic in self.traffic:
+            at_s = 0.0
+            while at_s < self.length_s:
+                rate = traffic.per_s / self.clump
+                at_s += self.rng.expovariate(rate)
+                size = self.rng.randint(1, 2 * self.clump - 1)
+                entry = self.rng.randrange(self.instances)
+                for _ in range(size):
+                    when_s = at_s + self.rng.random() * 0.1
+                    self.loop.at(when_s, self._arrive, traffic, entry)
+
+    def _size(self, kind):
+        mean, spread, most = kind
+        value = self.rng.lognormvariate(math.log(mean) - spread**2 / 2, spread)
+        return max(1, int(min(value, most)))
+
+    def _arrive(self, traffic, entry):
+        now_s = self.loop.now_s
+        names, weights = self._shares(traffic, now_s)
+        name = self.rng.choices(names, weights)[0]
+        adapters = self.spec.models[name].adapters
+        adapter = ""
+        if adapters and self.rng.random() < traffic.adapter_share:
+            adapter = f"a{self.rng.randint(1, adapters)}"
+        shared = 0.3 * traffic.prompt[0]
+        req = Request(
+            traffic,
+            Item(name, adapter),
+            int(shared + self._size(traffic.prompt)),
+            self._size(traffic.events) * self.speed.stride,
+            now_s,
+            entry,
+        )
+        req.arrived_s = now_s
+        req.on_event = lambda ended: self._event(req, ended)
+        self.requests.append(req)
+        self.members[entry].arrive(req)
+        self.loop.at(req.until_s, self._deadline, req)
+
+    def _event(self, req, ended):
+        now_s = self.loop.now_s
+        if req.first_s is None:
+            req.first_s = now_s - req.begun_s
+        else:
+            req.pause_s = max(req.pause_s, now_s - req.last_s)
+        req.last_s = now_s
+        if ended:
+            in_time = req.first_s <= req.traffic.aim_s
+            smooth = req.pause_s <= req.traffic.pause_s
+            self._end(req, "in time" if in_time and smooth else "late")
+
+    def _end(self, req, outcome):
+        if req.outcome:
+            return
+        req.outcome = outcome
+        member = self.members[req.entry]
+        if req.target:
+            self.engines[req.target].drop(req)
+            member.ended(req)
+            member.poll()
+
+    def _deadline(self, req):
+        self._end(req, "deadline")
+
+    def refused(self, req, after_s):
+        """A caller comes back once, when it was told to."""
+        now_s = self.loop.now_s
+        left_s = req.until_s - now_s
+        if req.again or left_s <= 0:
+            req.outcome = "refused"
+            return
+        req.again = True
+        self.loop.after(min(after_s, left_s / 3), self._return, req)
+
+    def _return(self, req):
+        if req.outcome:
+            return
+        req.entry = self.rng.randrange(self.instances)
+        req.arrived_s = self.loop.now_s
+        self.members[req.entry].arrive(req)
+
+    # What the instances know
+
+    def entries(self):
+        return self._entries
+
+    def coming_s(self, item):
+        told_s, coming = self._coming
+        found = coming.get(item)
+        return None if found is None else max(0.0, told_s + found - self.loop.now_s)
+
+    def tell_prompts(self, member):
+        self.loop.after(TOLD_AFTER_S, self._told, member)
+
+    def _told(self, member):
+        told = member.prefill.take_untold()
+        if not told:
+            return
+        for other in self.members:
+            if other is not member:
+                other.prefill.told(told, self.loop.now_s)
+
+    # The giver of orders
+
+    def _tick(self):
+        now_s = self.loop.now_s
+        for engine in self.engines.values():
+            if engine.up:
+                engine.note()
+        self._entries = [
+            e.entry() for e in self.engines.values() if e.name not in self.gone
+        ]
+        self.stocking.follow(self._entries, now_s)
+        for stock in self.stocking.stocks.values():
+            if not stock.wants_report(now_s):
+                continue
+            report = self.engines[stock.target.name].report()
+            if report is None:
+                stock.not_reported(now_s)
+                continue
+            again = stock.reported(report, now_s)
+            if again is not None:
+                self._give(again)
+        for order in self.stocking.step(self._need(), now_s):
+            self._give(order)
+        self.loop.after(0.05, self._tick)
+
+    def _give(self, order):
+        answer = self.engines[order.target].order(order)
+        self.stocking.stocks[order.target].answered(answer, self.loop.now_s)
+
+    def _need(self):
+        now_s = self.loop.now_s
+        if now_s < self._need_due_s:
+            return self._need_found
+        self._need_due_s = now_s + 0.1
+        self._need_found = self._sum_need(now_s)
+        return self._need_found
+
+    def _sum_need(self, now_s):
+        waiting, running = Counter(), Counter()
+        sums = {"fast": Counter(), "slow": Counter(), "pressing": Counter()}
+        for member in self.members:
+            waiting.update(member.wanted())
+            for key, count in member.loads.own.items():
+                running[key] += count
+            for kind, found in sums.items():
+                rates = getattr(member.rates, kind).per_thousand_s(now_s)
+                for key, value in rates.items():
+                    found[Item(key.split(" ")[1])] += value / PER_THOUSAND_S
+        unreached = frozenset(
+            e.name for e in self.engines.values() if not e.up and e.name not in self.gone
+        )
+        return Need(
+            waiting, running, sums["fast"], sums["slow"], sums["pressing"], unreached
+        )
+
+    def _view(self):
+        now_s = self.loop.now_s
+        totals = Counter()
+        for member in self.members:
+            for (target, _), count in member.loads.own.items():
+                totals[target] += count
+        for member in self.members:
+            own = Counter()
+            for (target, _), count in member.loads.own.items():
+                own[target] += count
+            member.loads.set_elsewhere({t: totals[t] - own[t] for t in totals})
+            for name, stock in self.stocking.stocks.items():
+                if stock.known:
+                    held = frozenset(stock.servable())
+                    member.holdings.tell(name, stock.target.incarnation, held)
+            member.poll()
+        items = {item for m in self.members for item in m.wanted()}
+        found = {item: self.stocking.coming_s(item, now_s) for item in items}
+        self._coming = (now_s, {i: s for i, s in found.items() if s is not None})
+        self.loop.after(0.1, self._view)
+
+    # Losses
+
+    def _lose(self, loss):
+        names = self.rng.sample(sorted(self.engines), loss.count)
+        for name in names:
+            for req in self.engines[name].crash():
+                self._end(req, "broken")
+            self.loop.after(loss.for_s, self._regain, name)
+            self.loop.after(3.0, self.gone.add, name)
+
+    def _regain(self, name):
+        self.engines[name].back()
+        self.loop.after(0.3, self.gone.discard, name)
+
+    def play(self):
+        self._tick()
+        self.loop.run(WARM_UP_S)
+        self._need_due_s = 0.0
+        self.stocking = replace_stocking(self.stocking, self.spec)
+        self.loop = self._fresh_loop()
+        self._tick()
+        self._view()
+        self._arrivals()
+        for loss in self.losses:
+            self.loop.at(loss.at_s, self._lose, loss)
+        self.loop.run(self.length_s + 25.0)
+        return self.requests
+
+    def _fresh_loop(self):
+        loop = Loop()
+        for engine in self.engines.values():
+            engine.loop = loop
+            engine.past.clear()
+        return loop
+
+
+def replace_stocking(stocking, spec):
+    """Return a fresh giver of orders; what targets hold is asked anew."""
+    return Stocking(spec, LoadRate(spec.loads_per_s, 5.0, 1.1), 0.0)
+
+
+def worth(requests, name=None):
+    """Return what was earned of what was owed."""
+    owed = earned = 0.0
+    for req in requests:
+        kind = req.traffic
+        if name is not None and kind.name != name:
+            continue
+        size = req.prompt + 10 * req.tokens
+        mean = 1.3 * kind.prompt[0] + 50 * kind.events[0]
+        part = min(4.0, 0.3 + 0.7 * size / mean)
+        owed += kind.worth * part
+        if req.outcome == "in time":
+            earned += kind.worth * part
+        elif req.outcome == "late":
+            earned += kind.late_worth * part
+    return earned / owed if owed else 1.0
+
+
+__all__ = ["Day", "Loss", "ModelSpec", "Shift", "Traffic", "replace", "worth"]
--- a/src/marjoramstage/_entry/serving.py
+++ b/src/marjoramstage/_entry/serving.py
@@ -29,7 +29,7 @@
 STOPPING_WAIT_S = 1.0
 
 # Part of the wanted time to the first event that a prompt may be held back for.
-PACED_SHARE = 0.5
+PACED_SHARE = 1.0
 
 
 @dataclass
--- a/src/marjoramstage/coordination/demand_rates.py
+++ b/src/marjoramstage/coordination/demand_rates.py
@@ -4,7 +4,7 @@
 
 import math
 
-FAST_HALF_LIFE_S = 2.5
+FAST_HALF_LIFE_S = 1.2
 SLOW_HALF_LIFE_S = 12.0
 PRESSING_HALF_LIFE_S = 60.0
 PER_THOUSAND_S = 1000.0
--- a/src/marjoramstage/coordination/dispatch.py
+++ b/src/marjoramstage/coordination/dispatch.py
@@ -19,7 +19,7 @@
 FAR_COST = 0.15
 FAULT_COST = 1.5
 # For each second of prompts that a target has yet to read.
-READ_COST_PER_S = 1.0
+READ_COST_PER_S = 3.0
 SPREAD = 0.03
 QUEUE_SHARE = 0.25
 
--- a/src/marjoramstage/coordination/prefill.py
+++ b/src/marjoramstage/coordination/prefill.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 
 # Prompt tokens that an engine reads in a second beside running streams.
-READ_TOKENS_PER_S = 33_000.0
+READ_TOKENS_PER_S = 28_000.0
 
 # Part of the longest wanted pause that prompts may take up.
-PAUSE_SHARE = 0.75
+PAUSE_SHARE = 0.65
 
 
 @dataclass
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -20,7 +21,7 @@
 # Times in seconds, rates a second.
 PLAN_EVERY_S = 0.1
 RETIRE_S = 0.12
-LONGEST_RETIRE_S = 2.5
+LONGEST_RETIRE_S = 0.5
 RETIRE_ADAPTER_S = 0.08
 ADAPTER_S = 0.06
 MIN_STAY_S = 1.5
@@ -32,7 +33,7 @@
 WAITING_NEED = 0.25
 WAITING_PRESSING_NEED = 1.0
 TURN_MARGIN = 1.0
-IDLE_WEIGHT = 3.0
+IDLE_WEIGHT = 20.0
 PRESSING_PER_S = 0.003
 LOADS_EXTRA = 2
 
@@ -48,15 +49,22 @@
 FIRST_PRESSING_NEED = 30.0
 LAST_COPY_VALUE = 20.0
 MOST_FURTHER_NEED = 18.0
-CROWDED_NEED = 11.0
-SECOND_COPY_NEED = 8.0
-SECOND_COPY_VALUE = 6.0
+CROWDED_VALUE = 6.0
+CROWDED_POWER = 2.0
+SECOND_COPY_NEED = 2.0
+SECOND_COPY_VALUE = 1.5
 MOST_LOOSE_NEED = 10.0
 RUN_VALUE = 0.15
 
-# In seconds of waiting, for each model that a target keeps on its disk: one
-# more drives out another that would come back there.
-HOME_COST = 0.3
+# In seconds, for each model that a target keeps on its disk: one more drives
+# out another that would come back there.
+HOME_S = 0.3
+
+# A new copy is of use for about this long.
+USED_FOR_S = 8.0
+
+# Time until the only request of a model at a target ends.
+RUN_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -144,6 +152,16 @@
         return found
 
 
+def _crowded_value(crowding: float) -> float:
+    """Return what a copy is worth whose lack leaves the others so crowded."""
+    return min(CROWDED_VALUE * crowding**CROWDED_POWER, MOST_FURTHER_NEED)
+
+
+def _drain_s(runs: int) -> float:
+    """Return how long an unload is likely to wait for the requests there."""
+    return RUN_S * (1.0 + math.log(runs)) if runs else 0.0
+
+
 class LoadRate:
     """Bound on loads from the weight store in a sliding window."""
 
@@ -293,7 +311,7 @@
             return min(need_now, MOST_LOOSE_NEED)
         crowding = self._crowding(item, need, copies)
         if crowding > 1.0:
-            return min(CROWDED_NEED * crowding, MOST_FURTHER_NEED)
+            return _crowded_value(crowding)
         if copies < 2 and need.rate(item) >= SECOND_COPY_PER_S:
             return SECOND_COPY_NEED
         return 0.0
@@ -338,11 +356,11 @@
             The target and the models that make way there.
         """
         worth = self._need_of(item, need)
-        near = [s for s in self._usable() if s.is_at_hand(item.model)]
-        found = self._best_of(near, item, worth, need, now_s)
-        if found is None and self._may_fetch(item, bool(near), need, now_s):
-            far = [s for s in self._usable() if not s.is_at_hand(item.model)]
-            found = self._best_of(far, item, worth, need, now_s)
+        stocks = self._usable()
+        near = [s for s in stocks if s.is_at_hand(item.model)]
+        if not self._may_fetch(item, bool(near), need, now_s):
+            stocks = near
+        found = self._best_of(stocks, item, worth, need, now_s)
         if found is None or not self._is_idle(found[0]):
             return None
         return found
@@ -363,7 +381,9 @@
             victims = self._victims(stock, item, worth, need, now_s)
             if victims is None:
                 continue
-            cost = self._cost(stock, item, need, now_s)
+            delay_s = self._delay_s(stock, item, victims, need, now_s)
+            cost = worth * delay_s / USED_FOR_S
+            cost += need.at(stock.target.name) / self.spec.slots
             cost += sum(self._value(stock, v, need) for v in victims)
             if best is None or cost < best[0]:
                 best = (cost, stock, victims)
@@ -386,16 +406,24 @@
     def _is_idle(self, stock: Stock) -> bool:
         return stock.target.name not in self._planned and stock.pending is None
 
-    def _cost(self, stock: Stock, item: Item, need: Need, now_s: float) -> float:
-        """Return the cost of a load in seconds of waiting."""
-        crowd = need.at(stock.target.name) / self.spec.slots
-        cost = stock.load_s(item) + stock.busy_s(now_s) + crowd
+    def _delay_s(
+        self,
+        stock: Stock,
+        item: Item,
+        victims: tuple[Item, ...],
+        need: Need,
+        now_s: float,
+    ) -> float:
+        """Return how long it takes until a target can serve one more model."""
+        delay_s = stock.load_s(item) + stock.busy_s(now_s)
         if not stock.is_at_hand(item.model):
-            cost += HOME_COST * len(stock.on_disk)
+            delay_s += HOME_S * len(stock.on_disk)
         planned = self._planned.get(stock.target.name)
         if planned is not None:
-            cost += UNLOAD_S + stock.load_s(planned)
-        return cost
+            delay_s += UNLOAD_S + stock.load_s(planned)
+        name = stock.target.name
+        runs = [need.of_model_at(name, victim.model) for victim in victims]
+        return delay_s + max((_drain_s(count) for count in runs), default=0.0)
 
     def _victims(
         self, stock: Stock, item: Item, worth: float, need: Need, now_s: float
@@ -446,7 +474,7 @@
                 return self._idle_value + rate + wait
             return need.slow_rate(item) + wait
         crowding = self._crowding(item, need, copies - 1)
-        value = min(CROWDED_NEED * crowding, MOST_FURTHER_NEED)
+        value = _crowded_value(crowding)
         if copies == 2 and rate >= SECOND_COPY_PER_S:
             value = max(value, SECOND_COPY_VALUE)
         return value + wait
