--- /dev/null
+++ b/features/played_engine.py
@@ -0,0 +1,250 @@
+"""An engine on a virtual clock: batches, prompts read in pieces, orders.
+
+It reads prompts in pieces between the tokens of its running streams, as the
+platform's pages say.
+"""
+
+import heapq
+import itertools
+from collections import deque
+from dataclasses import dataclass
+
+from marjoramstage.protocol.control import OrderAnswer
+from marjoramstage.state.fleet import FleetTarget, TargetReport
+
+SERVICE = "s"
+REPORT_LAG_S = 0.2
+KEPT_REPORTS = 40
+HOST_MB = 130_000
+DISK_MB = 400_000
+
+
+@dataclass(frozen=True)
+class Speed:
+    """How fast an engine works."""
+
+    step_s: float = 0.00547
+    slot_s: float = 0.0000121
+    context_s: float = 0.000000023
+    read_s: float = 1 / 38_700
+    pair_s: float = 0.737e-9
+    chunk: int = 2048
+    stride: int = 5
+    memory: int = 155_174
+
+
+class Loop:
+    """Calls functions at virtual times."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self._due = []
+        self._number = itertools.count()
+
+    def at(self, at_s, func, *args):
+        at_s = max(at_s, self.now_s)
+        heapq.heappush(self._due, (at_s, next(self._number), func, args))
+
+    def after(self, delay_s, func, *args):
+        self.at(self.now_s + delay_s, func, *args)
+
+    def run(self, until_s):
+        while self._due and self._due[0][0] <= until_s:
+            self.now_s, _, func, args = heapq.heappop(self._due)
+            func(*args)
+
+
+class Engine:
+    """A target that batches requests and carries out orders."""
+
+    def __init__(self, loop, name, place, spec, speed, born=1):
+        self.loop, self.name, self.place = loop, name, place
+        self.spec, self.speed, self.born = spec, speed, born
+        self.items, self.memory, self.disk = set(), [], []
+        self.count, self.doing = 0, None
+        self.running, self.queue = [], deque()
+        self.up, self.stepping = True, False
+        self.past = deque(maxlen=KEPT_REPORTS)
+        self.store_loads = 0
+        self.broke_room = False
+
+    def entry(self):
+        return FleetTarget(
+            self.name,
+            self.born,
+            SERVICE,
+            "10.0.0.1:80",
+            self.place,
+            self.spec.slots,
+            items=frozenset(self.items),
+        )
+
+    # Requests
+
+    def take(self, req):
+        """Queue a request; False if it is refused."""
+        if not self.up or req.item not in self.items:
+            return False
+        self.queue.append(req)
+        if not self.stepping:
+            self.stepping = True
+            self.loop.after(0.0005, self._step)
+        return True
+
+    def _step(self):
+        if not self.up:
+            return
+        used = sum(req.prompt + req.tokens for req in self.running)
+        while self.queue and len(self.running) < self.spec.slots:
+            best = min(self.queue, key=lambda r: r.traffic.rank)
+            if used + best.prompt + best.tokens > self.speed.memory:
+                break
+            self.queue.remove(best)
+            used += best.prompt + best.tokens
+            self.running.append(best)
+        if not self.running:
+            self.stepping = False
+            return
+        took_s, done = self._work()
+        self.loop.after(took_s, self._stepped, done)
+
+    def _work(self):
+        speed, left = self.speed, self.speed.chunk
+        took_s = speed.step_s + speed.slot_s * len(self.running)
+        done = []
+        for req in self.running:
+            if req.read < req.prompt:
+                piece = min(left, req.prompt - req.read)
+                left -= piece
+                took_s += piece * speed.read_s + speed.pair_s * piece * (
+                    req.read + piece / 2
+                )
+                req.read += piece
+                if req.read < req.prompt:
+                    continue
+            took_s += speed.context_s * (req.prompt + req.made)
+            done.append(req)
+        return took_s, done
+
+    def _stepped(self, done):
+        if not self.up:
+            return
+        for req in done:
+            req.made += 1
+            ended = req.made >= req.tokens
+            if ended or req.made % self.speed.stride == 0:
+                req.on_event(ended)
+            if ended and req in self.running:
+                self.running.remove(req)
+        self._step()
+
+    def drop(self, req):
+        """Stop work on a request."""
+        if req in self.running:
+            self.running.remove(req)
+        if req in self.queue:
+            self.queue.remove(req)
+
+    def crash(self):
+        """Lose everything but the disk."""
+        lost = [*self.running, *self.queue]
+        self.up, self.stepping, self.doing = False, False, None
+        self.running, self.queue = [], deque()
+        self.items, self.memory, self.count = set(), [], 0
+        self.past.clear()
+        return lost
+
+    def back(self):
+        self.up = True
+        self.born += 1
+
+    # Orders
+
+    def order(self, order):
+        if not self.up:
+            return OrderAnswer.NOT_SENT
+        item, there = order.item, order.item in self.items
+        if self.doing is not None or order.order_count != self.count:
+            return OrderAnswer.BUSY
+        if there == order.load:
+            return OrderAnswer.HOLDS
+        if item.adapter and item.base not in self.items:
+            return OrderAnswer.INVALID
+        self.count += 1
+        if item.adapter:
+            if order.load:
+                self.items.add(item)
+                self._check_room()
+                return OrderAnswer.ACCEPTED
+            self.items.discard(item)
+            return OrderAnswer.HOLDS
+        self.doing = order
+        if order.load:
+            self._check_room(item)
+            self.loop.after(self._load_s(item.model), self._loaded, order, self.born)
+        else:
+            self._unload(order, self.born)
+        return OrderAnswer.ACCEPTED
+
+    def _load_s(self, model):
+        spec = self.spec.models[model]
+        if model in self.memory:
+            return spec.memory_load_s
+        if model in self.disk:
+            return spec.disk_load_s
+        self.store_loads += 1
+        return spec.load_s
+
+    def keep(self, model):
+        """Keep a copy of weights, the newest last."""
+        for kept, room_mb in ((self.memory, HOST_MB), (self.disk, DISK_MB)):
+            if model in kept:
+                kept.remove(model)
+            kept.append(model)
+            while sum(self.spec.models[m].memory_mb for m in kept) > room_mb:
+                kept.pop(0)
+
+    def _loaded(self, order, born):
+        if not self.up or born != self.born:
+            return
+        self.items.add(order.item)
+        self.keep(order.item.model)
+        self.doing = None
+
+    def _unload(self, order, born):
+        if not self.up or born != self.born:
+            return
+        model = order.item.model
+        if any(req.item.model == model for req in [*self.running, *self.queue]):
+            self.loop.after(0.05, self._unload, order, born)
+            return
+        self.items = {item for item in self.items if item.model != model}
+        self.doing = None
+
+    def _check_room(self, item=None):
+        items = self.items | ({item} if item else set())
+        models = self.spec.models
+        used = sum(
+            models[i.model].adapter_mb if i.adapter else models[i.model].memory_mb
+            for i in items
+        )
+        adapters = sum(1 for i in items if i.adapter)
+        if used > self.spec.memory_mb or adapters > self.spec.adapter_places:
+            self.broke_room = True
+
+    def note(self):
+        report = TargetReport(
+            self.count,
+            self.doing is not None,
+            0,
+            0,
+            frozenset(self.items),
+            frozenset(),
+            frozenset(self.memory),
+            frozenset(self.disk),
+        )
+        self.past.append((self.loop.now_s, report))
+
+    def report(self):
+        old = [r for at, r in self.past if at <= self.loop.now_s - REPORT_LAG_S]
+        return old[-1] if self.up and old else None
--- a/features/played_load.py
+++ b/features/played_load.py
@@ -1,32 +1,30 @@
-"""A service under load on a virtual clock: callers, instances, engines.
+"""A service under load on a virtual clock: callers and instances.
 
-The decisions are the product's own; the engines read prompts in pieces between
-the tokens of their running streams, as the platform's pages say.
+The decisions are the product's own, the engines are those of `played_engine`.
 """
 
-import heapq
 import itertools
 import math
 import random
-from collections import Counter, deque
-from dataclasses import dataclass, field, replace
+from collections import Counter
+from dataclasses import dataclass, field
 
+from features.played_engine import SERVICE, Engine, Loop, Speed
 from marjoramstage.coordination.demand_rates import PER_THOUSAND_S, DemandRates
 from marjoramstage.coordination.dispatch import Dispatcher, Holdings, LoadBook, Wish
 from marjoramstage.coordination.health import TargetHealth
+from marjoramstage.coordination.load_rate import LoadRate
+from marjoramstage.coordination.need import Need
 from marjoramstage.coordination.patience import Outlook, Patience
 from marjoramstage.coordination.prefill import PrefillBook
-from marjoramstage.coordination.stocking import LoadRate, Need, Stocking
-from marjoramstage.protocol.control import OrderAnswer
-from marjoramstage.state.fleet import FleetTarget, Item, TargetReport
-from marjoramstage.state.routes import EngineSpec, ModelSpec
+from marjoramstage.coordination.stocking import Stocking
+from marjoramstage.state.fleet import Item
+from marjoramstage.state.routes import EngineSpec
 
-SERVICE = "s"
 WARM_UP_S = 2.0
 PACED_SHARE = 1.0
 RETURN_SLACK_S = 0.3
 TOLD_AFTER_S = 0.006
-REPORT_LAG_S = 0.2
 
 
 @dataclass(frozen=True)
@@ -66,20 +64,6 @@
     for_s: float
 
 
-@dataclass(frozen=True)
-class Speed:
-    """How fast an engine works."""
-
-    step_s: float = 0.00547
-    slot_s: float = 0.0000121
-    context_s: float = 0.000000023
-    read_s: float = 1 / 38_700
-    pair_s: float = 0.737e-9
-    chunk: int = 2048
-    stride: int = 5
-    memory: int = 155_174
-
-
 @dataclass
 class Request:
     """One request of a caller, through a repeat of its own."""
@@ -110,223 +94,6 @@
         return max(2.0, 4 * self.traffic.aim_s, 8 * self.traffic.pause_s)
 
 
-class Loop:
-    """Calls functions at virtual times."""
-
-    def __init__(self):
-        self.now_s = 0.0
-        self._due = []
-        self._number = itertools.count()
-
-    def at(self, at_s, func, *args):
-        at_s = max(at_s, self.now_s)
-        heapq.heappush(self._due, (at_s, next(self._number), func, args))
-
-    def after(self, delay_s, func, *args):
-        self.at(self.now_s + delay_s, func, *args)
-
-    def run(self, until_s):
-        while self._due and self._due[0][0] <= until_s:
-            self.now_s, _, func, args = heapq.heappop(self._due)
-            func(*args)
-
-
-class Engine:
-    """A target that batches requests and carries out orders."""
-
-    def __init__(self, loop, name, place, spec, speed, born=1):
-        self.loop, self.name, self.place = loop, name, place
-        self.spec, self.speed, self.born = spec, speed, born
-        self.items, self.memory, self.disk = set(), [], []
-        self.count, self.doing = 0, None
-        self.running, self.queue = [], deque()
-        self.up, self.stepping = True, False
-        self.past = deque(maxlen=40)
-        self.store_loads = 0
-        self.broke_room = False
-
-    def entry(self):
-        return FleetTarget(
-            self.name,
-            self.born,
-            SERVICE,
-            "10.0.0.1:80",
-            self.place,
-            self.spec.slots,
-            items=frozenset(self.items),
-        )
-
-    # Requests
-
-    def take(self, req):
-        """Queue a request; False if it is refused."""
-        if not self.up or req.item not in self.items:
-            return False
-        self.queue.append(req)
-        if not self.stepping:
-            self.stepping = True
-            self.loop.after(0.0005, self._step)
-        return True
-
-    def _step(self):
-        if not self.up:
-            return
-        used = sum(req.prompt + req.tokens for req in self.running)
-        while self.queue and len(self.running) < self.spec.slots:
-            best = min(self.queue, key=lambda r: r.traffic.rank)
-            if used + best.prompt + best.tokens > self.speed.memory:
-                break
-            self.queue.remove(best)
-            used += best.prompt + best.tokens
-            self.running.append(best)
-        if not self.running:
-            self.stepping = False
-            return
-        took_s, done = self._work()
-        self.loop.after(took_s, self._stepped, done)
-
-    def _work(self):
-        speed, left = self.speed, self.speed.chunk
-        took_s = speed.step_s + speed.slot_s * len(self.running)
-        done = []
-        for req in self.running:
-            if req.read < req.prompt:
-                piece = min(left, req.prompt - req.read)
-                left -= piece
-                took_s += piece * speed.read_s + speed.pair_s * piece * (
-                    req.read + piece / 2
-                )
-                req.read += piece
-                if req.read < req.prompt:
-                    continue
-            took_s += speed.context_s * (req.prompt + req.made)
-            done.append(req)
-        return took_s, done
-
-    def _stepped(self, done):
-        if not self.up:
-            return
-        for req in done:
-            req.made += 1
-            ended = req.made >= req.tokens
-            if ended or req.made % self.speed.stride == 0:
-                req.on_event(ended)
-            if ended and req in self.running:
-                self.running.remove(req)
-        self._step()
-
-    def drop(self, req):
-        """Stop work on a request."""
-        if req in self.running:
-            self.running.remove(req)
-        if req in self.queue:
-            self.queue.remove(req)
-
-    def crash(self):
-        """Lose everything but the disk."""
-        lost = [*self.running, *self.queue]
-        self.up, self.stepping, self.doing = False, False, None
-        self.running, self.queue = [], deque()
-        self.items, self.memory, self.count = set(), [], 0
-        self.past.clear()
-        return lost
-
-    def back(self):
-        self.up = True
-        self.born += 1
-
-    # Orders
-
-    def order(self, order):
-        if not self.up:
-            return OrderAnswer.NOT_SENT
-        item, there = order.item, order.item in self.items
-        if self.doing is not None or order.order_count != self.count:
-            return OrderAnswer.BUSY
-        if there == order.load:
-            return OrderAnswer.HOLDS
-        if item.adapter and item.base not in self.items:
-            return OrderAnswer.INVALID
-        self.count += 1
-        if item.adapter:
-            if order.load:
-                self.items.add(item)
-                self._check_room()
-                return OrderAnswer.ACCEPTED
-            self.items.discard(item)
-            return OrderAnswer.HOLDS
-        self.doing = order
-        if order.load:
-            self._check_room(item)
-            self.loop.after(self._load_s(item.model), self._loaded, order, self.born)
-        else:
-            self._unload(order, self.born)
-        return OrderAnswer.ACCEPTED
-
-    def _load_s(self, model):
-        spec = self.spec.models[model]
-        if model in self.memory:
-            return spec.memory_load_s
-        if model in self.disk:
-            return spec.disk_load_s
-        self.store_loads += 1
-        return spec.load_s
-
-    def keep(self, model):
-        """Keep a copy of weights, the newest last."""
-        for kept, room_mb in ((self.memory, 130_000), (self.disk, 400_000)):
-            if model in kept:
-                kept.remove(model)
-            kept.append(model)
-            while sum(self.spec.models[m].memory_mb for m in kept) > room_mb:
-                kept.pop(0)
-
-    def _loaded(self, order, born):
-        if not self.up or born != self.born:
-            return
-        self.items.add(order.item)
-        self.keep(order.item.model)
-        self.doing = None
-
-    def _unload(self, order, born):
-        if not self.up or born != self.born:
-            return
-        model = order.item.model
-        if any(req.item.model == model for req in [*self.running, *self.queue]):
-            self.loop.after(0.05, self._unload, order, born)
-            return
-        self.items = {item for item in self.items if item.model != model}
-        self.doing = None
-
-    def _check_room(self, item=None):
-        items = self.items | ({item} if item else set())
-        models = self.spec.models
-        used = sum(
-            models[i.model].adapter_mb if i.adapter else models[i.model].memory_mb
-            for i in items
-        )
-        adapters = sum(1 for i in items if i.adapter)
-        if used > self.spec.memory_mb or adapters > self.spec.adapter_places:
-            self.broke_room = True
-
-    def note(self):
-        report = TargetReport(
-            self.count,
-            self.doing is not None,
-            0,
-            0,
-            frozenset(self.items),
-            frozenset(),
-            frozenset(self.memory),
-            frozenset(self.disk),
-        )
-        self.past.append((self.loop.now_s, report))
-
-    def report(self):
-        old = [r for at, r in self.past if at <= self.loop.now_s - REPORT_LAG_S]
-        return old[-1] if self.up and old else None
-
-
 class Instance:
     """The deciding parts of one instance."""
 
@@ -386,9 +153,7 @@
         self.polling = False
         key = lambda req: (req.traffic.rank, req.until_s)  # noqa: E731
         for req in sorted(self.line, key=key):
-            if req.outcome:
-                self.line.remove(req)
-            elif self.place_it(req):
+            if req.outcome or self.place_it(req):
                 self.line.remove(req)
         self.poll()
 
@@ -451,13 +216,16 @@
             Instance(self, n, self.places[n % len(self.places)])
             for n in range(self.instances)
         ]
-        rate = LoadRate(self.spec.loads_per_s, 5.0, 1.1)
-        self.stocking = Stocking(self.spec, rate, 0.0)
+        self.stocking = self._new_stocking()
         self.requests = []
         self._coming = (0.0, {})
         self._entries = []
         self._need_due_s, self._need_found = 0.0, Need()
 
+    def _new_stocking(self):
+        rate = LoadRate(self.spec.loads_per_s, 5.0, 1.1)
+        return Stocking(self.spec, rate)
+
     def _stock_first(self):
         """Busy models on many targets, the others on one, as far as there is room."""
         engines = list(self.engines.values())
@@ -468,7 +236,7 @@
                 e
                 for e in engines
                 if Item(name) not in e.items
-                and len([i for i in e.items]) < 2
+                and len(e.items) < 2
                 and sum(self.spec.models[i.model].memory_mb for i in e.items)
                 + self.spec.models[name].memory_mb
                 <= self.spec.memory_mb
@@ -656,7 +424,9 @@
                 for key, value in rates.items():
                     found[Item(key.split(" ")[1])] += value / PER_THOUSAND_S
         unreached = frozenset(
-            e.name for e in self.engines.values() if not e.up and e.name not in self.gone
+            e.name
+            for e in self.engines.values()
+            if not e.up and e.name not in self.gone
         )
         return Need(
             waiting, running, sums["fast"], sums["slow"], sums["pressing"], unreached
@@ -701,7 +471,7 @@
         self._tick()
         self.loop.run(WARM_UP_S)
         self._need_due_s = 0.0
-        self.stocking = replace_stocking(self.stocking, self.spec)
+        self.stocking = self._new_stocking()
         self.loop = self._fresh_loop()
         self._tick()
         self._view()
@@ -719,11 +489,6 @@
         return loop
 
 
-def replace_stocking(stocking, spec):
-    """Return a fresh giver of orders; what targets hold is asked anew."""
-    return Stocking(spec, LoadRate(spec.loads_per_s, 5.0, 1.1), 0.0)
-
-
 def worth(requests, name=None):
     """Return what was earned of what was owed."""
     owed = earned = 0.0
@@ -740,6 +505,3 @@
         elif req.outcome == "late":
             earned += kind.late_worth * part
     return earned / owed if owed else 1.0
-
-
-__all__ = ["Day", "Loss", "ModelSpec", "Shift", "Traffic", "replace", "worth"]
--- a/features/steps/stocking.py
+++ b/features/steps/stocking.py
@@ -5,8 +5,10 @@
 from behave import given, then, when
 
 from features.stocking_world import FakeTarget, World, spec
+from marjoramstage.coordination.load_rate import LoadRate
+from marjoramstage.coordination.need import Need
 from marjoramstage.coordination.stock import Stock
-from marjoramstage.coordination.stocking import LoadRate, Need, Stocking
+from marjoramstage.coordination.stocking import Stocking
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.state.fleet import Item, TargetReport
 
--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -24,7 +24,9 @@
     ReadLease,
     WriteLease,
 )
-from marjoramstage.coordination.stocking import LoadRate, Need, Stocking
+from marjoramstage.coordination.load_rate import LoadRate
+from marjoramstage.coordination.need import Need
+from marjoramstage.coordination.stocking import Stocking
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
@@ -47,6 +49,8 @@
 FENCED_WAIT_SHARE = 0.6
 REPORT_LIVE_S = 1.5
 KNOWN_INSTANCE_S = 10.0
+# More instances than these don't tell each other of every prompt.
+MOST_PEERS = 24
 ORDER_TIMEOUT_S = 1.0
 RANKS = 3
 
@@ -458,7 +462,9 @@
         self._sequence += 1
         ended = ended or self._unrenewed_until_s > 0
         coming = self._coming_ms(now_s)
-        peers = tuple(report.address for _, report in self._reports.values())
+        peers: tuple[str, ...] = ()
+        if len(self._reports) <= MOST_PEERS:
+            peers = tuple(report.address for _, report in self._reports.values())
         totals: Counter[str] = Counter()
         for _, report in self._reports.values():
             for key, count in report.running.items():
--- a/src/marjoramstage/_entry/linking.py
+++ b/src/marjoramstage/_entry/linking.py
@@ -131,4 +131,4 @@
                     self._holder.view_heard(message)
                 self._world.saw(message)
             case PromptsSent():
-                self._world.prefill.told(message.tokens, self._world.clock.now())
+                self._world.prompts_told(message.tokens)
--- a/src/marjoramstage/_entry/world.py
+++ b/src/marjoramstage/_entry/world.py
@@ -178,6 +178,11 @@
         self._coming = (self.clock.now(), view.coming_ms)
         self.changed()
 
+    def prompts_told(self, tokens: Mapping[str, int]) -> None:
+        """Take in the prompts that another instance sent to known targets."""
+        known = {t: n for t, n in tokens.items() if t in self.fleet.targets}
+        self.prefill.told(known, self.clock.now())
+
     def coming_s(self, service: str, item: Item) -> float | None:
         """Return when an item is likely to be at a target; None if unknown."""
         told_s, coming = self._coming
--- /dev/null
+++ b/src/marjoramstage/coordination/load_rate.py
@@ -0,0 +1,27 @@
+"""Bound on loads from the weight store."""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Loads that the store allows in a window beyond its rate.
+LOADS_EXTRA = 2
+
+
+class LoadRate:
+    """Bound on loads from the weight store in a sliding window."""
+
+    def __init__(self, per_s: float, window_s: float, over: float):
+        self._window_s = window_s
+        self._most = max(1, int(per_s * window_s * over) + LOADS_EXTRA)
+        self._begun: deque[float] = deque()
+
+    def allows(self, now_s: float) -> bool:
+        """Whether one more load may begin."""
+        while self._begun and now_s - self._begun[0] > self._window_s:
+            self._begun.popleft()
+        return len(self._begun) < self._most
+
+    def begin(self, now_s: float) -> None:
+        """Note a load."""
+        self._begun.append(now_s)
--- a/src/marjoramstage/coordination/prefill.py
+++ b/src/marjoramstage/coordination/prefill.py
@@ -15,6 +15,9 @@
 # Prompt tokens that an engine reads in a second beside running streams.
 READ_TOKENS_PER_S = 28_000.0
 
+# Longest time that one prompt counts for, whatever size its caller states.
+LONGEST_READ_S = 0.5
+
 # Part of the longest wanted pause that prompts may take up.
 PAUSE_SHARE = 0.65
 
@@ -27,6 +30,11 @@
     until_s: float
 
 
+def _read_s(tokens: int) -> float:
+    """Return how long an engine reads some tokens."""
+    return min(tokens / READ_TOKENS_PER_S, LONGEST_READ_S)
+
+
 class PrefillBook:
     """What each target has yet to read, from this and the other instances."""
 
@@ -67,7 +75,7 @@
         reading = self._reading.get(target)
         if reading is None or pause_s <= 0 or now_s >= reading.until_s:
             return True
-        until_s = reading.until_s + tokens / READ_TOKENS_PER_S
+        until_s = reading.until_s + _read_s(tokens)
         return until_s - reading.began_s <= pause_s * PAUSE_SHARE
 
     def next_free_s(self, now_s: float) -> float | None:
@@ -80,7 +88,7 @@
         self._reading.pop(target, None)
 
     def _note(self, target: str, tokens: int, now_s: float) -> None:
-        took_s = tokens / READ_TOKENS_PER_S
+        took_s = _read_s(tokens)
         reading = self._reading.get(target)
         if reading is None or now_s >= reading.until_s:
             self._reading[target] = _Reading(now_s, now_s + took_s)
--- a/src/marjoramstage/coordination/stocking.py
+++ b/src/marjoramstage/coordination/stocking.py
@@ -8,53 +8,28 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, deque
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
-from functools import cached_property
+from collections.abc import Iterable
 
+from marjoramstage.coordination.copy_values import CopyValues
+from marjoramstage.coordination.load_rate import LoadRate
+from marjoramstage.coordination.need import Need
 from marjoramstage.coordination.stock import UNLOAD_S, Presence, Stock
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import EngineSpec
 
-# Times in seconds, rates a second.
+# Times in seconds.
 PLAN_EVERY_S = 0.1
 RETIRE_S = 0.12
-LONGEST_RETIRE_S = 0.5
+LONGEST_RETIRE_S = 2.5
 RETIRE_ADAPTER_S = 0.08
 ADAPTER_S = 0.06
 MIN_STAY_S = 1.5
-SECOND_COPY_PER_S = 3.0
-ACTIVE_PER_S = 0.7
-SHIFT_EVERY_S = 12.0
-RISE_SHARE = 0.4
-LONGEST_RUN_S = 3.0
-WAITING_NEED = 0.25
-WAITING_PRESSING_NEED = 1.0
 TURN_MARGIN = 1.0
-IDLE_WEIGHT = 20.0
-PRESSING_PER_S = 0.003
-LOADS_EXTRA = 2
-
-# Part of a target's slots that one model should take there at most.
-WANTED_SHARE = 0.3
-
-# A further copy is fetched from the weight store only over this part.
-FETCH_SHARE = 0.4
-
-# What copies are worth against each other, in requests a second that miss. A
-# further copy of a crowded model takes the place of one that is missed less,
-# never that of the last copy of a busy model that can't wait.
-FIRST_PRESSING_NEED = 30.0
-LAST_COPY_VALUE = 20.0
-MOST_FURTHER_NEED = 18.0
-CROWDED_VALUE = 6.0
-CROWDED_POWER = 2.0
-SECOND_COPY_NEED = 2.0
-SECOND_COPY_VALUE = 1.5
-MOST_LOOSE_NEED = 10.0
-RUN_VALUE = 0.15
+
+# A further copy is fetched from the weight store only if the others are over
+# this crowding.
+FETCH_CROWDING = 1.33
 
 # In seconds, for each model that a target keeps on its disk: one more drives
 # out another that would come back there.
@@ -67,120 +42,11 @@
 RUN_S = 2.0
 
 
-@dataclass(frozen=True)
-class Need:
-    """What is known of the demand for the items of a service.
-
-    Attributes
-    ----------
-    waiting : Mapping
-        Requests that wait for an item now.
-    running : Mapping
-        Requests at targets now, by target and item.
-    fast_rates, slow_rates : Mapping
-        Requests a second for each model, over a short and a long time.
-    pressing_rates : Mapping
-        Those that a load would make late, over a very long time.
-    unreached : frozenset of str
-        Targets that several instances could not connect to lately.
-    """
-
-    waiting: Mapping[Item, int] = field(default_factory=dict)
-    running: Mapping[tuple[str, Item], int] = field(default_factory=dict)
-    fast_rates: Mapping[Item, float] = field(default_factory=dict)
-    slow_rates: Mapping[Item, float] = field(default_factory=dict)
-    pressing_rates: Mapping[Item, float] = field(default_factory=dict)
-    unreached: frozenset[str] = frozenset()
-
-    def rate(self, item: Item) -> float:
-        """Return the requests a second for a model just now."""
-        return self.fast_rates.get(item, 0.0)
-
-    def slow_rate(self, item: Item) -> float:
-        """Return the requests a second for a model over a longer time."""
-        return self.slow_rates.get(item, 0.0)
-
-    def is_pressing(self, item: Item) -> bool:
-        """Whether a miss costs more than a wait; taken for so until seen."""
-        if item not in self.slow_rates:
-            return True
-        return self.pressing_rates.get(item, 0.0) >= PRESSING_PER_S
-
-    def is_active(self, item: Item) -> bool:
-        """Whether a model that can't wait is asked for all the time."""
-        return self.rate(item) >= ACTIVE_PER_S and self.is_pressing(item)
-
-    def at(self, target: str) -> int:
-        """Return all requests at a target."""
-        return self._by_target[target]
-
-    def of_model(self, model: str) -> int:
-        """Return all requests for a model and its adapters."""
-        return self._by_model[model]
-
-    def of_model_at(self, target: str, model: str) -> int:
-        """Return the requests for a model and its adapters at a target."""
-        return self._by_both[target, model]
-
-    @cached_property
-    def _by_target(self) -> Counter[str]:
-        found: Counter[str] = Counter()
-        for (target, _), count in self.running.items():
-            found[target] += count
-        return found
-
-    @cached_property
-    def _by_model(self) -> Counter[str]:
-        found: Counter[str] = Counter()
-        for (_, item), count in self.running.items():
-            found[item.model] += count
-        return found
-
-    @cached_property
-    def _by_both(self) -> Counter[tuple[str, str]]:
-        found: Counter[tuple[str, str]] = Counter()
-        for (target, item), count in self.running.items():
-            found[target, item.model] += count
-        return found
-
-    @cached_property
-    def waiting_by_model(self) -> Counter[str]:
-        """Return the requests that wait for a model or its adapters."""
-        found: Counter[str] = Counter()
-        for item, count in self.waiting.items():
-            found[item.model] += count
-        return found
-
-
-def _crowded_value(crowding: float) -> float:
-    """Return what a copy is worth whose lack leaves the others so crowded."""
-    return min(CROWDED_VALUE * crowding**CROWDED_POWER, MOST_FURTHER_NEED)
-
-
 def _drain_s(runs: int) -> float:
     """Return how long an unload is likely to wait for the requests there."""
     return RUN_S * (1.0 + math.log(runs)) if runs else 0.0
 
 
-class LoadRate:
-    """Bound on loads from the weight store in a sliding window."""
-
-    def __init__(self, per_s: float, window_s: float, over: float):
-        self._window_s = window_s
-        self._most = max(1, int(per_s * window_s * over) + LOADS_EXTRA)
-        self._begun: deque[float] = deque()
-
-    def allows(self, now_s: float) -> bool:
-        """Whether one more load may begin."""
-        while self._begun and now_s - self._begun[0] > self._window_s:
-            self._begun.popleft()
-        return len(self._begun) < self._most
-
-    def begin(self, now_s: float) -> None:
-        """Note a load."""
-        self._begun.append(now_s)
-
-
 class Stocking:
     """Decisions for all targets of one service.
 
@@ -198,14 +64,13 @@
         self.spec = spec
         self._ask_from_s = ask_from_s
         self.stocks: dict[str, Stock] = {}
+        self._values = CopyValues(spec)
         self._load_rate = load_rate
         self._planned: dict[str, Item] = {}
         self._turns_s: dict[Item, float] = {}
         self._down: frozenset[str] = frozenset()
-        self._run_s = 0.0
         self._next_fetch_s = 0.0
         self._plan_due_s = 0.0
-        self._idle_value = LAST_COPY_VALUE
 
     def follow(self, targets: Iterable[FleetTarget], now_s: float) -> None:
         """Take in the targets that there are."""
@@ -231,7 +96,7 @@
         self._down = need.unreached
         if now_s >= self._plan_due_s:
             self._plan_due_s = now_s + PLAN_EVERY_S
-            self._sum_up(need)
+            self._values.update(need, frozenset(self.stocks))
             self._plan_models(need, now_s)
         orders = []
         for name, item in list(self._planned.items()):
@@ -292,36 +157,20 @@
         lacking: list[tuple[float, Item]] = []
         for name in self.spec.models:
             item = Item(name)
-            worth = self._need_of(item, need)
+            worth = self._worth_of(item, need)
             if worth > 0:
                 lacking.append((worth, item))
         return [item for _, item in sorted(lacking, key=lambda pair: -pair[0])]
 
-    def _need_of(self, item: Item, need: Need) -> float:
+    def _worth_of(self, item: Item, need: Need) -> float:
         """Return what one more copy of a model is worth; 0 if it needs none."""
-        waiting = need.waiting_by_model[item.model]
         copies = self._copies(item) + self._coming(item)
-        if copies == 0:
-            if not waiting:
-                return 0.0
-            if need.is_active(item):
-                return FIRST_PRESSING_NEED + waiting
-            each = WAITING_PRESSING_NEED if need.is_pressing(item) else WAITING_NEED
-            need_now = need.slow_rate(item) + each * waiting
-            return min(need_now, MOST_LOOSE_NEED)
-        crowding = self._crowding(item, need, copies)
-        if crowding > 1.0:
-            return _crowded_value(crowding)
-        if copies < 2 and need.rate(item) >= SECOND_COPY_PER_S:
-            return SECOND_COPY_NEED
-        return 0.0
-
-    def _crowding(self, item: Item, need: Need, copies: int) -> float:
-        """Return the load of each copy of a model; over 1 there are too few."""
-        rising = need.rate(item) * self._run_s
-        asked = max(need.of_model(item.model), rising)
-        asked += need.waiting_by_model[item.model]
-        return asked / (copies * WANTED_SHARE * self.spec.slots)
+        return self._values.of_further(item, need, copies)
+
+    def _value(self, stock: Stock, item: Item, need: Need) -> float:
+        """Return what a copy is worth where it is."""
+        name, copies = stock.target.name, self._copies(item)
+        return self._values.of_present(item, need, copies, name)
 
     def _copies(self, item: Item) -> int:
         return sum(1 for stock in self._usable() if stock.holds(item))
@@ -355,7 +204,7 @@
         tuple or None
             The target and the models that make way there.
         """
-        worth = self._need_of(item, need)
+        worth = self._worth_of(item, need)
         stocks = self._usable()
         near = [s for s in stocks if s.is_at_hand(item.model)]
         if not self._may_fetch(item, bool(near), need, now_s):
@@ -399,8 +248,9 @@
             return False
         if need.is_active(item):
             copies = self._copies(item)
-            crowded = FETCH_SHARE / WANTED_SHARE
-            return copies == 0 or self._crowding(item, need, copies) >= crowded
+            if copies == 0:
+                return True
+            return self._values.crowding(item, need, copies) >= FETCH_CROWDING
         return not near and now_s >= self._next_fetch_s
 
     def _is_idle(self, stock: Stock) -> bool:
@@ -462,44 +312,6 @@
                 return tuple(chosen)
         return None
 
-    def _value(self, stock: Stock, item: Item, need: Need) -> float:
-        """Return what a copy is worth where it is: misses and cut capacity."""
-        rate = need.rate(item)
-        wait = RUN_VALUE * need.of_model_at(stock.target.name, item.model)
-        copies = self._copies(item)
-        if copies <= 1:
-            if need.is_active(item):
-                return LAST_COPY_VALUE + rate + wait
-            if need.is_pressing(item):
-                return self._idle_value + rate + wait
-            return need.slow_rate(item) + wait
-        crowding = self._crowding(item, need, copies - 1)
-        value = _crowded_value(crowding)
-        if copies == 2 and rate >= SECOND_COPY_PER_S:
-            value = max(value, SECOND_COPY_VALUE)
-        return value + wait
-
-    def _sum_up(self, need: Need) -> None:
-        """Work out what holds for all models in this step.
-
-        An idle model that could rise is worth what would be missed while it
-        is loaded, times how often one of its like rises.
-        """
-        rates = {name: need.rate(Item(name)) for name in self.spec.models}
-        total = sum(rates.values())
-        running = sum(n for (name, _), n in need.running.items() if name in self.stocks)
-        self._run_s = min(LONGEST_RUN_S, running / total) if total > 1.0 else 0.0
-        active = [n for n in rates if need.is_active(Item(n))]
-        pressing = [n for n in rates if need.is_pressing(Item(n))]
-        idle = max(1, len(pressing) - len(active))
-        if not active:
-            self._idle_value = LAST_COPY_VALUE
-            return
-        rise = sum(rates[n] for n in active) / len(active)
-        load_s = max(model.disk_load_s for model in self.spec.models.values())
-        missed = rise * (load_s + UNLOAD_S) * RISE_SHARE
-        self._idle_value = IDLE_WEIGHT * missed / (SHIFT_EVERY_S * idle)
-
     def _next_for_model(
         self, stock: Stock, item: Item, need: Need, now_s: float
     ) -> Order | None:
