A holder that ended once and holds again keeps the lease

Cause: an instance noted for good that another had said it ended. When that one held the lease again, under a higher fence, the first took it as free and took it at once, and the other way round: five changes of holder in 2.2 s, each giving orders. Ruled out: the rule for a holder that is cut off (it said nothing then); the write of the lease itself (each take-over was a proper conditional write). Before: `ended` keeps a name. After: a name and the fence of the holding that ended. The new scenario of leases fails without the fence and passes with it.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -43,6 +43,11 @@
       | targets refuse old fences       | 1.8  | killed                    | 4.5   |
       | the holder says that it ended   | 3.0  | killed after it said so   | 2     |
 
+  Scenario: a holder that ended once and holds again keeps the lease
+    Given lease keepers a and b with a term of 3 s and a wait of 1.8 s, and a holds the lease
+    When a ended, holds again under a higher fence, and b of the first rank reads it
+    Then lease keeper b never took the lease
+
   Scenario Outline: a lease write whose answer is lost is settled by reading
     Given lease keepers a and b, and a holds the lease
     When the answer of a lease renewal of a is lost and it <effect>
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -16,6 +16,7 @@
 from marjoramstage.coordination.leases import (
     TERM_S,
     LeaseKeeper,
+    LeaseRecord,
     LeaseTiming,
     ReadLease,
 )
@@ -75,10 +76,26 @@
 
 @when("the lease holder a is killed after it said so")
 def say_and_kill(context):
-    context.pair.keepers["b"].ended("a")
+    context.pair.keepers["b"].ended("a", context.fence)
     context.pair.silent.add("a")
 
 
+@when("a ended, holds again under a higher fence, and b of the first rank reads it")
+def end_and_hold(context):
+    pair, keeper = context.pair, context.pair.keepers["b"]
+    keeper.ended("a", context.fence)
+    taken = LeaseRecord(
+        SHARD, "a", context.fence + 1, version=pair.store.record.version
+    )
+    keeper.read(pair.store.write(taken), pair.now_s)
+    pair.perform(keeper, keeper.tick(0, pair.now_s))
+
+
+@then("lease keeper b never took the lease")
+def check_not_taken(context):
+    assert context.pair.store.record.holder == "a", context.pair.store.record
+
+
 class Pair:
     """Two keepers on one virtual clock; calls are answered at once."""
 
--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -170,7 +170,7 @@
             self._displaced("a view under a higher fence")
         if view.ended:
             self._view_heard_s = -VIEW_LIVE_S
-            self.keeper.ended(view.holder)
+            self.keeper.ended(view.holder, view.fence)
             return
         self._view_heard_s = boot_time()
 
--- a/src/marjoramstage/coordination/leases.py
+++ b/src/marjoramstage/coordination/leases.py
@@ -137,7 +137,7 @@
         self._read_s = 0.0
         self._sent: LeaseRecord | None = None
         self._sent_s = 0.0
-        self._ended: str | None = None
+        self._ended = ("", 0)
         self._calling = False
         self._next_call_s = 0.0
         self._again_s = 0.0
@@ -185,9 +185,15 @@
         self._next_call_s = now_s + self._read_interval(rank)
         return [*effects, self._read()]
 
-    def ended(self, holder: str) -> None:
-        """Note that a holder said itself that it gives no more orders."""
-        self._ended = holder
+    def ended(self, holder: str, fence: int) -> None:
+        """Note that a holder said itself that it gives no more orders.
+
+        Parameters
+        ----------
+        fence : int
+            Of the holding that ended; the same holder may have held again.
+        """
+        self._ended = (holder, fence)
         self._next_call_s = 0.0
 
     def read(self, record: LeaseRecord | None, now_s: float) -> list[LeaseEffect]:
@@ -278,7 +284,9 @@
 
     def _wait_s(self, rank: int) -> float:
         """How long a version has to be unchanged before it is replaced."""
-        free = self.record.holder in ("", self.identity, self._ended)
+        record = self.record
+        ended = (record.holder, record.fence) == self._ended
+        free = ended or record.holder in ("", self.identity)
         timing = self.timing
         wait_s = timing.term_s if timing.wait_s is None else timing.wait_s
         return rank * timing.stagger_s + (0.0 if free else wait_s)
