--- a/src/marjoramstage/_entry/holding.py
+++ b/src/marjoramstage/_entry/holding.py
@@ -95,6 +95,7 @@
         self._stockings: dict[str, Stocking] = {}
         self._reports: dict[str, tuple[float, EntryReport]] = {}
         self._contact = Contact()
+        self._cut_off = False
         self._sequence = 0
         self._view_due_s = 0.0
         self._summary_due_s = 0.0
@@ -130,7 +131,7 @@
             now_s = boot_time()
             if not self._is_led(now_s) or self.keeper.state == HOLDING:
                 self._perform(self.keeper.tick(self._rank, now_s))
-            if self.holds and not self._is_cut_off(now_s):
+            if self.holds and not self._pauses(now_s):
                 self._lead(now_s)
             await asyncio.sleep(TICK_S)
 
@@ -178,13 +179,18 @@
         """Whether a live holder is known, so that the lease need not be read."""
         return now_s - self._view_heard_s < VIEW_LIVE_S
 
-    def _is_cut_off(self, now_s: float) -> bool:
+    def _pauses(self, now_s: float) -> bool:
         """Whether a holder that can't renew has lost most instances as well.
 
         It is then itself cut off, and another can take the lease and give
         orders that it knows nothing of.
         """
-        return self._unrenewed_until_s > 0 and self._contact.is_lost(now_s)
+        cut_off = self._unrenewed_until_s > 0 and self._contact.is_lost(now_s)
+        if cut_off != self._cut_off:
+            self._cut_off = cut_off
+            name = "orders paused" if cut_off else "orders resumed"
+            self._world.events.event(name, fence=self._fence)
+        return cut_off
 
     # Lease
 
