Log why a model in demand is not being loaded

The planner now names a reason for each model that it finds no target for, and the placement line of the holder carries it with the number of waiting requests. No decision changes. Test: the planner says why a model is not loaded.

--- a/features/placement_planner.feature
+++ b/features/placement_planner.feature
@@ -74,6 +74,12 @@
     When the planner runs for 10 s
     Then m4 is held by the second target alone
 
+  Scenario: the planner says why a model in demand is not loaded
+    Given one full target that holds m1, m2 and m3
+    And m1, m2, m3 are busy and requests wait for m4
+    When the planner runs for 1 s
+    Then m4 is blocked: no room
+
   Scenario: loads from the weight store keep to the rate limit
     Given 4 targets with room for 3 models and 2 adapters each, and 8 models
     And requests wait for each model and no target has any cached
--- a/features/steps/placement_planner.py
+++ b/features/steps/placement_planner.py
@@ -117,6 +117,19 @@
     context.demand = _demand(("m1", "m5"), ("m4",))
 
 
+@given(
+    "the first is full of busy models, the second holds idle ones, "
+    "and requests wait for m4"
+)
+def first_busy(context):
+    context.demand = _demand(("m1", "m2", "m3"), ("m4",))
+
+
+@given("only the first has m4 on its disk")
+def first_at_hand(context):
+    context.simulation.targets["t1"].on_disk.add("m4")
+
+
 @given("requests wait for each model and no target has any cached")
 def all_waited(context):
     context.demand = _demand(
@@ -211,6 +224,12 @@
     assert holders == ["t2"], holders
 
 
+@then("{name} is blocked: {reason}")
+def check_blocked(context, name, reason):
+    blocked = {i.model: r.value for i, r in context.planner.blocked.items()}
+    assert blocked.get(name) == reason, blocked
+
+
 @then("no order was given")
 def check_no_order(context):
     assert not context.simulation.orders, context.simulation.orders
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -526,7 +526,14 @@
                 targets[name]["at_hand"] = sorted(
                     target_state.in_memory | target_state.on_disk
                 )
-            self._state.events.event("placement", service=service, targets=targets)
+            waiting = demand[service].waiting_by_model
+            blocked = {
+                item.model: f"{waiting[item.model]} waiting: {reason.value}"
+                for item, reason in planner.blocked.items()
+            }
+            self._state.events.event(
+                "placement", service=service, targets=targets, blocked=blocked
+            )
 
     def _coming_ms(self, now_s: float) -> dict[str, int]:
         """Return the expected time until each awaited item is loaded."""
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
@@ -56,6 +57,17 @@
 SINGLE_REQUEST_DRAIN_S = 2.0
 
 
+class BlockReason(enum.Enum):
+    """Why a model that needs another replica is not being loaded."""
+
+    NO_ROOM = "no room"
+    CACHED_NO_ROOM = "no room at targets with its weights"
+    TARGET_BUSY = "best target busy"
+    LOAD_LIMIT = "limit on loads from the weight store"
+    LOW_UTILISATION = "too little used for a load from the weight store"
+    FETCH_UNDER_WAY = "another model is loaded from the weight store"
+
+
 def _drain_s(runs: int) -> float:
     """Return how long an unload is expected to wait for running requests."""
     return SINGLE_REQUEST_DRAIN_S * (1.0 + math.log(runs)) if runs else 0.0
@@ -88,10 +100,16 @@
         self._load_limiter = load_limiter
         self._planned: dict[str, Item] = {}
         self._queue_etas_s: dict[Item, float] = {}
+        self._blocked: dict[Item, BlockReason] = {}
         self._unreachable: frozenset[str] = frozenset()
         self._next_fetch_s = 0.0
         self._next_plan_s = 0.0
 
+    @property
+    def blocked(self) -> Mapping[Item, BlockReason]:
+        """Models that the last plan found no target for, and why."""
+        return self._blocked
+
     def update_targets(self, targets: Iterable[FleetTarget], now_s: float) -> None:
         """Replace the set of targets; a restarted target starts empty."""
         found = {target.name: target for target in targets}
@@ -157,9 +175,11 @@
     def _plan_loads(self, demand: DemandSnapshot, now_s: float) -> None:
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
+        self._blocked.clear()
         for item in self._models_to_load(demand):
             found = self._choose_target(item, demand, now_s)
-            if found is None:
+            if isinstance(found, BlockReason):
+                self._blocked[item] = found
                 self._queue_etas_s[item] = self._queue_eta_s(
                     len(self._queue_etas_s), demand
                 )
@@ -231,7 +251,7 @@
 
     def _choose_target(
         self, item: Item, demand: DemandSnapshot, now_s: float
-    ) -> tuple[TargetState, tuple[Item, ...]] | None:
+    ) -> tuple[TargetState, tuple[Item, ...]] | BlockReason:
         """Return the target with the lowest cost, if it can start a load now.
 
         If the cheapest target is busy, nothing is planned yet: waiting for a
@@ -240,18 +260,19 @@
 
         Returns
         -------
-        tuple or None
-            The target and the models to evict there.
+        tuple or BlockReason
+            The target and the models to evict there; or why there is none.
         """
         gain = self._extra_replica_value(item, demand)
         target_states = self._usable_targets()
         cached = [s for s in target_states if s.has_weights_cached(item.model)]
-        if not self._may_fetch(item, bool(cached), demand, now_s):
+        fetch_blocked = self._fetch_blocked(item, bool(cached), demand, now_s)
+        if fetch_blocked is not None:
             target_states = cached
         found = self._cheapest_target(target_states, item, gain, demand, now_s)
-        if found is None or not self._is_idle(found[0]):
-            return None
-        return found
+        if found is None:
+            return fetch_blocked or BlockReason.NO_ROOM
+        return found if self._is_idle(found[0]) else BlockReason.TARGET_BUSY
 
     def _cheapest_target(
         self,
@@ -288,25 +309,25 @@
         free_mb += sum(target_state.memory_mb(victim) for victim in victims)
         return free_mb / self.spec.memory_mb
 
-    def _may_fetch(
+    def _fetch_blocked(
         self, item: Item, cached: bool, demand: DemandSnapshot, now_s: float
-    ) -> bool:
-        """Whether a model may be fetched from the weight store, which is slow.
+    ) -> BlockReason | None:
+        """Return why a model must not be fetched from the weight store, if so.
 
-        Models without sustained latency-critical demand are fetched one at a
-        time, and only if no target has their weights cached.
+        A fetch is slow. Models without sustained latency-critical demand are
+        fetched one at a time, and only if no target has their weights cached.
         """
         if not self._load_limiter.allows(now_s):
-            return False
+            return BlockReason.LOAD_LIMIT
         if demand.is_active(item):
             replicas = self._ready_replicas(item)
-            if replicas == 0:
-                return True
-            return (
-                self._values.utilisation(item, demand, replicas)
-                >= FETCH_MIN_UTILISATION
-            )
-        return not cached and now_s >= self._next_fetch_s
+            utilisation = self._values.utilisation(item, demand, max(1, replicas))
+            if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
+                return None
+            return BlockReason.LOW_UTILISATION
+        if cached:
+            return BlockReason.CACHED_NO_ROOM
+        return None if now_s >= self._next_fetch_s else BlockReason.FETCH_UNDER_WAY
 
     def _is_idle(self, target_state: TargetState) -> bool:
         return (
