--- a/features/placement_planner.feature
+++ b/features/placement_planner.feature
@@ -74,6 +74,13 @@
     When the planner runs for 10 s
     Then m4 is held by the second target alone
 
+  Scenario: a model whose cached weights lie only where no room can be made is fetched
+    Given two full targets that hold m1, m2, m3 and m5, m6, m7
+    And the first is full of busy models, the second holds idle ones, and requests wait for m4
+    And only the first has m4 on its disk
+    When the planner runs for 10 s
+    Then m4 is held by the second target alone
+
   Scenario: the planner says why a model in demand is not loaded
     Given one full target that holds m1, m2 and m3
     And m1, m2, m3 are busy and requests wait for m4
