Bound how long a model waits for a target that has its weights

Cause: a model without sustained demand was fetched from the weight store only if no target had its weights, and only one at a time; whether that target could ever make room was not asked.

Now a model that was blocked for longer than a fetch takes is fetched; among equal values the one with more waiting requests goes first. A fetch displaces replicas whose callers can wait; other idle models only when there are none.

--- a/features/load_simulation.feature
+++ b/features/load_simulation.feature
@@ -21,3 +21,8 @@
       | seed |
       | 1    |
       | 2    |
+      | 13   |
+      | 18   |
+      | 32   |
+      | 33   |
+      | 48   |
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -101,6 +101,7 @@
         self._planned: dict[str, Item] = {}
         self._queue_etas_s: dict[Item, float] = {}
         self._blocked: dict[Item, BlockReason] = {}
+        self._blocked_since_s: dict[Item, float] = {}
         self._unreachable: frozenset[str] = frozenset()
         self._next_fetch_s = 0.0
         self._next_plan_s = 0.0
@@ -176,10 +177,17 @@
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
         self._blocked.clear()
-        for item in self._models_to_load(demand):
+        items = self._models_to_load(demand)
+        self._blocked_since_s = {
+            item: since_s
+            for item, since_s in self._blocked_since_s.items()
+            if item in items
+        }
+        for item in items:
             found = self._choose_target(item, demand, now_s)
             if isinstance(found, BlockReason):
                 self._blocked[item] = found
+                self._blocked_since_s.setdefault(item, now_s)
                 self._queue_etas_s[item] = self._queue_eta_s(
                     len(self._queue_etas_s), demand
                 )
@@ -188,6 +196,7 @@
             for victim in victims:
                 target_state.retire(victim, now_s)
             self._planned[target_state.target.name] = item
+            self._blocked_since_s.pop(item, None)
 
     def _queue_eta_s(self, ahead: int, demand: DemandSnapshot) -> float:
         """Return when a model that no target can load now is likely to be loaded.
@@ -195,24 +204,29 @@
         Such models take turns in the memory of deferrable models: each waits
         until those ahead of it were loaded, have served and were unloaded.
         """
-        deferrable = sum(
+        deferrable = self._deferrable_replicas(demand)
+        disk_load_s = max(model.disk_load_s for model in self.spec.models.values())
+        stay_s = MIN_RESIDENCY_S + UNLOAD_S + disk_load_s
+        return (ahead + 1) * QUEUE_ETA_FACTOR * stay_s / max(1, deferrable)
+
+    def _deferrable_replicas(self, demand: DemandSnapshot) -> int:
+        """Return the number of replicas whose callers can wait for a load."""
+        return sum(
             not demand.is_latency_critical(item)
             for target_state in self._usable_targets()
             for item in target_state.models()
         )
-        disk_load_s = max(model.disk_load_s for model in self.spec.models.values())
-        stay_s = MIN_RESIDENCY_S + UNLOAD_S + disk_load_s
-        return (ahead + 1) * QUEUE_ETA_FACTOR * stay_s / max(1, deferrable)
 
     def _models_to_load(self, demand: DemandSnapshot) -> list[Item]:
         """Return the models that need another replica, most valuable first."""
-        lacking: list[tuple[float, Item]] = []
+        lacking: list[tuple[float, int, Item]] = []
         for name in self.spec.models:
             item = Item(name)
             gain = self._extra_replica_value(item, demand)
             if gain > 0:
-                lacking.append((gain, item))
-        return [item for _, item in sorted(lacking, key=lambda pair: -pair[0])]
+                lacking.append((gain, demand.waiting_by_model[name], item))
+        lacking.sort(key=lambda entry: entry[:2], reverse=True)
+        return [item for _, _, item in lacking]
 
     def _extra_replica_value(self, item: Item, demand: DemandSnapshot) -> float:
         """Return the value of one more replica; 0 if none is needed."""
@@ -315,7 +329,8 @@
         """Return why a model must not be fetched from the weight store, if so.
 
         A fetch is slow. Models without sustained latency-critical demand are
-        fetched one at a time, and only if no target has their weights cached.
+        fetched one at a time, and only if no target has their weights cached,
+        until they have been blocked for longer than a fetch takes.
         """
         if not self._load_limiter.allows(now_s):
             return BlockReason.LOAD_LIMIT
@@ -325,10 +340,17 @@
             if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
                 return None
             return BlockReason.LOW_UTILISATION
+        if self._is_overdue(item, now_s):
+            return None
         if cached:
             return BlockReason.CACHED_NO_ROOM
         return None if now_s >= self._next_fetch_s else BlockReason.FETCH_UNDER_WAY
 
+    def _is_overdue(self, item: Item, now_s: float) -> bool:
+        """Whether a model has been blocked for longer than a fetch takes."""
+        since_s = self._blocked_since_s.get(item, now_s)
+        return now_s - since_s > self.spec.models[item.model].load_s
+
     def _is_idle(self, target_state: TargetState) -> bool:
         return (
             target_state.target.name not in self._planned
@@ -380,6 +402,8 @@
                 continue
             if now_s - held.since_s < MIN_RESIDENCY_S:
                 continue
+            if not self._may_displace(found, target_state, item, demand, now_s):
+                continue
             valued.append((self._replica_value(target_state, found, demand), found))
         valued.sort()
         for value, found in valued:
@@ -396,6 +420,26 @@
                 return tuple(chosen)
         return None
 
+    def _may_displace(
+        self,
+        victim: Item,
+        target_state: TargetState,
+        item: Item,
+        demand: DemandSnapshot,
+        now_s: float,
+    ) -> bool:
+        """Whether a load may evict a model, apart from what the two are worth.
+
+        A fetch keeps its target from other orders for long. Models without
+        sustained demand take turns in the memory of deferrable ones for it; if
+        there are none, an overdue fetch may displace any idle model.
+        """
+        if not demand.is_latency_critical(victim) or demand.is_active(item):
+            return True
+        if target_state.has_weights_cached(item.model):
+            return True
+        return self._is_overdue(item, now_s) and not self._deferrable_replicas(demand)
+
     def _next_model_order(
         self,
         target_state: TargetState,
