Let a request wait for its model after every holder of it was tried

Cause: the reason 'every target tried' was meant for services, whose targets are all there is; a model can be loaded elsewhere. Such a request now waits like any other whose model is not held. The choice of the reason moved from the request handler to the wait policy. Test: the row 'the holders of a model rejected' failed before.

--- a/features/dispatcher.feature
+++ b/features/dispatcher.feature
@@ -55,6 +55,18 @@
       | every target tried          | 0.1    | 2.0  | every target tried | none | refuse   |
       | no target at all            | 0.5    | 2.0  | no target          | none | refuse   |
 
+  Scenario Outline: a request has no target: <case>
+    When a request for <wanted> was sent to <tried> and <targets>
+    Then the reason is "<reason>"
+
+    Examples:
+      | case                            | wanted  | tried  | targets                  | reason             |
+      | no target is listed             | a model | none   | no target is listed      | no target          |
+      | a target is full                | a model | none   | one is full              | targets full       |
+      | its model is loaded nowhere     | a model | none   | none can serve it        | model not held     |
+      | the holders of a model rejected | a model | t1     | none can serve it        | model not held     |
+      | the targets of a service failed | no model | t1, t2 | none can serve it       | every target tried |
+
   Scenario: the most urgent waiting requests get targets first
     Given a queue in which ranks 2, 0, 1 and 0 wait and two slots are free
     When targets are assigned
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -14,7 +14,11 @@
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
 from marjoramstage.coordination.target_health import TargetHealth
-from marjoramstage.coordination.wait_policy import NoTargetReason, WaitPolicy
+from marjoramstage.coordination.wait_policy import (
+    NoTargetReason,
+    WaitPolicy,
+    no_target_reason,
+)
 from marjoramstage.coordination.wait_queue import WaitQueue
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import CallerLimits, Route, RouteTable, ServiceWeight
@@ -193,6 +197,19 @@
         assert found.wait_s > 0, found
 
 
+@when("a request for {wanted} was sent to {tried} and {targets}")
+def find_reason(context, wanted, tried, targets):
+    names = frozenset() if tried == "none" else frozenset(tried.split(", "))
+    criteria = TargetCriteria("s", MODEL if wanted == "a model" else None, names)
+    any_listed = targets != "no target is listed"
+    context.reason = no_target_reason(criteria, any_listed, targets == "one is full")
+
+
+@then('the reason is "{reason}"')
+def check_reason(context, reason):
+    assert context.reason is NoTargetReason(reason), context.reason
+
+
 @given("a queue in which ranks 2, 0, 1 and 0 wait and two slots are free")
 def make_queue(context):
     context.places = [_target("t1"), _target("t2")]
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -17,6 +17,7 @@
     NoTargetReason,
     WaitDecision,
     WaitPolicy,
+    no_target_reason,
 )
 from marjoramstage.coordination.wait_queue import Waiter
 from marjoramstage.exceptions import TargetError, Verdict
@@ -353,14 +354,10 @@
 
     def _no_target_reason(self, ctx: RequestContext) -> NoTargetReason:
         state = self._state
-        targets = [t for t in state.fleet.of_service(ctx.service) if not t.leaving]
-        if not targets:
-            return NoTargetReason.NO_TARGET
-        if state.eligible(ctx.criteria):
-            return NoTargetReason.FULL
-        if ctx.criteria.tried:
-            return NoTargetReason.TRIED_ALL
-        return NoTargetReason.NOT_HELD
+        targets = state.fleet.of_service(ctx.service)
+        any_listed = any(not target.leaving for target in targets)
+        any_eligible = any_listed and bool(state.eligible(ctx.criteria))
+        return no_target_reason(ctx.criteria, any_listed, any_eligible)
 
     def _no_target_error(
         self, ctx: RequestContext, reason: str, retry_after_s: float
--- a/src/marjoramstage/coordination/wait_policy.py
+++ b/src/marjoramstage/coordination/wait_policy.py
@@ -10,6 +10,8 @@
 import enum
 from dataclasses import dataclass
 
+from marjoramstage.coordination.dispatcher import TargetCriteria
+
 
 @dataclass(frozen=True)
 class WaitLimits:
@@ -64,6 +66,27 @@
     STOPPING = "stopping"
 
 
+def no_target_reason(
+    criteria: TargetCriteria, any_listed: bool, any_eligible: bool
+) -> NoTargetReason:
+    """Return why a request has no target.
+
+    Parameters
+    ----------
+    any_listed, any_eligible : bool
+        Whether its service has targets that aren't leaving, and whether one of
+        them can serve the request once it has room.
+    """
+    if not any_listed:
+        return NoTargetReason.NO_TARGET
+    if any_eligible:
+        return NoTargetReason.FULL
+    # A model can be loaded elsewhere; other services have no more targets.
+    if criteria.tried and criteria.item is None:
+        return NoTargetReason.TRIED_ALL
+    return NoTargetReason.NOT_HELD
+
+
 @dataclass(frozen=True)
 class WaitDecision:
     """Whether a request without a target waits or is refused.
