--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Mapping
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
@@ -30,9 +31,9 @@
         self._address = address
         settings = state.settings
         identity = PeerIdentity(settings.name, settings.data_centre, None)
-        metrics = LocalMetrics()
-        self._client = PeerClient(identity, metrics)
-        self._server = PeerServer(address, identity, self._receive, metrics)
+        self._metrics = LocalMetrics()
+        self._client = PeerClient(identity, self._metrics)
+        self._server = PeerServer(address, identity, self._receive, self._metrics)
         self._incarnation = uuid.uuid4().hex[:12]
         self._sequence = 0
         self._report_requested = asyncio.Event()
@@ -41,6 +42,11 @@
         state.on_request_queued = self._report_requested.set
         state.on_prompt_sent = self._schedule_prompt_announcement
 
+    @property
+    def counters(self) -> Mapping[str, int]:
+        """Messages and bytes exchanged with peers so far, by name."""
+        return self._metrics.counters
+
     def set_controller(self, controller: PlacementController) -> None:
         """Set the controller that receives reports and views."""
         self._controller = controller
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -7,6 +7,7 @@
 
 from marjoramstage.state.routes import Route
 
+LOOP_DELAY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 REQUEST_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 
 
@@ -48,6 +49,13 @@
             registry=self.registry,
         )
 
+        self.loop_delay_seconds = Histogram(
+            "marjoramstage_loop_delay_seconds",
+            "How late timers of the event loop fire.",
+            buckets=LOOP_DELAY_BUCKETS_S,
+            registry=self.registry,
+        )
+
     def observe_request(self, route: Route | None, outcome: str, took_s: float) -> None:
         """Record the outcome and duration of a finished request."""
         rank = str(route.rank) if route is not None else "none"
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -14,6 +14,7 @@
 from marjoramstage._entry.caller_handler import CallerHandler
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.load_monitor import LoadMonitor
 from marjoramstage._entry.object_watcher import (
     drop_missing_targets,
     watch_routes,
@@ -89,6 +90,9 @@
         await self._listen(loop)
         await self._peer_link.start()
         targets = watch_targets(store, self._state)
+        load_monitor = LoadMonitor(
+            self._state.clock, self._events, self._metrics, self._peer_link.counters
+        )
         for coro in (
             watch_routes(store, self._state).run(),
             targets.run(),
@@ -96,6 +100,7 @@
             self._controller.run(),
             self._peer_link.run(),
             self._watch_settings(),
+            load_monitor.run(),
         ):
             self._tasks.append(asyncio.create_task(self._run_task(coro)))
         self._events.event("started", data_centre=settings.data_centre)
