Bound what the holder of the lease sends and sums up for many instances

Cause: work at the holder that grows with instances times targets and that nothing bounds. A view was made and encoded for each recipient (89 a round, each round after any answer to an order), and the demand was summed up anew every 20 ms. With 89 reports and an answer all the time, on this machine: 2.5 s of processor time a second for sums, 5.1 for encoding, 6.4 MB/s of views.

Now all instances get the same view, encoded once; views take at most a quarter of the machine's link; sums are kept for 2 ms for each instance; instances report less often when there are many; machines with a fast link take the lease first. Deployments of up to 25 instances keep their pace. The aggregation left the controller (instance_reports, view_pacing). Test: many_instances; without the change a round of 89 views was 89 messages, and 10 s of them 57 MB on a link that may carry 3.8.

--- /dev/null
+++ b/features/many_instances.feature
@@ -0,0 +1,30 @@
+Feature: The holder of the lease carries the traffic of many instances
+  What the holder sends and sums up is bounded, however many instances there are.
+
+  Scenario Outline: views of <instances> instances leave room on a link of <mbps> Mbit/s
+    Given a holder with a link of <mbps> Mbit/s that <instances> instances report to
+    When orders are answered all the time for 10 s
+    Then views took at most 0.3 of the link
+    And each round of views was encoded once
+    And instances waited at most <most> s for a view
+
+    Examples:
+      | instances | mbps | most |
+      | 9         | 1000 | 0.05 |
+      | 89        | 200  | 0.5  |
+      | 89        | 10   | 4    |
+      | 60        | 5    | 5    |
+
+  Scenario: a machine with a slow link takes a free lease after those with fast ones
+    When 200 instances on fast links and 200 on slow ones choose their ranks
+    Then each fast one comes before each slow one
+
+  Scenario Outline: reports of <instances> instances cost the holder a bounded rate
+    When <instances> instances report for 10 s while requests wait all the time
+    Then the holder gets at most 600 reports a second and sums them up at most 60 times
+
+    Examples:
+      | instances |
+      | 9         |
+      | 89        |
+      | 300       |
--- /dev/null
+++ b/features/steps/many_instances.py
@@ -0,0 +1,138 @@
+"""Steps about what the holder of the lease sends and sums up."""
+
+import math
+
+from behave import given, then, when
+
+from marjoramstage import logs
+from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage.coordination.instance_reports import (
+    InstanceReports,
+    min_report_interval_s,
+)
+from marjoramstage.coordination.view_pacing import takeover_rank
+from marjoramstage.protocol.peers import EntryReport, encode
+from marjoramstage.state.node_settings import NodeSettings
+from marjoramstage.state.routes import CallerLimits, RouteTable, Service
+
+TICK_S = 0.02
+TARGETS = 64
+BYTES_PER_S_PER_MBPS = 125_000
+FAST_BYTES_PER_S, SLOW_BYTES_PER_S = 25_000_000, 1_250_000
+
+
+class FakeClock:
+    now_s = 0.0
+
+    def now(self):
+        return self.now_s
+
+
+def _settings(mbps):
+    return NodeSettings(
+        "i0",
+        "10.0.0.1",
+        "a",
+        "10.0.0.1:80",
+        "10.0.0.1:81",
+        "10.0.0.2:80",
+        (7000,),
+        link_bytes_per_s=mbps * BYTES_PER_S_PER_MBPS,
+    )
+
+
+def _report(number, sequence):
+    running = {f"i-{n:010x} m{n % 20:08x}": 1 for n in range(TARGETS)}
+    rates = {f"s m{n:08x}": 500 for n in range(100)}
+    return EntryReport(
+        f"i{number}",
+        f"10.0.1.{number}:7000",
+        "x",
+        sequence,
+        running=running,
+        fast_rates=rates,
+    )
+
+
+@given("a holder with a link of {mbps:d} Mbit/s that {count:d} instances report to")
+def make_holder(context, mbps, count):
+    clock = FakeClock()
+    events = EventLog(logs.component_logger("entry"), clock)
+    state = InstanceState(_settings(mbps), clock, events)
+    state.table = RouteTable(1, (), {"s": Service("s")}, CallerLimits())
+    state.targets_listed = True
+    context.sent = []
+
+    def send_view(address, view):
+        context.sent.append((clock.now_s, view))
+
+    context.clock, context.mbps = clock, mbps
+    context.controller = PlacementController(state, None, None, "", send_view)
+    for number in range(count):
+        context.controller.receive_report(_report(number, 1))
+
+
+@when("orders are answered all the time for {for_s:d} s")
+def run_holder(context, for_s):
+    context.for_s = for_s
+    while context.clock.now_s < for_s:
+        context.clock.now_s += TICK_S
+        context.controller.request_view()
+        context.controller.run_placement(context.clock.now_s)
+
+
+@then("views took at most {share:g} of the link")
+def check_link(context, share):
+    sizes = {id(view): len(encode(view)) for _, view in context.sent}
+    sent_bytes = sum(sizes[id(view)] for _, view in context.sent)
+    one_round = sum(sizes[id(v)] for at_s, v in context.sent if at_s <= TICK_S)
+    limit = share * context.for_s * context.mbps * BYTES_PER_S_PER_MBPS
+    assert sent_bytes <= limit + one_round, (sent_bytes, limit, one_round)
+
+
+@then("each round of views was encoded once")
+def check_encoded(context):
+    rounds = {at_s for at_s, _ in context.sent}
+    messages = {id(view) for _, view in context.sent}
+    assert len(messages) == len(rounds), (len(messages), len(rounds))
+
+
+@then("instances waited at most {most_s:g} s for a view")
+def check_fresh(context, most_s):
+    times = sorted({at_s for at_s, _ in context.sent})
+    gaps = [b - a for a, b in zip(times, [*times[1:], context.for_s], strict=True)]
+    assert max(gaps) <= most_s + TICK_S, max(gaps)
+
+
+@when("200 instances on fast links and 200 on slow ones choose their ranks")
+def choose_ranks(context):
+    context.fast = {takeover_rank(n, FAST_BYTES_PER_S) for n in range(200)}
+    context.slow = {takeover_rank(n, SLOW_BYTES_PER_S) for n in range(200)}
+
+
+@then("each fast one comes before each slow one")
+def check_ranks(context):
+    assert max(context.fast) < min(context.slow), (context.fast, context.slow)
+
+
+@when("{count:d} instances report for {for_s:d} s while requests wait all the time")
+def report_often(context, count, for_s):
+    context.per_s = count / min_report_interval_s(count)
+    reports = InstanceReports()
+    for number in range(count):
+        reports.add(_report(number, 1), 0.0)
+    sums = set()
+    for step in range(math.ceil(for_s / TICK_S)):
+        sums.add(id(reports.demand(("s",), step * TICK_S * 0.1)["s"]))
+    context.sums_per_s = len(sums) / (for_s * 0.1)
+
+
+@then(
+    "the holder gets at most {most:d} reports a second "
+    "and sums them up at most {sums:d} times"
+)
+def check_reports(context, most, sums):
+    assert context.per_s <= most, context.per_s
+    assert context.sums_per_s <= sums, context.sums_per_s
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -45,6 +45,8 @@
         When the shutdown began.
     closed : bool
         No new requests are accepted.
+    instance_count : int
+        Number of live instances as the holder of the lease last told; 0 before.
     on_request_queued : callable
         Called when a request starts to wait for a target.
     on_prompt_sent : callable
@@ -71,7 +73,7 @@
         self.on_prompt_sent: Callable[[], None] = lambda: None
         self._expected_retries: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedRetryBudget] = {}
-        self._instance_count = 0
+        self.instance_count = 0
         self._last_view: tuple[str, int, int] = ("", 0, 0)
         self._load_etas: tuple[float, Mapping[str, int]] = (0.0, {})
         self._dispatcher = Dispatcher(
@@ -129,8 +131,8 @@
             found = self._budgets[service] = SharedRetryBudget(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
             )
-            if self._instance_count:
-                found.instances = self._instance_count
+            if self.instance_count:
+                found.instances = self.instance_count
         return found
 
     def apply_routes(self, table: RouteTable) -> None:
@@ -179,16 +181,16 @@
                 "placement holder changed", holder=position[0], fence=view.fence
             )
         self._last_view = position
-        self._instance_count = max(1, view.instances)
+        self.instance_count = max(1, view.instances)
         self.peers = view.peers
         for retry_budget in self._budgets.values():
-            retry_budget.instances = self._instance_count
+            retry_budget.instances = self.instance_count
         running = {}
         for held in view.held:
             items = frozenset(_parse_item(text) for text in held.items)
             self.servable_items.update(held.target, held.incarnation, items)
-            running[held.target] = held.running_elsewhere
-        self.running_requests.set_running_elsewhere(running)
+            running[held.target] = held.running
+        self.running_requests.set_running(running)
         self._load_etas = (self.clock.now(), view.coming_ms)
         self.schedule_assignment()
 
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -8,6 +8,10 @@
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage.coordination.instance_reports import (
+    min_report_interval_s,
+    report_interval_s,
+)
 from marjoramstage.metrics import LocalMetrics
 from marjoramstage.protocol.peers import (
     EntryReport,
@@ -17,8 +21,6 @@
 )
 from marjoramstage.transport.peers import PeerClient, PeerIdentity, PeerServer
 
-REPORT_INTERVAL_S = 0.2
-MIN_REPORT_INTERVAL_S = 0.03
 # Prompts sent within this time are announced in one message.
 PROMPT_BATCH_S = 0.004
 
@@ -65,9 +67,10 @@
         while True:
             self._report_requested.clear()
             self._send_report()
-            await asyncio.sleep(MIN_REPORT_INTERVAL_S)
+            instances = self._state.instance_count
+            await asyncio.sleep(min_report_interval_s(instances))
             try:
-                async with asyncio.timeout(REPORT_INTERVAL_S):
+                async with asyncio.timeout(report_interval_s(instances)):
                     await self._report_requested.wait()
             except TimeoutError:
                 continue
@@ -116,6 +119,7 @@
         now_s = state.clock.now()
         waiting = state.waiting_by_item().items()
         running = state.running_requests.local.items()
+        state.running_requests.mark_reported()
         return EntryReport(
             instance=state.settings.name,
             address=self._address,
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -6,16 +6,15 @@
 import time
 import uuid
 import zlib
-from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from result import Err, Ok
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
-from marjoramstage.coordination.demand_rates import RATE_SCALE
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
+from marjoramstage.coordination.instance_reports import InstanceReports, parse_key
 from marjoramstage.coordination.leases import (
     HOLDING,
     LeaseEffect,
@@ -26,28 +25,26 @@
     WriteLease,
 )
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
-from marjoramstage.coordination.peer_liveness import LIVE_S, PeerLiveness
+from marjoramstage.coordination.peer_liveness import PeerLiveness
 from marjoramstage.coordination.placement_planner import PlacementPlanner
+from marjoramstage.coordination.view_pacing import ViewPacer, takeover_rank
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
-from marjoramstage.protocol.peers import EntryReport, FleetView, HeldItems
-from marjoramstage.state.fleet import FleetTarget, Item, TargetReport
+from marjoramstage.protocol.peers import EntryReport, FleetView, HeldItems, encode
+from marjoramstage.state.fleet import FleetTarget, TargetReport
 from marjoramstage.state.routes import Service
 from marjoramstage.transport.target_client import TargetClient, TargetRequest
 
 LEASE_NAME = "placement"
 TICK_S = 0.02
-VIEW_INTERVAL_S = 0.25
 SUMMARY_INTERVAL_S = 2.0
 # A new holder requests reports after this time, when they show the last orders
 # of its predecessor.
 TAKEOVER_REPORT_DELAY_S = 0.5
 # How long a holder may send orders after its lease expired without a renewal.
 UNRENEWED_GRACE_S = 30.0
-# Instances that have to fail to connect to a target before it counts as down.
-UNREACHABLE_QUORUM = 2
 # A holder counts as alive for this time after its last view.
 VIEW_TTL_S = 0.7
 CLOCK_MARGIN_S = 0.4
@@ -58,9 +55,6 @@
 # With more instances than this, they don't announce every prompt to each other.
 MAX_BROADCAST_PEERS = 24
 ORDER_TIMEOUT_S = 1.0
-# Instances are spread over this many ranks; each rank waits longer than the one
-# before it until it takes the lease.
-TAKEOVER_RANKS = 3
 
 
 def seconds_since_boot() -> float:
@@ -104,13 +98,15 @@
             wait_s=lease_s * FENCED_TAKEOVER_FRACTION if fenced else None,
         )
         self.elector = LeaseElector(LEASE_NAME, identity, address, timing)
-        self._takeover_rank = zlib.crc32(identity.encode()) % TAKEOVER_RANKS
+        link_bytes_per_s = state.settings.link_bytes_per_s
+        number = zlib.crc32(identity.encode())
+        self._takeover_rank = takeover_rank(number, link_bytes_per_s)
         self._planners: dict[str, PlacementPlanner] = {}
-        self._reports: dict[str, tuple[float, EntryReport]] = {}
+        self._reports = InstanceReports()
         self._peer_liveness = PeerLiveness()
         self._isolated = False
         self._sequence = 0
-        self._next_view_s = 0.0
+        self._view_pacer = ViewPacer(link_bytes_per_s)
         self._next_summary_s = 0.0
         self._view_received_s = -VIEW_TTL_S
         self._orders_start_s = 0.0
@@ -146,7 +142,7 @@
             if not self._holder_is_live(now_s) or self.elector.state == HOLDING:
                 self._apply_effects(self.elector.tick(self._takeover_rank, now_s))
             if self.may_send_orders and not self._is_isolated(now_s):
-                self._run_placement(now_s)
+                self.run_placement(now_s)
             await asyncio.sleep(TICK_S)
 
     async def stop(self) -> None:
@@ -164,21 +160,12 @@
 
     def receive_report(self, report: EntryReport) -> None:
         """Store the report of an instance."""
-        if self._is_stale(report):
-            return
         now_s = seconds_since_boot()
-        self._reports[report.instance] = (now_s, report)
+        if not self._reports.add(report, now_s):
+            return
         if report.instance != self._state.settings.name:
             self._peer_liveness.heard(report.instance, now_s)
 
-    def _is_stale(self, report: EntryReport) -> bool:
-        """Whether a newer report of the same incarnation is known."""
-        if report.instance not in self._reports:
-            return False
-        _, known = self._reports[report.instance]
-        same_incarnation = known.incarnation == report.incarnation
-        return same_incarnation and report.sequence <= known.sequence
-
     def receive_view(self, view: FleetView) -> None:
         """Note that another instance holds the lease, or that it ended."""
         if view.fence > self._fence:
@@ -298,11 +285,16 @@
 
     # Orders
 
-    def _run_placement(self, now_s: float) -> None:
+    def request_view(self) -> None:
+        """Ask for a view to be sent as soon as the link allows."""
+        self._view_pacer.request()
+
+    def run_placement(self, now_s: float) -> None:
+        """Send the orders and the view that are due."""
         table = self._state.table
         if table is None or not self._state.targets_listed:
             return
-        demand = self._demand(now_s)
+        demand = self._reports.demand(table.services, now_s)
         changed = False
         for service in table.services.values():
             if service.engine is None:
@@ -314,7 +306,9 @@
             for order in planner.plan_orders(demand[service.name], now_s):
                 changed = True
                 self._spawn(self._execute_order(planner, order))
-        if changed or now_s >= self._next_view_s:
+        if changed:
+            self.request_view()
+        if self._view_pacer.is_due(now_s):
             self._broadcast_view(now_s)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
@@ -337,39 +331,6 @@
         planner.update_targets((t for t in targets if t.items is not None), now_s)
         return planner
 
-    def _demand(self, now_s: float) -> dict[str, DemandSnapshot]:
-        """Aggregate the reports of live instances into demand by service."""
-        for name in list(self._reports):
-            heard_s, _ = self._reports[name]
-            if now_s - heard_s > LIVE_S:
-                del self._reports[name]
-        reports = [report for _, report in self._reports.values()]
-        waiting = _sum_by_service(report.waiting for report in reports)
-        fast = _sum_by_service(report.fast_rates for report in reports)
-        slow = _sum_by_service(report.slow_rates for report in reports)
-        latency_critical = _sum_by_service(report.pressing_rates for report in reports)
-        running: Counter[tuple[str, Item]] = Counter()
-        for report in reports:
-            for key, count in report.running.items():
-                running[_parse_key(key)] += count
-        unreachable_counts: Counter[str] = Counter()
-        for report in reports:
-            unreachable_counts.update(report.unreached)
-        unreached = frozenset(
-            n for n, count in unreachable_counts.items() if count >= UNREACHABLE_QUORUM
-        )
-        return {
-            name: DemandSnapshot(
-                waiting.get(name, {}),
-                running,
-                _per_second(fast.get(name, {})),
-                _per_second(slow.get(name, {})),
-                _per_second(latency_critical.get(name, {})),
-                unreached,
-            )
-            for name in self._state.table.services
-        }
-
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
         for target_state in planner.target_states.values():
             name = target_state.target.name
@@ -400,7 +361,7 @@
         if resend is not None and self.may_send_orders:
             self._spawn(self._execute_order(planner, resend))
         if not known or target_state.pending is None:
-            self._next_view_s = 0.0
+            self.request_view()
 
     async def _fetch_report(self, target: FleetTarget) -> TargetReport | None:
         call = TargetRequest(
@@ -459,7 +420,7 @@
             answer=answer.value,
             took_ms=round((now_s - sent_s) * 1000, 1),
         )
-        self._next_view_s = 0.0
+        self.request_view()
 
     async def _send_order(self, target: FleetTarget, order: Order) -> OrderAnswer:
         call = TargetRequest(
@@ -484,35 +445,24 @@
     # Views
 
     def _broadcast_view(self, now_s: float, ended: bool = False) -> None:
-        """Send every instance what targets hold and what its peers run."""
-        self._next_view_s = now_s + VIEW_INTERVAL_S
+        """Send every instance what targets hold and how many requests they run."""
         self._sequence += 1
-        ended = ended or self._unrenewed_until_s > 0
-        coming = self._coming_ms(now_s)
-        peers: tuple[str, ...] = ()
-        if len(self._reports) <= MAX_BROADCAST_PEERS:
-            peers = tuple(report.address for _, report in self._reports.values())
-        totals: Counter[str] = Counter()
-        for _, report in self._reports.values():
-            for key, count in report.running.items():
-                totals[key.partition(" ")[0]] += count
-        for _, report in self._reports.values():
-            own: Counter[str] = Counter()
-            for key, count in report.running.items():
-                own[key.partition(" ")[0]] += count
-            view = FleetView(
-                self.elector.identity,
-                self._fence,
-                self._sequence,
-                len(self._reports),
-                self._held_items(totals, own),
-                coming,
-                ended,
-                peers,
-            )
-            self._send_view(report.address, view)
+        recipients = self._reports.addresses
+        view = FleetView(
+            self.elector.identity,
+            self._fence,
+            self._sequence,
+            len(recipients),
+            self._held_items(),
+            self._coming_ms(now_s),
+            ended or self._unrenewed_until_s > 0,
+            recipients if len(recipients) <= MAX_BROADCAST_PEERS else (),
+        )
+        for address in recipients:
+            self._send_view(address, view)
+        self._view_pacer.record_sent(len(encode(view)), len(recipients), now_s)
 
-    def _log_summary(self, demand: dict[str, DemandSnapshot]) -> None:
+    def _log_summary(self, demand: Mapping[str, DemandSnapshot]) -> None:
         """Log what each target holds and runs as known to this instance."""
         for service, planner in self._planners.items():
             targets = {}
@@ -537,35 +487,28 @@
 
     def _coming_ms(self, now_s: float) -> dict[str, int]:
         """Return the expected time until each awaited item is loaded."""
-        wanted = {key for _, report in self._reports.values() for key in report.waiting}
         coming = {}
-        for key in wanted:
-            service, item = _parse_key(key)
+        for key in self._reports.waiting_keys():
+            service, item = parse_key(key)
             planner = self._planners.get(service)
             eta_s = planner.eta_s(item, now_s) if planner else None
             if eta_s is not None:
                 coming[key] = int(eta_s * 1000)
         return coming
 
-    def _held_items(
-        self, totals: Counter[str], own: Counter[str]
-    ) -> tuple[HeldItems, ...]:
+    def _held_items(self) -> tuple[HeldItems, ...]:
+        running = self._reports.running_by_target()
         held = []
-        listed = set()
         for planner in self._planners.values():
             for name, target_state in planner.target_states.items():
                 if not target_state.known:
                     continue
-                listed.add(name)
                 items = tuple(
                     sorted(str(item) for item in target_state.servable_items())
                 )
                 born = target_state.target.incarnation
-                elsewhere = totals[name] - own[name]
-                held.append(HeldItems(name, born, items, elsewhere))
-        for name, total in totals.items():
-            if name not in listed:
-                held.append(HeldItems(name, 0, (), total - own[name]))
+                held.append(HeldItems(name, born, items, running.pop(name, 0)))
+        held += [HeldItems(name, 0, (), count) for name, count in running.items()]
         return tuple(held)
 
     def _spawn(self, coro) -> None:
@@ -579,29 +522,6 @@
             self._state.events.event("task failed", reason=repr(task.exception()))
 
 
-def _parse_key(text: str) -> tuple[str, Item]:
-    """Parse ``NAME ITEM``, where NAME is that of a service or a target."""
-    name, _, rest = text.partition(" ")
-    model, _, adapter = rest.partition("/")
-    return name, Item(model, adapter)
-
-
-def _sum_by_service(
-    maps: Iterable[Mapping[str, int]],
-) -> dict[str, Counter[Item]]:
-    """Sum the counts of several instances by service and item."""
-    found: dict[str, Counter[Item]] = {}
-    for counts in maps:
-        for key, count in counts.items():
-            service, item = _parse_key(key)
-            found.setdefault(service, Counter())[item] += count
-    return found
-
-
-def _per_second(counts: Mapping[Item, int]) -> dict[Item, float]:
-    return {item: count / RATE_SCALE for item, count in counts.items()}
-
-
 def _decode_lease(obj: PlatformObject) -> LeaseRecord:
     spec = obj.spec or {}
     return LeaseRecord(
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -88,6 +88,7 @@
     def __init__(self):
         self.local: Counter[tuple[str, Item | None]] = Counter()
         self._local_by_target: Counter[str] = Counter()
+        self._local_reported: dict[str, int] = {}
         self._running_elsewhere: dict[str, int] = {}
 
     def begin(self, target: str, item: Item | None) -> None:
@@ -104,6 +105,23 @@
         if self._local_by_target[target] <= 0:
             del self._local_by_target[target]
 
+    def mark_reported(self) -> None:
+        """Record that the counts of this instance were reported to the others."""
+        self._local_reported = dict(self._local_by_target)
+
+    def set_running(self, running: Mapping[str, int]) -> None:
+        """Replace the counts of the other instances' requests, by target.
+
+        Parameters
+        ----------
+        running : Mapping
+            Counts of all instances; this one's are as last reported.
+        """
+        self._running_elsewhere = {
+            target: max(0, count - self._local_reported.get(target, 0))
+            for target, count in running.items()
+        }
+
     def set_running_elsewhere(self, running: Mapping[str, int]) -> None:
         """Replace the counts of the other instances' requests, by target."""
         self._running_elsewhere = dict(running)
--- a/src/marjoramstage/platform/_settings.py
+++ b/src/marjoramstage/platform/_settings.py
@@ -6,10 +6,15 @@
 from pathlib import Path
 
 from marjoramstage.exceptions import ConfigError
-from marjoramstage.state.node_settings import NodeBounds, NodeSettings
+from marjoramstage.state.node_settings import (
+    DEFAULT_LINK_BYTES_PER_S,
+    NodeBounds,
+    NodeSettings,
+)
 
 SETTINGS_VARIABLE = "MARJORAMSTAGE_NODE_FILE"
 MS = 0.001
+BYTES_PER_S_PER_MBPS = 125_000.0
 
 _REQUIRED = (
     "node_name",
@@ -65,10 +70,16 @@
         platform_address=fields["platform.addr"],
         peer_ports=peer_ports,
         first_start=fields.get("bootstrap") == "true",
+        link_bytes_per_s=_link_bytes_per_s(fields),
         bounds=_bounds(fields),
     )
 
 
+def _link_bytes_per_s(fields: Mapping[str, str]) -> float:
+    text = fields.get("limits.link_mbps")
+    return float(text) * BYTES_PER_S_PER_MBPS if text else DEFAULT_LINK_BYTES_PER_S
+
+
 def _bounds(fields: Mapping[str, str]) -> NodeBounds:
     default = NodeBounds()
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -274,14 +274,14 @@
     ----------
     items : tuple of str
         Models and adapters that it has loaded and that are not being retired.
-    running_elsewhere : int
-        Requests running there that instances other than the receiver sent.
+    running : int
+        Requests running there, as all instances together reported last.
     """
 
     target: str
     incarnation: int
     items: tuple[str, ...] = ()
-    running_elsewhere: int = 0
+    running: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -127,7 +127,7 @@
   1: optional string target
   2: optional i64 incarnation
   3: optional list<string> items
-  4: optional i64 running_elsewhere
+  5: optional i64 running
 }
 
 struct FleetView {
--- a/src/marjoramstage/state/node_settings.py
+++ b/src/marjoramstage/state/node_settings.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# A machine whose settings state no speed counts as one with 1,000 Mbit/s.
+DEFAULT_LINK_BYTES_PER_S = 125_000_000.0
+
 
 @dataclass(frozen=True)
 class NodeBounds:
@@ -53,6 +56,8 @@
         ``ip:port`` of the platform's object store.
     first_start : bool
         The whole system starts for the first time.
+    link_bytes_per_s : float
+        Speed of the machine's network link.
     peer_ports : tuple of int
         Ports reserved for connections between instances.
     """
@@ -65,4 +70,5 @@
     platform_address: str
     peer_ports: tuple[int, ...]
     first_start: bool = False
+    link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     bounds: NodeBounds = NodeBounds()
