Fetch the newest routes after a change instead of every version since

Machines with 200 Mbit/s were first, those with 10 Mbit/s late; event loops ran on time.

Cause: a watch returns every version since the one it was asked for, 400 kB each; 0.33 s apart they come as fast as 10 Mbit/s carry them, so each answer holds more versions than the last one and the lag grows as long as changes go on.

After a change the routes are now listed until they stay the same, and only then watched: one copy a round however many versions there were. Reads end when no byte came for 1.5 s, not when the whole took longer, as a read of many routes on a slow link was given up and begun anew.

--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -35,6 +35,11 @@
         that was deleted.
     on_list : callable
         Called with all objects after each list.
+    newest_only : bool
+        Only the newest state of the objects matters. A watch returns every change
+        since the one before; when changes come faster than a slow link carries
+        them, each answer would be longer than the last. So after a change the
+        objects are listed until they stay the same, and only then watched.
     """
 
     def __init__(
@@ -45,7 +50,11 @@
         on_put: Callable[[PlatformObject], None],
         on_remove: Callable[[str], None],
         on_list: Callable[[tuple[PlatformObject, ...]], None],
+        newest_only: bool = False,
     ):
+        self._newest_only = newest_only
+        self._changing = False
+        self._listed: tuple[PlatformObject, ...] = ()
         self._kind = kind
         self._store = store
         self._state = state
@@ -84,7 +93,7 @@
         )
 
     async def _sync_once(self) -> PlatformError | None:
-        if self._version is None:
+        if self._version is None or self._changing:
             return await self._list()
         return await self._watch(self._version)
 
@@ -94,7 +103,10 @@
             return listing.err_value
         self._mark_connected()
         self._version = listing.ok_value.version
-        self._on_list(listing.ok_value.objects)
+        objects = listing.ok_value.objects
+        self._changing = self._newest_only and objects != self._listed
+        self._listed = objects if self._newest_only else ()
+        self._on_list(objects)
         return None
 
     async def _watch(self, version: str) -> PlatformError | None:
@@ -107,6 +119,7 @@
                 self._on_remove(event.obj.name)
             elif event.type is WatchType.MODIFIED:
                 self._on_put(event.obj)
+                self._changing = self._newest_only
             else:
                 self._version = event.version
         return None
@@ -144,7 +157,9 @@
     def on_remove(name: str) -> None:
         state.events.event("routes object deleted", object=name)
 
-    return ObjectWatcher(platform.CONFIG, store, state, on_put, on_remove, on_list)
+    return ObjectWatcher(
+        platform.CONFIG, store, state, on_put, on_remove, on_list, newest_only=True
+    )
 
 
 def watch_targets(store: Platform, state: InstanceState) -> ObjectWatcher:
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -22,9 +22,11 @@
 )
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 
+# Time in which a write has to be answered, and in which a read has to get its next
+# bytes: a long answer may take longer on a slow link.
 CALL_TIMEOUT_S = 1.5
 WATCH_WAIT_S = 20.0
-# A watch call may take this much longer than the wait that it asks the store for.
+# The answer to a watch may start this much later than the wait that it asks for.
 WATCH_SLACK_S = 3.0
 
 CONFIG = Kind("", "", "config", "config")
@@ -134,8 +136,8 @@
         Ends after the events of that call; the last one is a bookmark.
         """
         params = {"watch": version, "wait_ms": str(int(self._watch_wait_s * 1000))}
-        timeout_s = self._watch_wait_s + WATCH_SLACK_S
-        found = await self._call("GET", self._url(kind), params, timeout_s=timeout_s)
+        idle_s = self._watch_wait_s + WATCH_SLACK_S
+        found = await self._call("GET", self._url(kind), params, idle_timeout_s=idle_s)
         events = _decode(found, lambda data: _decode_events(kind, data))
         if isinstance(events, Err):
             yield events
@@ -154,10 +156,12 @@
         url: str,
         params: Mapping[str, str] | None = None,
         body: dict[str, Any] | None = None,
-        timeout_s: float | None = None,
+        idle_timeout_s: float | None = None,
     ) -> Result[Any, PlatformError]:
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self._call_timeout_s, sock_connect=CALL_TIMEOUT_S
+            total=None if method == "GET" else self._call_timeout_s,
+            sock_connect=CALL_TIMEOUT_S,
+            sock_read=idle_timeout_s or self._call_timeout_s,
         )
         try:
             async with self._session.request(
