Don't lose the cancellation of a peer connection

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation when both come in the same few steps of the loop. The reader of a peer connection then waited for its next frame, 60 s at most, and the stop for it; the sender 30 s.

Time limits in the peers' transport use asyncio.timeout, which keeps the cancellation; so does the platform stand-in, the only other user in src.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -42,3 +42,12 @@
   Scenario: a connector refuses an acceptor that does not know the secret
     When a peer client with another secret sends a message
     Then nothing is delivered by that peer client
+
+  Scenario Outline: a <side> of peer messages that is stopped as a message comes ends
+    When a <side> of peer messages is cancelled up to 12 steps after a message
+    Then each of them ended
+
+    Examples:
+      | side   |
+      | reader |
+      | sender |
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -59,6 +59,10 @@
     return len(payload).to_bytes(4, "big") + payload
 
 
+# Well below the time after which an idle connection ends.
+STOP_LIMIT_S = 5.0
+
+
 def encode_struct(frame):
     buffer = TMemoryBuffer()
     TCompactProtocol(buffer).write_struct(frame)
@@ -296,3 +300,58 @@
 @then("nothing is delivered by that peer client")
 def check_nothing(context):
     assert context.peer_outcome == [], context.peer_outcome
+
+
+async def _read_forever(steps):
+    reader = asyncio.StreamReader()
+
+    async def read():
+        while True:
+            await read_frame(reader)
+
+    task = asyncio.create_task(read())
+    await asyncio.sleep(0)
+    reader.feed_data(to_frame(GOSSIP))
+    return await _cancel_after(task, steps)
+
+
+async def _send_forever(steps):
+    received = asyncio.Event()
+    server = PeerServer(
+        "127.0.0.1:0", SERVER, lambda message: received.set(), LocalMetrics()
+    )
+    await server.start()
+    client = PeerClient(CLIENT, LocalMetrics())
+    client.send(server.address, VALID_MESSAGE)
+    await received.wait()
+    client.send(server.address, VALID_MESSAGE)
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    stop = asyncio.create_task(client.stop())
+    ended = await _has_ended(stop)
+    stop.cancel()
+    await server.stop()
+    return ended
+
+
+async def _cancel_after(task, steps):
+    for _ in range(steps):
+        await asyncio.sleep(0)
+    task.cancel()
+    return await _has_ended(task)
+
+
+async def _has_ended(task):
+    done, _ = await asyncio.wait({task}, timeout=STOP_LIMIT_S)
+    return bool(done)
+
+
+@when("a {side} of peer messages is cancelled up to {most:d} steps after a message")
+def cancel_each(context, side, most):
+    run = _read_forever if side == "reader" else _send_forever
+    context.ended = {steps: asyncio.run(run(steps)) for steps in range(most + 1)}
+
+
+@then("each of them ended")
+def check_each_ended(context):
+    assert all(context.ended.values()), context.ended
--- a/src/marjoramstage/standins/platform.py
+++ b/src/marjoramstage/standins/platform.py
@@ -180,9 +180,8 @@
         after = int(req.query.get("resourceVersion", "0"))
         while True:
             try:
-                events = await asyncio.wait_for(
-                    self.store.next_events(after), self._bookmark_interval_s
-                )
+                async with asyncio.timeout(self._bookmark_interval_s):
+                    events = await self.store.next_events(after)
             except TimeoutError:
                 await self._send(req, resp, "BOOKMARK", _bookmark(self.store.version))
                 after = self.store.version
--- a/src/marjoramstage/transport/peers.py
+++ b/src/marjoramstage/transport/peers.py
@@ -2,6 +2,9 @@
 
 A frame is a big-endian length of four bytes followed by one Thrift message. In the
 handshake each side proves with an HMAC over both nonces that it knows the secret.
+
+Time limits use `asyncio.timeout`: `asyncio.wait_for` loses a cancellation that
+comes just as its result does, and a stop would wait for the next limit.
 """
 
 from __future__ import annotations
@@ -78,11 +81,13 @@
         The frame is oversized, malformed or incomplete.
     """
     try:
-        head = await asyncio.wait_for(reader.readexactly(LENGTH_BYTES), idle_timeout_s)
+        async with asyncio.timeout(idle_timeout_s):
+            head = await reader.readexactly(LENGTH_BYTES)
         size = int.from_bytes(head, "big")
         if not 0 < size <= max_bytes:
             raise PeerError(f"frame length {size} is outside the limits")
-        payload = await asyncio.wait_for(reader.readexactly(size), FRAME_TIMEOUT_S)
+        async with asyncio.timeout(FRAME_TIMEOUT_S):
+            payload = await reader.readexactly(size)
     except (asyncio.IncompleteReadError, TimeoutError, OSError) as exc:
         raise PeerError(f"incomplete frame: {type(exc).__name__}") from exc
     return decode(payload)
@@ -92,7 +97,8 @@
     """Send one message; return the size of its frame in bytes."""
     payload = encode(message)
     writer.write(len(payload).to_bytes(LENGTH_BYTES, "big") + payload)
-    await asyncio.wait_for(writer.drain(), FRAME_TIMEOUT_S)
+    async with asyncio.timeout(FRAME_TIMEOUT_S):
+        await writer.drain()
     return LENGTH_BYTES + len(payload)
 
 
@@ -240,14 +246,14 @@
         writer = None
         try:
             host, port = split_address(address)
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, port), CONNECT_TIMEOUT_S
-            )
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, port)
             detect_dead_peer(writer.get_extra_info("socket"))
             await connect_handshake(reader, writer, self._identity)
             while True:
                 # Half of the server's idle timeout, so that this side closes first.
-                message = await asyncio.wait_for(queue.get(), IDLE_TIMEOUT_S / 2)
+                async with asyncio.timeout(IDLE_TIMEOUT_S / 2):
+                    message = await queue.get()
                 size = await write_frame(writer, message)
                 self._metrics.count("peers.sent")
                 self._metrics.count("peers.sent_bytes", size)
