Let overdue fetches wait for each other

A model that was blocked for too long is now fetched when no other fetch of such a model is under way.

--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -104,6 +104,7 @@
         self._blocked_since_s: dict[Item, float] = {}
         self._unreachable: frozenset[str] = frozenset()
         self._next_fetch_s = 0.0
+        self._next_overdue_fetch_s = 0.0
         self._next_plan_s = 0.0
 
     @property
@@ -329,8 +330,9 @@
         """Return why a model must not be fetched from the weight store, if so.
 
         A fetch is slow. Models without sustained latency-critical demand are
-        fetched one at a time, and only if no target has their weights cached,
-        until they have been blocked for longer than a fetch takes.
+        fetched only if no target has their weights cached and no other fetch is
+        under way. Once blocked for longer than a fetch takes, they wait for each
+        other's fetches only.
         """
         if not self._load_limiter.allows(now_s):
             return BlockReason.LOAD_LIMIT
@@ -340,11 +342,11 @@
             if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
                 return None
             return BlockReason.LOW_UTILISATION
-        if self._is_overdue(item, now_s):
-            return None
-        if cached:
+        overdue = self._is_overdue(item, now_s)
+        if cached and not overdue:
             return BlockReason.CACHED_NO_ROOM
-        return None if now_s >= self._next_fetch_s else BlockReason.FETCH_UNDER_WAY
+        next_s = self._next_overdue_fetch_s if overdue else self._next_fetch_s
+        return None if now_s >= next_s else BlockReason.FETCH_UNDER_WAY
 
     def _is_overdue(self, item: Item, now_s: float) -> bool:
         """Whether a model has been blocked for longer than a fetch takes."""
@@ -461,6 +463,8 @@
                     return None
                 self._load_limiter.record_load(now_s)
                 self._next_fetch_s = now_s + target_state.load_s(item)
+                if not demand.is_active(item):
+                    self._next_overdue_fetch_s = self._next_fetch_s
             return self._create_order(target_state, item, True, now_s)
         retiring = [m for m in target_state.models() if target_state.is_retiring(m)]
         for found in retiring:
