Say in a view which report of each instance it counts

The shared view counts an instance's own requests as of some report. Test: requests elsewhere (dispatcher).

--- a/features/dispatcher.feature
+++ b/features/dispatcher.feature
@@ -67,6 +67,17 @@
       | the holders of a model rejected | a model | t1     | none can serve it        | model not held     |
       | the targets of a service failed | no model | t1, t2 | none can serve it       | every target tried |
 
+  Scenario Outline: requests elsewhere: <case>
+    Given an instance reported 2, 5 and then 9 requests at t1 and runs 9
+    When a view counts 20 requests at t1, as of <report>
+    Then it takes <total> requests to run at t1
+
+    Examples:
+      | case                          | report       | total |
+      | the view has the last report  | report 3     | 20    |
+      | the view has an earlier one   | report 2     | 24    |
+      | the view does not say which   | some report  | 20    |
+
   Scenario: the most urgent waiting requests get targets first
     Given a queue in which ranks 2, 0, 1 and 0 wait and two slots are free
     When targets are assigned
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -210,6 +210,26 @@
     assert context.reason is NoTargetReason(reason), context.reason
 
 
+@given("an instance reported 2, 5 and then 9 requests at t1 and runs 9")
+def report_thrice(context):
+    context.running_requests = RunningRequests()
+    for sequence, more in enumerate((2, 3, 4), start=1):
+        for _ in range(more):
+            context.running_requests.begin("t1", MODEL)
+        context.running_requests.mark_reported(sequence)
+
+
+@when("a view counts {count:d} requests at t1, as of {report}")
+def count_all(context, count, report):
+    _, _, number = report.partition("report ")
+    context.running_requests.set_running({"t1": count}, int(number or 0))
+
+
+@then("it takes {count:d} requests to run at t1")
+def check_running(context, count):
+    assert context.running_requests.running("t1") == count
+
+
 @given("a queue in which ranks 2, 0, 1 and 0 wait and two slots are free")
 def make_queue(context):
     context.places = [_target("t1"), _target("t2")]
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -264,7 +264,15 @@
         ("t2",),
     ),
     FleetView(
-        "i2/x", 4, 5, 6, (HeldItems("t", 7, ("m",), 8),), {"s m": 90}, True, ("a:1",)
+        "i2/x",
+        4,
+        5,
+        6,
+        (HeldItems("t", 7, ("m",), 8),),
+        {"s m": 90},
+        True,
+        ("a:1",),
+        {"i1": 3},
     ),
     PromptsSent("i1", {"t": 800}),
 )
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -190,7 +190,8 @@
             items = frozenset(_parse_item(text) for text in held.items)
             self.servable_items.update(held.target, held.incarnation, items)
             running[held.target] = held.running
-        self.running_requests.set_running(running)
+        own_report = view.reported.get(self.settings.name, 0)
+        self.running_requests.set_running(running, own_report)
         self._load_etas = (self.clock.now(), view.coming_ms)
         self.schedule_assignment()
 
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -119,7 +119,7 @@
         now_s = state.clock.now()
         waiting = state.waiting_by_item().items()
         running = state.running_requests.local.items()
-        state.running_requests.mark_reported()
+        state.running_requests.mark_reported(self._sequence)
         return EntryReport(
             instance=state.settings.name,
             address=self._address,
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -448,6 +448,7 @@
         """Send every instance what targets hold and how many requests they run."""
         self._sequence += 1
         recipients = self._reports.addresses
+        few = len(recipients) <= MAX_BROADCAST_PEERS
         view = FleetView(
             self.elector.identity,
             self._fence,
@@ -456,7 +457,8 @@
             self._held_items(),
             self._coming_ms(now_s),
             ended or self._unrenewed_until_s > 0,
-            recipients if len(recipients) <= MAX_BROADCAST_PEERS else (),
+            recipients if few else (),
+            self._reports.sequences if few else {},
         )
         for address in recipients:
             self._send_view(address, view)
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -22,6 +22,8 @@
 FAILURE_COST = 1.5
 # Cost of each second that a target needs to read the prompts sent to it.
 PREFILL_COST_PER_S = 3.0
+# Reports of this instance whose counts are kept until a view includes them.
+MAX_KEPT_REPORTS = 32
 # Random cost that keeps instances from all choosing the same target.
 COST_JITTER = 0.03
 # Requests that a target may queue beyond its slots, as a share of the slots.
@@ -88,7 +90,7 @@
     def __init__(self):
         self.local: Counter[tuple[str, Item | None]] = Counter()
         self._local_by_target: Counter[str] = Counter()
-        self._local_reported: dict[str, int] = {}
+        self._reported: dict[int, dict[str, int]] = {0: {}}
         self._running_elsewhere: dict[str, int] = {}
 
     def begin(self, target: str, item: Item | None) -> None:
@@ -105,20 +107,26 @@
         if self._local_by_target[target] <= 0:
             del self._local_by_target[target]
 
-    def mark_reported(self) -> None:
-        """Record that the counts of this instance were reported to the others."""
-        self._local_reported = dict(self._local_by_target)
+    def mark_reported(self, sequence: int) -> None:
+        """Record that the counts of this instance go out in a report."""
+        self._reported[sequence] = dict(self._local_by_target)
+        while len(self._reported) > MAX_KEPT_REPORTS:
+            del self._reported[min(self._reported)]
 
-    def set_running(self, running: Mapping[str, int]) -> None:
+    def set_running(self, running: Mapping[str, int], sequence: int = 0) -> None:
         """Replace the counts of the other instances' requests, by target.
 
         Parameters
         ----------
         running : Mapping
-            Counts of all instances; this one's are as last reported.
+            Counts of all instances.
+        sequence : int
+            Number of this instance's report that they include; 0 if unknown,
+            which counts as the last one.
         """
+        own = self._reported.get(sequence or max(self._reported), {})
         self._running_elsewhere = {
-            target: max(0, count - self._local_reported.get(target, 0))
+            target: max(0, count - own.get(target, 0))
             for target, count in running.items()
         }
 
--- a/src/marjoramstage/coordination/instance_reports.py
+++ b/src/marjoramstage/coordination/instance_reports.py
@@ -59,6 +59,11 @@
         """Addresses of the instances."""
         return tuple(report.address for _, report in self._reports.values())
 
+    @property
+    def sequences(self) -> dict[str, int]:
+        """Number of the latest report of each instance."""
+        return {name: report.sequence for name, (_, report) in self._reports.items()}
+
     def add(self, report: EntryReport, now_s: float) -> bool:
         """Store a report; return False if a newer one is known already."""
         if self._is_stale(report):
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -297,7 +297,10 @@
         Whether the sender has stopped giving orders, so that another instance
         may take the lease.
     peers : tuple of str
-        Addresses of the instances that reported recently.
+        Addresses of the instances that reported recently; empty if there are many.
+    reported : Mapping
+        Number of the report of each instance that `held` counts; empty if there
+        are many.
     """
 
     holder: str
@@ -308,6 +311,7 @@
     coming_ms: Mapping[str, int] = field(default_factory=dict)
     ended: bool = False
     peers: tuple[str, ...] = ()
+    reported: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -139,6 +139,7 @@
   6: optional map<string, i64> coming_ms
   7: optional bool ended
   8: optional list<string> peers
+  9: optional map<string, i64> reported
 }
 
 struct PromptsSent {
