Let overdue models take turns, and two of their fetches overlap

Overdue models are now ordered by how long they were blocked, and the next one may be fetched after half of a fetch's time.

--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -14,7 +14,10 @@
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
-from marjoramstage.coordination.replica_values import ReplicaValues
+from marjoramstage.coordination.replica_values import (
+    MAX_DEFERRABLE_VALUE,
+    ReplicaValues,
+)
 from marjoramstage.coordination.target_state import UNLOAD_S, ItemState, TargetState
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import FleetTarget, Item
@@ -46,6 +49,9 @@
 # new weights displace cached ones that a later load there could have used.
 CACHE_DISPLACEMENT_S = 0.3
 
+# Time between two fetches of overdue models, as a share of the time that one takes.
+OVERDUE_FETCH_INTERVAL = 0.5
+
 # Cost of leaving all of a target's memory unused; a smaller part costs in
 # proportion. Free memory that is too small for another model is wasted.
 UNUSED_MEMORY_COST = 40.0
@@ -178,7 +184,7 @@
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
         self._blocked.clear()
-        items = self._models_to_load(demand)
+        items = self._models_to_load(demand, now_s)
         self._blocked_since_s = {
             item: since_s
             for item, since_s in self._blocked_since_s.items()
@@ -218,16 +224,28 @@
             for item in target_state.models()
         )
 
-    def _models_to_load(self, demand: DemandSnapshot) -> list[Item]:
+    def _models_to_load(self, demand: DemandSnapshot, now_s: float) -> list[Item]:
         """Return the models that need another replica, most valuable first."""
-        lacking: list[tuple[float, int, Item]] = []
+        lacking: list[tuple[tuple[float, float, int], Item]] = []
         for name in self.spec.models:
             item = Item(name)
             gain = self._extra_replica_value(item, demand)
             if gain > 0:
-                lacking.append((gain, demand.waiting_by_model[name], item))
-        lacking.sort(key=lambda entry: entry[:2], reverse=True)
-        return [item for _, _, item in lacking]
+                lacking.append((self._load_priority(item, gain, demand, now_s), item))
+        lacking.sort(key=lambda entry: entry[0], reverse=True)
+        return [item for _, item in lacking]
+
+    def _load_priority(
+        self, item: Item, gain: float, demand: DemandSnapshot, now_s: float
+    ) -> tuple[float, float, int]:
+        """Return the sort key of a model that needs a replica; the highest is first.
+
+        Overdue models take turns, so that those with few requests are loaded too.
+        """
+        waiting = demand.waiting_by_model[item.model]
+        if demand.is_active(item) or not self._is_overdue(item, now_s):
+            return gain, 0.0, waiting
+        return MAX_DEFERRABLE_VALUE, now_s - self._blocked_since_s[item], waiting
 
     def _extra_replica_value(self, item: Item, demand: DemandSnapshot) -> float:
         """Return the value of one more replica; 0 if none is needed."""
@@ -464,7 +482,10 @@
                 self._load_limiter.record_load(now_s)
                 self._next_fetch_s = now_s + target_state.load_s(item)
                 if not demand.is_active(item):
-                    self._next_overdue_fetch_s = self._next_fetch_s
+                    fetch_s = target_state.load_s(item)
+                    self._next_overdue_fetch_s = (
+                        now_s + OVERDUE_FETCH_INTERVAL * fetch_s
+                    )
             return self._create_order(target_state, item, True, now_s)
         retiring = [m for m in target_state.models() if target_state.is_retiring(m)]
         for found in retiring:
