--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -451,15 +451,15 @@
         """Whether a load may evict a model, apart from what the two are worth.
 
         A fetch keeps its target from other orders for long. Models without
-        sustained demand take turns in the memory of deferrable ones and of
-        replicas that aren't the last; if there are no deferrable ones, an overdue
-        fetch may displace any idle model.
+        sustained demand take turns in the memory of deferrable ones and of further
+        replicas of idle ones; if there are no deferrable ones, an overdue fetch
+        may displace any idle model.
         """
         if not demand.is_latency_critical(victim) or demand.is_active(item):
             return True
         if target_state.has_weights_cached(item.model):
             return True
-        if self._ready_replicas(victim) > 1:
+        if self._ready_replicas(victim) > 1 and not demand.is_active(victim):
             return True
         return self._is_overdue(item, now_s) and not self._deferrable_replicas(demand)
 
