--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -14,10 +14,7 @@
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
-from marjoramstage.coordination.replica_values import (
-    MAX_DEFERRABLE_VALUE,
-    ReplicaValues,
-)
+from marjoramstage.coordination.replica_values import ReplicaValues
 from marjoramstage.coordination.target_state import UNLOAD_S, ItemState, TargetState
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import FleetTarget, Item
@@ -49,9 +46,6 @@
 # new weights displace cached ones that a later load there could have used.
 CACHE_DISPLACEMENT_S = 0.3
 
-# Time between two fetches of overdue models, as a share of the time that one takes.
-OVERDUE_FETCH_INTERVAL = 0.5
-
 # Cost of leaving all of a target's memory unused; a smaller part costs in
 # proportion. Free memory that is too small for another model is wasted.
 UNUSED_MEMORY_COST = 40.0
@@ -110,7 +104,6 @@
         self._blocked_since_s: dict[Item, float] = {}
         self._unreachable: frozenset[str] = frozenset()
         self._next_fetch_s = 0.0
-        self._next_overdue_fetch_s = 0.0
         self._next_plan_s = 0.0
 
     @property
@@ -184,7 +177,7 @@
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
         self._blocked.clear()
-        items = self._models_to_load(demand, now_s)
+        items = self._models_to_load(demand)
         self._blocked_since_s = {
             item: since_s
             for item, since_s in self._blocked_since_s.items()
@@ -224,28 +217,16 @@
             for item in target_state.models()
         )
 
-    def _models_to_load(self, demand: DemandSnapshot, now_s: float) -> list[Item]:
+    def _models_to_load(self, demand: DemandSnapshot) -> list[Item]:
         """Return the models that need another replica, most valuable first."""
-        lacking: list[tuple[tuple[float, float, int], Item]] = []
+        lacking: list[tuple[float, int, Item]] = []
         for name in self.spec.models:
             item = Item(name)
             gain = self._extra_replica_value(item, demand)
             if gain > 0:
-                lacking.append((self._load_priority(item, gain, demand, now_s), item))
-        lacking.sort(key=lambda entry: entry[0], reverse=True)
-        return [item for _, item in lacking]
-
-    def _load_priority(
-        self, item: Item, gain: float, demand: DemandSnapshot, now_s: float
-    ) -> tuple[float, float, int]:
-        """Return the sort key of a model that needs a replica; the highest is first.
-
-        Overdue models take turns, so that those with few requests are loaded too.
-        """
-        waiting = demand.waiting_by_model[item.model]
-        if demand.is_active(item) or not self._is_overdue(item, now_s):
-            return gain, 0.0, waiting
-        return MAX_DEFERRABLE_VALUE, now_s - self._blocked_since_s[item], waiting
+                lacking.append((gain, demand.waiting_by_model[name], item))
+        lacking.sort(key=lambda entry: entry[:2], reverse=True)
+        return [item for _, _, item in lacking]
 
     def _extra_replica_value(self, item: Item, demand: DemandSnapshot) -> float:
         """Return the value of one more replica; 0 if none is needed."""
@@ -348,9 +329,8 @@
         """Return why a model must not be fetched from the weight store, if so.
 
         A fetch is slow. Models without sustained latency-critical demand are
-        fetched only if no target has their weights cached and no other fetch is
-        under way. Once blocked for longer than a fetch takes, they wait for each
-        other's fetches only.
+        fetched one at a time, and only if no target has their weights cached,
+        until they have been blocked for longer than a fetch takes.
         """
         if not self._load_limiter.allows(now_s):
             return BlockReason.LOAD_LIMIT
@@ -360,11 +340,11 @@
             if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
                 return None
             return BlockReason.LOW_UTILISATION
-        overdue = self._is_overdue(item, now_s)
-        if cached and not overdue:
+        if self._is_overdue(item, now_s):
+            return None
+        if cached:
             return BlockReason.CACHED_NO_ROOM
-        next_s = self._next_overdue_fetch_s if overdue else self._next_fetch_s
-        return None if now_s >= next_s else BlockReason.FETCH_UNDER_WAY
+        return None if now_s >= self._next_fetch_s else BlockReason.FETCH_UNDER_WAY
 
     def _is_overdue(self, item: Item, now_s: float) -> bool:
         """Whether a model has been blocked for longer than a fetch takes."""
@@ -451,16 +431,13 @@
         """Whether a load may evict a model, apart from what the two are worth.
 
         A fetch keeps its target from other orders for long. Models without
-        sustained demand take turns in the memory of deferrable ones and of further
-        replicas of idle ones; if there are no deferrable ones, an overdue fetch
-        may displace any idle model.
+        sustained demand take turns in the memory of deferrable ones for it; if
+        there are none, an overdue fetch may displace any idle model.
         """
         if not demand.is_latency_critical(victim) or demand.is_active(item):
             return True
         if target_state.has_weights_cached(item.model):
             return True
-        if self._ready_replicas(victim) > 1 and not demand.is_active(victim):
-            return True
         return self._is_overdue(item, now_s) and not self._deferrable_replicas(demand)
 
     def _next_model_order(
@@ -484,11 +461,6 @@
                     return None
                 self._load_limiter.record_load(now_s)
                 self._next_fetch_s = now_s + target_state.load_s(item)
-                if not demand.is_active(item):
-                    fetch_s = target_state.load_s(item)
-                    self._next_overdue_fetch_s = (
-                        now_s + OVERDUE_FETCH_INTERVAL * fetch_s
-                    )
             return self._create_order(target_state, item, True, now_s)
         retiring = [m for m in target_state.models() if target_state.is_retiring(m)]
         for found in retiring:
