--- a/features/dispatcher.feature
+++ b/features/dispatcher.feature
@@ -77,6 +77,7 @@
       | the view has the last report  | report 3     | 20    |
       | the view has an earlier one   | report 2     | 24    |
       | the view does not say which   | some report  | 20    |
+      | the report is no longer kept  | report 99    | 20    |
 
   Scenario: the most urgent waiting requests get targets first
     Given a queue in which ranks 2, 0, 1 and 0 wait and two slots are free
--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -468,7 +468,7 @@
             local = Counter()
             for (target, _), count in member.running_requests.local.items():
                 local[target] += count
-            member.running_requests.set_running_elsewhere(
+            member.running_requests.set_running(
                 {t: totals[t] - local[t] for t in totals}
             )
             for name, target_state in self.planner.target_states.items():
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -87,7 +87,7 @@
 @when("t1 and t2 have 5 requests")
 def load_two(context):
     _load(context, "t1", 5)
-    context.running_requests.set_running_elsewhere({"t2": 5})
+    context.running_requests.set_running({"t2": 5})
 
 
 @when("t1 is leaving and t2 lacks m")
@@ -134,7 +134,7 @@
 
 @when("every target is full")
 def fill_all(context):
-    context.running_requests.set_running_elsewhere(dict.fromkeys(context.targets, 13))
+    context.running_requests.set_running(dict.fromkeys(context.targets, 13))
 
 
 @when("t2 and t3 were tried")
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -121,19 +121,16 @@
         running : Mapping
             Counts of all instances.
         sequence : int
-            Number of this instance's report that they include; 0 if unknown,
-            which counts as the last one.
+            Number of this instance's report that they include. 0 stands for the
+            last one, which is also assumed for a report that is no longer kept.
         """
-        own = self._reported.get(sequence or max(self._reported), {})
+        last = self._reported[max(self._reported)]
+        own = self._reported.get(sequence, last) if sequence else last
         self._running_elsewhere = {
             target: max(0, count - own.get(target, 0))
             for target, count in running.items()
         }
 
-    def set_running_elsewhere(self, running: Mapping[str, int]) -> None:
-        """Replace the counts of the other instances' requests, by target."""
-        self._running_elsewhere = dict(running)
-
     def running(self, target: str) -> int:
         """Return the number of requests at a target, from all instances."""
         return self._local_by_target[target] + self._running_elsewhere.get(target, 0)
