Ask for a watch again after a short wait

Cause: a watch that is asked for while the store is silent is never answered, though its connection stays up, so that neither keepalive probes nor the user timeout end it; the call waited for its 23 s.

A watch now waits for 1.5 s (20 before) and is given up 1 s later (3 before).

--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -25,9 +25,11 @@
 # Time in which a write has to be answered, and in which a read has to get its next
 # bytes: a long answer may take longer on a slow link.
 CALL_TIMEOUT_S = 1.5
-WATCH_WAIT_S = 20.0
+# A store that was silent never answers a call of that time, and its connection
+# stays up; so a watch is asked for again after a short wait.
+WATCH_WAIT_S = 1.5
 # The answer to a watch may start this much later than the wait that it asks for.
-WATCH_SLACK_S = 3.0
+WATCH_SLACK_S = 1.0
 
 CONFIG = Kind("", "", "config", "config")
 TARGETS = Kind("", "", "servers", "servers")
