--- a/features/config_updates.feature
+++ b/features/config_updates.feature
@@ -21,3 +21,7 @@
     When the listing is read by a client that waits 1 s for each part
     Then the listing is whole
     And a listing that stops in the middle fails in the end
+
+  Scenario: a watch that the store never answers is given up in time
+    When a watch is asked for that the store accepts and never answers
+    Then it fails within 6 s
--- a/features/steps/config_updates.py
+++ b/features/steps/config_updates.py
@@ -21,6 +21,7 @@
 STORE_DELAY_S = 0.006
 SETTLE_S = 8.0
 LISTING_LIMIT_S = 20.0
+UNANSWERED_LIMIT_S = 6.0
 
 
 class SlowStore:
@@ -163,3 +164,38 @@
 def check_stopped(context):
     found = asyncio.run(_read_listing(context.parts, 5, 0.01))
     assert isinstance(found, Err), found
+
+
+async def _ask_watch():
+    done = asyncio.Event()
+
+    async def never_answer(req):
+        await done.wait()
+        return web.Response()
+
+    server = web.Server(never_answer)
+    listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    found = []
+    async with aiohttp.ClientSession() as session:
+        store = platform.ObjectStore(session, f"{host}:{port}")
+        try:
+            async with asyncio.timeout(UNANSWERED_LIMIT_S):
+                found = [event async for event in store.watch(platform.CONFIG, "1")]
+        except TimeoutError:
+            pass  # nothing was found in time
+    done.set()
+    listener.close()
+    await server.shutdown(0)
+    return found
+
+
+@when("a watch is asked for that the store accepts and never answers")
+def ask_watch(context):
+    context.events = asyncio.run(_ask_watch())
+
+
+@then("it fails within 6 s")
+def check_given_up(context):
+    assert len(context.events) == 1, context.events
+    assert isinstance(context.events[0], Err), context.events
