--- a/features/steps/config_updates.py
+++ b/features/steps/config_updates.py
@@ -1,6 +1,7 @@
 """Steps about new versions of the routes that come over a slow link."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import aiohttp
 from aiohttp import web
@@ -120,6 +121,19 @@
     context.parts, context.gap = parts, gap
 
 
+@asynccontextmanager
+async def _served(handler, done, **kwargs):
+    """Yield a client of a store whose requests ``handler`` answers."""
+    server = web.Server(handler)
+    listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    async with aiohttp.ClientSession() as session:
+        yield platform.ObjectStore(session, f"{host}:{port}", **kwargs)
+    done.set()
+    listener.close()
+    await server.shutdown(0)
+
+
 async def _read_listing(parts, sent, gap):
     done = asyncio.Event()
     text = b'{"items": [], "more": false, "store_revision": 7}'
@@ -135,16 +149,9 @@
             await done.wait()
         return resp
 
-    server = web.Server(handle)
-    listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
-    host, port = listener.sockets[0].getsockname()
-    async with aiohttp.ClientSession() as session:
-        store = platform.ObjectStore(session, f"{host}:{port}", call_timeout_s=1.0)
+    async with _served(handle, done, call_timeout_s=1.0) as store:
         async with asyncio.timeout(LISTING_LIMIT_S):
             found = await store.list(platform.CONFIG)
-    done.set()
-    listener.close()
-    await server.shutdown(0)
     return found
 
 
@@ -173,20 +180,13 @@
         await done.wait()
         return web.Response()
 
-    server = web.Server(never_answer)
-    listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
-    host, port = listener.sockets[0].getsockname()
     found = []
-    async with aiohttp.ClientSession() as session:
-        store = platform.ObjectStore(session, f"{host}:{port}")
+    async with _served(never_answer, done) as store:
         try:
             async with asyncio.timeout(UNANSWERED_LIMIT_S):
                 found = [event async for event in store.watch(platform.CONFIG, "1")]
         except TimeoutError:
             pass  # nothing was found in time
-    done.set()
-    listener.close()
-    await server.shutdown(0)
     return found
 
 
--- a/src/marjoramstage/coordination/instance_reports.py
+++ b/src/marjoramstage/coordination/instance_reports.py
@@ -51,9 +51,6 @@
         self._demand: dict[str, DemandSnapshot] = {}
         self._sums_until_s = 0.0
 
-    def __len__(self) -> int:
-        return len(self._reports)
-
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses of the instances."""
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -178,11 +178,8 @@
         self._queue_etas_s.clear()
         self._blocked.clear()
         items = self._models_to_load(demand)
-        self._blocked_since_s = {
-            item: since_s
-            for item, since_s in self._blocked_since_s.items()
-            if item in items
-        }
+        for item in self._blocked_since_s.keys() - set(items):
+            del self._blocked_since_s[item]
         for item in items:
             found = self._choose_target(item, demand, now_s)
             if isinstance(found, BlockReason):
