Split relaying and the log of requests off the handler of callers

caller_handler had 575 lines and four jobs. The context of a request with its errors, the relay of an answer and the log lines have modules of their own now; nothing else changes.

--- /dev/null
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -0,0 +1,121 @@
+"""Checks the answer of a target and relays it to the caller."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from marjoramstage import platform
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.request_context import NOT_RUN_STATUSES, RequestContext
+from marjoramstage.exceptions import TargetError, Verdict
+from marjoramstage.state.routes import RunPolicy
+from marjoramstage.transport.event_stream import EventSplitter
+from marjoramstage.transport.target_client import TargetResponse
+
+EVENT_STREAM = "text/event-stream"
+
+
+def check_answer(ctx: RequestContext, answer: TargetResponse) -> None:
+    """Check whether an answer may be relayed, from its status and headers.
+
+    Raises
+    ------
+    TargetError
+        It must not be relayed.
+    """
+    status, headers = answer.status, answer.headers
+    answered_id = platform.request_id_of(headers)
+    if answered_id and answered_id != ctx.headers.request_id:
+        raise TargetError(
+            "the answer carries the id of another request",
+            Verdict.MAY_HAVE_RUN,
+            status,
+            "foreign",
+        )
+    if platform.proves_not_run(status, headers):
+        raise TargetError(
+            f"not run at the target: status {status}",
+            Verdict.NOT_RUN,
+            status,
+            "rejected",
+        )
+    if status in NOT_RUN_STATUSES:
+        raise TargetError(
+            f"status {status} without proof that it did not run",
+            Verdict.MAY_HAVE_RUN,
+            status,
+            "unproved",
+        )
+    may_retry = (
+        ctx.route.run_policy is RunPolicy.REPEATABLE
+        and ctx.possible_runs + 1 < ctx.route.max_attempts
+        and status >= 500
+    )
+    if may_retry or (ctx.resp is not None and status != 200):
+        raise TargetError(f"status {status}", Verdict.MAY_HAVE_RUN, status, "failed")
+
+
+class AnswerRelay:
+    """Relays answers of targets to callers."""
+
+    def __init__(self, state: InstanceState):
+        self._state = state
+
+    async def relay(
+        self, ctx: RequestContext, answer: TargetResponse
+    ) -> web.StreamResponse:
+        """Relay an answer; return the response to the caller.
+
+        Raises
+        ------
+        TargetError
+            The answer broke off.
+        """
+        content_type = answer.headers.get("Content-Type", "")
+        if answer.status == 200 and content_type.startswith(EVENT_STREAM):
+            return await self._relay_stream(ctx, answer)
+        return await self._relay_whole(answer)
+
+    async def _relay_whole(self, answer: TargetResponse) -> web.StreamResponse:
+        body = await answer.read()
+        headers = platform.answer_headers(answer.headers)
+        resp = web.Response(
+            status=answer.status, reason=answer.reason, body=body, headers=headers
+        )
+        if "Content-Type" not in headers:
+            resp.headers.popall("Content-Type", None)
+        return resp
+
+    async def _relay_stream(
+        self, ctx: RequestContext, answer: TargetResponse
+    ) -> web.StreamResponse:
+        """Relay complete events as they arrive."""
+        if ctx.resp is None:
+            ctx.resp = await self._start_stream(ctx, answer)
+        resp = ctx.resp
+        splitter = EventSplitter()
+        async for chunk in answer.iter_chunks():
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            await resp.write(events)
+            ctx.record_event(self._state.clock.now())
+            ctx.last_event_id = splitter.last_id or ctx.last_event_id
+        if splitter.incomplete:
+            await resp.write(splitter.incomplete)
+        await resp.write_eof()
+        return resp
+
+    async def _start_stream(
+        self, ctx: RequestContext, answer: TargetResponse
+    ) -> web.StreamResponse:
+        """Send the head of a stream to the caller."""
+        headers = platform.answer_headers(answer.headers)
+        resp = web.StreamResponse(
+            status=answer.status, reason=answer.reason, headers=headers
+        )
+        resp.enable_chunked_encoding()
+        if self._state.stopping:
+            resp.force_close()
+        await resp.prepare(ctx.req)
+        return resp
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from marjoramstage import platform
+from marjoramstage._entry.answer_relay import AnswerRelay, check_answer
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.request_context import (
+    NOT_RUN_STATUSES,
+    RefusalError,
+    RequestContext,
+    TruncatedAnswerError,
+)
+from marjoramstage._entry.request_log import ANSWERED, RequestLog
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.coordination.wait_policy import (
     DEFAULT_LIMITS,
@@ -24,15 +32,12 @@
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Route, RunPolicy
-from marjoramstage.transport.event_stream import EventSplitter
 from marjoramstage.transport.target_client import (
     TargetClient,
     TargetRequest,
     TargetResponse,
 )
 
-# An answer with one of these statuses promises that the request did not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # For callers that state no deadline.
 DEFAULT_TIMEOUT_S = 30.0
@@ -45,70 +50,6 @@
 PACING_FRACTION = 1.0
 
 
-@dataclass
-class RequestContext:
-    """State of one request of a caller.
-
-    Attributes
-    ----------
-    arrived_s, deadline_s : float
-        When it arrived and when its final answer is due, on the monotonic clock.
-    possible_runs : int
-        Attempts that may have run at a target.
-    attempts : int
-        Attempts that were sent, whether they ran or not.
-    resp : web.StreamResponse or None
-        The answer to the caller, once its head has been sent.
-    first_event_s : float or None
-        Time from arrival to the first event that was relayed.
-    waited_s : float
-        Time spent in the wait queue.
-    last_event_s, pause_s : float
-        When the last event was relayed, and the longest pause between two events.
-    tried : list of str
-        Targets to which it was sent.
-    """
-
-    req: web.BaseRequest
-    route: Route
-    service: str
-    headers: CallerHeaders
-    body: bytes
-    arrived_s: float
-    deadline_s: float
-    criteria: TargetCriteria
-    possible_runs: int = 0
-    attempts: int = 0
-    last_event_id: str = ""
-    resp: web.StreamResponse | None = None
-    first_event_s: float | None = None
-    waited_s: float = 0.0
-    last_event_s: float = 0.0
-    pause_s: float = 0.0
-    tried: list[str] = field(default_factory=list)
-
-
-class RefusalError(Exception):
-    """This instance itself answers a request, with an error status.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status; one of `NOT_RUN_STATUSES` only if the request has not run.
-    reason : str
-        Fixed name of the cause; also the body of the answer, a log field and a
-        metric label.
-    retry_after_s : float or None
-        When the caller may retry, in seconds.
-    """
-
-    def __init__(self, status: int, reason: str, retry_after_s: float | None = None):
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-
-
 class CallerHandler:
     """Handler of callers' requests."""
 
@@ -120,7 +61,8 @@
     ):
         self._state = state
         self._target_client = target_client
-        self._metrics = metrics
+        self._relay = AnswerRelay(state)
+        self._log = RequestLog(state, metrics)
         self._wait_policy = WaitPolicy()
         self._busy_conns: set[object] = set()
 
@@ -143,16 +85,16 @@
         try:
             ctx = await self._build_context(req, arrived_s)
             resp = await self._run_attempts(ctx)
-            outcome = "answered"
+            outcome = ANSWERED
         except RefusalError as exc:
             resp = self._refusal(exc)
             outcome = exc.reason
-        except _TruncatedAnswerError as exc:
+        except TruncatedAnswerError as exc:
             outcome = exc.reason
             resp = self._abort(req, ctx)
         finally:
             self._busy_conns.discard(conn)
-            self._record_end(req, ctx, arrived_s, outcome)
+            self._log.request_ended(req, ctx, arrived_s, outcome)
         if self._state.stopping and not resp.prepared:
             resp.force_close()
         return resp
@@ -238,9 +180,9 @@
             except TargetError as exc:
                 self._on_attempt_failed(ctx, target, exc)
             except TimeoutError:
-                self._metrics.failed_attempts.labels("timeout").inc()
+                self._log.attempt_timed_out()
                 if ctx.resp is not None:
-                    raise _TruncatedAnswerError("timeout in the answer") from None
+                    raise TruncatedAnswerError("timeout in the answer") from None
                 raise RefusalError(504, "timeout at the target") from None
             finally:
                 self._state.release_slot(target, ctx.criteria)
@@ -252,28 +194,20 @@
 
         Raises
         ------
-        RefusalError, _TruncatedAnswerError
+        RefusalError, TruncatedAnswerError
             No other attempt is allowed.
         """
         now_s = self._state.clock.now()
         not_run = exc.verdict is Verdict.NOT_RUN
-        self._metrics.failed_attempts.labels(exc.reason or "failed").inc()
         ctx.possible_runs += 0 if not_run else 1
         ctx.criteria = replace(ctx.criteria, tried=frozenset(ctx.tried))
-        fields = {
-            "request": ctx.headers.request_id,
-            "target": target.name,
-            "reason": str(exc),
-            "verdict": exc.verdict.value,
-            "attempt": ctx.attempts,
-        }
-        self._state.events.event("attempt failed", **fields)
+        self._log.attempt_failed(ctx, target, exc)
         may_retry = not_run or (
             ctx.route.run_policy is RunPolicy.REPEATABLE
             and ctx.possible_runs < ctx.route.max_attempts
         )
         if ctx.resp is not None and not (ctx.route.resumable and may_retry):
-            raise _TruncatedAnswerError("the answer broke off")
+            raise TruncatedAnswerError("the answer broke off")
         reached_target = exc.reason != "unreached"
         if may_retry and now_s < ctx.deadline_s:
             # Only attempts that reached a target are charged to the retry budget.
@@ -281,7 +215,7 @@
                 return
             may_retry = False
         if ctx.resp is not None:
-            raise _TruncatedAnswerError("no budget to go on")
+            raise TruncatedAnswerError("no budget to go on")
         if ctx.possible_runs:
             raise RefusalError(502, "the target's answer was lost")
         raise RefusalError(503, "not run, no budget for a repeat", 0.2)
@@ -361,9 +295,9 @@
 
     def _no_target_error(
         self, ctx: RequestContext, reason: str, retry_after_s: float
-    ) -> RefusalError | _TruncatedAnswerError:
+    ) -> RefusalError | TruncatedAnswerError:
         if ctx.resp is not None:
-            return _TruncatedAnswerError(reason)
+            return TruncatedAnswerError(reason)
         if ctx.possible_runs:
             return RefusalError(502, f"the answer was lost, {reason}")
         return RefusalError(503, reason, retry_after_s)
@@ -376,12 +310,8 @@
         answer = await self._send(ctx, target)
         ok = False
         try:
-            self._check_answer(ctx, target, answer)
-            content_type = answer.headers.get("Content-Type", "")
-            if answer.status == 200 and content_type.startswith("text/event-stream"):
-                resp = await self._relay_stream(ctx, answer)
-            else:
-                resp = await self._relay_whole(ctx, answer)
+            check_answer(ctx, answer)
+            resp = await self._relay.relay(ctx, answer)
             ok = answer.status < 500
             return resp
         finally:
@@ -425,91 +355,6 @@
             ctx.last_event_id,
         )
 
-    def _check_answer(
-        self, ctx: RequestContext, target: FleetTarget, answer: TargetResponse
-    ) -> None:
-        """Raise a `TargetError` for an answer that must not be relayed."""
-        status, headers = answer.status, answer.headers
-        answered_id = platform.request_id_of(headers)
-        if answered_id and answered_id != ctx.headers.request_id:
-            raise TargetError(
-                "the answer carries the id of another request",
-                Verdict.MAY_HAVE_RUN,
-                status,
-                "foreign",
-            )
-        if platform.proves_not_run(status, headers):
-            raise TargetError(
-                f"not run at the target: status {status}",
-                Verdict.NOT_RUN,
-                status,
-                "rejected",
-            )
-        if status in NOT_RUN_STATUSES:
-            raise TargetError(
-                f"status {status} without proof that it did not run",
-                Verdict.MAY_HAVE_RUN,
-                status,
-                "unproved",
-            )
-        may_retry = (
-            ctx.route.run_policy is RunPolicy.REPEATABLE
-            and ctx.possible_runs + 1 < ctx.route.max_attempts
-            and status >= 500
-        )
-        if may_retry or (ctx.resp is not None and status != 200):
-            raise TargetError(
-                f"status {status}", Verdict.MAY_HAVE_RUN, status, "failed"
-            )
-
-    async def _relay_whole(
-        self, ctx: RequestContext, answer: TargetResponse
-    ) -> web.StreamResponse:
-        body = await answer.read()
-        headers = platform.answer_headers(answer.headers)
-        resp = web.Response(
-            status=answer.status, reason=answer.reason, body=body, headers=headers
-        )
-        if "Content-Type" not in headers:
-            resp.headers.popall("Content-Type", None)
-        return resp
-
-    async def _relay_stream(
-        self, ctx: RequestContext, answer: TargetResponse
-    ) -> web.StreamResponse:
-        """Relay complete events as they arrive."""
-        resp = ctx.resp
-        if resp is None:
-            headers = platform.answer_headers(answer.headers)
-            resp = web.StreamResponse(
-                status=answer.status, reason=answer.reason, headers=headers
-            )
-            resp.enable_chunked_encoding()
-            if self._state.stopping:
-                resp.force_close()
-            await resp.prepare(ctx.req)
-            ctx.resp = resp
-        splitter = EventSplitter()
-        async for chunk in answer.iter_chunks():
-            events = splitter.feed(chunk)
-            if not events:
-                continue
-            await resp.write(events)
-            self._record_event(ctx)
-            ctx.last_event_id = splitter.last_id or ctx.last_event_id
-        if splitter.incomplete:
-            await resp.write(splitter.incomplete)
-        await resp.write_eof()
-        return resp
-
-    def _record_event(self, ctx: RequestContext) -> None:
-        now_s = self._state.clock.now()
-        if ctx.first_event_s is None:
-            ctx.first_event_s = now_s - ctx.arrived_s
-        else:
-            ctx.pause_s = max(ctx.pause_s, now_s - ctx.last_event_s)
-        ctx.last_event_s = now_s
-
     def _remaining_s(self, ctx: RequestContext) -> float:
         return max(0.001, ctx.deadline_s - self._state.clock.now())
 
@@ -529,47 +374,3 @@
         if ctx is not None and ctx.resp is not None:
             return ctx.resp
         return web.Response(status=502)
-
-    def _record_end(
-        self,
-        req: web.BaseRequest,
-        ctx: RequestContext | None,
-        arrived_s: float,
-        outcome: str,
-    ) -> None:
-        """Record the end of a request in the metrics and in the log."""
-        took_s = self._state.clock.now() - arrived_s
-        self._metrics.observe_request(ctx.route if ctx else None, outcome, took_s)
-        first_event_s = took_s
-        if ctx is not None and ctx.first_event_s is not None:
-            first_event_s = ctx.first_event_s
-        fields = {
-            "request": platform.request_id_of(req.headers),
-            "route": ctx.route.name if ctx else None,
-            "item": str(ctx.criteria.item) if ctx and ctx.criteria.item else None,
-            "tried": ctx.tried if ctx else [],
-            "outcome": outcome,
-            "took_ms": round(took_s * 1000, 1),
-            "waited_ms": round(ctx.waited_s * 1000, 1) if ctx else None,
-            "first_ms": round(first_event_s * 1000, 1),
-            "pause_ms": round(ctx.pause_s * 1000, 1) if ctx else None,
-            "table": self._state.table.version if self._state.table else None,
-        }
-        late = ctx is not None and (
-            first_event_s > ctx.route.latency_goal_s
-            or ctx.pause_s > ctx.route.event_gap_goal_s > 0
-        )
-        if outcome == "answered" and late:
-            self._state.events.event("request late", **fields)
-        elif outcome == "answered":
-            self._state.events.sampled("request answered", **fields)
-        else:
-            self._state.events.event("request ended", **fields)
-
-
-class _TruncatedAnswerError(Exception):
-    """An answer of which a part was sent cannot be completed."""
-
-    def __init__(self, reason: str):
-        super().__init__(reason)
-        self.reason = reason
--- /dev/null
+++ b/src/marjoramstage/_entry/request_context.py
@@ -0,0 +1,94 @@
+"""State of one caller's request, and the errors that end it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.platform import CallerHeaders
+from marjoramstage.state.routes import Route
+
+# An answer with one of these statuses promises that the request did not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
+
+@dataclass
+class RequestContext:
+    """State of one request of a caller.
+
+    Attributes
+    ----------
+    arrived_s, deadline_s : float
+        When it arrived and when its final answer is due, on the monotonic clock.
+    possible_runs : int
+        Attempts that may have run at a target.
+    attempts : int
+        Attempts that were sent, whether they ran or not.
+    resp : web.StreamResponse or None
+        The answer to the caller, once its head has been sent.
+    first_event_s : float or None
+        Time from arrival to the first event that was relayed.
+    waited_s : float
+        Time spent in the wait queue.
+    last_event_s, pause_s : float
+        When the last event was relayed, and the longest pause between two events.
+    tried : list of str
+        Targets to which it was sent.
+    """
+
+    req: web.BaseRequest
+    route: Route
+    service: str
+    headers: CallerHeaders
+    body: bytes
+    arrived_s: float
+    deadline_s: float
+    criteria: TargetCriteria
+    possible_runs: int = 0
+    attempts: int = 0
+    last_event_id: str = ""
+    resp: web.StreamResponse | None = None
+    first_event_s: float | None = None
+    waited_s: float = 0.0
+    last_event_s: float = 0.0
+    pause_s: float = 0.0
+    tried: list[str] = field(default_factory=list)
+
+    def record_event(self, now_s: float) -> None:
+        """Record that events of the answer were relayed to the caller."""
+        if self.first_event_s is None:
+            self.first_event_s = now_s - self.arrived_s
+        else:
+            self.pause_s = max(self.pause_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
+
+
+class RefusalError(Exception):
+    """This instance itself answers a request, with an error status.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; one of `NOT_RUN_STATUSES` only if the request has not run.
+    reason : str
+        Fixed name of the cause; also the body of the answer, a log field and a
+        metric label.
+    retry_after_s : float or None
+        When the caller may retry, in seconds.
+    """
+
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class TruncatedAnswerError(Exception):
+    """An answer of which a part was sent cannot be completed."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
--- /dev/null
+++ b/src/marjoramstage/_entry/request_log.py
@@ -0,0 +1,76 @@
+"""Records how requests and attempts ended, in the log and in the metrics."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from marjoramstage import platform
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.request_context import RequestContext
+from marjoramstage.exceptions import TargetError
+from marjoramstage.state.fleet import FleetTarget
+
+ANSWERED = "answered"
+
+
+class RequestLog:
+    """Writes the log lines and counts of requests."""
+
+    def __init__(self, state: InstanceState, metrics: PrometheusMetrics):
+        self._state = state
+        self._metrics = metrics
+
+    def attempt_failed(
+        self, ctx: RequestContext, target: FleetTarget, exc: TargetError
+    ) -> None:
+        """Record an attempt that failed."""
+        self._metrics.failed_attempts.labels(exc.reason or "failed").inc()
+        self._state.events.event(
+            "attempt failed",
+            request=ctx.headers.request_id,
+            target=target.name,
+            reason=str(exc),
+            verdict=exc.verdict.value,
+            attempt=ctx.attempts,
+        )
+
+    def attempt_timed_out(self) -> None:
+        """Record an attempt that did not end in time."""
+        self._metrics.failed_attempts.labels("timeout").inc()
+
+    def request_ended(
+        self,
+        req: web.BaseRequest,
+        ctx: RequestContext | None,
+        arrived_s: float,
+        outcome: str,
+    ) -> None:
+        """Record the end of a request."""
+        took_s = self._state.clock.now() - arrived_s
+        self._metrics.observe_request(ctx.route if ctx else None, outcome, took_s)
+        first_event_s = took_s
+        if ctx is not None and ctx.first_event_s is not None:
+            first_event_s = ctx.first_event_s
+        fields = {
+            "request": platform.request_id_of(req.headers),
+            "route": ctx.route.name if ctx else None,
+            "item": str(ctx.criteria.item) if ctx and ctx.criteria.item else None,
+            "tried": ctx.tried if ctx else [],
+            "outcome": outcome,
+            "took_ms": round(took_s * 1000, 1),
+            "waited_ms": round(ctx.waited_s * 1000, 1) if ctx else None,
+            "first_ms": round(first_event_s * 1000, 1),
+            "pause_ms": round(ctx.pause_s * 1000, 1) if ctx else None,
+            "table": self._state.table.version if self._state.table else None,
+        }
+        late = ctx is not None and (
+            first_event_s > ctx.route.latency_goal_s
+            or ctx.pause_s > ctx.route.event_gap_goal_s > 0
+        )
+        if outcome == ANSWERED and late:
+            self._state.events.event("request late", **fields)
+        elif outcome == ANSWERED:
+            self._state.events.sampled("request answered", **fields)
+        else:
+            self._state.events.event("request ended", **fields)
