Log and count how an answer without a length ended

Each answer whose end only its connection marks, or that ends inside an event, now has a line `answer ended` with framing, how the connection ended (a close that the peer announced, or none), size, events, last id and the bytes of an incomplete event; `marjoramstage_answers` counts all answers by the same three.

--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -7,6 +7,7 @@
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.request_context import NOT_RUN_STATUSES, RequestContext
+from marjoramstage._entry.request_log import RequestLog
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.state.routes import RunPolicy
 from marjoramstage.transport.event_stream import EventSplitter
@@ -58,8 +59,9 @@
 class AnswerRelay:
     """Relays answers of targets to callers."""
 
-    def __init__(self, state: InstanceState):
+    def __init__(self, state: InstanceState, log: RequestLog):
         self._state = state
+        self._log = log
 
     async def relay(
         self, ctx: RequestContext, answer: TargetResponse
@@ -72,9 +74,13 @@
             The answer broke off.
         """
         content_type = answer.headers.get("Content-Type", "")
-        if answer.status == 200 and content_type.startswith(EVENT_STREAM):
-            return await self._relay_stream(ctx, answer)
-        return await self._relay_whole(answer)
+        splitter = EventSplitter()
+        try:
+            if answer.status == 200 and content_type.startswith(EVENT_STREAM):
+                return await self._relay_stream(ctx, answer, splitter)
+            return await self._relay_whole(answer)
+        finally:
+            self._log.answer_ended(ctx, answer, splitter)
 
     async def _relay_whole(self, answer: TargetResponse) -> web.StreamResponse:
         body = await answer.read()
@@ -87,13 +93,12 @@
         return resp
 
     async def _relay_stream(
-        self, ctx: RequestContext, answer: TargetResponse
+        self, ctx: RequestContext, answer: TargetResponse, splitter: EventSplitter
     ) -> web.StreamResponse:
         """Relay complete events as they arrive."""
         if ctx.resp is None:
             ctx.resp = await self._start_stream(ctx, answer)
         resp = ctx.resp
-        splitter = EventSplitter()
         async for chunk in answer.iter_chunks():
             events = splitter.feed(chunk)
             if not events:
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -61,8 +61,8 @@
     ):
         self._state = state
         self._target_client = target_client
-        self._relay = AnswerRelay(state)
         self._log = RequestLog(state, metrics)
+        self._relay = AnswerRelay(state, self._log)
         self._wait_policy = WaitPolicy()
         self._busy_conns: set[object] = set()
 
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -38,6 +38,12 @@
             ("reason",),
             registry=self.registry,
         )
+        self.answers = Counter(
+            "marjoramstage_answers",
+            "Answers of targets that were relayed or broke off, by how they ended.",
+            ("framing", "connection", "inside_event"),
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "marjoramstage_waiting",
             "Requests that wait for a place.",
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -10,6 +10,9 @@
 from marjoramstage._entry.request_context import RequestContext
 from marjoramstage.exceptions import TargetError
 from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.transport.event_stream import EventSplitter
+from marjoramstage.transport.framing import Framing
+from marjoramstage.transport.target_client import TargetResponse
 
 ANSWERED = "answered"
 
@@ -21,6 +24,36 @@
         self._state = state
         self._metrics = metrics
 
+    def answer_ended(
+        self, ctx: RequestContext, answer: TargetResponse, splitter: EventSplitter
+    ) -> None:
+        """Record how a target's answer ended, if only its connection marks that.
+
+        Parameters
+        ----------
+        splitter : EventSplitter
+            The events of the answer; unused if it is no event stream.
+        """
+        inside_event = bool(splitter.incomplete)
+        self._metrics.answers.labels(
+            answer.framing.value,
+            answer.connection_end.value,
+            "yes" if inside_event else "no",
+        ).inc()
+        if answer.framing is not Framing.CONNECTION and not inside_event:
+            return
+        self._state.events.event(
+            "answer ended",
+            request=ctx.headers.request_id,
+            target=ctx.tried[-1],
+            framing=answer.framing.value,
+            connection=answer.connection_end.value,
+            bytes=answer.body_bytes,
+            events=splitter.events,
+            last_event=splitter.last_id,
+            incomplete_bytes=len(splitter.incomplete),
+        )
+
     def attempt_failed(
         self, ctx: RequestContext, target: FleetTarget, exc: TargetError
     ) -> None:
--- a/src/marjoramstage/transport/event_stream.py
+++ b/src/marjoramstage/transport/event_stream.py
@@ -15,11 +15,14 @@
         Start of an event whose end has not arrived.
     last_id : str
         Id of the last complete event that had one.
+    events : int
+        Number of complete events.
     """
 
     def __init__(self):
         self.incomplete = b""
         self.last_id = ""
+        self.events = 0
 
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return those of the events that are now complete."""
@@ -29,6 +32,7 @@
             self.incomplete = data
             return b""
         complete, self.incomplete = data[: end + len(END)], data[end + len(END) :]
+        self.events += complete.count(END)
         self._update_last_id(complete)
         return complete
 
--- /dev/null
+++ b/src/marjoramstage/transport/framing.py
@@ -0,0 +1,41 @@
+"""How the end of an HTTP response's body is marked."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
+
+class Framing(enum.Enum):
+    """How a response marks the end of its body.
+
+    Attributes
+    ----------
+    NO_BODY
+        The method or the status excludes a body.
+    LENGTH
+        The head states the length.
+    CHUNKED
+        The last chunk is empty.
+    CONNECTION
+        The body ends with the connection, so that HTTP alone does not tell a
+        complete body from a truncated one.
+    """
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
+def response_framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
+    """Return how a response marks the end of its body."""
+    if method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    coding = headers.get("Transfer-Encoding")
+    if coding is not None:
+        last = coding.rpartition(",")[2].strip().lower()
+        return Framing.CHUNKED if last == "chunked" else Framing.CONNECTION
+    return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -6,16 +6,20 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 import aiohttp
 import yarl
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from marjoramstage.exceptions import TargetError, Verdict
+from marjoramstage.transport.client_connection import (
+    ClientConnection,
+    ConnectionEnd,
+    use_client_connections,
+)
+from marjoramstage.transport.framing import Framing, response_framing
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 from marjoramstage.transport.sockets import create_client_socket
 
@@ -38,20 +42,6 @@
 )
 
 
-class _TargetConnection(ResponseHandler):
-    """Records whether the connection was reset.
-
-    aiohttp takes a body that has neither a length nor chunks for complete
-    when the connection ends, even when it was reset.
-    """
-
-    was_reset = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 @dataclass(frozen=True)
 class TargetRequest:
     """A request to a target.
@@ -75,11 +65,21 @@
 
 
 class TargetResponse:
-    """The response of a target: status and headers, then its body."""
+    """The response of a target: status and headers, then its body.
 
-    def __init__(self, resp: aiohttp.ClientResponse, protocol: _TargetConnection):
+    Attributes
+    ----------
+    framing : Framing
+        How it marks the end of its body.
+    body_bytes : int
+        Size of the body so far.
+    """
+
+    def __init__(self, resp: aiohttp.ClientResponse, conn: ClientConnection):
         self._resp = resp
-        self._protocol = protocol
+        self._conn = conn
+        self.framing = response_framing(resp.method, resp.status, resp.headers)
+        self.body_bytes = 0
 
     @property
     def status(self) -> int:
@@ -96,6 +96,11 @@
         """Return the headers, unchanged."""
         return self._resp.headers
 
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        """How the connection of the response ended, if it did."""
+        return self._conn.end
+
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
@@ -106,6 +111,7 @@
         """
         try:
             async for chunk in self._resp.content.iter_any():
+                self.body_bytes += len(chunk)
                 yield chunk
         except _CONNECTION_ERRORS as exc:
             raise TargetError(
@@ -114,7 +120,8 @@
                 self.status,
                 BROKEN,
             ) from exc
-        if self._protocol.was_reset and not self._is_self_delimiting():
+        broken = self.connection_end is ConnectionEnd.BROKEN
+        if broken and self.framing is Framing.CONNECTION:
             raise TargetError(
                 "connection reset at the end of a response body without a length",
                 Verdict.MAY_HAVE_RUN,
@@ -122,11 +129,6 @@
                 BROKEN,
             )
 
-    def _is_self_delimiting(self) -> bool:
-        """Whether the headers tell where the body ends."""
-        headers = self._resp.headers
-        return "Content-Length" in headers or "Transfer-Encoding" in headers
-
     async def read(self) -> bytes:
         """Read the whole body; raises the same errors as `iter_chunks`."""
         return b"".join([chunk async for chunk in self.iter_chunks()])
@@ -180,12 +182,11 @@
                 BROKEN,
             ) from exc
         # resp.connection is None once the connection is back in the pool, so the
-        # protocol, which records a reset, is taken from the private attribute.
+        # protocol, which records its end, is taken from the private attribute.
         return TargetResponse(resp, resp._protocol)
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
-    loop = asyncio.get_running_loop()
     kwargs = {} if force_close else {"keepalive_timeout": KEEPALIVE_TIMEOUT_S}
     connector = aiohttp.TCPConnector(
         limit=0,
@@ -194,8 +195,7 @@
         socket_factory=create_client_socket,
         **kwargs,
     )
-    # aiohttp has no option for the protocol class of its connections.
-    connector._factory = lambda: _TargetConnection(loop=loop)
+    use_client_connections(connector)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
