--- /dev/null
+++ b/features/answer_framing.feature
@@ -0,0 +1,113 @@
+Feature: A broken answer is never passed on as complete
+  Each answer of a target has a length, chunks or neither, and ends as its row says.
+  "whole" is the complete body, "truncated" a part that HTTP shows to be one,
+  "lost" an error. A repeat or a resumed part is sound. "inside" is inside an event.
+
+  Scenario: whole answers that may not be repeated
+    Then each of these answers to /once/ is received as stated
+      | framing | ends                 | received |
+      | length  | complete             | whole    |
+      | length  | complete, then reset | whole    |
+      | length  | closed               | lost     |
+      | length  | reset                | lost     |
+      | chunks  | complete             | whole    |
+      | chunks  | complete, then reset | whole    |
+      | chunks  | closed               | lost     |
+      | chunks  | reset                | lost     |
+      | neither | complete             | whole    |
+      | neither | complete, then reset | lost     |
+      | neither | reset                | lost     |
+
+  Scenario: whole answers that may be repeated
+    Then each of these answers to /any/ is received as stated
+      | framing                 | ends                          | received |
+      | length, chunks, neither | complete                      | whole    |
+      | length, chunks          | closed, closed inside         | whole    |
+      | length, chunks, neither | reset, reset inside           | whole    |
+
+  Scenario: streams that cannot be resumed
+    Then each of these answers to /stream/ is received as stated
+      | framing                 | ends                          | received  |
+      | length, chunks, neither | complete                      | whole     |
+      | length, chunks          | complete, then reset          | whole     |
+      | neither                 | complete, then reset          | truncated |
+      | length, chunks          | closed                        | truncated |
+      | length, chunks, neither | reset, reset inside           | truncated |
+      | length, chunks          | closed inside                 | truncated |
+
+  Scenario: a stream that ends inside an event is not complete
+    Then each of these answers to /stream/ is received as stated
+      | framing                 | ends                          | received  |
+      | neither                 | closed inside, empty          | truncated |
+      | length, chunks          | ended inside                  | truncated |
+
+  Scenario: streams that are resumed
+    Then each of these answers to /resumable-stream/ is received as stated
+      | framing                 | ends                                 | received |
+      | length, chunks, neither | complete, reset, reset inside        | whole    |
+      | length, chunks          | closed, complete, then reset         | whole    |
+      | neither                 | complete, then reset                 | whole    |
+      | length, chunks          | closed inside                        | whole    |
+
+  Scenario: a resumable stream that ends inside an event is resumed
+    Then each of these answers to /resumable-stream/ is received as stated
+      | framing                 | ends                                 | received |
+      | neither                 | closed inside, empty                 | whole    |
+      | length, chunks          | ended inside                         | whole    |
+
+  Scenario: the resumed part of a stream
+    Then each of these answers to /resumable-stream/ after a break is received as stated
+      | framing                 | ends                                 | received  |
+      | length, chunks, neither | complete                             | whole     |
+      | length, chunks          | complete, then reset                 | whole     |
+      | length, chunks          | closed, closed inside                | truncated |
+      | length, chunks, neither | reset, reset inside                  | truncated |
+
+  Scenario: the resumed part of a stream ends inside an event
+    Then each of these answers to /resumable-stream/ after a break is received as stated
+      | framing                 | ends                                 | received  |
+      | neither                 | closed inside, empty                 | truncated |
+      | length, chunks          | ended inside                         | truncated |
+
+  Scenario: answers of the product's own interface
+    Then each of these stream answers to a stream is received as stated
+      | framing                 | ends                                  | received |
+      | length, chunks, neither | complete, complete, then reset        | whole    |
+      | length, chunks, neither | closed, closed inside                 | whole    |
+      | length, chunks, neither | reset, reset inside                   | whole    |
+      | length, chunks, neither | ended inside, empty                   | whole    |
+    And each of these JSON answers to a whole is received as stated
+      | framing                 | ends                                  | received |
+      | length, chunks, neither | complete                              | whole    |
+      | length, chunks, neither | closed, closed inside                 | whole    |
+      | length, chunks, neither | reset, reset inside                   | whole    |
+    And each of these JSON answers to a lookup is received as stated
+      | framing                 | ends                                  | received |
+      | length, chunks, neither | complete                              | whole    |
+      | length, chunks, neither | closed, closed inside                 | whole    |
+      | length, chunks, neither | reset, reset inside                   | whole    |
+    And each of these text answers to a booking is received as stated
+      | framing                 | ends                                  | received |
+      | length, chunks          | complete, complete, then reset        | whole    |
+      | length, chunks          | closed, reset, reset inside           | lost     |
+      | neither                 | reset, reset inside                   | lost     |
+      | neither                 | complete, then reset                  | lost     |
+
+  Scenario: an answer without a length that is no JSON, on the product's own interface
+    Then each of these text answers to a booking is received as stated
+      | framing | ends     | received |
+      | neither | complete | whole    |
+    And each of these text answers to a lookup is received as stated
+      | framing | ends     | received |
+      | neither | complete | whole    |
+
+  Scenario: a large answer on the product's own interface
+    Then each of these large answers to a booking is received as stated
+      | framing                 | ends                                  | received  |
+      | length, chunks, neither | complete                              | whole     |
+      | length, chunks          | closed, reset                         | truncated |
+
+  Scenario: a large answer without a length whose connection is reset
+    Then each of these large answers to a booking is received as stated
+      | framing                 | ends                                  | received  |
+      | neither                 | reset, complete, then reset           | truncated |
--- /dev/null
+++ b/features/entry_caller.py
@@ -0,0 +1,122 @@
+"""The callers' side of an instance on the users' platform, in the test's process."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+from marjoramstage._entry.caller_handler import CallerHandler
+from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage.clock import SystemClock
+from marjoramstage.logs import component_logger
+from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.state.node_settings import NodeSettings
+from marjoramstage.state.routes import (
+    CallerLimits,
+    Route,
+    RouteTable,
+    RunPolicy,
+    Service,
+    ServiceWeight,
+)
+from marjoramstage.transport.target_client import TargetClient
+
+HOST = "h.example"
+SERVICE = "plain"
+SPLIT = (ServiceWeight(SERVICE, 1.0),)
+TIMEOUT_S = 5.0
+
+ROUTES = (
+    Route("once", HOST, "/once/", SPLIT, timeout_s=TIMEOUT_S),
+    Route("any", HOST, "/any/", SPLIT, RunPolicy.REPEATABLE, max_attempts=2),
+    Route("stream", HOST, "/stream/", SPLIT, is_stream=True, timeout_s=TIMEOUT_S),
+    Route(
+        "resumable",
+        HOST,
+        "/resumable-stream/",
+        SPLIT,
+        RunPolicy.REPEATABLE,
+        is_stream=True,
+        resumable=True,
+        max_attempts=2,
+        timeout_s=TIMEOUT_S,
+    ),
+)
+
+
+@dataclass
+class Received:
+    """What a caller received; ``whole`` if HTTP shows that the body is complete."""
+
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+    headers: dict = field(default_factory=dict)
+
+
+class EntryInstance:
+    """Serves callers with real sockets; routes and targets are given."""
+
+    def __init__(self, targets):
+        self._targets = targets
+
+    async def __aenter__(self):
+        settings = NodeSettings(
+            name="i1",
+            data_centre="a",
+            ip="127.0.0.1",
+            callers_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peer_ports=(0,),
+            platform_address="127.0.0.1:1",
+        )
+        clock = SystemClock()
+        events = EventLog(component_logger("entry"), clock)
+        self.state = InstanceState(settings, clock, events)
+        self.state.apply_routes(
+            RouteTable(1, ROUTES, {SERVICE: Service(SERVICE)}, CallerLimits())
+        )
+        for number, target in enumerate(self._targets):
+            await target.start()
+            self.state.put_target(
+                FleetTarget(f"t{number}", 1, SERVICE, target.address, "a", slots=8)
+            )
+        self.metrics = PrometheusMetrics()
+        self._client = TargetClient()
+        handler = CallerHandler(self.state, self._client, self.metrics)
+        self._server = web.Server(
+            handler.handle, handler_cancellation=True, access_log=None
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, "127.0.0.1", 0)
+        port = self._listener.sockets[0].getsockname()[1]
+        self._base = f"http://127.0.0.1:{port}"
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *exc):
+        await self._session.close()
+        self._listener.close()
+        await self._server.shutdown(0.1)
+        await self._client.stop()
+        for target in self._targets:
+            await target.stop()
+
+    async def send(self, path, request_id="r1"):
+        """Send a request as a caller."""
+        received = Received()
+        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "4000"}
+        try:
+            async with self._session.post(
+                self._base + path, headers=headers, data=b"abc"
+            ) as resp:
+                received.status, received.headers = resp.status, resp.headers
+                async for block in resp.content.iter_any():
+                    received.body += block
+                received.whole = True
+        except aiohttp.ClientError:
+            pass
+        return received
--- /dev/null
+++ b/features/framed_answers.py
@@ -0,0 +1,154 @@
+"""Targets on raw sockets that frame and end their answers as a test asks for."""
+
+import asyncio
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, field
+
+FRAMINGS = ("length", "chunks", "neither")
+# Time for sent bytes to be read before a reset, which discards what is unread.
+SETTLE_S = 0.05
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclass(frozen=True)
+class AnswerScript:
+    """How an answer is framed and how it ends.
+
+    Attributes
+    ----------
+    framing : str
+        One of `FRAMINGS`.
+    end : str
+        ``complete``, ``complete, then reset``, ``empty``; ``closed`` or ``reset``
+        after half of the blocks, ``closed inside`` or ``reset inside`` a block
+        after them; ``ended inside``, framed as complete there.
+    """
+
+    framing: str
+    end: str
+
+    @property
+    def resets(self):
+        return "reset" in self.end
+
+    def sent(self, blocks):
+        """Return the blocks that are sent, the last of them perhaps in part."""
+        if self.end == "empty":
+            return []
+        if self.end.startswith("complete"):
+            return list(blocks)
+        half = len(blocks) // 2
+        if not self.end.endswith("inside"):
+            return list(blocks[:half])
+        part = blocks[half]
+        return [*blocks[:half], part[: len(part) // 2]]
+
+    @property
+    def closes_framing(self):
+        """Whether the framing marks the body as complete."""
+        return self.end.startswith(("complete", "ended"))
+
+
+async def write_answer(writer, head, blocks, script):
+    """Send an answer; ``head`` is the status line and headers but for the framing."""
+    sent = script.sent(blocks)
+    framed = sent if script.end == "ended inside" else blocks
+    fields = {
+        "length": b"Content-Length: %d\r\n" % sum(map(len, framed)),
+        "chunks": b"Transfer-Encoding: chunked\r\n",
+        "neither": b"",
+    }
+    writer.write(head + fields[script.framing] + b"\r\n")
+    for block in sent:
+        writer.write(_chunk(block) if script.framing == "chunks" else block)
+        await writer.drain()
+        await asyncio.sleep(0.001)
+    if script.framing == "chunks" and script.closes_framing:
+        writer.write(b"0\r\n\r\n")
+    await writer.drain()
+    await end_connection(writer, script.resets)
+
+
+def _chunk(block):
+    return b"%x\r\n%s\r\n" % (len(block), block)
+
+
+async def end_connection(writer, reset):
+    """Close a connection, or reset it once the peer has read what was sent."""
+    if reset:
+        await asyncio.sleep(SETTLE_S)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.close()
+
+
+async def read_request(reader):
+    """Read a request; return its method, path and headers with lower-case names."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    line, *lines = head.decode().split("\r\n")
+    headers = dict(row.lower().split(": ", 1) for row in lines if row)
+    await reader.readexactly(int(headers.get("content-length", 0)))
+    method, path, _ = line.split(" ")
+    return method, path, headers
+
+
+EVENTS = 6
+EVENT_BLOCKS = [
+    b"id: %d\ndata: words of event %d\n\n" % (n, n) for n in range(1, EVENTS + 1)
+]
+BODY_BLOCKS = [b"part %d of the body, " % n for n in range(1, 7)]
+
+
+@dataclass
+class Runs:
+    """The runs of requests at all targets of a test.
+
+    Attributes
+    ----------
+    scripts : tuple of AnswerScript
+        For the first runs of each request, in turn; later ones are sound.
+    counts : Counter
+        Runs by request id.
+    """
+
+    scripts: tuple = ()
+    counts: Counter = field(default_factory=Counter)
+
+    def next_script(self, request_id):
+        number = self.counts[request_id]
+        self.counts[request_id] += 1
+        return self.scripts[number] if number < len(self.scripts) else SOUND
+
+
+SOUND = AnswerScript("chunks", "complete")
+
+
+class FramedTarget:
+    """A target that answers by the scripts of `Runs`."""
+
+    def __init__(self, runs):
+        self._runs = runs
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            _, path, headers = await read_request(reader)
+            request_id = headers["request-id"]
+            script = self._runs.next_script(request_id)
+            head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" % request_id.encode()
+            blocks = BODY_BLOCKS
+            if "stream" in path:
+                head += b"Content-Type: text/event-stream\r\n"
+                blocks = EVENT_BLOCKS[int(headers.get("last-event-id", 0)) :]
+            await write_answer(writer, head, blocks, script)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
--- /dev/null
+++ b/features/steps/answer_framing.py
@@ -0,0 +1,182 @@
+"""Steps for the table of framings and ends of targets' answers."""
+
+import asyncio
+import itertools
+import logging
+
+from behave import then
+
+from features.entry_caller import EntryInstance
+from features.framed_answers import (
+    BODY_BLOCKS,
+    EVENT_BLOCKS,
+    AnswerScript,
+    FramedTarget,
+    Runs,
+    write_answer,
+)
+from features.request_faults import (
+    CHUNKS,
+    COMPLETION_BODY,
+    DONE,
+    RAN,
+    FaultCell,
+    FaultScript,
+    ScriptedTarget,
+    chunk,
+)
+
+ENDS = (
+    "complete, then reset",
+    "complete",
+    "closed inside",
+    "closed",
+    "reset inside",
+    "reset",
+    "ended inside",
+    "empty",
+)
+BREAK = AnswerScript("chunks", "closed inside")
+
+
+def split_ends(text):
+    """Split a cell of ends; one of them holds a comma itself."""
+    found = []
+    while text:
+        end = next(end for end in ENDS if text.startswith(end))
+        found.append(end)
+        text = text[len(end) :].removeprefix(", ")
+    return found
+
+
+def scripted_cells(table):
+    """Yield the script and the expected outcome of each cell of a table."""
+    for row in table:
+        framings, ends = row["framing"].split(", "), split_ends(row["ends"])
+        for framing, end in itertools.product(framings, ends):
+            yield AnswerScript(framing, end), row["received"]
+
+
+@then("each of these answers to {path} after a break is received as stated")
+def check_resumed(context, path):
+    check_table(context.table, path, (BREAK,))
+
+
+@then("each of these answers to {path} is received as stated")
+def check_answers(context, path):
+    check_table(context.table, path, ())
+
+
+def check_table(table, path, before):
+    check_problems(run_rows(table, path, before))
+
+
+def check_problems(work):
+    logging.disable(logging.CRITICAL)
+    try:
+        wrong = asyncio.run(work)
+    finally:
+        logging.disable(logging.NOTSET)
+    assert not wrong, "\n" + "\n".join(wrong)
+
+
+async def run_rows(table, path, before):
+    return await problems_of(
+        run_cell(path, before, script, received)
+        for script, received in scripted_cells(table)
+    )
+
+
+async def problems_of(cells):
+    """Run cells concurrently; return the problems that they found."""
+    return [problem for problem in await asyncio.gather(*cells) if problem]
+
+
+async def run_cell(path, before, script, expected):
+    runs = Runs((*before, script))
+    targets = [FramedTarget(runs), FramedTarget(runs)]
+    async with EntryInstance(targets) as instance:
+        received = await instance.send(path + "x")
+    problem = compare(path, received, expected)
+    return f"{path} {script}: {problem}, got {received}" if problem else ""
+
+
+def compare(path, received, expected):
+    """Return what differs from the expected outcome, or an empty text."""
+    blocks = EVENT_BLOCKS if "stream" in path else BODY_BLOCKS
+    body = b"".join(blocks)
+    if expected == "whole":
+        right = received.whole and (received.status, received.body) == (200, body)
+        return "" if right else "not whole"
+    if expected == "lost":
+        return "" if received.status in (0, 502) else "not lost"
+    if received.whole and received.status == 200:
+        return "truncated, but framed as complete"
+    if received.status in (0, 502):
+        return ""
+    parts = [b"".join(blocks[:count]) for count in range(len(blocks) + 1)]
+    return "" if received.body in parts else "not whole events of one run"
+
+
+LARGE_BLOCKS = [bytes([65 + n]) * 1_000_000 for n in range(12)]
+STREAM_BLOCKS = [*(chunk(number) for number in range(CHUNKS)), DONE]
+JSON_BLOCKS = [COMPLETION_BODY[n : n + 8] for n in range(0, len(COMPLETION_BODY), 8)]
+
+
+class FramedEngine(ScriptedTarget):
+    """A target of the product's own interface; its first answer follows a script."""
+
+    def __init__(self, kind, answer_script, content):
+        super().__init__(kind, FaultScript())
+        self.scripts = [answer_script]
+        self.content = content
+
+    async def _answer(self, path, streamed, writer):
+        content_type, blocks = CONTENTS["stream" if streamed else self.content]
+        await self._write(writer, content_type, blocks)
+
+    async def _resume(self, path, writer):
+        after = int(path.partition("after=")[2].partition("&")[0])
+        await self._write(writer, *CONTENTS["stream"], after + 1)
+
+    async def _write(self, writer, content_type, blocks, start=0):
+        script = (
+            self.scripts.pop() if self.scripts else AnswerScript("chunks", "complete")
+        )
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\n" % content_type
+        await write_answer(writer, head, blocks[start:], script)
+
+
+CONTENTS = {
+    "stream": (b"text/event-stream", STREAM_BLOCKS),
+    "JSON": (b"application/json", JSON_BLOCKS),
+    "text": (b"text/plain", BODY_BLOCKS),
+    "large": (b"text/plain", LARGE_BLOCKS),
+}
+
+
+@then("each of these {content} answers to a {kind} is received as stated")
+def check_product_answers(context, content, kind):
+    check_problems(
+        problems_of(
+            run_product_cell(kind, content, script, received)
+            for script, received in scripted_cells(context.table)
+        )
+    )
+
+
+async def run_product_cell(kind, content, script, expected):
+    cell = FaultCell(kind, FaultScript())
+    cell.targets = [FramedEngine(cell.targets[0].kind, script, content)]
+    async with cell:
+        received = await cell.run()
+    body = b"".join(CONTENTS[content][1]) + (RAN if content == "stream" else b"")
+    if expected == "whole":
+        right = received.whole and (received.status, received.body) == (200, body)
+    elif expected == "lost":
+        right = received.status == 502
+    else:
+        right = not received.whole and body.startswith(received.body)
+    text = f"status {received.status}, whole {received.whole}"
+    text += f", {len(received.body)} of {len(body)} bytes"
+    return "" if right else f"{kind} {content} {script}: not {expected}, {text}"
