Take a stream that ends inside an event for broken off

Cause: a target that fails may close its connection in an orderly way in the middle of an event. With neither a length nor chunks, aiohttp reports that as the end of the body, and the relay wrote the bytes of the incomplete event and its own last chunk. It had judged the transport only, never the stream.

Now a stream is complete only between two events, however it is framed; one that only its connection ends must have had an event. Else the attempt has failed: a resumable stream goes on elsewhere after its last complete event, any other ends visibly truncated, and the bytes of the incomplete event are not passed on. As an event may end with CR LF or CR too, the splitter knows these; before, such a stream was held back to its end.

--- a/features/dispatcher.feature
+++ b/features/dispatcher.feature
@@ -101,3 +101,6 @@
       | id: 1\ndata: x\n\nid: 2\ndata: y\n\n  | 30    | 2    |
       | data: x\n                             | 0     |      |
       | data: x\n,\n                          | 9     |      |
+      | id: 1\r\ndata: x\r\n\r\nid: 2         | 18    | 1    |
+      | id: 1\r\ndata: x\r\n\r,\nid: 2        | 18    | 1    |
+      | id: 1\rdata: x\r,\rid: 2              | 15    | 1    |
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -304,7 +304,8 @@
 def feed_blocks(context, blocks):
     context.splitter = EventSplitter()
     context.passed = b""
-    for block in blocks.replace("\\n", "\n").split(","):
+    blocks = blocks.replace("\\n", "\n").replace("\\r", "\r")
+    for block in blocks.split(","):
         context.passed += context.splitter.feed(block.encode())
 
 
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -11,7 +11,7 @@
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.state.routes import RunPolicy
 from marjoramstage.transport.event_stream import EventSplitter
-from marjoramstage.transport.target_client import TargetResponse
+from marjoramstage.transport.target_client import BROKEN, TargetResponse
 
 EVENT_STREAM = "text/event-stream"
 
@@ -106,6 +106,9 @@
             await resp.write(events)
             ctx.record_event(self._state.clock.now())
             ctx.last_event_id = splitter.last_id or ctx.last_event_id
+        problem = splitter.truncation(answer.framing)
+        if problem:
+            raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
         if splitter.incomplete:
             await resp.write(splitter.incomplete)
         await resp.write_eof()
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -34,7 +34,7 @@
         splitter : EventSplitter
             The events of the answer; unused if it is no event stream.
         """
-        inside_event = bool(splitter.incomplete)
+        inside_event = splitter.inside_event
         self._metrics.answers.labels(
             answer.framing.value,
             answer.connection_end.value,
