Judge the end of a body in one place for both clients of targets

Both clients now read bodies through ResponseBody, and their connections record how they ended. A body that only its connection ends is complete only if the peer closed that connection in an orderly way; a reset, a timeout or an end from this side is none. The rule that framing is told by one function replaces two copies.

--- a/src/marjoramstage/transport/_upstream.py
+++ b/src/marjoramstage/transport/_upstream.py
@@ -13,6 +13,9 @@
 
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.messages import AttemptReason
+from marjoramstage.transport.client_connection import client_connector
+from marjoramstage.transport.framing import Framing
+from marjoramstage.transport.response_body import ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 
 CONNECT_TIMEOUT_S = 2.0
@@ -57,6 +60,7 @@
     """The response of a target, whose body is still to be read."""
 
     resp: aiohttp.ClientResponse
+    body: ResponseBody
     read_to_end: bool = field(default=False, init=False)
 
     @property
@@ -72,11 +76,7 @@
     @property
     def self_delimiting(self) -> bool:
         """Whether the end of the body differs from a connection that broke."""
-        if self.resp.method == "HEAD" or self.status in (204, 304):
-            return True
-        headers = self.resp.headers
-        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        return chunked or "Content-Length" in headers
+        return self.body.framing is not Framing.CONNECTION
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -87,7 +87,7 @@
             The connection broke or the call timed out.
         """
         try:
-            async for chunk in self.resp.content.iter_any():
+            async for chunk in self.body.iter_chunks():
                 yield chunk
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise _target_error(exc, Verdict.MAY_HAVE_RUN) from exc
@@ -199,7 +199,7 @@
         except (ConnectionLostError, aiohttp.ClientError, TimeoutError, OSError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if send_state.connected else Verdict.NOT_RUN
             raise _target_error(exc, verdict) from exc
-        return UpstreamResponse(resp)
+        return UpstreamResponse(resp, ResponseBody(resp))
 
     def _session(self, new_connection: bool) -> aiohttp.ClientSession:
         if new_connection:
@@ -216,7 +216,7 @@
     trace.on_connection_create_end.append(_mark_connected)
     trace.on_connection_reuseconn.append(_mark_connected)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+        connector=client_connector(force_close=force_close),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trace_configs=[trace],
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -48,8 +49,16 @@
         super().connection_lost(exc)
 
 
-def use_client_connections(connector: aiohttp.TCPConnector) -> None:
-    """Make a connector create connections of class `ClientConnection`."""
-    # aiohttp has no option for the protocol class of its connections.
+def client_connector(**kwargs: Any) -> aiohttp.TCPConnector:
+    """Return a connector of `ClientConnection`, with no limit on their number.
+
+    Parameters
+    ----------
+    kwargs
+        Further arguments of `aiohttp.TCPConnector`.
+    """
     loop = asyncio.get_running_loop()
+    connector = aiohttp.TCPConnector(limit=0, **kwargs)
+    # aiohttp has no option for the protocol class of its connections.
     connector._factory = lambda: ClientConnection(loop=loop)
+    return connector
--- /dev/null
+++ b/src/marjoramstage/transport/response_body.py
@@ -0,0 +1,58 @@
+"""Reads the body of an HTTP response; tells a complete body from a truncated one."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from marjoramstage.transport.client_connection import ClientConnection, ConnectionEnd
+from marjoramstage.transport.framing import Framing, response_framing
+
+
+class TruncatedBodyError(aiohttp.ClientPayloadError):
+    """The connection broke in a body that only its connection ends."""
+
+
+class ResponseBody:
+    """The body of a response that came over a `ClientConnection`.
+
+    Attributes
+    ----------
+    framing : Framing
+        How the response marks the end of its body.
+    received_bytes : int
+        Size of what was read so far.
+    """
+
+    def __init__(self, resp: aiohttp.ClientResponse):
+        self._resp = resp
+        # resp.connection is None once the connection is back in the pool, so the
+        # protocol, which records its end, is taken from the private attribute.
+        self._conn: ClientConnection = resp._protocol
+        self.framing = response_framing(resp.method, resp.status, resp.headers)
+        self.received_bytes = 0
+
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        """How the connection of the response ended, if it did."""
+        return self._conn.end
+
+    async def iter_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises
+        ------
+        aiohttp.ClientError, TimeoutError, OSError
+            The body was truncated.
+        """
+        async for chunk in self._resp.content.iter_any():
+            self.received_bytes += len(chunk)
+            yield chunk
+        ended = self._conn.end is ConnectionEnd.CLOSED
+        if self.framing is Framing.CONNECTION and not ended:
+            raise TruncatedBodyError("connection lost in a body without a length")
+
+    async def read(self) -> bytes:
+        """Return the whole body; raises the same errors as `iter_chunks`."""
+        return b"".join([chunk async for chunk in self.iter_chunks()])
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -14,12 +14,9 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from marjoramstage.exceptions import TargetError, Verdict
-from marjoramstage.transport.client_connection import (
-    ClientConnection,
-    ConnectionEnd,
-    use_client_connections,
-)
-from marjoramstage.transport.framing import Framing, response_framing
+from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
+from marjoramstage.transport.framing import Framing
+from marjoramstage.transport.response_body import ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 from marjoramstage.transport.sockets import create_client_socket
 
@@ -65,21 +62,11 @@
 
 
 class TargetResponse:
-    """The response of a target: status and headers, then its body.
+    """The response of a target: status and headers, then its body."""
 
-    Attributes
-    ----------
-    framing : Framing
-        How it marks the end of its body.
-    body_bytes : int
-        Size of the body so far.
-    """
-
-    def __init__(self, resp: aiohttp.ClientResponse, conn: ClientConnection):
+    def __init__(self, resp: aiohttp.ClientResponse):
         self._resp = resp
-        self._conn = conn
-        self.framing = response_framing(resp.method, resp.status, resp.headers)
-        self.body_bytes = 0
+        self._body = ResponseBody(resp)
 
     @property
     def status(self) -> int:
@@ -96,10 +83,20 @@
         """Return the headers, unchanged."""
         return self._resp.headers
 
+    @property
+    def framing(self) -> Framing:
+        """How the response marks the end of its body."""
+        return self._body.framing
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body so far."""
+        return self._body.received_bytes
+
     @property
     def connection_end(self) -> ConnectionEnd:
         """How the connection of the response ended, if it did."""
-        return self._conn.end
+        return self._body.connection_end
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
@@ -110,24 +107,15 @@
             The body was truncated.
         """
         try:
-            async for chunk in self._resp.content.iter_any():
-                self.body_bytes += len(chunk)
+            async for chunk in self._body.iter_chunks():
                 yield chunk
         except _CONNECTION_ERRORS as exc:
             raise TargetError(
-                f"connection lost in the response body: {type(exc).__name__}",
+                f"response body truncated: {type(exc).__name__}",
                 Verdict.MAY_HAVE_RUN,
                 self.status,
                 BROKEN,
             ) from exc
-        broken = self.connection_end is ConnectionEnd.BROKEN
-        if broken and self.framing is Framing.CONNECTION:
-            raise TargetError(
-                "connection reset at the end of a response body without a length",
-                Verdict.MAY_HAVE_RUN,
-                self.status,
-                BROKEN,
-            )
 
     async def read(self) -> bytes:
         """Read the whole body; raises the same errors as `iter_chunks`."""
@@ -181,21 +169,17 @@
                 None,
                 BROKEN,
             ) from exc
-        # resp.connection is None once the connection is back in the pool, so the
-        # protocol, which records its end, is taken from the private attribute.
-        return TargetResponse(resp, resp._protocol)
+        return TargetResponse(resp)
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
     kwargs = {} if force_close else {"keepalive_timeout": KEEPALIVE_TIMEOUT_S}
-    connector = aiohttp.TCPConnector(
-        limit=0,
+    connector = client_connector(
         force_close=force_close,
         use_dns_cache=False,
         socket_factory=create_client_socket,
         **kwargs,
     )
-    use_client_connections(connector)
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
