Deliver a sound answer that only its connection ends

Callers of a service on the product's own interface got 502 for a sound answer with neither a length nor chunks, unless it was JSON. It was refused as its end could not be told from a break. Now that a reset is known as one, an orderly close is the end of such a body, as HTTP has it; JSON still has to parse.

--- a/src/marjoramstage/transport/responses.py
+++ b/src/marjoramstage/transport/responses.py
@@ -151,8 +151,8 @@
 ) -> BufferedResponse:
     """Return the buffered response after checking that it is complete.
 
-    A body whose end HTTP does not mark is accepted only as valid JSON. A
-    generated body has to be valid JSON or to end with ``[DONE]``.
+    A JSON body whose end HTTP does not mark has to be valid. A generated body
+    has to be valid JSON or to end with ``[DONE]``.
 
     Raises
     ------
@@ -167,7 +167,7 @@
             data = json.loads(body)
         except ValueError as exc:
             raise _truncated() from exc
-    elif not upstream.self_delimiting or (generated and not body.endswith(DONE)):
+    elif generated and not body.endswith(DONE):
         raise _truncated()
     headers = upstream.resp.headers
     forwarded = tuple(
