Split event streams in one place for both interfaces

EventScanner, the product's own, and EventSplitter held incomplete events back in two ways; the scanner copied all of an incomplete event for each block and knew LF alone. It now takes complete events from the splitter, which gives each with its id. An id of over 18 digits no longer counts as a number (int() fails on very long ones).

--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -94,7 +94,8 @@
         self._listener = await loop.create_server(self._server, "127.0.0.1", 0)
         port = self._listener.sockets[0].getsockname()[1]
         self._base = f"http://127.0.0.1:{port}"
-        self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=2 * TIMEOUT_S)
+        self._session = aiohttp.ClientSession(timeout=timeout)
         return self
 
     async def __aexit__(self, *exc):
@@ -117,6 +118,6 @@
                 async for block in resp.content.iter_any():
                     received.body += block
                 received.whole = True
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             pass
         return received
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -24,10 +24,14 @@
         ``complete``, ``complete, then reset``, ``empty``; ``closed`` or ``reset``
         after half of the blocks, ``closed inside`` or ``reset inside`` a block
         after them; ``ended inside``, framed as complete there.
+    content : str
+        ``sound``; of a stream also ``no ids``, ``from the start`` even if it is to
+        go on after an event, or ``text`` in place of events.
     """
 
     framing: str
     end: str
+    content: str = "sound"
 
     @property
     def resets(self):
@@ -98,6 +102,7 @@
 EVENT_BLOCKS = [
     b"id: %d\ndata: words of event %d\n\n" % (n, n) for n in range(1, EVENTS + 1)
 ]
+EVENT_BLOCKS_WITHOUT_IDS = [block.partition(b"\n")[2] for block in EVENT_BLOCKS]
 BODY_BLOCKS = [b"part %d of the body, " % n for n in range(1, 7)]
 
 
@@ -125,6 +130,13 @@
 SOUND = AnswerScript("chunks", "complete")
 
 
+def event_blocks(script, after):
+    """Return the events of a stream that is asked to go on after an event."""
+    if script.content == "no ids":
+        return EVENT_BLOCKS_WITHOUT_IDS
+    return EVENT_BLOCKS if script.content == "from the start" else EVENT_BLOCKS[after:]
+
+
 class FramedTarget:
     """A target that answers by the scripts of `Runs`."""
 
@@ -146,9 +158,9 @@
             script = self._runs.next_script(request_id)
             head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" % request_id.encode()
             blocks = BODY_BLOCKS
-            if "stream" in path:
+            if "stream" in path and script.content != "text":
                 head += b"Content-Type: text/event-stream\r\n"
-                blocks = EVENT_BLOCKS[int(headers.get("last-event-id", 0)) :]
+                blocks = event_blocks(script, int(headers.get("last-event-id", 0)))
             await write_answer(writer, head, blocks, script)
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -10,6 +10,7 @@
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
+    EVENT_BLOCKS_WITHOUT_IDS,
     AnswerScript,
     FramedTarget,
     Runs,
@@ -67,6 +68,13 @@
     check_table(context.table, path, ())
 
 
+@then("a {path} of {first} events that goes on with {second} is truncated")
+def check_joined(context, path, first, second):
+    before = AnswerScript("chunks", "closed inside", first)
+    script = AnswerScript("chunks", "complete", second)
+    check_problems(problems_of([run_cell(path, (before,), script, "truncated")]))
+
+
 def check_table(table, path, before):
     check_problems(run_rows(table, path, before))
 
@@ -114,8 +122,16 @@
         return "truncated, but framed as complete"
     if received.status in (0, 502):
         return ""
-    parts = [b"".join(blocks[:count]) for count in range(len(blocks) + 1)]
-    return "" if received.body in parts else "not whole events of one run"
+    if is_first_part(received.body, EVENT_BLOCKS):
+        return ""
+    if is_first_part(received.body, EVENT_BLOCKS_WITHOUT_IDS):
+        return ""
+    return "not whole events of one run"
+
+
+def is_first_part(body, blocks):
+    """Whether a body is made of the first of some blocks."""
+    return body in [b"".join(blocks[:count]) for count in range(len(blocks) + 1)]
 
 
 LARGE_BLOCKS = [bytes([65 + n]) * 1_000_000 for n in range(12)]
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -303,16 +303,17 @@
 @when("the blocks {blocks} are fed")
 def feed_blocks(context, blocks):
     context.splitter = EventSplitter()
-    context.passed = b""
+    context.events = []
     blocks = blocks.replace("\\n", "\n").replace("\\r", "\r")
     for block in blocks.split(","):
-        context.passed += context.splitter.feed(block.encode())
+        context.events += context.splitter.feed(block.encode())
 
 
 @then('{whole:d} bytes of whole events were passed on and the last id is "{last}"')
 def check_events(context, whole, last):
-    assert len(context.passed) == whole, context.passed
-    assert context.splitter.last_id == last, context.splitter.last_id
+    assert sum(len(event.data) for event in context.events) == whole, context.events
+    ids = [event.id for event in context.events if event.id]
+    assert ids[-1:] == ([last] if last else []), context.events
 
 
 @then('{whole:d} bytes of whole events were passed on and the last id is ""')
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -103,9 +103,9 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
-            await resp.write(events)
+            await resp.write(b"".join(event.data for event in events))
             ctx.record_event(self._state.clock.now())
-            ctx.last_event_id = splitter.last_id or ctx.last_event_id
+            ctx.last_event_id = events[-1].id or ctx.last_event_id
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -49,8 +49,8 @@
             framing=answer.framing.value,
             connection=answer.connection_end.value,
             bytes=answer.body_bytes,
-            events=splitter.events,
-            last_event=splitter.last_id,
+            events=splitter.count,
+            last_event=splitter.last_event.id if splitter.last_event else "",
             incomplete_bytes=len(splitter.incomplete),
         )
 
--- a/src/marjoramstage/transport/_sse.py
+++ b/src/marjoramstage/transport/_sse.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from marjoramstage.transport.event_stream import EventSplitter, StreamEvent
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id: "
 DONE = b"data: [DONE]\n\n"
 MAX_EVENT_BYTES = 1_048_576
 
@@ -34,7 +34,7 @@
     events: int = 0
     duplicates: int = 0
     done: bool = False
-    _incomplete: bytes = b""
+    _splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def feed(self, chunk: bytes) -> bytes:
         """Add received bytes; return the new events that are now complete.
@@ -45,42 +45,29 @@
             An event is missing or too long. Events before it that no earlier
             call returned have to be requested again.
         """
-        data = self._incomplete + chunk if self._incomplete else chunk
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            if len(data) > MAX_EVENT_BYTES:
-                raise SequenceError("an event exceeds the size limit")
-            self._incomplete = data
-            return b""
-        self._incomplete = data[end:]
-        if data.find(EVENT_END) + len(EVENT_END) == end:
-            event = data if end == len(data) else data[:end]
-            return event if self._accept(event) else b""
-        return b"".join(self._accept_each(data[:end]))
-
-    def discard_incomplete(self) -> None:
-        """Discard the incomplete event of a connection that broke."""
-        self._incomplete = b""
-
-    def _accept_each(self, data: bytes) -> list[bytes]:
         accepted = []
-        for part in data.split(EVENT_END)[:-1]:
-            event = part + EVENT_END
+        for event in self._splitter.feed(chunk):
             try:
                 if self._accept(event):
-                    accepted.append(event)
+                    accepted.append(event.data)
             except SequenceError:
                 if accepted:
-                    return accepted
+                    return b"".join(accepted)
                 raise
-        return accepted
+        if len(self._splitter.incomplete) > MAX_EVENT_BYTES:
+            raise SequenceError("an event exceeds the size limit")
+        return b"".join(accepted)
 
-    def _accept(self, event: bytes) -> bool:
+    def discard_incomplete(self) -> None:
+        """Discard the incomplete event of a connection that broke."""
+        self._splitter = EventSplitter()
+
+    def _accept(self, event: StreamEvent) -> bool:
         """Count an event; return whether it is to be relayed to the caller."""
         if self.done:
             self.duplicates += 1
             return False
-        number = _event_number(event) if event.startswith(ID_FIELD) else None
+        number = event.number
         if number is not None:
             if number <= self.last_id:
                 self.duplicates += 1
@@ -90,13 +77,8 @@
             self.last_id = number
             self.events += 1
             return True
-        if event.endswith(DONE):
+        if event.data.endswith(DONE):
             self.done = True
             return True
         self.events += 1
         return True
-
-
-def _event_number(event: bytes) -> int | None:
-    line = event[len(ID_FIELD) : event.index(b"\n")]
-    return int(line) if line.isdigit() else None
--- a/src/marjoramstage/transport/event_stream.py
+++ b/src/marjoramstage/transport/event_stream.py
@@ -3,15 +3,38 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 from marjoramstage.transport.framing import Framing
 
-ID_FIELD = b"id:"
 LINE_ENDS = b"\r\n"
 
 # A blank line ends an event. Lines end with CR LF, LF or CR.
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
 _MAX_EVENT_END_BYTES = 4
+_MAX_NUMBER_DIGITS = 18
+_ID = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
+
+
+@dataclass(frozen=True)
+class StreamEvent:
+    """A complete event, with the blank line that ends it.
+
+    Attributes
+    ----------
+    id : str
+        Empty if the event has none.
+    """
+
+    data: bytes
+    id: str
+
+    @property
+    def number(self) -> int | None:
+        """The id as a number; None if it is none."""
+        if not self.id.isdecimal() or len(self.id) > _MAX_NUMBER_DIGITS:
+            return None
+        return int(self.id)
 
 
 class EventSplitter:
@@ -19,15 +42,15 @@
 
     Attributes
     ----------
-    last_id : str
-        Id of the last complete event that had one.
-    events : int
+    last_event : StreamEvent or None
+        The last complete event.
+    count : int
         Number of complete events.
     """
 
     def __init__(self):
-        self.last_id = ""
-        self.events = 0
+        self.last_event: StreamEvent | None = None
+        self.count = 0
         self._incomplete = bytearray()
 
     @property
@@ -40,21 +63,20 @@
         """Whether an event has begun that is not complete."""
         return bool(self._incomplete.strip(LINE_ENDS))
 
-    def feed(self, chunk: bytes) -> bytes:
-        """Add received bytes; return those of the events that are now complete."""
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Add received bytes; return the events that are now complete."""
         data = self._incomplete
         search_from = max(0, len(data) - _MAX_EVENT_END_BYTES + 1)
         data += chunk
-        end = 0
+        events, start = [], 0
         for found in _EVENT_END.finditer(data, search_from):
-            end = found.end()
-            self.events += 1
-        if not end:
-            return b""
-        complete = bytes(data[:end])
-        del data[:end]
-        self._update_last_id(complete)
-        return complete
+            events.append(_event(bytes(data[start : found.end()])))
+            start = found.end()
+        if events:
+            del data[:start]
+            self.last_event = events[-1]
+            self.count += len(events)
+        return events
 
     def truncation(self, framing: Framing) -> str:
         """Return why the stream is truncated if it ends here; empty if it is not.
@@ -67,12 +89,11 @@
         """
         if self.inside_event:
             return "the stream ended inside an event"
-        if framing is Framing.CONNECTION and not self.events:
+        if framing is Framing.CONNECTION and not self.count:
             return "the connection closed before the first event"
         return ""
 
-    def _update_last_id(self, complete: bytes) -> None:
-        for line in reversed(complete.splitlines()):
-            if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
-                return
+
+def _event(data: bytes) -> StreamEvent:
+    found = _ID.search(data)
+    return StreamEvent(data, found[1].strip().decode("latin-1") if found else "")
