Don't write a second head into a stream that is resumed

A caller whose stream was being resumed got another answer's status line in the middle of it, or nothing until its own timeout, when the second target answered 200 with something that is no event stream.

Such an answer now fails the attempt; the caller's stream ends visibly truncated. Test: answer_framing, second part no event stream; before, the caller waited until its timeout (300 s).

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -69,6 +69,13 @@
       | neither                 | closed inside, empty                 | truncated |
       | length, chunks          | ended inside                         | truncated |
 
+  Scenario Outline: a stream whose second part <does> is not joined to the first
+    Then a /resumable-stream/ of <first> events that goes on with <second> is truncated
+
+    Examples:
+      | does                           | first  | second         |
+      | is no event stream             | sound  | text           |
+
   Scenario: answers of the product's own interface
     Then each of these stream answers to a stream is received as stated
       | framing                 | ends                                  | received |
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -52,8 +52,17 @@
         and ctx.possible_runs + 1 < ctx.route.max_attempts
         and status >= 500
     )
-    if may_retry or (ctx.resp is not None and status != 200):
+    if may_retry:
         raise TargetError(f"status {status}", Verdict.MAY_HAVE_RUN, status, "failed")
+    if ctx.resp is not None and not _is_stream(answer):
+        raise TargetError(
+            "no event stream to go on with", Verdict.MAY_HAVE_RUN, status, "failed"
+        )
+
+
+def _is_stream(answer: TargetResponse) -> bool:
+    content_type = answer.headers.get("Content-Type", "")
+    return answer.status == 200 and content_type.startswith(EVENT_STREAM)
 
 
 class AnswerRelay:
@@ -73,10 +82,9 @@
         TargetError
             The answer broke off.
         """
-        content_type = answer.headers.get("Content-Type", "")
         splitter = EventSplitter()
         try:
-            if answer.status == 200 and content_type.startswith(EVENT_STREAM):
+            if _is_stream(answer):
                 return await self._relay_stream(ctx, answer, splitter)
             return await self._relay_whole(answer)
         finally:
