Resume a stream only after an event with an id

A caller got the first events of a resumable stream twice, from two runs: the stream broke after events without ids, so the second target was not told where to go on and began anew.

A stream is now resumed only if its last relayed event had an id, or none was relayed; else it ends visibly truncated.

--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -106,14 +106,14 @@
         """Relay complete events as they arrive."""
         if ctx.resp is None:
             ctx.resp = await self._start_stream(ctx, answer)
+            ctx.resumable = True
         resp = ctx.resp
         async for chunk in answer.iter_chunks():
             events = splitter.feed(chunk)
             if not events:
                 continue
             await resp.write(b"".join(event.data for event in events))
-            ctx.record_event(self._state.clock.now())
-            ctx.last_event_id = events[-1].id or ctx.last_event_id
+            ctx.record_event(events[-1], self._state.clock.now())
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -206,7 +206,8 @@
             ctx.route.run_policy is RunPolicy.REPEATABLE
             and ctx.possible_runs < ctx.route.max_attempts
         )
-        if ctx.resp is not None and not (ctx.route.resumable and may_retry):
+        may_resume = ctx.route.resumable and ctx.resumable and may_retry
+        if ctx.resp is not None and not may_resume:
             raise TruncatedAnswerError("the answer broke off")
         reached_target = exc.reason != "unreached"
         if may_retry and now_s < ctx.deadline_s:
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -9,6 +9,7 @@
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.routes import Route
+from marjoramstage.transport.event_stream import StreamEvent
 
 # An answer with one of these statuses promises that the request did not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -26,8 +27,12 @@
         Attempts that may have run at a target.
     attempts : int
         Attempts that were sent, whether they ran or not.
+    last_event_id : str
+        Id of the last event that the caller has; empty if none.
     resp : web.StreamResponse or None
         The answer to the caller, once its head has been sent.
+    resumable : bool
+        What was relayed is a stream, and its last event, if any, had an id.
     first_event_s : float or None
         Time from arrival to the first event that was relayed.
     waited_s : float
@@ -50,14 +55,17 @@
     attempts: int = 0
     last_event_id: str = ""
     resp: web.StreamResponse | None = None
+    resumable: bool = False
     first_event_s: float | None = None
     waited_s: float = 0.0
     last_event_s: float = 0.0
     pause_s: float = 0.0
     tried: list[str] = field(default_factory=list)
 
-    def record_event(self, now_s: float) -> None:
-        """Record that events of the answer were relayed to the caller."""
+    def record_event(self, event: StreamEvent, now_s: float) -> None:
+        """Record that events up to this one were relayed to the caller."""
+        self.last_event_id = event.id or self.last_event_id
+        self.resumable = bool(event.id)
         if self.first_event_s is None:
             self.first_event_s = now_s - self.arrived_s
         else:
