Don't relay events that the caller already has

A caller got events 1 to 3 twice when the target at which its stream was resumed began from the start. A block of events whose first id is not above the last one that the caller has now fails the attempt, and the stream ends visibly truncated: what the second target sends is another run, so its later events are none to go on with either. Test: answer_framing, second part begins from the start; failed before.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -75,6 +75,7 @@
     Examples:
       | does                           | first  | second         |
       | is no event stream             | sound  | text           |
+      | begins from the start          | sound  | from the start |
       | cannot know where to go on     | no ids | no ids         |
 
   Scenario: answers of the product's own interface
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -10,7 +10,11 @@
 from marjoramstage._entry.request_log import RequestLog
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.state.routes import RunPolicy
-from marjoramstage.transport.event_stream import EventSplitter
+from marjoramstage.transport.event_stream import (
+    EventSplitter,
+    StreamEvent,
+    event_number,
+)
 from marjoramstage.transport.target_client import BROKEN, TargetResponse
 
 EVENT_STREAM = "text/event-stream"
@@ -60,6 +64,17 @@
         )
 
 
+def _check_follows(event: StreamEvent, last_id: str) -> None:
+    """Raise if an event comes again after the one with ``last_id``."""
+    number, last = event.number, event_number(last_id)
+    if number is not None and last is not None and number <= last:
+        raise TargetError(
+            f"event {number} follows event {last}",
+            Verdict.MAY_HAVE_RUN,
+            reason=BROKEN,
+        )
+
+
 def _is_stream(answer: TargetResponse) -> bool:
     content_type = answer.headers.get("Content-Type", "")
     return answer.status == 200 and content_type.startswith(EVENT_STREAM)
@@ -112,6 +127,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            _check_follows(events[0], ctx.last_event_id)
             await resp.write(b"".join(event.data for event in events))
             ctx.record_event(events[-1], self._state.clock.now())
         problem = splitter.truncation(answer.framing)
--- a/src/marjoramstage/transport/event_stream.py
+++ b/src/marjoramstage/transport/event_stream.py
@@ -32,9 +32,14 @@
     @property
     def number(self) -> int | None:
         """The id as a number; None if it is none."""
-        if not self.id.isdecimal() or len(self.id) > _MAX_NUMBER_DIGITS:
-            return None
-        return int(self.id)
+        return event_number(self.id)
+
+
+def event_number(event_id: str) -> int | None:
+    """Return the id of an event as a number; None if it is none."""
+    if not event_id.isdecimal() or len(event_id) > _MAX_NUMBER_DIGITS:
+        return None
+    return int(event_id)
 
 
 class EventSplitter:
