--- a/features/steps/entry_path.py
+++ b/features/steps/entry_path.py
@@ -1,8 +1,6 @@
 """Steps that run instances against stand-ins for the users' platform."""
 
-import http.client
 import json
-import os
 import re
 import signal
 import socket
@@ -11,171 +9,44 @@
 
 from behave import given, then, when
 
-from features.platform_standin import EVENTS, LoopThread, StandinStore, StandinTarget
-from features.processes import Deployment, free_address, wait_for
+from features.entry_deployment import (
+    BODY_LIMIT,
+    HOST,
+    WAIT_S,
+    config,
+    get,
+    put,
+    ready_status,
+    send,
+    start_instance,
+    start_store,
+    start_target,
+)
+from features.platform_standin import EVENTS
+from features.processes import wait_for
 
-HOST = "h.example"
 PATHS = {"booking": ("POST", "/once/x"), "lookup": ("GET", "/any/x")}
-RESERVED_HEADERS = {"Hold": "h1", "Urgency": "0", "Expect-Instance": "nobody"}
-BODY_LIMIT = 1000
-WAIT_S = 15.0
-
-
-def _route(name, prefix, kind, service, **more):
-    return {
-        "name": name,
-        "host": HOST,
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 8000,
-        "target_latency_ms": 400,
-        "priority": 1,
-        "service": service,
-        "attempts": 2,
-        **more,
-    }
-
-
-def _config(version=1, once="/once/"):
-    models = [
-        {"name": f"m{n}", "weights_mb": 100.0, "load_s": 1.0, "disk_s": 0.1}
-        for n in (1, 2, 3)
-    ]
-    engine = {"slots": 8, "weights_mb": 200.0, "adapter_slots": 2, "loads_per_s": 2}
-    return {
-        "version": version,
-        "routes": [
-            _route("once", once, "unsafe", "plain", attempts=1),
-            _route("any", "/any/", "safe", "plain"),
-            _route("chat", "/chat/", "stream", "engine", attempts=1),
-            _route(
-                "night",
-                "/night/",
-                "stream",
-                "engine",
-                resumable=True,
-                target_latency_ms=3000,
-            ),
-        ],
-        "services": [
-            {"name": "plain", "health_path": "/health", "max_conns": 50},
-            {
-                "name": "engine",
-                "health_path": "/health",
-                "max_conns": 50,
-                "engine": {**engine, "models": models},
-            },
-        ],
-        "limits": {"max_body_bytes": BODY_LIMIT},
-    }
 
 
 @given(
     "a store, engines e1 with m1 and e2 with m3, services s1, s2, {count:d} instances"
 )
 def start_all(context, count):
-    context.deployment = Deployment()
-    context.thread = LoopThread()
-    context.add_cleanup(context.thread.stop)
-    context.store = StandinStore()
-    context.store_address = _listen(context, context.store.handle)
-    context.targets = {}
+    start_store(context)
     for name, service, models in (
         ("e1", "engine", {"m1"}),
         ("e2", "engine", {"m3"}),
         ("s1", "plain", None),
         ("s2", "plain", None),
     ):
-        _start_target(context, name, service, models)
-    _put(context, "config", "main", _config())
-    context.numbers = iter(range(1, 10_000))
-    context.ids = []
-    context.instances = {}
+        start_target(context, name, service, models)
+    put(context, "config", "main", config())
     for number in range(1, count + 1):
-        _start_instance(context, f"i{number}", number)
+        start_instance(context, f"i{number}", number)
     for name in context.instances:
-        wait_for(lambda name=name: _ready(context, name) == 200, f"{name} is ready")
-
-
-def _listen(context, handler):
-    address = free_address()
-    host, port = address.split(":")
-    context.thread.serve(handler, host, int(port))
-    return address
-
-
-def _start_target(context, name, service, models):
-    target = StandinTarget(name, "", 0, service, models)
-    target.host, port = _listen(context, target.handle).split(":")
-    target.port = int(port)
-    context.targets[name] = target
-    _put(context, "servers", name, target.spec())
-
-
-def _put(context, kind, name, spec):
-    context.thread.call(context.store.put(kind, name, spec))
-
-
-def _start_instance(context, name, number):
-    # Each instance of each concurrent test run on this machine needs its own address.
-    pid = os.getpid()
-    ip = f"127.{1 + (pid >> 8) % 250}.{pid % 256}.{number}"
-    settings = {
-        "node_name": name,
-        "ip": ip,
-        "zone": "a",
-        "listen.front": f"{ip}:8149",
-        "listen.ready": f"{ip}:8141",
-        "port_range": "7380,7395",
-        "platform.addr": context.store_address,
-        "bounds.grace_s": "8",
-        "bounds.checks_fence": "true",
-        "bounds.lease_ms": "3000",
-    }
-    path = context.deployment.folder / f"{name}.conf"
-    path.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
-    context.deployment.start(name, "entry", "--node-file", str(path))
-    context.instances[name] = ip
-
-
-def _ready(context, name):
-    return _get(context.instances[name], 8141, "/api/ready").status
-
-
-class _Answer:
-    def __init__(self, status, headers, body, whole=True):
-        self.status, self.headers, self.body = status, headers, body
-        self.whole = whole
-
-
-def _get(ip, port, path):
-    conn = http.client.HTTPConnection(ip, port, timeout=WAIT_S)
-    conn.request("GET", path)
-    resp = conn.getresponse()
-    answer = _Answer(resp.status, resp.headers, resp.read())
-    conn.close()
-    return answer
-
-
-def _send(context, method, path, model="", instance="i1", body=b"abc", **more):
-    headers = {"Host": HOST, "Deadline-Ms": "5000", **RESERVED_HEADERS}
-    request_id = f"{next(context.numbers):016x}"
-    context.ids.append(request_id)
-    headers["Request-Id"] = request_id
-    if model:
-        headers["Model"] = model
-    headers |= more.get("headers", {})
-    headers = {name: value for name, value in headers.items() if value is not None}
-    ip = context.instances[instance]
-    conn = http.client.HTTPConnection(ip, 8149, timeout=WAIT_S)
-    conn.request(method, path, body if method == "POST" else None, headers)
-    resp = conn.getresponse()
-    try:
-        return _Answer(resp.status, resp.headers, resp.read())
-    except http.client.IncompleteRead as exc:
-        return _Answer(resp.status, resp.headers, exc.partial, whole=False)
-    finally:
-        conn.close()
+        wait_for(
+            lambda name=name: ready_status(context, name) == 200, f"{name} is ready"
+        )
 
 
 @when("every instance is sent requests of each kind")
@@ -184,7 +55,7 @@
         for name in context.instances:
             body = b"x" * (BODY_LIMIT + 1) if row["request"] == "too large" else b"abc"
             headers = {"Request-Id": None} if row["request"] == "no id" else {}
-            answer = _send(
+            answer = send(
                 context,
                 row["method"],
                 row["path"],
@@ -232,7 +103,7 @@
 @when("a {kind} request is sent {count:d} times")
 def send_many(context, kind, count):
     method, path = PATHS[kind]
-    context.answers = [_send(context, method, path) for _ in range(count)]
+    context.answers = [send(context, method, path) for _ in range(count)]
 
 
 @then("every answer has status {status:d}")
@@ -248,7 +119,7 @@
     target = context.targets["e2"]
     target.models = {"m1"}
     target.born += 1
-    _put(context, "servers", "e2", target.spec())
+    put(context, "servers", "e2", target.spec())
     context.targets["e1"].fault = "break"
     # The lease holder requests a report from an engine that has restarted.
     time.sleep(2)
@@ -256,8 +127,8 @@
 
 @when("{count:d} resumable and 6 other streams of m1 are requested")
 def ask_streams(context, count):
-    context.resumed = [_send(context, "POST", "/night/x", "m1") for _ in range(count)]
-    context.others = [_send(context, "POST", "/chat/x", "m1") for _ in range(6)]
+    context.resumed = [send(context, "POST", "/night/x", "m1") for _ in range(count)]
+    context.others = [send(context, "POST", "/chat/x", "m1") for _ in range(6)]
 
 
 @then("each resumable stream has its events 1 to 5 once")
@@ -351,7 +222,7 @@
 
 @when("service s1 announces that it drains")
 def say_leaving(context):
-    _put(context, "servers", "s1", context.targets["s1"].spec("draining"))
+    put(context, "servers", "s1", context.targets["s1"].spec("draining"))
 
 
 @then("after 2 s no request reaches s1")
@@ -365,15 +236,15 @@
 
 @when("the routes move /once/ to /twice/")
 def move_route(context):
-    _put(context, "config", "main", _config(2, "/twice/"))
+    put(context, "config", "main", config(2, "/twice/"))
 
 
 @then("after 2 s /once/ is not found and /twice/ is served")
 def check_moved(context):
     time.sleep(2)
     for name in context.instances:
-        assert _send(context, "POST", "/once/x", instance=name).status == 404
-        assert _send(context, "POST", "/twice/x", instance=name).status == 200
+        assert send(context, "POST", "/once/x", instance=name).status == 404
+        assert send(context, "POST", "/twice/x", instance=name).status == 200
 
 
 @when("the store becomes unreachable")
@@ -385,9 +256,9 @@
 @then("requests are still served")
 def check_served(context):
     for name in context.instances:
-        assert _send(context, "GET", "/any/x", instance=name).status == 200
-        assert _send(context, "POST", "/chat/x", "m1", name).status == 200
-        assert _ready(context, name) == 200
+        assert send(context, "GET", "/any/x", instance=name).status == 200
+        assert send(context, "POST", "/chat/x", "m1", name).status == 200
+        assert ready_status(context, name) == 200
 
 
 @when("an instance gets a stop signal in the middle of a stream")
@@ -402,7 +273,7 @@
 @then("it is not ready at once, the stream is completed and its connection closed")
 def check_stopping(context):
     time.sleep(0.2)
-    assert _ready(context, "i1") == 503
+    assert ready_status(context, "i1") == 503
     body = context.first
     while block := context.stream.recv(4096):
         body += block
@@ -422,7 +293,7 @@
     context.answers = []
 
     def ask(name):
-        context.answers.append(_send(context, "POST", "/night/x", "m2", name))
+        context.answers.append(send(context, "POST", "/night/x", "m2", name))
 
     threads = [
         threading.Thread(target=ask, args=(name,))
@@ -483,12 +354,12 @@
         "the failed reload is logged",
     )
     assert "zone" in _logged(context, "settings reload failed")[0]
-    assert _send(context, "GET", "/any/x").status == 200
+    assert send(context, "GET", "/any/x").status == 200
 
 
 @then("the metrics address shows {count:d} requests that were answered")
 def check_metrics(context, count):
-    text = _get(context.instances["i1"], 9464, "/metrics").body.decode()
+    text = get(context.instances["i1"], 9464, "/metrics").body.decode()
     found = re.findall(
         r'^marjoramstage_requests_total{outcome="answered",rank="1"} (\S+)$', text, re.M
     )
