--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -21,7 +21,7 @@
         self.loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self._thread.start()
-        self._runners = []
+        self._runners = {}
 
     def call(self, coro, timeout_s=10):
         return asyncio.run_coroutine_threadsafe(coro, self.loop).result(timeout_s)
@@ -35,13 +35,17 @@
             )
             await runner.setup()
             await web.TCPSite(runner, host, port).start()
-            self._runners.append(runner)
+            self._runners[f"{host}:{port}"] = runner
 
         self.call(start())
 
+    def stop_serving(self, address):
+        """Stop serving at an address; its connections close."""
+        self.call(self._runners.pop(address).cleanup())
+
     def stop(self):
         async def cleanup():
-            for runner in self._runners:
+            for runner in self._runners.values():
                 await runner.cleanup()
 
         self.call(cleanup())
