Bound what is read of an answer, on every client

A target that sends without end held its request until the timeout and cost what it could send: 200 MB of a body or of a chunk line within 8 s (the sender's own end), 37 MB of one event, 13 MB of interim responses; a body was also kept in memory whole.

Now for every client of ours (targets, store, reports, operators' calls): - what is no body (head, interim responses, chunk lines, trailers) is bounded by 64 kB and twice the body; bytes that come when no response is due end the connection, as they would be queued without bound; - 64 MB of a body at most; an answer of more than 256 kB is relayed as it arrives and then can't be repeated; - 256 kB of one event (1 MB before on the product's own interface, all of it on the users' platform) and 100,000 events of a stream there; - 32 kB are received at once, so that tiny events or chunks don't hold up the loop. Test: endless_bytes, answers of targets, failed before.

--- a/features/endless_bytes.py
+++ b/features/endless_bytes.py
@@ -90,7 +90,8 @@
             _, path, headers = await read_request(reader)
             kind = headers.get("x-endless") or path
             endless = ANSWERS.get(kind, ANSWERS["body"])
-            self.sent[kind] += await send_endless(writer, endless)
+            sent = await send_endless(writer, endless)
+            self.sent[kind] += sent
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
         finally:
@@ -115,7 +116,8 @@
         self.open += 1
         try:
             await read_request(reader)
-            self.sent[self._kind] += await send_endless(writer, ANSWERS[self._kind])
+            sent = await send_endless(writer, ANSWERS[self._kind])
+            self.sent[self._kind] += sent
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
         finally:
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from aiohttp import web
 
 from marjoramstage._entry.caller_handler import CallerHandler
 from marjoramstage._entry.event_log import EventLog
@@ -22,6 +21,7 @@
     Service,
     ServiceWeight,
 )
+from marjoramstage.transport.server_connection import BoundedServer
 from marjoramstage.transport.target_client import TargetClient
 
 HOST = "h.example"
@@ -87,7 +87,7 @@
         self.metrics = PrometheusMetrics()
         self._client = TargetClient()
         handler = CallerHandler(self.state, self._client, self.metrics)
-        self._server = web.Server(
+        self._server = BoundedServer(
             handler.handle, handler_cancellation=True, access_log=None
         )
         loop = asyncio.get_running_loop()
--- a/features/request_faults.py
+++ b/features/request_faults.py
@@ -46,6 +46,7 @@
 )
 from marjoramstage.transport._server import HttpServer, ServerLimits
 from marjoramstage.transport.callers import CallerApi
+from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.relay import Relay
 from marjoramstage.transport.targets import TargetControlClient, UpstreamClient
 
@@ -347,7 +348,7 @@
         self.tasks = TaskGroup()
         scheduler = Scheduler(64, self.name, "d1", rng=random.Random(1))
         self.router = RequestRouter(scheduler, clock, self.metrics, lambda effect: None)
-        self.calls, self.session = UpstreamClient(), aiohttp.ClientSession()
+        self.calls, self.session = UpstreamClient(), client_session()
         self.usage = UsageWriter(UsageCollector(self.name), self.platform, clock)
         claims = PlatformClaimStore(
             self.platform, clock, random.Random(1), self.tasks.spawn
--- a/features/steps/config_updates.py
+++ b/features/steps/config_updates.py
@@ -3,7 +3,6 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-import aiohttp
 from aiohttp import web
 from behave import given, then, when
 from result import Err, Ok
@@ -17,6 +16,7 @@
     WatchEvent,
     WatchType,
 )
+from marjoramstage.transport.client_connection import client_session
 
 BITS_PER_KB_AND_MBPS = 0.008
 STORE_DELAY_S = 0.006
@@ -127,7 +127,7 @@
     server = web.Server(handler)
     listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
-    async with aiohttp.ClientSession() as session:
+    async with client_session() as session:
         yield platform.ObjectStore(session, f"{host}:{port}", **kwargs)
     done.set()
     listener.close()
--- a/features/steps/platform_client.py
+++ b/features/steps/platform_client.py
@@ -3,13 +3,13 @@
 import asyncio
 from dataclasses import replace
 
-import aiohttp
 from behave import given, then, when
 from result import Err
 
 from features.processes import free_address
 from marjoramstage.protocol.objects import CLAIM, DOCUMENT, PlatformObject
 from marjoramstage.standins.platform import PlatformFaults, PlatformStandin
+from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.platform import PlatformClient
 
 NAMESPACE = "tests"
@@ -191,7 +191,7 @@
 
 
 async def with_fixture(use):
-    async with aiohttp.ClientSession() as session:
+    async with client_session() as session:
         fixture = PlatformFixture(session)
         await fixture.start()
         try:
--- a/src/marjoramstage/_commands/_operator_calls.py
+++ b/src/marjoramstage/_commands/_operator_calls.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import json
 import ssl
 import sys
 from collections.abc import Mapping
@@ -13,6 +14,8 @@
 import aiohttp
 
 from marjoramstage._commands import exits
+from marjoramstage.transport.client_connection import client_session
+from marjoramstage.transport.response_body import ResponseBody
 
 OPERATOR_TIMEOUT_S = 40.0
 
@@ -79,12 +82,13 @@
     headers = _secret_header(args.secret_file)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+            client_session(timeout=timeout, headers=headers) as session,
             session.request(
                 method, url, params=params, data=body, ssl=_tls_context(args.ca_file)
             ) as resp,
         ):
-            return Reply(resp.status, await resp.json(content_type=None))
+            body = await ResponseBody(resp).read()
+            return Reply(resp.status, json.loads(body))
     except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
         raise CallError(str(exc), sent=False) from exc
     except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
+
 from aiohttp import web
 
 from marjoramstage import platform
@@ -12,12 +14,16 @@
 from marjoramstage.state.routes import RunPolicy
 from marjoramstage.transport.event_stream import (
     EventSplitter,
+    EventTooLongError,
     StreamEvent,
     event_number,
 )
 from marjoramstage.transport.target_client import BROKEN, TargetResponse
 
 EVENT_STREAM = "text/event-stream"
+# Larger answers are relayed as they arrive.
+MAX_BUFFERED_BYTES = 262_144
+MAX_STREAM_EVENTS = 100_000
 
 
 def check_answer(ctx: RequestContext, answer: TargetResponse) -> None:
@@ -101,30 +107,56 @@
         try:
             if _is_stream(answer):
                 return await self._relay_stream(ctx, answer, splitter)
-            return await self._relay_whole(answer)
+            return await self._relay_whole(ctx, answer)
         finally:
             self._log.answer_ended(ctx, answer, splitter)
 
-    async def _relay_whole(self, answer: TargetResponse) -> web.StreamResponse:
-        body = await answer.read()
+    async def _relay_whole(
+        self, ctx: RequestContext, answer: TargetResponse
+    ) -> web.StreamResponse:
+        """Relay an answer that is read to its end first, unless it is large."""
+        buffered = bytearray()
+        chunks = answer.iter_chunks()
+        async for chunk in chunks:
+            buffered += chunk
+            if len(buffered) > MAX_BUFFERED_BYTES:
+                return await self._relay_large(ctx, answer, bytes(buffered), chunks)
         headers = platform.answer_headers(answer.headers)
         resp = web.Response(
-            status=answer.status, reason=answer.reason, body=body, headers=headers
+            status=answer.status,
+            reason=answer.reason,
+            body=bytes(buffered),
+            headers=headers,
         )
         if "Content-Type" not in headers:
             resp.headers.popall("Content-Type", None)
         return resp
 
+    async def _relay_large(
+        self,
+        ctx: RequestContext,
+        answer: TargetResponse,
+        first: bytes,
+        rest: AsyncIterator[bytes],
+    ) -> web.StreamResponse:
+        """Relay an answer as it arrives; it can't be repeated from here on."""
+        resp = ctx.resp = await self._start(ctx, answer)
+        await resp.write(first)
+        async for chunk in rest:
+            await resp.write(chunk)
+        await resp.write_eof()
+        return resp
+
     async def _relay_stream(
         self, ctx: RequestContext, answer: TargetResponse, splitter: EventSplitter
     ) -> web.StreamResponse:
         """Relay complete events as they arrive."""
         if ctx.resp is None:
-            ctx.resp = await self._start_stream(ctx, answer)
+            ctx.resp = await self._start(ctx, answer)
             ctx.resumable = True
         resp = ctx.resp
         async for chunk in answer.iter_chunks():
-            events = splitter.feed(chunk)
+            events = self._split(splitter, chunk)
             if not events:
                 continue
             _check_follows(events[0], ctx.last_event_id)
@@ -138,10 +170,21 @@
         await resp.write_eof()
         return resp
 
-    async def _start_stream(
+    def _split(self, splitter: EventSplitter, chunk: bytes) -> list[StreamEvent]:
+        """Return the events that a block completes; raise if they are too many."""
+        try:
+            events = splitter.feed(chunk)
+        except EventTooLongError as exc:
+            raise TargetError(str(exc), Verdict.MAY_HAVE_RUN, reason=BROKEN) from exc
+        if splitter.count > MAX_STREAM_EVENTS:
+            text = f"a stream of over {MAX_STREAM_EVENTS} events"
+            raise TargetError(text, Verdict.MAY_HAVE_RUN, reason=BROKEN)
+        return events
+
+    async def _start(
         self, ctx: RequestContext, answer: TargetResponse
     ) -> web.StreamResponse:
-        """Send the head of a stream to the caller."""
+        """Send the head of an answer whose body is relayed as it arrives."""
         headers = platform.answer_headers(answer.headers)
         resp = web.StreamResponse(
             status=answer.status, reason=answer.reason, headers=headers
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -64,8 +64,9 @@
 
     def record_event(self, event: StreamEvent, now_s: float) -> None:
         """Record that events up to this one were relayed to the caller."""
-        self.last_event_id = event.id or self.last_event_id
-        self.resumable = bool(event.id)
+        event_id = event.id
+        self.last_event_id = event_id or self.last_event_id
+        self.resumable = bool(event_id)
         if self.first_event_s is None:
             self.first_event_s = now_s - self.arrived_s
         else:
--- a/src/marjoramstage/bench/relay_cost.py
+++ b/src/marjoramstage/bench/relay_cost.py
@@ -16,8 +16,6 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import asdict, dataclass
 
-import aiohttp
-
 from marjoramstage._instance.request_router import RequestRouter
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage.clock import SystemClock
@@ -46,6 +44,7 @@
 )
 from marjoramstage.transport._server import HttpServer, ServerLimits
 from marjoramstage.transport.callers import CallerApi
+from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.relay import Relay
 from marjoramstage.transport.targets import TargetControlClient, UpstreamClient
 
@@ -166,7 +165,7 @@
         relay = Relay(
             router,
             UpstreamClient(),
-            TargetControlClient(aiohttp.ClientSession()),
+            TargetControlClient(client_session()),
             clock,
             metrics,
             NoUsage(),
--- a/src/marjoramstage/instance.py
+++ b/src/marjoramstage/instance.py
@@ -13,7 +13,6 @@
 from dataclasses import replace
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 from result import Result
 
@@ -57,6 +56,7 @@
 from marjoramstage.state.inventory import Inventory
 from marjoramstage.transport._server import HttpServer, ServerLimits
 from marjoramstage.transport.callers import CallerApi
+from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.operators import OperatorApi
 from marjoramstage.transport.platform import PlatformClient
 from marjoramstage.transport.relay import Relay
@@ -88,7 +88,7 @@
 
     async def start(self) -> None:
         """Open the ports and start the background tasks."""
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._session = client_session()
         self._wire()
         await self.node_runner.start()
         for server in self._servers:
--- a/src/marjoramstage/transport/_sse.py
+++ b/src/marjoramstage/transport/_sse.py
@@ -4,10 +4,13 @@
 
 from dataclasses import dataclass, field
 
-from marjoramstage.transport.event_stream import EventSplitter, StreamEvent
+from marjoramstage.transport.event_stream import (
+    EventSplitter,
+    EventTooLongError,
+    StreamEvent,
+)
 
 DONE = b"data: [DONE]\n\n"
-MAX_EVENT_BYTES = 1_048_576
 
 
 class SequenceError(Exception):
@@ -46,7 +49,11 @@
             call returned have to be requested again.
         """
         accepted = []
-        for event in self._splitter.feed(chunk):
+        try:
+            events = self._splitter.feed(chunk)
+        except EventTooLongError as exc:
+            raise SequenceError(str(exc)) from exc
+        for event in events:
             try:
                 if self._accept(event):
                     accepted.append(event.data)
@@ -54,8 +61,6 @@
                 if accepted:
                     return b"".join(accepted)
                 raise
-        if len(self._splitter.incomplete) > MAX_EVENT_BYTES:
-            raise SequenceError("an event exceeds the size limit")
         return b"".join(accepted)
 
     def discard_incomplete(self) -> None:
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -1,13 +1,17 @@
-"""An HTTP client's connection that records how its peer ended it."""
+"""An HTTP client's connection: how its peer ended it, and how much it may send."""
 
 from __future__ import annotations
 
 import asyncio
 import enum
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+
+from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
 
 
 class ConnectionEnd(enum.Enum):
@@ -28,15 +32,58 @@
     BROKEN = "broken"
 
 
+class UnexpectedBytesError(aiohttp.ClientPayloadError):
+    """A peer sent too much that is no body, or bytes that belong to no request."""
+
+
 class ClientConnection(ResponseHandler):
-    """Records how the connection ended.
+    """Records how the connection ended, and bounds what the peer may send.
 
     aiohttp takes a body that has neither a length nor chunks for complete
-    when the connection ends, even when it was reset or closed by this side.
+    when the connection ends, even when it was reset or closed by this side. It
+    bounds single lines, but neither the number of interim responses nor the size
+    of chunk lines, and it queues responses that nothing asked for.
     """
 
     end = ConnectionEnd.OPEN
 
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop=loop)
+        self._meter = OverheadMeter()
+        self._answered = False
+
+    def set_response_params(self, **kwargs: Any) -> None:
+        """Prepare for the response to a request that is about to be sent."""
+        self._meter.restart()
+        self._answered = False
+        super().set_response_params(**kwargs)
+
+    def feed_data(self, data: tuple[RawResponseMessage, Any], size: int = 0) -> None:
+        """Queue a response head; called by aiohttp."""
+        message, _ = data
+        self._answered = message.code >= HTTPStatus.OK
+        super().feed_data(data, size)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set up a connection that was made."""
+        super().connection_made(transport)
+        limit_receive_size(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on received bytes unless there are too many."""
+        payload = self._payload
+        if self._answered and (payload is None or payload.is_eof()):
+            self._refuse("bytes after the end of the response")
+            return
+        self._meter.add(len(data))
+        super().data_received(data)
+        # While reading is paused, bytes of the body may not be parsed yet.
+        if self._reading_paused:
+            return
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        if self._meter.exceeded(body_bytes):
+            self._refuse("too many bytes that are no body")
+
     def eof_received(self) -> None:
         """Record that the peer will send nothing more."""
         self.end = ConnectionEnd.CLOSED
@@ -48,6 +95,15 @@
             self.end = ConnectionEnd.BROKEN
         super().connection_lost(exc)
 
+    def _refuse(self, reason: str) -> None:
+        """Fail the response that is being read, if any, and the connection."""
+        exc = UnexpectedBytesError(reason)
+        self.set_exception(exc)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
 
 def client_connector(**kwargs: Any) -> aiohttp.TCPConnector:
     """Return a connector of `ClientConnection`, with no limit on their number.
@@ -62,3 +118,14 @@
     # aiohttp has no option for the protocol class of its connections.
     connector._factory = lambda: ClientConnection(loop=loop)
     return connector
+
+
+def client_session(**kwargs: Any) -> aiohttp.ClientSession:
+    """Return a session whose connections are `ClientConnection`.
+
+    Parameters
+    ----------
+    kwargs
+        Further arguments of `aiohttp.ClientSession`.
+    """
+    return aiohttp.ClientSession(connector=client_connector(), **kwargs)
--- a/src/marjoramstage/transport/event_stream.py
+++ b/src/marjoramstage/transport/event_stream.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from marjoramstage.transport.framing import Framing
 
 LINE_ENDS = b"\r\n"
+MAX_EVENT_BYTES = 262_144
 
 # A blank line ends an event. Lines end with CR LF, LF or CR.
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
@@ -16,18 +18,17 @@
 _ID = re.compile(rb"(?:^|[\r\n])id:([^\r\n]*)")
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """A complete event, with the blank line that ends it.
-
-    Attributes
-    ----------
-    id : str
-        Empty if the event has none.
-    """
+    """A complete event, with the blank line that ends it."""
 
     data: bytes
-    id: str
+
+    @property
+    def id(self) -> str:
+        """The id of the event; empty if it has none."""
+        found = _ID.search(self.data)
+        return found[1].strip().decode("latin-1") if found else ""
 
     @property
     def number(self) -> int | None:
@@ -42,6 +43,22 @@
     return int(event_id)
 
 
+def _event_ends(data: bytearray, start: int) -> Iterator[int]:
+    """Yield the positions after the blank lines that end events."""
+    if b"\r" in data:
+        for found in _EVENT_END.finditer(data, start):
+            yield found.end()
+        return
+    position = data.find(b"\n\n", start)
+    while position >= 0:
+        yield position + 2
+        position = data.find(b"\n\n", position + 2)
+
+
+class EventTooLongError(Exception):
+    """An event is larger than `MAX_EVENT_BYTES`."""
+
+
 class EventSplitter:
     """Holds the bytes of an event back until the event is complete.
 
@@ -69,18 +86,26 @@
         return bool(self._incomplete.strip(LINE_ENDS))
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
-        """Add received bytes; return the events that are now complete."""
+        """Add received bytes; return the events that are now complete.
+
+        Raises
+        ------
+        EventTooLongError
+            The rest of the stream cannot be split.
+        """
         data = self._incomplete
         search_from = max(0, len(data) - _MAX_EVENT_END_BYTES + 1)
         data += chunk
         events, start = [], 0
-        for found in _EVENT_END.finditer(data, search_from):
-            events.append(_event(bytes(data[start : found.end()])))
-            start = found.end()
+        for end in _event_ends(data, search_from):
+            events.append(StreamEvent(bytes(data[start:end])))
+            start = end
         if events:
             del data[:start]
             self.last_event = events[-1]
             self.count += len(events)
+        if len(data) > MAX_EVENT_BYTES:
+            raise EventTooLongError(f"an event of over {MAX_EVENT_BYTES} bytes")
         return events
 
     def truncation(self, framing: Framing) -> str:
@@ -97,8 +122,3 @@
         if framing is Framing.CONNECTION and not self.count:
             return "the connection closed before the first event"
         return ""
-
-
-def _event(data: bytes) -> StreamEvent:
-    found = _ID.search(data)
-    return StreamEvent(data, found[1].strip().decode("latin-1") if found else "")
--- /dev/null
+++ b/src/marjoramstage/transport/overhead.py
@@ -0,0 +1,38 @@
+"""Bounds the bytes of a message that are no part of its body."""
+
+from __future__ import annotations
+
+import asyncio
+
+# Heads, interim responses, chunk lines and trailers of one message.
+MAX_OVERHEAD_BYTES = 65_536
+# Further bytes allowed for each byte of the body, for bodies of small chunks.
+OVERHEAD_BYTES_PER_BODY_BYTE = 2
+# What is received at once, so that one peer does not hold up the event loop.
+RECEIVE_BYTES = 32_768
+
+
+def limit_receive_size(transport: asyncio.BaseTransport) -> None:
+    """Receive at most `RECEIVE_BYTES` at once over a connection."""
+    # asyncio has no option for it; its transports read the size from here.
+    transport.max_size = RECEIVE_BYTES
+
+
+class OverheadMeter:
+    """Counts what a peer sends of one message, body and all else."""
+
+    def __init__(self):
+        self._received_bytes = 0
+
+    def restart(self) -> None:
+        """Begin to count another message."""
+        self._received_bytes = 0
+
+    def add(self, size: int) -> None:
+        """Count received bytes."""
+        self._received_bytes += size
+
+    def exceeded(self, body_bytes: int) -> bool:
+        """Whether too many of the bytes so far are no part of the body."""
+        allowed = MAX_OVERHEAD_BYTES + OVERHEAD_BYTES_PER_BODY_BYTE * body_bytes
+        return self._received_bytes - body_bytes > allowed
--- a/src/marjoramstage/transport/platform.py
+++ b/src/marjoramstage/transport/platform.py
@@ -19,6 +19,7 @@
     WatchEvent,
     WatchType,
 )
+from marjoramstage.transport.response_body import ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 
 CALL_TIMEOUT_S = 10.0
@@ -151,9 +152,10 @@
                 timeout=timeout,
                 middlewares=(send_once,),
             ) as resp:
+                payload = await ResponseBody(resp).read()
                 if resp.status >= 300:
-                    return Err(_refusal(method, resp.status, await resp.read()))
-                return Ok(await resp.json(content_type=None))
+                    return Err(_refusal(method, resp.status, payload))
+                return Ok(json.loads(payload))
         except aiohttp.ClientConnectorError as exc:
             error = PlatformError(PlatformFault.UNAVAILABLE, Verdict.NOT_RUN, str(exc))
             return Err(error)
--- a/src/marjoramstage/transport/response_body.py
+++ b/src/marjoramstage/transport/response_body.py
@@ -9,6 +9,13 @@
 from marjoramstage.transport.client_connection import ClientConnection, ConnectionEnd
 from marjoramstage.transport.framing import Framing, response_framing
 
+# What is read of one body at most, unless a reader sets a lower limit.
+MAX_BODY_BYTES = 67_108_864
+
+
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """A body is larger than its reader allows."""
+
 
 class TruncatedBodyError(aiohttp.ClientPayloadError):
     """The connection broke in a body that only its connection ends."""
@@ -17,6 +24,11 @@
 class ResponseBody:
     """The body of a response that came over a `ClientConnection`.
 
+    Parameters
+    ----------
+    max_bytes : int
+        Size above which the body is refused and its connection closed.
+
     Attributes
     ----------
     framing : Framing
@@ -25,8 +37,9 @@
         Size of what was read so far.
     """
 
-    def __init__(self, resp: aiohttp.ClientResponse):
+    def __init__(self, resp: aiohttp.ClientResponse, max_bytes: int = MAX_BODY_BYTES):
         self._resp = resp
+        self._max_bytes = max_bytes
         # resp.connection is None once the connection is back in the pool, so the
         # protocol, which records its end, is taken from the private attribute.
         self._conn: ClientConnection = resp._protocol
@@ -44,10 +57,13 @@
         Raises
         ------
         aiohttp.ClientError, TimeoutError, OSError
-            The body was truncated.
+            The body was truncated or is too large.
         """
         async for chunk in self._resp.content.iter_any():
             self.received_bytes += len(chunk)
+            if self.received_bytes > self._max_bytes:
+                self._resp.close()
+                raise BodyTooLargeError(f"a body of over {self._max_bytes} bytes")
             yield chunk
         ended = self._conn.end is ConnectionEnd.CLOSED
         if self.framing is Framing.CONNECTION and not ended:
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -16,7 +16,7 @@
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
 from marjoramstage.transport.framing import Framing
-from marjoramstage.transport.response_body import ResponseBody
+from marjoramstage.transport.response_body import MAX_BODY_BYTES, ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 from marjoramstage.transport.sockets import create_client_socket
 
@@ -61,12 +61,20 @@
     new_connection: bool = False
 
 
+@dataclass(frozen=True)
+class TargetReply:
+    """The complete response to a control call."""
+
+    status: int
+    body: bytes
+
+
 class TargetResponse:
     """The response of a target: status and headers, then its body."""
 
-    def __init__(self, resp: aiohttp.ClientResponse):
+    def __init__(self, resp: aiohttp.ClientResponse, max_bytes: int):
         self._resp = resp
-        self._body = ResponseBody(resp)
+        self._body = ResponseBody(resp, max_bytes)
 
     @property
     def status(self) -> int:
@@ -104,23 +112,19 @@
         Raises
         ------
         TargetError
-            The body was truncated.
+            The body was truncated or is too large.
         """
         try:
             async for chunk in self._body.iter_chunks():
                 yield chunk
         except _CONNECTION_ERRORS as exc:
             raise TargetError(
-                f"response body truncated: {type(exc).__name__}",
+                f"response body not read: {type(exc).__name__}",
                 Verdict.MAY_HAVE_RUN,
                 self.status,
                 BROKEN,
             ) from exc
 
-    async def read(self) -> bytes:
-        """Read the whole body; raises the same errors as `iter_chunks`."""
-        return b"".join([chunk async for chunk in self.iter_chunks()])
-
     def close(self) -> None:
         """Close the connection, unless the body was read to its end."""
         self._resp.close()
@@ -138,9 +142,31 @@
         await self._pooled.close()
         await self._fresh.close()
 
-    async def send(self, request: TargetRequest) -> TargetResponse:
+    async def fetch(self, request: TargetRequest, max_bytes: int) -> TargetReply:
+        """Send a control call; return its response with the whole body.
+
+        Raises
+        ------
+        TargetError
+            As for `send`, or the body was truncated or larger than ``max_bytes``.
+        """
+        answer = await self.send(request, max_bytes)
+        try:
+            body = b"".join([chunk async for chunk in answer.iter_chunks()])
+        finally:
+            answer.close()
+        return TargetReply(answer.status, body)
+
+    async def send(
+        self, request: TargetRequest, max_bytes: int = MAX_BODY_BYTES
+    ) -> TargetResponse:
         """Send a request; return once the response headers have arrived.
 
+        Parameters
+        ----------
+        max_bytes : int
+            Size above which the body of the response is refused.
+
         Raises
         ------
         TargetError
@@ -169,7 +195,7 @@
                 None,
                 BROKEN,
             ) from exc
-        return TargetResponse(resp)
+        return TargetResponse(resp, max_bytes)
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
--- a/src/marjoramstage/transport/targets.py
+++ b/src/marjoramstage/transport/targets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import aiohttp
 
 from marjoramstage.protocol.messages import (
@@ -16,9 +18,11 @@
     UpstreamClient,
     UpstreamResponse,
 )
+from marjoramstage.transport.response_body import ResponseBody
 
 REPORT_TIMEOUT_S = 2.0
 CANCEL_TIMEOUT_S = 2.0
+MAX_REPORT_BYTES = 4_194_304
 
 __all__ = ["TargetCall", "TargetControlClient", "UpstreamClient", "UpstreamResponse"]
 
@@ -48,7 +52,8 @@
             ) as resp:
                 if resp.status != 200:
                     return None
-                return report_from_data(await resp.json())
+                body = ResponseBody(resp, MAX_REPORT_BYTES)
+                return report_from_data(json.loads(await body.read()))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
         except (ValueError, KeyError, TypeError):
