Bound reports of targets and answers to orders

Both calls now go through one `fetch`, which reads 1 MB of a report and 64 kB of an answer to an order at most and always closes what it did not read to the end. Test: endless_bytes, reports of an engine without end; failed before.

--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -55,6 +55,8 @@
 # With more instances than this, they don't announce every prompt to each other.
 MAX_BROADCAST_PEERS = 24
 ORDER_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 1_048_576
+MAX_ORDER_ANSWER_BYTES = 65_536
 
 
 def seconds_since_boot() -> float:
@@ -373,8 +375,7 @@
         )
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                answer = await self._target_client.send(call)
-                body = await answer.read()
+                reply = await self._target_client.fetch(call, MAX_REPORT_BYTES)
         except (TargetError, TimeoutError) as exc:
             self._state.events.event(
                 "report request failed",
@@ -382,9 +383,9 @@
                 reason=str(exc) or "timeout",
             )
             return None
-        if answer.status != 200:
+        if reply.status != 200:
             return None
-        report = platform.decode_report(body)
+        report = platform.decode_report(reply.body)
         if isinstance(report, Err):
             self._state.events.event(
                 "invalid report", target=target.name, reason=report.err_value
@@ -433,14 +434,13 @@
         )
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                answer = await self._target_client.send(call)
-                await answer.read()
+                reply = await self._target_client.fetch(call, MAX_ORDER_ANSWER_BYTES)
         except TargetError as exc:
             not_run = exc.verdict is Verdict.NOT_RUN
             return OrderAnswer.NOT_SENT if not_run else OrderAnswer.UNKNOWN
         except TimeoutError:
             return OrderAnswer.UNKNOWN
-        return platform.decode_order_answer(answer.status)
+        return platform.decode_order_answer(reply.status)
 
     # Views
 
