Bound what is read of an answer of the store

A read has no time limit while bytes come, so that slow links are served; so its size is bounded now, by 8 MB, and the store is asked again only 1 s after such an answer. A watch whose answer is larger is taken as an expired history: the objects are listed instead.

--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -27,6 +27,7 @@
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
 from marjoramstage.state.node_settings import NodeSettings
+from marjoramstage.transport.client_connection import client_connector
 from marjoramstage.transport.sockets import create_client_socket
 from marjoramstage.transport.target_client import TargetClient
 
@@ -77,7 +78,7 @@
             loop.add_signal_handler(signum, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         self._target_client = TargetClient()
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=create_client_socket)
+        connector = client_connector(socket_factory=create_client_socket)
         self._session = aiohttp.ClientSession(connector=connector)
         store = platform.ObjectStore(self._session, settings.platform_address)
         self._handler = CallerHandler(self._state, self._target_client, self._metrics)
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
@@ -20,6 +21,8 @@
     WatchEvent,
     WatchType,
 )
+from marjoramstage.transport.client_connection import UnexpectedBytesError
+from marjoramstage.transport.response_body import BodyTooLargeError, ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 
 # Time in which a write has to be answered, and in which a read has to get its next
@@ -28,6 +31,10 @@
 # A store that was silent never answers a call of that time, and its connection
 # stays up; so a watch is asked for again after a short wait.
 WATCH_WAIT_S = 1.5
+# What is read of one answer at most. A page of a list is far smaller.
+MAX_ANSWER_BYTES = 8_388_608
+# Time until the next call after an answer without an end.
+OVERSIZE_PAUSE_S = 1.0
 # The answer to a watch may start this much later than the wait that it asks for.
 WATCH_SLACK_S = 1.0
 
@@ -174,12 +181,15 @@
                 timeout=timeout,
                 middlewares=(send_once,),
             ) as resp:
-                payload = await resp.read()
+                payload = await ResponseBody(resp, MAX_ANSWER_BYTES).read()
                 if resp.status >= 300:
                     return Err(_refusal(method, resp.status, payload))
                 return Ok(json.loads(payload) if payload else None)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             return Err(_unavailable(Verdict.NOT_RUN, exc))
+        except (BodyTooLargeError, UnexpectedBytesError) as exc:
+            await asyncio.sleep(OVERSIZE_PAUSE_S)
+            return Err(_oversize(method, idle_timeout_s is not None, exc))
         except _CALL_ERRORS as exc:
             verdict = Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN
             return Err(_unavailable(verdict, exc))
@@ -190,6 +200,17 @@
     return PlatformError(PlatformFault.UNAVAILABLE, verdict, text)
 
 
+def _oversize(method: str, is_watch: bool, exc: Exception) -> PlatformError:
+    """Return the error for an answer that was not read to its end.
+
+    The changes since a version may be too many; then the objects can be listed.
+    """
+    if is_watch and isinstance(exc, BodyTooLargeError):
+        return PlatformError(PlatformFault.EXPIRED, Verdict.NOT_RUN, str(exc))
+    verdict = Verdict.NOT_RUN if method == "GET" else Verdict.MAY_HAVE_RUN
+    return _unavailable(verdict, exc)
+
+
 def _refusal(method: str, status: int, payload: bytes) -> PlatformError:
     fault = _FAULT_BY_STATUS.get(status, PlatformFault.UNAVAILABLE)
     no_effect = method == "GET" or status in _NO_EFFECT_STATUSES
