Bound what is read of a request

Connections of both interfaces, and of the ports for probes and metrics, now end after 64 kB and twice the body of what is no body, and after 64 MB of a body.

--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -28,6 +28,7 @@
 from marjoramstage.exceptions import ConfigError
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.transport.client_connection import client_connector
+from marjoramstage.transport.server_connection import BoundedServer
 from marjoramstage.transport.sockets import create_client_socket
 from marjoramstage.transport.target_client import TargetClient
 
@@ -116,7 +117,7 @@
 
     async def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
         settings = self._state.settings
-        self._caller_server = web.Server(
+        self._caller_server = BoundedServer(
             self._handler.handle,
             handler_cancellation=True,
             request_factory=self._make_request,
@@ -125,7 +126,7 @@
             max_field_size=MAX_HEAD_BYTES,
             access_log=None,
         )
-        self._probe_server = web.Server(self._handle_probe, access_log=None)
+        self._probe_server = BoundedServer(self._handle_probe, access_log=None)
         host, port = split_address(settings.callers_address)
         self._caller_listener = await loop.create_server(
             self._caller_server, host, port, backlog=BACKLOG
--- a/src/marjoramstage/transport/_server.py
+++ b/src/marjoramstage/transport/_server.py
@@ -14,6 +14,7 @@
 from marjoramstage.exceptions import ConfigError, RequestError, Verdict
 from marjoramstage.settings import Tls
 from marjoramstage.transport._errors import error_response
+from marjoramstage.transport.server_connection import ServerConnection
 
 SHUTDOWN_TIMEOUT_S = 1.0
 
@@ -147,7 +148,7 @@
         return handler
 
 
-class _Connection(RequestHandler):
+class _Connection(ServerConnection):
     """One connection; unlike aiohttp's, it logs nothing that a caller sent."""
 
     head_timeout_s: float
--- /dev/null
+++ b/src/marjoramstage/transport/server_connection.py
@@ -0,0 +1,57 @@
+"""A server's connection that bounds what its peer may send."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import StreamReader, web
+from aiohttp.web_protocol import RequestHandler
+
+from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
+
+# What is read of one body, also of one that was refused as too large: the peer may
+# read its answer only after it has sent all of the body.
+MAX_BODY_BYTES = 67_108_864
+
+
+class ServerConnection(RequestHandler):
+    """Ends connections over which bytes without end come.
+
+    aiohttp bounds single lines of a head, but not chunk lines, and reads the
+    rest of a body that was refused for some seconds, however much comes.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self._meter = OverheadMeter()
+        self._newest_body: StreamReader | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set up a connection that was made."""
+        super().connection_made(transport)
+        limit_receive_size(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on received bytes unless there are too many."""
+        requests_before = self._request_count
+        self._meter.add(len(data))
+        super().data_received(data)
+        if self._request_count != requests_before:
+            self._newest_body = self._messages[-1][1]
+            self._meter.restart()
+        # While reading is paused, bytes of a body may not be parsed yet.
+        if self._reading_paused or self._buffer_paused:
+            return
+        body = self._newest_body
+        body_bytes = body.total_bytes if body is not None else 0
+        if self._meter.exceeded(body_bytes) or body_bytes > MAX_BODY_BYTES:
+            self.force_close()
+
+
+class BoundedServer(web.Server):
+    """A server whose connections are `ServerConnection`."""
+
+    def __call__(self) -> RequestHandler:
+        """Return the connection for a socket that was accepted; called by asyncio."""
+        return ServerConnection(self, loop=self._loop, **self._kwargs)
