--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -4,10 +4,8 @@
   taken of a body at most, with the buffers of the sockets; 10 MB is taken of bytes
   that are no body.
 
-  Background:
-    Given an instance with a target whose answers have no end
-
   Scenario: answers of targets
+    Given an instance with a target whose answers have no end
     When 2 requests at once get each kind of endless answer
       | kind                   | path     | most MB |
       | status line            | /once/x  | 10      |
@@ -32,6 +30,7 @@
     And the instance never took more than 300 MB of memory and still serves
 
   Scenario: requests of callers
+    Given an instance with a target whose answers have no end
     When 4 callers at once send each kind of endless request
       | kind            | most MB |
       | request line    | 10      |
@@ -47,11 +46,13 @@
     And the instance never took more than 300 MB of memory and still serves
 
   Scenario: bytes at the other ports of an instance
+    Given an instance with a target whose answers have no end
     When endless bytes of kind no request are sent to its ports for probes, metrics and peers
     Then no more of each was taken and its connections are closed
     And the instance never took more than 300 MB of memory and still serves
 
   Scenario Outline: answers of the store without end of <kind>
+    Given an instance with a target whose answers have no end
     When the store sends an endless <kind> for 4 s
     Then the instance took at most <most> MB from the store and serves on
 
@@ -63,5 +64,21 @@
       | chunk extension   | 100  |
 
   Scenario: reports of an engine without end
+    Given an instance with a target whose answers have no end
     When an engine joins whose reports have no end
     Then the instance took at most 100 MB in reports within 4 s and still serves
+
+  Scenario: answers on the product's own interface
+    When 2 requests at once get each kind of endless answer on the product's interface
+      | kind               | request | most MB |
+      | header lines       | booking | 10      |
+      | interim responses  | booking | 10      |
+      | body               | booking | 80      |
+      | body               | keyed   | 30      |
+      | chunks             | booking | 80      |
+      | chunk extension    | booking | 10      |
+      | trailers           | booking | 10      |
+      | event              | stream  | 10      |
+      | lines of an event  | stream  | 10      |
+      | chunk extension    | stream  | 10      |
+    Then no more of each was taken and its connections are closed
--- a/features/endless_bytes.py
+++ b/features/endless_bytes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from features.framed_answers import read_request
+from features.request_faults import FaultScript, ScriptedTarget
 
 # Ends a run in which nothing stops the sender.
 MAX_SENT_BYTES = 400_000_000
@@ -98,6 +99,20 @@
             self.open -= 1
 
 
+class EndlessProductTarget(ScriptedTarget):
+    """A target of the product's own interface whose answers have no end."""
+
+    def __init__(self, kind, endless):
+        super().__init__(kind, FaultScript())
+        self._endless = endless
+        self.sent = 0
+
+    async def _connection(self, reader, writer):
+        await read_request(reader)
+        sent = await send_endless(writer, self._endless)
+        self.sent += sent
+
+
 async def call_with_endless_request(address, kind):
     """Send a request without end; return how many bytes were taken."""
     host, port = address.split(":")
--- a/features/request_faults.py
+++ b/features/request_faults.py
@@ -465,6 +465,7 @@
 
 async def _read(session, method, address, path, headers, data, got):
     payload = None if method == "GET" else json.dumps(data).encode()
+    blocks = []
     try:
         async with session.request(
             method,
@@ -476,10 +477,12 @@
             got.status, got.headers = resp.status, dict(resp.headers)
             got.verdict = resp.headers.get("X-Verdict", "")
             async for block in resp.content.iter_any():
-                got.body += block
+                blocks.append(block)
             got.whole = True
     except (aiohttp.ClientError, ConnectionResetError):
         pass
+    finally:
+        got.body = b"".join(blocks)
 
 
 async def _send_once(req, handler):
--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -1,6 +1,7 @@
 """Steps for bytes without end."""
 
 import asyncio
+import logging
 import os
 import threading
 import time
@@ -9,6 +10,8 @@
 from behave import given, then, when
 
 from features.endless_bytes import (
+    ANSWERS,
+    EndlessProductTarget,
     EndlessStore,
     EndlessTarget,
     call_with_endless_request,
@@ -25,6 +28,7 @@
     start_target,
 )
 from features.processes import wait_for
+from features.request_faults import FaultCell, FaultScript, send_request
 
 MB = 1_000_000
 STREAM_ROUTE = "/chat/"
@@ -191,3 +195,37 @@
     print(f"{taken:.0f} MB, peak {peak:.0f} MB, {used_s:.1f} s of processor time")
     assert context.engine.sent or context.engine.open
     assert taken <= most and peak <= 300, (taken, peak)
+
+
+@when(
+    "{count:d} requests at once get each kind of endless answer on the product's "
+    "interface"
+)
+def get_product_answers(context, count):
+    context.most, context.sent, context.count = {}, Counter(), 1
+    logging.disable(logging.CRITICAL)
+    try:
+        for row in context.table:
+            name = f"{row['kind']} to a {row['request']}"
+            context.most[name] = int(row["most MB"])
+            sent = asyncio.run(run_product_cell(row["kind"], row["request"], count))
+            context.sent[name] = sent
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+async def run_product_cell(kind, request, count):
+    """Return the bytes taken of each answer to requests at one instance."""
+    cell = FaultCell(request, FaultScript())
+    target = EndlessProductTarget(cell.targets[0].kind, ANSWERS[kind])
+    cell.targets = [target]
+    async with cell:
+        address = cell.instances[0].address
+        calls = [
+            send_request(address, request, key=f"k{n}" if request == "keyed" else "")
+            for n in range(count)
+        ]
+        received = await asyncio.gather(*calls)
+        assert all(got.status in (200, 502) for got in received), received
+        assert not any(got.whole and got.status == 200 for got in received), received
+    return target.sent / target.connections
--- a/src/marjoramstage/transport/relay.py
+++ b/src/marjoramstage/transport/relay.py
@@ -47,6 +47,8 @@
 log = component_logger("relay")
 
 DEADLINE_GRACE_S = 5.0
+# An answer under a claim is held whole, as it has to be recorded.
+MAX_CLAIMED_BYTES = 16_777_216
 
 __all__ = ["Claim", "ClaimStore", "Relay", "Router", "UsageRecorder"]
 
@@ -314,9 +316,13 @@
                     continue
                 chunks.append(chunk)
                 size += len(chunk)
-                if size > MAX_BUFFERED_BYTES and claim is None:
-                    await caller.start(upstream.status, upstream.content_type)
-                    await caller.write(b"".join(chunks))
+                if size <= MAX_BUFFERED_BYTES:
+                    continue
+                if claim is not None:
+                    _check_claimed_size(size)
+                    continue
+                await caller.start(upstream.status, upstream.content_type)
+                await caller.write(b"".join(chunks))
         except TargetError:
             if caller.started:
                 caller.abort()
@@ -351,6 +357,16 @@
     """The attempt was preempted: more urgent work needs its slot."""
 
 
+def _check_claimed_size(size: int) -> None:
+    """Raise if the answer to a request with a claim is too large to hold."""
+    if size > MAX_CLAIMED_BYTES:
+        raise TargetError(
+            f"an answer of over {MAX_CLAIMED_BYTES} bytes to a request with a key",
+            Verdict.MAY_HAVE_RUN,
+            reason=AttemptReason.BROKEN,
+        )
+
+
 def _lost_response(exc: TargetError) -> RequestError:
     """Return the error for a request whose attempt may have run."""
     if exc.reason == AttemptReason.DEADLINE:
