--- a/src/marjoramstage/standins/_register.py
+++ b/src/marjoramstage/standins/_register.py
@@ -4,10 +4,9 @@
 
 from collections.abc import Iterable
 
-import aiohttp
-
 from marjoramstage.protocol.messages import Target
 from marjoramstage.state.targets import slice_of_target
+from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.platform import PlatformClient
 
 
@@ -21,7 +20,7 @@
     address : str
         ``ip:port`` of the platform's API.
     """
-    async with aiohttp.ClientSession() as session:
+    async with client_session() as session:
         platform = PlatformClient(session, address, namespace)
         for target in targets:
             await platform.create(slice_of_target(target))
