Answer callers of HTTP/1.0, and bodies that break off

Tests: answer_framing, streams over HTTP/1.0 and a body that breaks off; both failed before (500; no answer). entry_path passed.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -78,6 +78,18 @@
       | begins from the start          | sound  | from the start |
       | cannot know where to go on     | no ids | no ids         |
 
+  Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
+    Then each of these answers to /stream/ over HTTP/1.0 is received as stated
+      | framing                 | ends                                 | received  |
+      | length, chunks, neither | complete                             | whole     |
+      | length, chunks, neither | reset, reset inside, closed inside   | truncated |
+
+  Scenario: a request whose body breaks off is refused and sent to no target
+    When a caller sends a chunk that is none, after its head was read
+    Then the caller gets 400 and no target ran the request
+    When a caller sends a part of a chunk and then nothing
+    Then the caller gets 408 and no target ran the request
+
   Scenario: answers of the product's own interface
     Then each of these stream answers to a stream is received as stated
       | framing                 | ends                                  | received |
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -28,6 +28,7 @@
 SERVICE = "plain"
 SPLIT = (ServiceWeight(SERVICE, 1.0),)
 TIMEOUT_S = 5.0
+PART_PAUSE_S = 0.1
 
 ROUTES = (
     Route("once", HOST, "/once/", SPLIT, timeout_s=TIMEOUT_S),
@@ -121,3 +122,25 @@
         except (aiohttp.ClientError, TimeoutError):
             pass
         return received
+
+    async def send_raw(self, parts):
+        """Send bytes as a caller, with a pause between parts."""
+        host, port = self._base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(PART_PAUSE_S)
+        received, data = Received(whole=True), b""
+        try:
+            async with asyncio.timeout(2 * TIMEOUT_S):
+                while block := await reader.read(65_536):
+                    data += block
+                    if data.startswith(b"HTTP/1.1 4"):
+                        break
+        except (ConnectionResetError, TimeoutError):
+            received.whole = False
+        writer.close()
+        head, _, received.body = data.partition(b"\r\n\r\n")
+        if head:
+            received.status = int(head.split(b" ")[1])
+        return received
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -4,9 +4,9 @@
 import itertools
 import logging
 
-from behave import then
+from behave import then, when
 
-from features.entry_caller import EntryInstance
+from features.entry_caller import HOST, EntryInstance
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
@@ -63,6 +63,60 @@
     check_table(context.table, path, (BREAK,))
 
 
+@then("each of these answers to {path} over HTTP/1.0 is received as stated")
+def check_old_http(context, path):
+    check_problems(
+        problems_of(
+            run_old_http_cell(path, script, received)
+            for script, received in scripted_cells(context.table)
+        )
+    )
+
+
+async def run_old_http_cell(path, script, expected):
+    async with EntryInstance([FramedTarget(Runs((script,)))]) as instance:
+        received = await instance.send_raw(old_http_request(path))
+    problem = compare(path, received, expected)
+    return f"{path} {script}: {problem}, got {received}" if problem else ""
+
+
+def old_http_request(path):
+    head = f"POST {path}x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: r1\r\n"
+    return [head.encode() + b"Content-Length: 3\r\n\r\nabc"]
+
+
+@when("a caller sends a chunk that is none, after its head was read")
+def send_broken_chunk(context):
+    send_body(context, b"3\r\nabc\r\nzz\r\n")
+
+
+@when("a caller sends a part of a chunk and then nothing")
+def send_part(context):
+    send_body(context, b"3\r\na")
+
+
+def send_body(context, chunks):
+    head = f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n"
+    parts = [head.encode() + b"Transfer-Encoding: chunked\r\n\r\n", chunks]
+
+    async def run():
+        runs = Runs()
+        async with EntryInstance([FramedTarget(runs)]) as instance:
+            return await instance.send_raw(parts), runs
+
+    logging.disable(logging.CRITICAL)
+    try:
+        context.received, context.runs = asyncio.run(run())
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@then("the caller gets {status:d} and no target ran the request")
+def check_refused(context, status):
+    assert context.received.status == status, context.received
+    assert not context.runs.counts, context.runs
+
+
 @then("each of these answers to {path} is received as stated")
 def check_answers(context, path):
     check_table(context.table, path, ())
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
@@ -189,7 +189,10 @@
         resp = web.StreamResponse(
             status=answer.status, reason=answer.reason, headers=headers
         )
-        resp.enable_chunked_encoding()
+        if ctx.req.version >= HttpVersion11:
+            resp.enable_chunked_encoding()
+        else:
+            resp.force_close()
         if self._state.stopping:
             resp.force_close()
         await resp.prepare(ctx.req)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -32,6 +32,7 @@
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Route, RunPolicy
+from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     TargetClient,
     TargetRequest,
@@ -118,16 +119,11 @@
             raise RefusalError(400, "no request id")
         if req.headers.get("Expect", "").lower() == "100-continue":
             await req.writer.write(CONTINUE_RESPONSE)
-        try:
-            body = await req.read()
-        except web.HTTPRequestEntityTooLarge:
-            raise RefusalError(413, "body too large") from None
-        except (web.HTTPException, ValueError, OSError) as exc:
-            raise RefusalError(400, f"body not read: {type(exc).__name__}") from exc
         wait_s = (
             headers.timeout_s if headers.timeout_s is not None else DEFAULT_TIMEOUT_S
         )
         deadline_s = arrived_s + min(wait_s, route.timeout_s)
+        body = await self._read_body(req, deadline_s)
         service = route.service_for(headers.request_id)
         spec = state.table.services.get(service)
         item = headers.item if spec is not None and spec.engine is not None else None
@@ -152,6 +148,29 @@
         ctx.last_event_id = headers.last_event_id
         return ctx
 
+    async def _read_body(self, req: web.BaseRequest, deadline_s: float) -> bytes:
+        """Return the body of a request.
+
+        Raises
+        ------
+        RefusalError
+            It is too large, badly framed or late.
+        """
+        try:
+            async with asyncio.timeout(deadline_s - self._state.clock.now()):
+                return await req.read()
+        except web.HTTPRequestEntityTooLarge:
+            raise RefusalError(413, "body too large") from None
+        except TimeoutError:
+            raise RefusalError(408, "body not read in time") from None
+        except (
+            web.HTTPException,
+            web.RequestPayloadError,
+            ValueError,
+            OSError,
+        ) as exc:
+            raise RefusalError(400, f"body not read: {type(exc).__name__}") from exc
+
     def _criteria(
         self,
         service: str,
@@ -369,9 +388,12 @@
     def _abort(
         self, req: web.BaseRequest, ctx: RequestContext | None
     ) -> web.StreamResponse:
-        """Close the connection so that the caller sees a truncated answer."""
+        """End the connection so that the caller sees a truncated answer."""
+        started = ctx.resp if ctx is not None else None
         if req.transport is not None:
-            req.transport.close()
-        if ctx is not None and ctx.resp is not None:
-            return ctx.resp
-        return web.Response(status=502)
+            if started is not None and not started.chunked:
+                # Nothing but a reset tells such an answer from a complete one.
+                reset_connection(req.transport)
+            else:
+                req.transport.close()
+        return started or web.Response(status=502)
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -38,6 +38,7 @@
         self._meter.add(len(data))
         super().data_received(data)
         if self._request_count != requests_before:
+            self._fail_unfinished_body()
             self._newest_body = self._messages[-1][1]
             self._meter.restart()
         # While reading is paused, bytes of a body may not be parsed yet.
@@ -48,6 +49,19 @@
         if self._meter.exceeded(body_bytes) or body_bytes > MAX_BODY_BYTES:
             self.force_close()
 
+    def _fail_unfinished_body(self) -> None:
+        """Fail a body in which the peer's bytes stopped being HTTP.
+
+        aiohttp queues an error then, but leaves the handler that reads the body
+        waiting for the rest.
+        """
+        body = self._newest_body
+        if body is None or body.is_eof():
+            return
+        body.set_exception(web.RequestPayloadError("the body is badly framed"))
+        body.feed_eof()
+        self.close()
+
 
 class BoundedServer(web.Server):
     """A server whose connections are `ServerConnection`."""
--- a/src/marjoramstage/transport/sockets.py
+++ b/src/marjoramstage/transport/sockets.py
@@ -1,8 +1,10 @@
-"""TCP sockets that detect an unresponsive peer."""
+"""TCP sockets that detect an unresponsive peer, and resets of connections."""
 
 from __future__ import annotations
 
+import asyncio
 import socket
+import struct
 
 USER_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
@@ -31,3 +33,11 @@
     sock.setblocking(False)
     detect_dead_peer(sock)
     return sock
+
+
+def reset_connection(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection, so that its peer does not take it for an orderly end."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
