Go on with a stream at targets of one software version alone

A target's version is decoded once, in the adapter; one that is no text, or of over 128 characters, is unknown. Once an event has been relayed, only targets of the version that wrote it are eligible; an unknown one matches none, and the stream ends truncated. Before the first event any target will do.

Tests: answer_framing, two of four rows failed before; dispatcher, platform_formats.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -78,6 +78,16 @@
       | begins from the start          | sound  | from the start |
       | cannot know where to go on     | no ids | no ids         |
 
+  Scenario Outline: a stream is joined from targets of one software version alone
+    Then a stream that breaks <breaks> with targets of versions <versions> is <received>
+
+    Examples:
+      | breaks                 | versions | received  |
+      | within an event        | v1, v1   | whole     |
+      | within an event        | v1, v2   | truncated |
+      | within an event        | ?, ?     | truncated |
+      | before its first event | v1, v2   | whole     |
+
   Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
     Then each of these answers to /stream/ over HTTP/1.0 is received as stated
       | framing                 | ends                                 | received  |
--- a/features/dispatcher.feature
+++ b/features/dispatcher.feature
@@ -35,6 +35,8 @@
       | every target is full              | none   |
       | t2 and t3 were tried              | t1     |
       | the holder announces m at t3 only | t3     |
+      | it goes on at version v2 of t3    | t3     |
+      | it goes on at an unknown version  | none   |
       | t1 has 4000 prompt tokens to read | t2     |
       | every target has a long prompt to read | none |
       | every target reads and the request was held back long enough | any |
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -1,7 +1,7 @@
 """The callers' side of an instance on the users' platform, in the test's process."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import aiohttp
 
@@ -59,10 +59,17 @@
 
 
 class EntryInstance:
-    """Serves callers with real sockets; routes and targets are given."""
+    """Serves callers with real sockets; routes and targets are given.
 
-    def __init__(self, targets):
+    Parameters
+    ----------
+    software : tuple of str
+        Version of the program that each target runs.
+    """
+
+    def __init__(self, targets, software=("v1", "v1")):
         self._targets = targets
+        self._software = software
 
     async def __aenter__(self):
         settings = NodeSettings(
@@ -82,9 +89,8 @@
         )
         for number, target in enumerate(self._targets):
             await target.start()
-            self.state.put_target(
-                FleetTarget(f"t{number}", 1, SERVICE, target.address, "a", slots=8)
-            )
+            listed = FleetTarget(f"t{number}", 1, SERVICE, target.address, "a", slots=8)
+            self.state.put_target(replace(listed, software=self._software[number]))
         self.metrics = PrometheusMetrics()
         self._client = TargetClient()
         handler = CallerHandler(self.state, self._client, self.metrics)
--- a/features/platform_formats.feature
+++ b/features/platform_formats.feature
@@ -22,7 +22,10 @@
 
     Examples:
       | case                     | field    | value               | result            |
-      | as it is                 | version  | "v1"                | a ready target    |
+      | as it is                 | version  | "v1"                | a ready target of software "v1" |
+      | without a version        | version  | null                | a ready target of software ""   |
+      | with a number as version | version  | 7                   | a ready target of software ""   |
+      | with a long version      | version  | "VVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVVV" | a ready target of software ""   |
       | that drains              | state    | "draining"          | a leaving target  |
       | in an unknown state      | state    | "sleepy"            | no target         |
       | without a service        | service  | null                | no target         |
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -129,6 +129,15 @@
     check_problems(problems_of([run_cell(path, (before,), script, "truncated")]))
 
 
+@then("a stream that breaks {breaks} with targets of versions {versions} is {received}")
+def check_versions(context, breaks, versions, received):
+    software = tuple(versions.replace("?", "").split(", "))
+    end = "closed inside" if breaks == "within an event" else "empty"
+    script = AnswerScript("neither", end)
+    cell = run_cell("/resumable-stream/", (), script, received, software)
+    check_problems(problems_of([cell]))
+
+
 def check_table(table, path, before):
     check_problems(run_rows(table, path, before))
 
@@ -154,10 +163,10 @@
     return [problem for problem in await asyncio.gather(*cells) if problem]
 
 
-async def run_cell(path, before, script, expected):
+async def run_cell(path, before, script, expected, software=("v1", "v1")):
     runs = Runs((*before, script))
     targets = [FramedTarget(runs), FramedTarget(runs)]
-    async with EntryInstance(targets) as instance:
+    async with EntryInstance(targets, software) as instance:
         received = await instance.send(path + "x")
     problem = compare(path, received, expected)
     return f"{path} {script}: {problem}, got {received}" if problem else ""
--- a/features/steps/dispatcher.py
+++ b/features/steps/dispatcher.py
@@ -76,6 +76,7 @@
         RunningRequests(),
     )
     context.health, context.tried = TargetHealth(), frozenset()
+    context.software = None
     context.prefill_backlog, context.pacing_deadline_s = PrefillBacklog(), NOW_S + 0.4
 
 
@@ -96,6 +97,17 @@
     context.servable_items.update("t2", 1, frozenset())
 
 
+@when("it goes on at version v2 of t3")
+def change_version(context):
+    _replace(context, "t3", software="v2")
+    context.software = "v2"
+
+
+@when("it goes on at an unknown version")
+def forget_version(context):
+    context.software = ""
+
+
 @when("t1 and t2 could not be reached")
 def cut_two(context):
     for name in ("t1", "t2"):
@@ -171,7 +183,13 @@
     )
     for _ in range(20):
         criteria = TargetCriteria(
-            "s", MODEL, context.tried, 3000, 0.25, context.pacing_deadline_s
+            "s",
+            MODEL,
+            context.tried,
+            3000,
+            0.25,
+            context.pacing_deadline_s,
+            context.software,
         )
         found = dispatcher.choose(criteria, context.targets.values(), NOW_S)
         name = found.name if found else "none"
--- a/features/steps/platform_formats.py
+++ b/features/steps/platform_formats.py
@@ -139,6 +139,9 @@
         assert isinstance(found, Err) and found.err_value, found
         return
     target = found.ok_value
+    if " of software " in result:
+        software = json.loads(result.partition(" of software ")[2])
+        assert target.software == software, target
     assert target.leaving == (result == "a leaving target"), target
     assert target.name == "i-1" and target.order_count == 4, target
 
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -220,6 +220,9 @@
         not_run = exc.verdict is Verdict.NOT_RUN
         ctx.possible_runs += 0 if not_run else 1
         ctx.criteria = replace(ctx.criteria, tried=frozenset(ctx.tried))
+        if ctx.first_event_s is not None and ctx.criteria.software is None:
+            # What two versions of a target's program write doesn't fit together.
+            ctx.criteria = replace(ctx.criteria, software=target.software)
         self._log.attempt_failed(ctx, target, exc)
         may_retry = not_run or (
             ctx.route.run_policy is RunPolicy.REPEATABLE
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -45,6 +45,9 @@
     pacing_deadline_s : float
         Until then, a target that is reading other prompts is passed over if one
         more would pause its streams for too long.
+    software : str or None
+        Version of the program that has to serve it; None for any. An empty one is
+        unknown and matches no target.
     """
 
     service: str
@@ -53,6 +56,7 @@
     tokens: int = 0
     pause_s: float = 0.0
     pacing_deadline_s: float = 0.0
+    software: str | None = None
 
 
 class ServableItems:
@@ -136,6 +140,11 @@
         return self._local_by_target[target] + self._running_elsewhere.get(target, 0)
 
 
+def _runs(target: FleetTarget, software: str | None) -> bool:
+    """Whether a target runs a version of the program."""
+    return software is None or (software != "" and target.software == software)
+
+
 class Dispatcher:
     """Chooses targets for the requests of one instance.
 
@@ -171,6 +180,8 @@
                 continue
             if target.name in criteria.tried:
                 continue
+            if not _runs(target, criteria.software):
+                continue
             if not self._holds(target, criteria.item):
                 continue
             if not self._health.is_reachable(target.name, now_s):
--- a/src/marjoramstage/platform/_targets.py
+++ b/src/marjoramstage/platform/_targets.py
@@ -11,6 +11,7 @@
 
 MS = 0.001
 STATES = ("ready", "draining")
+MAX_SOFTWARE_CHARS = 128
 
 
 def decode_target(name: str, spec: Any) -> Result[FleetTarget, str]:
@@ -44,9 +45,17 @@
         # ``seq`` counts the orders that the target has accepted.
         order_count=_integer(data.get("seq") or 0),
         items=decode_items(models) if models is not None else None,
+        software=_software(data.get("version")),
     )
 
 
+def _software(value: Any) -> str:
+    """Return the version of a target's program; empty if it is none."""
+    if not isinstance(value, str) or len(value) > MAX_SOFTWARE_CHARS:
+        return ""
+    return value
+
+
 def decode_items(models: Any) -> frozenset[Item]:
     """Return the models and adapters in a target's list of what it holds."""
     items = set()
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -40,6 +40,8 @@
         Orders that it had accepted when it registered this.
     items : frozenset of Item or None
         Models and adapters that it holds; None for a target without models.
+    software : str
+        Version of the program that it runs, not of its weights; empty if unknown.
     """
 
     name: str
@@ -52,6 +54,7 @@
     leaves_in_s: float | None = None
     order_count: int = 0
     items: frozenset[Item] | None = None
+    software: str = ""
 
 
 @dataclass(frozen=True)
