Follow the era of the store: lists anew, leases taken anew

Before, an instance might hold a lease that the store no longer knew beside another holder, watch from a revision that was given out again and miss changes, and send work to a target whose leaving the copy did not know.

- The adapter reads `Store-Era` from every answer, errors too.
An answer of an earlier era is none; a write or a watch of an earlier era that the restored store answers is none either.
Missing, garbled, falling and far too high values change nothing.
- At a rise both watches list anew; what the list lacks is kept for 2.2 s, as after an outage.
A holder of the lease stops its orders and takes it again.
- Fencing numbers are counted from era x 1,000,000, so that none is given out twice although the record goes back.
A lease names the era in which it was taken; one of an earlier era is never free at once, as a later holder may not know that its lease is lost.
A missing one is free at once only at the system's first start.
- A target that leaves is not used again in that incarnation.
Routes: what is in force stays; the operator writes its versions again.

--- a/features/entry_deployment.py
+++ b/features/entry_deployment.py
@@ -104,6 +104,7 @@
         "listen.front": f"{ip}:8149",
         "listen.ready": f"{ip}:8141",
         "port_range": "7380,7395",
+        "bootstrap": "true",
         "platform.addr": context.store_address,
         "bounds.grace_s": "8",
         "bounds.checks_fence": "true",
--- a/features/lease_machine.py
+++ b/features/lease_machine.py
@@ -154,4 +154,59 @@
     def fences_rise_with_each_holder(self):
         holders = {}
         for fence, name in self.fences:
-            assert holders.setdefault(fence, name) == name, self.fences
+            first = holders.setdefault(fence, name)
+            assert first == name, f"fencing number given out twice: {self.fences}"
+
+
+class RestoredLeaseMachine(LeaseMachine):
+    """The model with a store that is put back to earlier copies of itself.
+
+    An elector learns of it from the first answer of the restored store; as in the
+    adapter, answers of an earlier era change nothing, nor do writes whose era is
+    over by the time of their answer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.copies = [(None, 0)]
+        self.era = 1
+        self.known = dict.fromkeys(NAMES, 0)
+
+    def _carry_out(self, call):
+        name, answer = super()._carry_out(call)
+        self.copies.append((self.store.record, self.store.version))
+        era, asked = self.era, self.known[name]
+
+        def answer_with_era():
+            return self._deliver(name, call, answer, era, asked)
+
+        return name, answer_with_era
+
+    def _deliver(self, name, call, answer, era, asked):
+        elector, now_s = self.electors[name], self.clock(name)
+        known, effects = self.known[name], []
+        if era < known:
+            return elector.on_failed(now_s)
+        self.known[name] = era
+        if known == 0:
+            elector.era = era
+        elif era > known:
+            effects = elector.on_restored(era, now_s)
+        if asked not in (0, era) and isinstance(call.effect, WriteLease):
+            return [*effects, *elector.on_failed(now_s)]
+        return [*effects, *answer()]
+
+    @rule(name=st.sampled_from(NAMES))
+    def restarts(self, name):
+        """Start a new process, which learns the era anew."""
+        super().restarts(name)
+        self.known[name] = 0
+
+    @rule(data=st.data())
+    def store_is_restored(self, data):
+        copy = data.draw(
+            st.integers(max(0, len(self.copies) - 8), len(self.copies) - 1)
+        )
+        self.store.record, self.store.version = self.copies[copy]
+        self.copies.append(self.copies[copy])
+        self.era += 1
--- a/features/leases.feature
+++ b/features/leases.feature
@@ -10,6 +10,20 @@
     When the lease model is checked
     Then the lease model finds two valid holders
 
+  Scenario: lease model holds when the store comes back from a copy
+    When the lease model with a restored store is checked
+    Then the lease model finds one valid holder at most
+
+  Scenario Outline: lease model finds electors that <fault>
+    Given lease electors that <fault>
+    When the lease model with a restored store is checked
+    Then the lease model finds <violation>
+
+    Examples:
+      | fault                                          | violation                        |
+      | take a record of an earlier era for free       | two valid holders                |
+      | count on from the fencing number of the record | a fencing number given out twice |
+
   Scenario Outline: lease validity counts from before the write was sent
     When the answer of a lease write comes <delay> s after it was sent
     Then the lease is valid for <valid> s after the write was sent
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -54,9 +54,16 @@
 
 
 class StandinStore:
-    """Object store: objects by kind and name, a single revision and watches."""
+    """Object store: objects by kind and name, a single revision and watches.
+
+    Attributes
+    ----------
+    era : int
+        Named in each answer; rises when the store is put back to a copy.
+    """
 
     def __init__(self):
+        self.era = 1
         self.objects = {}
         self.events = []
         self.revision = 1
@@ -72,7 +79,23 @@
         self._drop(kind, name)
         await self._notify_watches()
 
+    def copy(self):
+        """Return a copy of the contents."""
+        return dict(self.objects), list(self.events), self.revision
+
+    async def restore(self, contents):
+        """Put the store back to a copy; what was written since is lost."""
+        objects, events, self.revision = contents
+        self.objects, self.events = dict(objects), list(events)
+        self.era += 1
+        await self._notify_watches()
+
     async def handle(self, req):
+        resp = await self._answer(req)
+        resp.headers["Store-Era"] = str(self.era)
+        return resp
+
+    async def _answer(self, req):
         if self.offline:
             req.transport.abort()
             return web.Response(status=503)
@@ -109,6 +132,8 @@
         def found():
             return [e for rev, k, e in self.events if k == kind and rev > since]
 
+        if since > self.revision:
+            return web.Response(status=410)
         async with self._changed:
             try:
                 await asyncio.wait_for(self._changed.wait_for(found), WATCH_S)
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 from result import Err, Ok
 
-from features.lease_machine import SHARD, LeaseMachine, StoredLease
+from features.lease_machine import (
+    SHARD,
+    LeaseMachine,
+    RestoredLeaseMachine,
+    StoredLease,
+)
 from features.model_check import find_violation
 from marjoramstage._instance.lease_runner import LEASE_TICK_S, LeaseRunner
 from marjoramstage._instance.tasks import TaskGroup
@@ -24,6 +29,7 @@
 from marjoramstage.protocol.objects import PlatformError, PlatformFault
 
 EXAMPLES = 150
+RESTORE_EXAMPLES = 200
 EXAMPLES_WITH_A_FAULT = 3000
 STEPS = 60
 
@@ -32,6 +38,24 @@
     return elector.record is not None and elector.state == leases.WATCHING
 
 
+def _wait_without_era(elector, rank):
+    record = elector.record
+    free = record.holder in ("", elector.identity)
+    return rank * elector.timing.stagger_s + (0.0 if free else elector.timing.term_s)
+
+
+RESTORE_FAULTS = {
+    "take a record of an earlier era for free": (
+        LeaseElector,
+        "_takeover_wait_s",
+        _wait_without_era,
+    ),
+    "count on from the fencing number of the record": (
+        leases,
+        "_next_fence",
+        lambda fence, era: fence + 1,
+    ),
+}
 FAULTS = {
     "candidates that do not wait for a term": ("_may_take", _takes_immediately),
 }
@@ -52,12 +76,32 @@
     context.found = find_violation(LeaseMachine, examples, STEPS, asked)
 
 
+@given("lease electors that {fault}")
+def break_electors(context, fault):
+    patch = mock.patch.object(*RESTORE_FAULTS[fault])
+    patch.start()
+    context.add_cleanup(patch.stop)
+    context.examples = EXAMPLES_WITH_A_FAULT
+
+
+@when("the lease model with a restored store is checked")
+def check_restored_model(context):
+    examples = getattr(context, "examples", RESTORE_EXAMPLES)
+    asked = os.environ.get("LEASE_MODEL_EXAMPLES")
+    context.found = find_violation(RestoredLeaseMachine, examples, STEPS, asked)
+
+
 @then("the lease model finds one valid holder at most")
 def check_one(context):
     if context.found is not None:
         raise context.found
 
 
+@then("the lease model finds a fencing number given out twice")
+def check_same_fence(context):
+    assert "given out twice" in str(context.found), context.found
+
+
 @then("the lease model finds two valid holders")
 def check_two(context):
     assert "valid at once" in str(context.found), context.found
--- a/features/steps/many_instances.py
+++ b/features/steps/many_instances.py
@@ -16,6 +16,7 @@
 from marjoramstage.protocol.peers import EntryReport, encode
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import CallerLimits, RouteTable, Service
+from marjoramstage.state.store_era import StoreEra
 
 TICK_S = 0.02
 TARGETS = 64
@@ -69,7 +70,9 @@
         context.sent.append((clock.now_s, view))
 
     context.clock, context.mbps = clock, mbps
-    context.controller = PlacementController(state, None, None, "", send_view)
+    context.controller = PlacementController(
+        state, None, None, "", send_view, StoreEra()
+    )
     for number in range(count):
         context.controller.receive_report(_report(number, 1))
 
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -6,6 +6,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage.clock import Clock
@@ -152,6 +153,9 @@
     def put_target(self, target: FleetTarget) -> None:
         """Add or update a target."""
         before = self.fleet.targets.get(target.name)
+        if before is not None and before.incarnation == target.incarnation:
+            # A restored store may list it as before it announced that it leaves.
+            target = replace(target, leaving=target.leaving or before.leaving)
         self.fleet.put(target)
         if before is None or before.leaving != target.leaving:
             self.events.event(
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -92,6 +92,11 @@
             and self._state.clock.now() >= self.reconnected_s + RECOVERY_SETTLE_S
         )
 
+    def on_store_restored(self, era: int) -> None:
+        """List the objects again; what is missing may still be written again."""
+        self._version = None
+        self.reconnected_s = self._state.clock.now()
+
     async def _sync_once(self) -> PlatformError | None:
         if self._version is None or self._changing:
             return await self._list()
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -35,6 +35,7 @@
 from marjoramstage.protocol.peers import EntryReport, FleetView, HeldItems, encode
 from marjoramstage.state.fleet import FleetTarget, TargetReport
 from marjoramstage.state.routes import Service
+from marjoramstage.state.store_era import StoreEra
 from marjoramstage.transport.target_client import TargetClient, TargetRequest
 
 LEASE_NAME = "placement"
@@ -75,6 +76,8 @@
     ----------
     send_view : callable
         Sends a view to the instance at an address.
+    era : StoreEra
+        Of ``store``.
     """
 
     def __init__(
@@ -84,8 +87,11 @@
         target_client: TargetClient,
         address: str,
         send_view: Callable[[str, FleetView], None],
+        era: StoreEra,
     ):
         self._state = state
+        self._era = era
+        era.on_rise(self._on_store_restored)
         self._store = store
         self._target_client = target_client
         self._send_view = send_view
@@ -99,7 +105,9 @@
             stagger_s=STAGGER_S,
             wait_s=lease_s * FENCED_TAKEOVER_FRACTION if fenced else None,
         )
-        self.elector = LeaseElector(LEASE_NAME, identity, address, timing)
+        self.elector = LeaseElector(
+            LEASE_NAME, identity, address, timing, state.settings.first_start
+        )
         link_bytes_per_s = state.settings.link_bytes_per_s
         number = zlib.crc32(identity.encode())
         self._takeover_rank = takeover_rank(number, link_bytes_per_s)
@@ -253,9 +261,16 @@
         self._broadcast_view(seconds_since_boot(), ended=True)
         self._state.events.event("lease lost", fence=self._fence)
 
+    def _on_store_restored(self, era: int) -> None:
+        """Give up the lease, which the store may have lost, and take it anew."""
+        effects = self.elector.on_restored(era, seconds_since_boot())
+        self._on_displaced("the store was restored")
+        self._apply_effects(effects)
+
     async def _read_lease(self) -> None:
         found = await self._store.get(platform.LEASES, LEASE_NAME)
         now_s = seconds_since_boot()
+        self.elector.era = self._era.current
         match found:
             case Ok(obj):
                 effects = self.elector.on_read(_decode_lease(obj), now_s)
@@ -533,6 +548,7 @@
         renewals=int(spec.get("renewals") or 0),
         version=obj.version,
         address=str(spec.get("address") or ""),
+        era=int(spec.get("era") or 0),
     )
 
 
@@ -542,5 +558,6 @@
         "fence": record.fence,
         "renewals": record.renewals,
         "address": record.address,
+        "era": record.era,
     }
     return PlatformObject(platform.LEASES, LEASE_NAME, spec, record.version)
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -44,6 +44,11 @@
             ("framing", "connection", "inside_event"),
             registry=self.registry,
         )
+        self.store_restores = Counter(
+            "marjoramstage_store_restores",
+            "Times that the platform's store came back from a copy.",
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "marjoramstage_waiting",
             "Requests that wait for a place.",
--- a/src/marjoramstage/coordination/leases.py
+++ b/src/marjoramstage/coordination/leases.py
@@ -20,6 +20,8 @@
 RETRY_READ_S = 1.0
 # The first ranks read the lease as often as the holder renews it, the others rarely.
 FREQUENT_READ_RANKS = 3
+# Fencing numbers of each era of the store; those of a later one are all higher.
+FENCES_PER_ERA = 1_000_000
 INFREQUENT_READ_S = 30.0
 
 WATCHING = "watching"
@@ -80,6 +82,8 @@
         Resource version; empty before the first write.
     address : str
         Address at which the other instances reach the holder; may be empty.
+    era : int
+        Era of the store in which the holder took the lease.
     """
 
     shard: str
@@ -88,6 +92,7 @@
     renewals: int = 0
     version: str = ""
     address: str = ""
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -128,6 +133,9 @@
         Address of this instance, written into the lease for the others.
     timing : LeaseTiming
         Term and intervals.
+    first_start : bool
+        The whole system starts for the first time, so that a missing lease has
+        never been held.
     """
 
     def __init__(
@@ -136,6 +144,7 @@
         identity: str,
         address: str = "",
         timing: LeaseTiming | None = None,
+        first_start: bool = False,
     ):
         self.shard = shard
         self.identity = identity
@@ -143,6 +152,8 @@
         self.timing = timing or LeaseTiming()
         self.until_s = 0.0
         self.record: LeaseRecord | None = None
+        self.era = 0
+        self._first_start = first_start
         self._version_seen_s = 0.0
         self._last_read_s = 0.0
         self._pending_write: LeaseRecord | None = None
@@ -207,6 +218,25 @@
         self._ended_holding = (holder, fence)
         self._next_call_s = 0.0
 
+    def on_restored(self, era: int, now_s: float) -> list[LeaseEffect]:
+        """Process that the store was restored; nothing that was read still holds.
+
+        A holder has to take the lease again before its next order: the store may
+        have lost the write by which it held.
+        """
+        self.era = era
+        self._first_start = False
+        self._pending_write = None
+        self._next_call_s = now_s
+        held = self.state == HOLDING
+        if held:
+            self.displace()
+        if self.state == TAKING:
+            self.miss()
+        if self.state != RELEASED:
+            self.record = None
+        return [LeaseLost(self.shard)] if held else []
+
     def on_read(self, record: LeaseRecord | None, now_s: float) -> list[LeaseEffect]:
         """Process a read record; None if there is no lease yet."""
         self._call_pending = False
@@ -285,9 +315,10 @@
         return LeaseRecord(
             self.shard,
             self.identity,
-            record.fence + 1,
+            _next_fence(record.fence, self.era),
             version=record.version,
             address=self.address,
+            era=self.era,
         )
 
     def _may_take(self, rank: int) -> bool:
@@ -302,6 +333,10 @@
         record = self.record
         ended = (record.holder, record.fence) == self._ended_holding
         free = ended or record.holder in ("", self.identity)
+        never_held = self._first_start and not record.version
+        if record.era < self.era and not never_held:
+            # Whoever held the lease after this record may not know that it is lost.
+            free = False
         timing = self.timing
         wait_s = timing.term_s if timing.wait_s is None else timing.wait_s
         return rank * timing.stagger_s + (0.0 if free else wait_s)
@@ -330,6 +365,15 @@
         return WriteLease(record)
 
 
+def _next_fence(fence: int, era: int) -> int:
+    """Return a fencing number above all that were given out.
+
+    A restored store may name a lower one than was given out before.
+    """
+    count = fence % FENCES_PER_ERA
+    return max(fence, era * FENCES_PER_ERA + count) + 1
+
+
 def _same_write(pending_write: LeaseRecord, found: LeaseRecord) -> bool:
     return (
         pending_write.holder == found.holder
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -27,6 +27,7 @@
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
 from marjoramstage.state.node_settings import NodeSettings
+from marjoramstage.state.store_era import StoreEra
 from marjoramstage.transport.client_connection import client_connector
 from marjoramstage.transport.server_connection import BoundedServer
 from marjoramstage.transport.sockets import create_client_socket
@@ -81,22 +82,32 @@
         self._target_client = TargetClient()
         connector = client_connector(socket_factory=create_client_socket)
         self._session = aiohttp.ClientSession(connector=connector)
-        store = platform.ObjectStore(self._session, settings.platform_address)
+        era = StoreEra()
+        era.on_rise(self._on_store_restored)
+        store = platform.ObjectStore(self._session, settings.platform_address, era)
         self._handler = CallerHandler(self._state, self._target_client, self._metrics)
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         self._peer_link = PeerLink(self._state, address)
         self._controller = PlacementController(
-            self._state, store, self._target_client, address, self._peer_link.send_view
+            self._state,
+            store,
+            self._target_client,
+            address,
+            self._peer_link.send_view,
+            era,
         )
         self._peer_link.set_controller(self._controller)
         await self._listen(loop)
         await self._peer_link.start()
+        routes = watch_routes(store, self._state)
         targets = watch_targets(store, self._state)
+        for watcher in (routes, targets):
+            era.on_rise(watcher.on_store_restored)
         load_monitor = LoadMonitor(
             self._state.clock, self._events, self._metrics, self._peer_link.counters
         )
         for coro in (
-            watch_routes(store, self._state).run(),
+            routes.run(),
             targets.run(),
             drop_missing_targets(targets, self._state),
             self._controller.run(),
@@ -107,6 +118,11 @@
             self._tasks.append(asyncio.create_task(self._run_task(coro)))
         self._events.event("started", data_centre=settings.data_centre)
 
+    def _on_store_restored(self, era: int) -> None:
+        """Record that the store came back from a copy."""
+        self._events.event("store restored", era=era)
+        self._metrics.store_restores.inc()
+
     async def _run_task(self, coro) -> None:
         """Run a background task; log an exception that ends it."""
         try:
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -21,6 +21,7 @@
     WatchEvent,
     WatchType,
 )
+from marjoramstage.state.store_era import EraChange, StoreEra
 from marjoramstage.transport.client_connection import UnexpectedBytesError
 from marjoramstage.transport.response_body import BodyTooLargeError, ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
@@ -38,6 +39,10 @@
 # The answer to a watch may start this much later than the wait that it asks for.
 WATCH_SLACK_S = 1.0
 
+STORE_ERA = "Store-Era"
+MAX_ERA_DIGITS = 9
+RESTORED = "the store was restored meanwhile"
+
 CONFIG = Kind("", "", "config", "config")
 TARGETS = Kind("", "", "servers", "servers")
 LEASES = Kind("", "", "marjoramstage-leases", "lease")
@@ -71,17 +76,21 @@
         HTTP client; not closed by this class.
     address : str
         ``ip:port`` of the store.
+    era : StoreEra, optional
+        Told of the era that each answer names.
     """
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         address: str,
+        era: StoreEra | None = None,
         call_timeout_s: float = CALL_TIMEOUT_S,
         watch_wait_s: float = WATCH_WAIT_S,
     ):
         self._session = session
         self._base = f"http://{address}/api/objects"
+        self._era = era or StoreEra()
         self._call_timeout_s = call_timeout_s
         self._watch_wait_s = watch_wait_s
 
@@ -96,6 +105,7 @@
         """Read all objects of a kind, page by page; ``labels`` are ignored."""
         objects: list[PlatformObject] = []
         after: str | None = None
+        first_era = None
         while True:
             params = {"after": after} if after else {}
             found = await self._call("GET", self._url(kind), params)
@@ -103,6 +113,9 @@
             if isinstance(page, Err):
                 return page
             items, more, revision = page.ok_value
+            if first_era not in (None, self._era.current):
+                return Err(_earlier_era(Verdict.NOT_RUN))
+            first_era = self._era.current
             objects += items
             if not more or not items:
                 return Ok(ObjectList(tuple(objects), revision))
@@ -172,6 +185,8 @@
             sock_connect=CALL_TIMEOUT_S,
             sock_read=idle_timeout_s or self._call_timeout_s,
         )
+        sent_era = self._era.current
+        known_before = self._era.known
         try:
             async with self._session.request(
                 method,
@@ -182,6 +197,13 @@
                 middlewares=(send_once,),
             ) as resp:
                 payload = await ResponseBody(resp, MAX_ANSWER_BYTES).read()
+                change = self._era.observe(_parse_era(resp.headers.get(STORE_ERA)))
+                restored = known_before and self._era.current != sent_era
+                if change is EraChange.STALE or restored:
+                    is_watch = idle_timeout_s is not None
+                    error = _restored(method, is_watch, change is EraChange.STALE)
+                    if error is not None:
+                        return Err(error)
                 if resp.status >= 300:
                     return Err(_refusal(method, resp.status, payload))
                 return Ok(json.loads(payload) if payload else None)
@@ -200,6 +222,29 @@
     return PlatformError(PlatformFault.UNAVAILABLE, verdict, text)
 
 
+def _restored(method: str, is_watch: bool, stale: bool) -> PlatformError | None:
+    """Return the error for an answer to a call that an earlier era was asked.
+
+    A plain read that the restored store has answered holds.
+    """
+    if method != "GET":
+        return _earlier_era(Verdict.MAY_HAVE_RUN)
+    if is_watch and not stale:
+        return PlatformError(PlatformFault.EXPIRED, Verdict.NOT_RUN, RESTORED)
+    return _earlier_era(Verdict.NOT_RUN) if stale else None
+
+
+def _earlier_era(verdict: Verdict) -> PlatformError:
+    return PlatformError(PlatformFault.UNAVAILABLE, verdict, RESTORED)
+
+
+def _parse_era(text: str | None) -> int | None:
+    """Return the era that a header names; None if it is missing or no number."""
+    if text is None or not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+        return None
+    return int(text)
+
+
 def _oversize(method: str, is_watch: bool, exc: Exception) -> PlatformError:
     """Return the error for an answer that was not read to its end.
 
