Go on with a stream that a caller takes up at the version that began it

Platform D, second half of the versions: a caller that took a stream up at another instance, or at the same one, got events of whatever version had room.

Which instance knows where a stream began? Weighed: telling all instances of each stream (a message for each of 60 streams a second to each other instance, whether or not it breaks); letting the request carry it (it carries an id alone); asking when it is needed. Taken: asking. Each instance keeps the versions that began the resumable streams it relayed for 30 s (20,000 at most). A stream that is taken up goes on at the version that this instance knows; else at the only one that the service's targets have run for 30 s; else at the one that another instance tells within 0.15 s. When nobody knows and there are several versions, no target gets the request, and the caller is told 503 and when to come back.

Not done: asking beyond 24 instances (they are not told each other's addresses); a model that lies at targets of another version only; shares and bytes by number of instances. Tests: entry_path, a caller takes a stream up at the other instance (failed before: joined over versions); answer_framing, nine cases.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -88,6 +88,23 @@
       | within an event        | ?, ?     | truncated |
       | before its first event | v1, v2   | whole     |
 
+  Scenario Outline: a caller takes a stream up, and <case>
+    Given targets of versions <versions>, and <known>
+    When a caller that has events 1 to 3 takes the stream up and names <named>
+    Then it gets <received>
+
+    Examples:
+      | case                                  | versions | known                       | named      | received                  |
+      | all targets run one version           | v1, v1   | nobody knows where it began | r0         | events 4 to 6 of any      |
+      | names no request                      | v1, v1   | nobody knows where it began | no request | events 4 to 6 of any      |
+      | this instance began it                | v1, v2   | this instance began it at v2 | r0        | events 4 to 6 of v2       |
+      | another instance began it             | v1, v2   | another began it at v1      | r0         | events 4 to 6 of v1       |
+      | nobody knows where it began           | v1, v2   | nobody knows where it began | r0         | 503 with a time to return |
+      | names no request, of two versions     | v1, v2   | another began it at v1      | no request | 503 with a time to return |
+      | its version is gone                   | v2, v2   | another began it at v1      | r0         | 503 with a time to return |
+      | its version was there until now       | v2, v2   | v1 was there until now      | r0         | 503 with a time to return |
+      | no version is known                   | ?, ?     | nobody knows where it began | r0         | 503 with a time to return |
+
   Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
     Then each of these answers to /stream/ over HTTP/1.0 is received as stated
       | framing                 | ends                                 | received  |
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -65,11 +65,14 @@
     ----------
     software : tuple of str
         Version of the program that each target runs.
+    origins : dict
+        What the other instances know: versions that began streams, by request.
     """
 
-    def __init__(self, targets, software=("v1", "v1")):
+    def __init__(self, targets, software=("v1", "v1"), origins=None):
         self._targets = targets
         self._software = software
+        self._origins = origins or {}
 
     async def __aenter__(self):
         settings = NodeSettings(
@@ -93,7 +96,10 @@
             self.state.put_target(replace(listed, software=self._software[number]))
         self.metrics = PrometheusMetrics()
         self._client = TargetClient()
-        handler = CallerHandler(self.state, self._client, self.metrics)
+        self.asked = []
+        handler = CallerHandler(
+            self.state, self._client, self.metrics, self._tell_origin
+        )
         self._server = BoundedServer(
             handler.handle, handler_cancellation=True, access_log=None
         )
@@ -113,10 +119,15 @@
         for target in self._targets:
             await target.stop()
 
-    async def send(self, path, request_id="r1"):
-        """Send a request as a caller."""
+    async def _tell_origin(self, request_id):
+        self.asked.append(request_id)
+        return self._origins.get(request_id, "")
+
+    async def send(self, path, request_id="r1", **more):
+        """Send a request as a caller, with further headers."""
         received = Received()
         headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "4000"}
+        headers |= {name.replace("_", "-"): text for name, text in more.items()}
         try:
             async with self._session.post(
                 self._base + path, headers=headers, data=b"abc"
--- a/features/entry_path.feature
+++ b/features/entry_path.feature
@@ -42,6 +42,12 @@
     Then each resumable stream has its events 1 to 5 once
     And each other stream is complete or visibly truncated
 
+  Scenario: a caller takes a stream up at the other instance
+    Given engines e1 and e2 hold m1 in the versions v1 and v2 of their software
+    When a caller takes up 6 streams of instance i1 at instance i2, after event 2
+    Then each goes on with events 3 to 5 of the engine whose version began it
+    And an unknown stream that is taken up gets 503 and when to come back
+
   Scenario: bytes that are no request, and a caller that disconnects
     When an instance is sent bytes that are no request
     Then it answers 400 and closes the connection
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -141,7 +141,7 @@
     """A target that answers by the scripts of `Runs`."""
 
     def __init__(self, runs):
-        self._runs = runs
+        self.runs = runs
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -155,7 +155,7 @@
         try:
             _, path, headers = await read_request(reader)
             request_id = headers["request-id"]
-            script = self._runs.next_script(request_id)
+            script = self.runs.next_script(request_id)
             head = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" % request_id.encode()
             blocks = BODY_BLOCKS
             if "stream" in path and script.content != "text":
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -173,6 +173,7 @@
     orders: list = field(default_factory=list)
     seq: int = 0
     born: int = 1
+    software: str = "v1"
     fault: str = ""
     pause_s: float = 0.01
 
@@ -181,7 +182,7 @@
             "service": self.service,
             "addr": f"{self.host}:{self.port}",
             "zone": "a",
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": state,
             "seq": self.seq,
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -4,7 +4,7 @@
 import itertools
 import logging
 
-from behave import then, when
+from behave import given, then, when
 
 from features.entry_caller import HOST, EntryInstance
 from features.framed_answers import (
@@ -26,6 +26,7 @@
     ScriptedTarget,
     chunk,
 )
+from marjoramstage.state.fleet import FleetTarget
 
 ENDS = (
     "complete, then reset",
@@ -138,6 +139,61 @@
     check_problems(problems_of([cell]))
 
 
+@given("targets of versions {versions}, and {known}")
+def make_versions(context, versions, known):
+    context.software = tuple(versions.replace("?", "").split(", "))
+    context.known = known
+
+
+@when("a caller that has events 1 to 3 takes the stream up and names {named}")
+def take_up(context, named):
+    more = {"Last_Event_Id": "3"}
+    if named != "no request":
+        more["Resumes"] = named
+
+    async def run():
+        targets = [FramedTarget(Runs()), FramedTarget(Runs())]
+        told = {"r0": "v1"} if context.known == "another began it at v1" else {}
+        async with EntryInstance(targets, context.software, told) as instance:
+            prepare(instance.state, context.known)
+            received = await instance.send("/resumable-stream/x", **more)
+        ran = [bool(target.runs.counts) for target in targets]
+        return received, ran
+
+    logging.disable(logging.CRITICAL)
+    try:
+        context.received, context.ran = asyncio.run(run())
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def prepare(state, known):
+    """Make an instance know what a row says."""
+    now_s = state.clock.now()
+    if known == "this instance began it at v2":
+        state.stream_origins.record("r0", "v2", now_s)
+    if known == "v1 was there until now":
+        old = FleetTarget("old", 1, "plain", "127.0.0.1:9", "a", 8, software="v1")
+        state.put_target(old)
+        state.remove_target("old", confirmed=True)
+
+
+@then("it gets events 4 to 6 of {software}")
+def check_taken_up(context, software):
+    received = context.received
+    assert received.whole and received.body == b"".join(EVENT_BLOCKS[3:]), received
+    ran_at = {s for s, ran in zip(context.software, context.ran, strict=True) if ran}
+    assert software == "any" or ran_at == {software}, ran_at
+
+
+@then("it gets 503 with a time to return")
+def check_not_taken_up(context):
+    received = context.received
+    assert received.status == 503, received
+    assert float(received.headers["Retry-After"]) > 0, received
+    assert not any(context.ran), context.ran
+
+
 def check_table(table, path, before):
     check_problems(run_rows(table, path, before))
 
--- a/features/steps/entry_path.py
+++ b/features/steps/entry_path.py
@@ -151,6 +151,41 @@
         assert events == list(range(1, len(events) + 1)), answer.body
 
 
+@given("engines e1 and e2 hold m1 in the versions v1 and v2 of their software")
+def run_two_versions(context):
+    target = context.targets["e2"]
+    target.models, target.software = {"m1"}, "v2"
+    target.born += 1
+    put(context, "servers", "e2", target.spec())
+    time.sleep(2)
+
+
+@when("a caller takes up 6 streams of instance i1 at instance i2, after event 2")
+def take_streams_up(context):
+    context.taken_up = []
+    for _ in range(6):
+        first = send(context, "POST", "/night/x", "m1")
+        headers = {"Last-Event-Id": "2", "Resumes": context.ids[-1]}
+        rest = send(context, "POST", "/night/x", "m1", "i2", headers=headers)
+        context.taken_up.append((first, rest))
+
+
+@then("each goes on with events 3 to 5 of the engine whose version began it")
+def check_taken_up(context):
+    for first, rest in context.taken_up:
+        assert _events(rest) == [3, 4, 5], (rest.status, rest.body)
+        engines = [set(re.findall(rb"data: (\w+)", x.body)) for x in (first, rest)]
+        assert engines[0] == engines[1], engines
+
+
+@then("an unknown stream that is taken up gets 503 and when to come back")
+def check_unknown(context):
+    headers = {"Last-Event-Id": "2", "Resumes": "unknown"}
+    answer = send(context, "POST", "/night/x", "m1", "i2", headers=headers)
+    assert answer.status == 503, (answer.status, answer.body)
+    assert float(answer.headers["Retry-After"]) > 0
+
+
 @when("an instance is sent bytes that are no request")
 def send_invalid_bytes(context):
     with socket.create_connection((context.instances["i1"], 8149)) as sock:
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -33,6 +33,8 @@
     NamedDocument,
     PromptsSent,
     Rumour,
+    StreamOriginAsked,
+    StreamOriginTold,
     decode,
     encode,
 )
@@ -275,6 +277,8 @@
         {"i1": 3},
     ),
     PromptsSent("i1", {"t": 800}),
+    StreamOriginAsked("r1", "127.0.0.1:7380"),
+    StreamOriginTold("r1", "v2"),
 )
 
 
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -161,7 +161,11 @@
                 continue
             _check_follows(events[0], ctx.last_event_id)
             await resp.write(b"".join(event.data for event in events))
-            ctx.record_event(events[-1], self._state.clock.now())
+            now_s = self._state.clock.now()
+            if ctx.route.resumable and ctx.first_event_s is None:
+                origins = self._state.stream_origins
+                origins.record(ctx.stream_id, ctx.target_software, now_s)
+            ctx.record_event(events[-1], now_s)
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from aiohttp import web
@@ -18,7 +19,7 @@
     RequestContext,
     TruncatedAnswerError,
 )
-from marjoramstage._entry.request_log import ANSWERED, RequestLog
+from marjoramstage._entry.request_log import ANSWERED, OriginSource, RequestLog
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.coordination.wait_policy import (
     DEFAULT_LIMITS,
@@ -43,6 +44,7 @@
 # For callers that state no deadline.
 DEFAULT_TIMEOUT_S = 30.0
 NOT_READY_RETRY_AFTER_S = 0.5
+UNKNOWN_ORIGIN_RETRY_AFTER_S = 0.5
 STOPPING_RETRY_AFTER_S = 0.05
 # Requests may wait for a model that is loaded within this time of a stop.
 STOPPING_MAX_WAIT_S = 1.0
@@ -52,16 +54,25 @@
 
 
 class CallerHandler:
-    """Handler of callers' requests."""
+    """Handler of callers' requests.
+
+    Parameters
+    ----------
+    ask_stream_origin : callable
+        Asks the other instances which version of a target's program began a stream;
+        gives an empty text if none knows.
+    """
 
     def __init__(
         self,
         state: InstanceState,
         target_client: TargetClient,
         metrics: PrometheusMetrics,
+        ask_stream_origin: Callable[[str], Awaitable[str]],
     ):
         self._state = state
         self._target_client = target_client
+        self._ask_stream_origin = ask_stream_origin
         self._log = RequestLog(state, metrics)
         self._relay = AnswerRelay(state, self._log)
         self._wait_policy = WaitPolicy()
@@ -85,6 +96,8 @@
         outcome = "cancelled"
         try:
             ctx = await self._build_context(req, arrived_s)
+            if ctx.takes_stream_up:
+                await self._choose_software(ctx)
             resp = await self._run_attempts(ctx)
             outcome = ANSWERED
         except RefusalError as exc:
@@ -189,6 +202,41 @@
             pacing_deadline_s=arrived_s + PACING_FRACTION * route.latency_goal_s,
         )
 
+    async def _choose_software(self, ctx: RequestContext) -> None:
+        """Restrict a stream that is taken up to the version that began it.
+
+        Raises
+        ------
+        RefusalError
+            It isn't known, so that no target may go on with the stream.
+        """
+        software, source = await self._find_software(ctx)
+        self._log.stream_taken_up(ctx, software, source)
+        if not software:
+            raise RefusalError(
+                503, "version of the stream not known", UNKNOWN_ORIGIN_RETRY_AFTER_S
+            )
+        ctx.criteria = replace(ctx.criteria, software=software)
+
+    async def _find_software(self, ctx: RequestContext) -> tuple[str, OriginSource]:
+        """Return the version that began a stream, and how it became known.
+
+        An instance that has started lately may not have seen a version that is gone,
+        so it asks the others first.
+        """
+        state, resumes = self._state, ctx.headers.resumes
+        now_s = state.clock.now()
+        own = state.stream_origins.find(resumes, now_s)
+        if resumes and own:
+            return own, OriginSource.OWN
+        sole = state.sole_software(ctx.service)
+        if sole and (state.software.is_complete(now_s) or not resumes):
+            return sole, OriginSource.SOLE
+        told = await self._ask_stream_origin(resumes) if resumes else ""
+        if told:
+            return told, OriginSource.TOLD
+        return sole, OriginSource.SOLE if sole else OriginSource.UNKNOWN
+
     async def _run_attempts(self, ctx: RequestContext) -> web.StreamResponse:
         """Send a request to targets until one gives an answer to relay."""
         while True:
@@ -330,6 +378,7 @@
     ) -> web.StreamResponse:
         """Send a request to one target and relay its answer."""
         state = self._state
+        ctx.target_software = target.software
         answer = await self._send(ctx, target)
         ok = False
         try:
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -19,6 +19,7 @@
 )
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
+from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.wait_queue import WaitQueue
 from marjoramstage.protocol.peers import FleetView
@@ -72,6 +73,8 @@
         self.peers: tuple[str, ...] = ()
         self.on_request_queued: Callable[[], None] = lambda: None
         self.on_prompt_sent: Callable[[], None] = lambda: None
+        self.stream_origins = StreamOrigins()
+        self.software = SoftwareHistory(clock.now())
         self._expected_retries: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.instance_count = 0
@@ -156,6 +159,8 @@
         if before is not None and before.incarnation == target.incarnation:
             # A restored store may list it as before it announced that it leaves.
             target = replace(target, leaving=target.leaving or before.leaving)
+        if before is not None and before.software != target.software:
+            self.software.record(before.service, before.software, self.clock.now())
         self.fleet.put(target)
         if before is None or before.leaving != target.leaving:
             self.events.event(
@@ -169,12 +174,20 @@
 
     def remove_target(self, name: str, confirmed: bool) -> None:
         """Remove a target; mark it missing if its deletion isn't confirmed."""
+        target = self.fleet.targets.get(name)
+        if target is not None:
+            self.software.record(target.service, target.software, self.clock.now())
         self.fleet.remove(name, confirmed)
         if confirmed:
             self.health.forget(name)
             self.prefill_backlog.forget(name)
         self.events.event("target removed", target=name, settled=confirmed)
 
+    def sole_software(self, service: str) -> str:
+        """Return the only version of a service's targets of late; empty if several."""
+        present = [target.software for target in self.fleet.of_service(service)]
+        return self.software.sole(service, present, self.clock.now())
+
     def apply_view(self, view: FleetView) -> None:
         """Apply a view sent by the holder of the placement lease."""
         position = (view.holder, view.fence, view.sequence)
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -18,11 +18,15 @@
     FleetView,
     PeerMessage,
     PromptsSent,
+    StreamOriginAsked,
+    StreamOriginTold,
 )
 from marjoramstage.transport.peers import PeerClient, PeerIdentity, PeerServer
 
 # Prompts sent within this time are announced in one message.
 PROMPT_BATCH_S = 0.004
+# How long an instance waits for the others to tell where a stream began.
+ORIGIN_TIMEOUT_S = 0.15
 
 
 class PeerLink:
@@ -40,6 +44,7 @@
         self._sequence = 0
         self._report_requested = asyncio.Event()
         self._controller: PlacementController | None = None
+        self._asked: dict[str, asyncio.Future[str]] = {}
         self._prompt_timer: asyncio.TimerHandle | None = None
         state.on_request_queued = self._report_requested.set
         state.on_prompt_sent = self._schedule_prompt_announcement
@@ -82,6 +87,37 @@
         else:
             self._client.send(address, view)
 
+    async def ask_stream_origin(self, request_id: str) -> str:
+        """Return the version that began a stream; empty if no instance tells."""
+        fut = self._asked.get(request_id)
+        if fut is None:
+            fut = asyncio.get_running_loop().create_future()
+            self._asked[request_id] = fut
+            message = StreamOriginAsked(request_id, self._address)
+            for address in self._state.peers:
+                if address != self._address:
+                    self._client.send(address, message)
+        try:
+            async with asyncio.timeout(ORIGIN_TIMEOUT_S):
+                return await asyncio.shield(fut)
+        except TimeoutError:
+            return ""
+        finally:
+            self._asked.pop(request_id, None)
+
+    def _tell_stream_origin(self, asked: StreamOriginAsked) -> None:
+        state = self._state
+        software = state.stream_origins.find(asked.request_id, state.clock.now())
+        if software and asked.address in state.peers:
+            self._client.send(
+                asked.address, StreamOriginTold(asked.request_id, software)
+            )
+
+    def _learn_stream_origin(self, told: StreamOriginTold) -> None:
+        fut = self._asked.get(told.request_id)
+        if fut is not None and not fut.done() and told.software:
+            fut.set_result(told.software)
+
     def _schedule_prompt_announcement(self) -> None:
         """Announce sent prompts to the peers soon, several in one message."""
         if self._prompt_timer is None:
@@ -144,5 +180,9 @@
                 ):
                     self._controller.receive_view(message)
                 self._state.apply_view(message)
+            case StreamOriginAsked():
+                self._tell_stream_origin(message)
+            case StreamOriginTold():
+                self._learn_stream_origin(message)
             case PromptsSent():
                 self._state.record_remote_prompts(message.tokens)
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -44,6 +44,12 @@
             ("framing", "connection", "inside_event"),
             registry=self.registry,
         )
+        self.streams_taken_up = Counter(
+            "marjoramstage_streams_taken_up",
+            "Streams that callers take up, by how the version became known.",
+            ("origin",),
+            registry=self.registry,
+        )
         self.store_restores = Counter(
             "marjoramstage_store_restores",
             "Times that the platform's store came back from a copy.",
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -41,6 +41,8 @@
         When the last event was relayed, and the longest pause between two events.
     tried : list of str
         Targets to which it was sent.
+    target_software : str
+        Version of the program of the last one.
     """
 
     req: web.BaseRequest
@@ -61,6 +63,17 @@
     last_event_s: float = 0.0
     pause_s: float = 0.0
     tried: list[str] = field(default_factory=list)
+    target_software: str = ""
+
+    @property
+    def takes_stream_up(self) -> bool:
+        """Whether its caller has a part of the stream from an earlier request."""
+        return self.route.resumable and bool(self.headers.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that got the first event of the stream."""
+        return self.headers.resumes or self.headers.request_id
 
     def record_event(self, event: StreamEvent, now_s: float) -> None:
         """Record that events up to this one were relayed to the caller."""
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from aiohttp import web
 
 from marjoramstage import platform
@@ -17,6 +19,27 @@
 ANSWERED = "answered"
 
 
+class OriginSource(enum.Enum):
+    """How the version that began a stream became known.
+
+    Attributes
+    ----------
+    OWN
+        This instance relayed the stream.
+    SOLE
+        All targets have run one version of late.
+    TOLD
+        Another instance told it.
+    UNKNOWN
+        It did not.
+    """
+
+    OWN = "own"
+    SOLE = "sole"
+    TOLD = "told"
+    UNKNOWN = "unknown"
+
+
 class RequestLog:
     """Writes the log lines and counts of requests."""
 
@@ -54,6 +77,20 @@
             incomplete_bytes=len(splitter.incomplete),
         )
 
+    def stream_taken_up(
+        self, ctx: RequestContext, software: str, source: OriginSource
+    ) -> None:
+        """Record that a caller takes a stream up."""
+        self._metrics.streams_taken_up.labels(source.value).inc()
+        self._state.events.event(
+            "stream taken up",
+            request=ctx.headers.request_id,
+            resumes=ctx.headers.resumes,
+            after=ctx.headers.last_event_id,
+            software=software,
+            source=source.value,
+        )
+
     def attempt_failed(
         self, ctx: RequestContext, target: FleetTarget, exc: TargetError
     ) -> None:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -85,9 +85,14 @@
         era = StoreEra()
         era.on_rise(self._on_store_restored)
         store = platform.ObjectStore(self._session, settings.platform_address, era)
-        self._handler = CallerHandler(self._state, self._target_client, self._metrics)
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         self._peer_link = PeerLink(self._state, address)
+        self._handler = CallerHandler(
+            self._state,
+            self._target_client,
+            self._metrics,
+            self._peer_link.ask_stream_origin,
+        )
         self._controller = PlacementController(
             self._state,
             store,
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -16,6 +16,8 @@
 EXPECT_INSTANCE = "Expect-Instance"
 URGENCY = "Urgency"
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
+MAX_ID_CHARS = 128
 STAMP = "Stamp"
 
 MS = 0.001
@@ -69,6 +71,9 @@
         Identities of the prompt's parts, in order.
     last_event_id : str
         Id of the last event that the caller received of a stream; empty if none.
+    resumes : str
+        Id of the request that got the first event of that stream; empty if the
+        caller names none.
     """
 
     request_id: str
@@ -78,6 +83,7 @@
     output_tokens: int = 0
     parts: tuple[str, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -101,6 +107,7 @@
         output_tokens=output,
         parts=_parse_parts(headers.get("Prompt-Prefix", "")),
         last_event_id=headers.get(LAST_EVENT, ""),
+        resumes=headers.get(RESUMES, "")[:MAX_ID_CHARS],
     )
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -328,6 +328,30 @@
     tokens: Mapping[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True)
+class StreamOriginAsked:
+    """Asks which version of a target's program began a stream.
+
+    Attributes
+    ----------
+    request_id : str
+        Of the request that got the first event of the stream.
+    address : str
+        Where the sender takes the answer.
+    """
+
+    request_id: str
+    address: str
+
+
+@dataclass(frozen=True)
+class StreamOriginTold:
+    """Tells which version of a target's program began a stream."""
+
+    request_id: str
+    software: str
+
+
 PeerMessage = (
     Hello
     | Gossip
@@ -339,6 +363,8 @@
     | EntryReport
     | FleetView
     | PromptsSent
+    | StreamOriginAsked
+    | StreamOriginTold
 )
 
 _MESSAGES = {
@@ -352,6 +378,8 @@
     "entry_report": EntryReport,
     "fleet_view": FleetView,
     "prompts_sent": PromptsSent,
+    "stream_origin_asked": StreamOriginAsked,
+    "stream_origin_told": StreamOriginTold,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(load_idl("peers.thrift"), _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -147,6 +147,16 @@
   2: optional map<string, i64> tokens
 }
 
+struct StreamOriginAsked {
+  1: optional string request_id
+  2: optional string address
+}
+
+struct StreamOriginTold {
+  1: optional string request_id
+  2: optional string software
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello
@@ -159,4 +169,6 @@
   8: optional EntryReport entry_report
   9: optional FleetView fleet_view
   10: optional PromptsSent prompts_sent
+  11: optional StreamOriginAsked stream_origin_asked
+  12: optional StreamOriginTold stream_origin_told
 }
