Plan for a large fleet: count replicas once a step, fetch rare models at a rate

And models that are asked for rarely were fetched one at a time for the whole fleet, waited for a target that had their weights while that target loaded another model for 4 s, and could not take the place of a surplus replica of an idle latency-critical model.

Now: ReplicaIndex counts once a step; fetches of rare models take an eighth of the weight store's rate (the same as before at 2 loads a second); weights at a target that is busy for over a second don't count as cached; a replica that has another one may be displaced. Items keep their hash, the dispatcher checks first what rules out most targets.

--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -10,7 +10,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from features.simulated_engine import SERVICE, EngineSpeed, SimulatedEngine, VirtualLoop
+from features.simulated_engine import (
+    SERVICE,
+    CacheSizes,
+    EngineSpeed,
+    SimulatedEngine,
+    VirtualLoop,
+)
 from marjoramstage.coordination.demand_rates import RATE_SCALE, DemandRates
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.dispatcher import (
@@ -221,6 +227,14 @@
     instances: int = 7
     burst_size: int = 3
     speed: EngineSpeed = field(default_factory=EngineSpeed)
+    hot_shares: tuple = (0.533, 0.197, 0.148, 0.123)
+    shift_step: int = 2
+    models_per_engine: int = 2
+    first_copies: int = 1
+    spare_disk_models: int = 4
+    caches: CacheSizes = field(default_factory=CacheSizes)
+    report_interval_s: float = 0.1
+    view_interval_s: float = 0.1
 
     def __post_init__(self):
         self.rng, self.loop = random.Random(self.seed), VirtualLoop()
@@ -229,7 +243,7 @@
             data_centre = self.data_centres[n % len(self.data_centres)]
             name = f"t{n}"
             self.engines[name] = SimulatedEngine(
-                self.loop, name, data_centre, self.spec, self.speed
+                self.loop, name, data_centre, self.spec, self.speed, self.caches
             )
         self._load_initial_models()
         self.delisted = set()
@@ -250,14 +264,19 @@
     def _load_initial_models(self):
         """Load busy models at many targets, the others at one, as far as they fit."""
         engines = list(self.engines.values())
-        names = [name for t in self.traffic if t.busy for name in t.models[:1]]
+        names = [
+            name
+            for t in self.traffic
+            if t.busy
+            for name in t.models[: self.first_copies]
+        ]
         names += list(self.spec.models)
         for name in itertools.islice(itertools.cycle(names), 4 * len(names)):
             fits = [
                 e
                 for e in engines
                 if Item(name) not in e.items
-                and len(e.items) < 2
+                and len(e.items) < self.models_per_engine
                 and sum(self.spec.models[i.model].memory_mb for i in e.items)
                 + self.spec.models[name].memory_mb
                 <= self.spec.memory_mb
@@ -267,10 +286,9 @@
                 engine.items.add(Item(name))
                 engine.cache_weights(name)
         for engine in engines:
-            others = self.rng.sample(list(self.spec.models), 4)
+            others = self.rng.sample(list(self.spec.models), self.spare_disk_models)
             engine.disk = [m for m in others if m not in engine.disk] + engine.disk
-            while sum(self.spec.models[m].memory_mb for m in engine.disk) > 400_000:
-                engine.disk.pop(0)
+            engine.trim_caches()
 
     # Callers
 
@@ -280,15 +298,15 @@
             weights = [(n + 1) ** -0.4 for n in range(len(traffic.models))]
             return list(traffic.models), weights
         weights = Counter()
-        shares = (0.533, 0.197, 0.148, 0.123)
         moved = 0.0
         for shift in self.shifts:
             part = min(1.0, max(0.0, (at_s - shift.at_s) / shift.for_s))
             moved += shift.positions * part
-        low = int(moved // 2 * 2)
-        part = (moved - low) / 2
-        for offset, weight in ((low, 1 - part), (low + 2, part)):
-            for n, share in enumerate(shares):
+        step = self.shift_step
+        low = int(moved // step * step)
+        part = (moved - low) / step
+        for offset, weight in ((low, 1 - part), (low + step, part)):
+            for n, share in enumerate(self.hot_shares):
                 name = traffic.models[(offset + n) % len(traffic.models)]
                 weights[name] += weight * share
         return list(weights), list(weights.values())
@@ -429,7 +447,7 @@
         now_s = self.loop.now_s
         if now_s < self._demand_due_s:
             return self._demand_found
-        self._demand_due_s = now_s + 0.1
+        self._demand_due_s = now_s + self.report_interval_s
         self._demand_found = self._sum_demand(now_s)
         return self._demand_found
 
@@ -481,7 +499,7 @@
         items = {item for m in self.members for item in m.waiting_by_item()}
         found = {item: self.planner.eta_s(item, now_s) for item in items}
         self._load_etas = (now_s, {i: s for i, s in found.items() if s is not None})
-        self.loop.after(0.1, self._announce_view)
+        self.loop.after(self.view_interval_s, self._announce_view)
 
     # Outages
 
--- a/features/simulated_engine.py
+++ b/features/simulated_engine.py
@@ -15,8 +15,6 @@
 SERVICE = "s"
 REPORT_LAG_S = 0.2
 KEPT_REPORTS = 40
-MEMORY_CACHE_MB = 130_000
-DISK_CACHE_MB = 400_000
 
 
 @dataclass(frozen=True)
@@ -49,6 +47,14 @@
     context_tokens: int = 155_174
 
 
+@dataclass(frozen=True)
+class CacheSizes:
+    """Room for copies of weights at an engine, in MB."""
+
+    memory_mb: float = 130_000
+    disk_mb: float = 400_000
+
+
 class VirtualLoop:
     """Event loop that calls functions at virtual times."""
 
@@ -73,9 +79,10 @@
 class SimulatedEngine:
     """A target that batches requests and carries out orders."""
 
-    def __init__(self, loop, name, data_centre, spec, speed, incarnation=1):
+    def __init__(self, loop, name, data_centre, spec, speed, caches):
         self.loop, self.name, self.data_centre = loop, name, data_centre
-        self.spec, self.speed, self.incarnation = spec, speed, incarnation
+        self.spec, self.speed, self.caches = spec, speed, caches
+        self.incarnation = 1
         self.items, self.memory, self.disk = set(), [], []
         self.order_count, self.current_order = 0, None
         self.running, self.queue = [], deque()
@@ -215,13 +222,16 @@
 
     def cache_weights(self, model):
         """Cache weights in memory and on disk, the most recent last."""
-        for kept, room_mb in (
-            (self.memory, MEMORY_CACHE_MB),
-            (self.disk, DISK_CACHE_MB),
-        ):
+        for kept in (self.memory, self.disk):
             if model in kept:
                 kept.remove(model)
             kept.append(model)
+        self.trim_caches()
+
+    def trim_caches(self):
+        """Drop the oldest copies of weights until the others fit."""
+        rooms = (self.memory, self.caches.memory_mb), (self.disk, self.caches.disk_mb)
+        for kept, room_mb in rooms:
             while sum(self.spec.models[m].memory_mb for m in kept) > room_mb:
                 kept.pop(0)
 
--- a/src/marjoramstage/coordination/demand_snapshot.py
+++ b/src/marjoramstage/coordination/demand_snapshot.py
@@ -51,9 +51,7 @@
 
     def is_latency_critical(self, item: Item) -> bool:
         """Whether a load makes callers' answers late; assumed for unseen models."""
-        if item not in self.slow_rates:
-            return True
-        return self.latency_critical_rates.get(item, 0.0) >= LATENCY_CRITICAL_PER_S
+        return item.model not in self._deferrable_models
 
     def is_active(self, item: Item) -> bool:
         """Whether a latency-critical model is in steady demand."""
@@ -71,6 +69,16 @@
         """Return the number of a target's requests for a model and its adapters."""
         return self._by_target_and_model[target, model]
 
+    @cached_property
+    def _deferrable_models(self) -> frozenset[str]:
+        """Models that were asked for lately, but not by callers in a hurry."""
+        pressing = self.latency_critical_rates
+        return frozenset(
+            item.model
+            for item in self.slow_rates
+            if pressing.get(item, 0.0) < LATENCY_CRITICAL_PER_S
+        )
+
     @cached_property
     def _by_target(self) -> Counter[str]:
         found: Counter[str] = Counter()
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -74,12 +74,14 @@
         """Record what the holder announced for a target."""
         self._announced[target] = (incarnation, items)
 
-    def items_at(self, target: FleetTarget) -> frozenset[Item]:
-        """Return the items that requests may be sent for at a target."""
+    def holds(self, target: FleetTarget, item: Item) -> bool:
+        """Whether requests for an item may be sent to a target."""
         announced = self._announced.get(target.name)
         if announced is not None and announced[0] == target.incarnation:
-            return announced[1]
-        return target.items or frozenset()
+            items = announced[1]
+        else:
+            items = target.items or frozenset()
+        return item in items and (not item.adapter or item.base in items)
 
     def retain(self, names: Iterable[str]) -> None:
         """Drop the announcements for all targets but these."""
@@ -175,15 +177,17 @@
     ) -> list[FleetTarget]:
         """Return the reachable targets that can serve a request, full or not."""
         found = []
+        item = criteria.item
         for target in targets:
             if target.leaving or target.service != criteria.service:
                 continue
+            # First what rules out most targets of a large service.
+            if item is not None and not self._holds(target, item):
+                continue
             if target.name in criteria.tried:
                 continue
             if not _runs(target, criteria.software):
                 continue
-            if not self._holds(target, criteria.item):
-                continue
             if not self._health.is_reachable(target.name, now_s):
                 continue
             found.append(target)
@@ -207,11 +211,8 @@
                 best = (cost, target)
         return best[1] if best else None
 
-    def _holds(self, target: FleetTarget, item: Item | None) -> bool:
-        if item is None or target.items is None:
-            return True
-        held = self._servable_items.items_at(target)
-        return item in held and item.base in held
+    def _holds(self, target: FleetTarget, item: Item) -> bool:
+        return target.items is None or self._servable_items.holds(target, item)
 
     def _cost(self, target: FleetTarget, running: int, now_s: float) -> float:
         cost = running / target.slots + self._rng.random() * COST_JITTER
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -14,6 +14,7 @@
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
+from marjoramstage.coordination.replica_index import ReplicaIndex
 from marjoramstage.coordination.replica_values import ReplicaValues
 from marjoramstage.coordination.target_state import UNLOAD_S, ItemState, TargetState
 from marjoramstage.protocol.control import Order
@@ -50,6 +51,16 @@
 # proportion. Free memory that is too small for another model is wasted.
 UNUSED_MEMORY_COST = 40.0
 
+# Share of the loads that the weight store allows that may be for models without
+# sustained latency-critical demand.
+DEFERRABLE_FETCH_SHARE = 0.125
+# Assumed of a weight store that states a lower rate.
+MIN_LOADS_PER_S = 0.1
+
+# A target that has the weights of a model cached counts as such unless its present
+# order takes longer than this: a fetch elsewhere may then be quicker.
+MAX_CACHED_WAIT_S = 1.0
+
 # A new replica is expected to be needed for about this long.
 EXPECTED_USE_S = 8.0
 
@@ -65,7 +76,7 @@
     TARGET_BUSY = "best target busy"
     LOAD_LIMIT = "limit on loads from the weight store"
     LOW_UTILISATION = "too little used for a load from the weight store"
-    FETCH_UNDER_WAY = "another model is loaded from the weight store"
+    FETCH_UNDER_WAY = "other models are loaded from the weight store"
 
 
 def _drain_s(runs: int) -> float:
@@ -103,6 +114,9 @@
         self._blocked: dict[Item, BlockReason] = {}
         self._blocked_since_s: dict[Item, float] = {}
         self._unreachable: frozenset[str] = frozenset()
+        self._index = ReplicaIndex((), {}, DemandSnapshot())
+        loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
+        self._fetch_interval_s = 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
         self._next_fetch_s = 0.0
         self._next_plan_s = 0.0
 
@@ -141,6 +155,7 @@
         if now_s >= self._next_plan_s:
             self._next_plan_s = now_s + PLAN_INTERVAL_S
             self._values.update(demand, frozenset(self.target_states))
+            self._rebuild_index(demand)
             self._plan_loads(demand, now_s)
         orders = []
         for name, item in list(self._planned.items()):
@@ -185,34 +200,28 @@
             if isinstance(found, BlockReason):
                 self._blocked[item] = found
                 self._blocked_since_s.setdefault(item, now_s)
-                self._queue_etas_s[item] = self._queue_eta_s(
-                    len(self._queue_etas_s), demand
-                )
+                self._queue_etas_s[item] = self._queue_eta_s(len(self._queue_etas_s))
                 continue
             target_state, victims = found
             for victim in victims:
                 target_state.retire(victim, now_s)
             self._planned[target_state.target.name] = item
             self._blocked_since_s.pop(item, None)
+            self._rebuild_index(demand)
+
+    def _rebuild_index(self, demand: DemandSnapshot) -> None:
+        self._index = ReplicaIndex(self._usable_targets(), self._planned, demand)
 
-    def _queue_eta_s(self, ahead: int, demand: DemandSnapshot) -> float:
+    def _queue_eta_s(self, ahead: int) -> float:
         """Return when a model that no target can load now is likely to be loaded.
 
         Such models take turns in the memory of deferrable models: each waits
         until those ahead of it were loaded, have served and were unloaded.
         """
-        deferrable = self._deferrable_replicas(demand)
         disk_load_s = max(model.disk_load_s for model in self.spec.models.values())
         stay_s = MIN_RESIDENCY_S + UNLOAD_S + disk_load_s
-        return (ahead + 1) * QUEUE_ETA_FACTOR * stay_s / max(1, deferrable)
-
-    def _deferrable_replicas(self, demand: DemandSnapshot) -> int:
-        """Return the number of replicas whose callers can wait for a load."""
-        return sum(
-            not demand.is_latency_critical(item)
-            for target_state in self._usable_targets()
-            for item in target_state.models()
-        )
+        places = max(1, self._index.deferrable)
+        return (ahead + 1) * QUEUE_ETA_FACTOR * stay_s / places
 
     def _models_to_load(self, demand: DemandSnapshot) -> list[Item]:
         """Return the models that need another replica, most valuable first."""
@@ -227,30 +236,16 @@
 
     def _extra_replica_value(self, item: Item, demand: DemandSnapshot) -> float:
         """Return the value of one more replica; 0 if none is needed."""
-        replicas = self._ready_replicas(item) + self._pending_replicas(item)
+        replicas = self._index.ready[item.model] + self._index.pending[item.model]
         return self._values.value_of_extra(item, demand, replicas)
 
     def _replica_value(
         self, target_state: TargetState, item: Item, demand: DemandSnapshot
     ) -> float:
         """Return the value of the replica at a target."""
-        name, replicas = target_state.target.name, self._ready_replicas(item)
+        name, replicas = target_state.target.name, self._index.ready[item.model]
         return self._values.value_of_existing(item, demand, replicas, name)
 
-    def _ready_replicas(self, item: Item) -> int:
-        return sum(
-            1 for target_state in self._usable_targets() if target_state.holds(item)
-        )
-
-    def _pending_replicas(self, item: Item) -> int:
-        planned = sum(1 for found in self._planned.values() if found == item)
-        loading = [s for s in self._usable_targets() if s.is_loading(item)]
-        names = {s.target.name for s in loading}
-        extra = sum(
-            1 for n, found in self._planned.items() if found == item and n in names
-        )
-        return planned + len(loading) - extra
-
     def _usable_targets(self) -> list[TargetState]:
         return [
             s
@@ -275,8 +270,13 @@
             The target and the models to evict there; or why there is none.
         """
         gain = self._extra_replica_value(item, demand)
-        target_states = self._usable_targets()
-        cached = [s for s in target_states if s.has_weights_cached(item.model)]
+        target_states = self._index.usable
+        cached = [
+            s
+            for s in target_states
+            if s.has_weights_cached(item.model)
+            and s.remaining_order_s(now_s) < MAX_CACHED_WAIT_S
+        ]
         fetch_blocked = self._fetch_blocked(item, bool(cached), demand, now_s)
         if fetch_blocked is not None:
             target_states = cached
@@ -326,13 +326,14 @@
         """Return why a model must not be fetched from the weight store, if so.
 
         A fetch is slow. Models without sustained latency-critical demand are
-        fetched one at a time, and only if no target has their weights cached,
-        until they have been blocked for longer than a fetch takes.
+        fetched at a part of the rate that the weight store allows, and only if no
+        target has their weights cached, until they have been blocked for longer
+        than a fetch takes.
         """
         if not self._load_limiter.allows(now_s):
             return BlockReason.LOAD_LIMIT
         if demand.is_active(item):
-            replicas = self._ready_replicas(item)
+            replicas = self._index.ready[item.model]
             utilisation = self._values.utilisation(item, demand, max(1, replicas))
             if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
                 return None
@@ -366,10 +367,10 @@
         delay_s = target_state.load_s(item) + target_state.remaining_order_s(now_s)
         if not target_state.has_weights_cached(item.model):
             delay_s += CACHE_DISPLACEMENT_S * len(target_state.on_disk)
-        planned = self._planned.get(target_state.target.name)
+        name = target_state.target.name
+        planned = self._planned.get(name)
         if planned is not None:
             delay_s += UNLOAD_S + target_state.load_s(planned)
-        name = target_state.target.name
         runs = [demand.running_for_model_at(name, victim.model) for victim in victims]
         return delay_s + max((_drain_s(count) for count in runs), default=0.0)
 
@@ -435,7 +436,10 @@
             return True
         if target_state.has_weights_cached(item.model):
             return True
-        return self._is_overdue(item, now_s) and not self._deferrable_replicas(demand)
+        if self._index.ready[victim.model] > 1:
+            # The others serve a rise until more are loaded.
+            return True
+        return self._is_overdue(item, now_s) and not self._index.deferrable
 
     def _next_model_order(
         self,
@@ -457,7 +461,7 @@
                 if not self._load_limiter.allows(now_s):
                     return None
                 self._load_limiter.record_load(now_s)
-                self._next_fetch_s = now_s + target_state.load_s(item)
+                self._next_fetch_s = now_s + self._fetch_interval_s
             return self._create_order(target_state, item, True, now_s)
         retiring = [m for m in target_state.models() if target_state.is_retiring(m)]
         for found in retiring:
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -13,6 +13,13 @@
     model: str
     adapter: str = ""
 
+    def __post_init__(self):
+        # Items are keys of most tables, and a tuple of texts is slow to hash.
+        object.__setattr__(self, "_hash", hash((self.model, self.adapter)))
+
+    def __hash__(self) -> int:
+        return self._hash
+
     @property
     def base(self) -> Item:
         """Return the model; for an adapter, its base model."""
