Relay what one instance learns from the store to the others

Now the holder of the placement lease watches closely, sends changes to the instances that report to it, and says with each view how much it knows and how recently the store confirmed it. Changes and confirmations are facts about revisions of one era, so they hold whoever sends them; a stale holder does no harm. An instance that lacks a change, or whose last confirmation is older than 0.7 of the shorter of config_s and drain_s, asks the store itself. Failed calls are repeated after 0.3 to 1.2 s.

Weighed: longer waits of each instance's own watch (a silent store is then noticed too late); a teller for each data centre (calls would grow with data centres; the star of views is there already).

Tests: store_relay, on a virtual clock: calls with 9 and 89 instances; a teller that is killed, suspended, cut off, refused, silent to, replaced, doubled; lost and oversized changes; a restored store; a target missing after an outage; bad content.

--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -33,6 +33,7 @@
     NamedDocument,
     PromptsSent,
     Rumour,
+    StoreChanges,
     StreamOriginAsked,
     StreamOriginTold,
     decode,
@@ -279,6 +280,7 @@
     PromptsSent("i1", {"t": 800}),
     StreamOriginAsked("r1", "127.0.0.1:7380"),
     StreamOriginTold("r1", "v2"),
+    StoreChanges("servers", 3, 41, 57, False, b"\x00\xff"),
 )
 
 
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -22,7 +22,7 @@
 from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.wait_queue import WaitQueue
-from marjoramstage.protocol.peers import FleetView
+from marjoramstage.protocol.peers import FleetView, StoreProgress
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
@@ -53,6 +53,8 @@
         Called when a request starts to wait for a target.
     on_prompt_sent : callable
         Called when a prompt is sent to a target.
+    store_progress : callable
+        Returns how much is known of the platform's store.
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock, events: EventLog):
@@ -73,6 +75,7 @@
         self.peers: tuple[str, ...] = ()
         self.on_request_queued: Callable[[], None] = lambda: None
         self.on_prompt_sent: Callable[[], None] = lambda: None
+        self.store_progress: Callable[[], tuple[StoreProgress, ...]] = lambda: ()
         self.stream_origins = StreamOrigins()
         self.software = SoftwareHistory(clock.now())
         self._expected_retries: list[tuple[float, str, Item]] = []
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -1,26 +1,43 @@
-"""Watches the routes and targets in the platform's object store."""
+"""Watches the routes and targets in the platform's object store.
+
+What one instance learns is relayed to the others; an instance asks the store
+itself only while it is not told. See `store_relay`.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
-from result import Err
+from result import Err, Ok
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage.protocol.objects import (
     Kind,
     Platform,
     PlatformError,
     PlatformFault,
     PlatformObject,
+    WatchEvent,
     WatchType,
 )
+from marjoramstage.protocol.peers import StoreChanges, StoreProgress
+from marjoramstage.protocol.store_changes import ChangedObjects
+from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.state.store_era import StoreEra
 
+# Pause after the first of several failed calls; it doubles up to the longest one.
 RETRY_DELAY_S = 0.3
+MAX_RETRY_DELAY_S = 1.2
 # Pause between two watch calls.
 WATCH_INTERVAL_S = 0.9
+# The same for the instance that tells the others, and how long its calls wait for
+# changes: it is to notice soon when the store is silent.
+RELAY_INTERVAL_S = 0.2
+RELAY_WAIT_S = 0.3
 # After an outage of the store, its list counts as complete after this time.
 RECOVERY_SETTLE_S = 2.2
 
@@ -35,11 +52,16 @@
         that was deleted.
     on_list : callable
         Called with all objects after each list.
+    relay : StoreRelay, optional
+        Exchanges changes with the other instances.
     newest_only : bool
         Only the newest state of the objects matters. A watch returns every change
         since the one before; when changes come faster than a slow link carries
         them, each answer would be longer than the last. So after a change the
         objects are listed until they stay the same, and only then watched.
+    matters : callable
+        Whether the other instances need to know of a change, from the object
+        before and after it.
     """
 
     def __init__(
@@ -50,37 +72,50 @@
         on_put: Callable[[PlatformObject], None],
         on_remove: Callable[[str], None],
         on_list: Callable[[tuple[PlatformObject, ...]], None],
+        relay: StoreRelay | None = None,
         newest_only: bool = False,
+        matters: Callable[[PlatformObject, PlatformObject], bool] | None = None,
     ):
+        self.kind = kind
+        self.disconnected = False
+        self.reconnected_s = 0.0
         self._newest_only = newest_only
         self._changing = False
-        self._listed: tuple[PlatformObject, ...] = ()
-        self._kind = kind
         self._store = store
         self._state = state
         self._on_put = on_put
         self._on_remove = on_remove
         self._on_list = on_list
+        self._relay = relay or StoreRelay(StoreEra(), state.events)
+        self._matters = matters or (lambda before, after: True)
+        self._objects: dict[str, PlatformObject] = {}
         self._version: str | None = None
-        self.disconnected = False
-        self.reconnected_s = 0.0
+        # Revision of the last change that matters; None if it is not known.
+        self._changed: int | None = None
+        self._confirmed_s = 0.0
+        self._told_until_s = 0.0
+        self._failures = 0
+        self._relay.add(self)
 
     async def run(self) -> None:
-        """List and watch until cancelled."""
+        """List and watch until cancelled, while no other instance tells."""
         while True:
+            told_s = self._told_for_s()
+            if told_s > 0:
+                await asyncio.sleep(told_s)
+                continue
             error = await self._sync_once()
             if error is None:
                 self._mark_connected()
-                await asyncio.sleep(WATCH_INTERVAL_S)
+                telling = self._relay.may_tell()
+                await asyncio.sleep(RELAY_INTERVAL_S if telling else WATCH_INTERVAL_S)
                 continue
             if error.fault is PlatformFault.EXPIRED:
-                self._state.events.event(
-                    "watch history expired", kind=self._kind.plural
-                )
+                self._state.events.event("watch history expired", kind=self.kind.plural)
                 self._version = None
                 continue
             self._mark_disconnected(error)
-            await asyncio.sleep(RETRY_DELAY_S)
+            await asyncio.sleep(self._retry_delay_s())
 
     def is_authoritative(self) -> bool:
         """Whether an object missing from the list may be taken as deleted.
@@ -95,55 +130,200 @@
     def on_store_restored(self, era: int) -> None:
         """List the objects again; what is missing may still be written again."""
         self._version = None
+        self._changed = None
+        self._told_until_s = 0.0
         self.reconnected_s = self._state.clock.now()
 
+    # Exchange with other instances
+
+    def progress(self, era: int) -> StoreProgress | None:
+        """Return how much is known; None before the first list."""
+        if self._version is None or self._changed is None:
+            return None
+        age_ms = int((self._relay.now_s() - self._confirmed_s) * 1000)
+        return StoreProgress(
+            self.kind.plural, era, self._changed, int(self._version), age_ms
+        )
+
+    def learn_changes(self, message: StoreChanges, changes: ChangedObjects) -> None:
+        """Apply changes that another instance sent, unless one before is missing."""
+        if self._version is None:
+            return
+        if not message.since <= int(self._version) < message.revision:
+            return
+        if not message.certain:
+            self.reconnected_s = self._state.clock.now()
+        for obj in changes.written:
+            self._put(obj)
+        for name in changes.removed:
+            self._remove(name)
+        self._version = str(message.revision)
+        self._changed = message.revision
+        self._changing = False
+
+    def learn_progress(self, progress: StoreProgress) -> None:
+        """Rely on what another instance knows, unless it knows of more changes.
+
+        One that knows less than this instance has not asked the store lately.
+        """
+        if self._version is None:
+            return
+        if not progress.changed <= int(self._version) <= progress.revision:
+            return
+        self._version = str(progress.revision)
+        self._changed = progress.changed
+        now_s = self._relay.now_s()
+        fresh_s = self._relay.max_age_s - progress.age_ms / 1000
+        self._told_until_s = max(self._told_until_s, now_s + fresh_s)
+        if fresh_s > 0:
+            self._mark_connected()
+
+    def _told_for_s(self) -> float:
+        """Return how long the store need not be asked."""
+        if self._version is None or self._relay.may_tell():
+            return 0.0
+        return self._told_until_s - self._relay.now_s()
+
+    # Calls to the store
+
     async def _sync_once(self) -> PlatformError | None:
         if self._version is None or self._changing:
             return await self._list()
         return await self._watch(self._version)
 
     async def _list(self) -> PlatformError | None:
-        listing = await self._store.list(self._kind)
+        asked_s = self._relay.now_s()
+        listing = await self._store.list(self.kind)
         if isinstance(listing, Err):
             return listing.err_value
         self._mark_connected()
-        self._version = listing.ok_value.version
-        objects = listing.ok_value.objects
-        self._changing = self._newest_only and objects != self._listed
-        self._listed = objects if self._newest_only else ()
+        version, objects = listing.ok_value.version, listing.ok_value.objects
+        if self._is_outdated(version):
+            return None
+        self._confirmed_s = asked_s
+        before, self._objects = self._objects, {obj.name: obj for obj in objects}
         self._on_list(objects)
+        written = tuple(obj for obj in objects if before.get(obj.name) != obj)
+        removed = tuple(name for name in before if name not in self._objects)
+        self._changing = self._newest_only and bool(written or removed)
+        self._advance(version, before, ChangedObjects(written, removed))
         return None
 
     async def _watch(self, version: str) -> PlatformError | None:
-        async for found in self._store.watch(self._kind, version):
+        asked_s = self._relay.now_s()
+        wait_s = RELAY_WAIT_S if self._relay.may_tell() else None
+        events: list[WatchEvent] = []
+        async for found in self._ask_watch(version, wait_s):
             if isinstance(found, Err):
                 return found.err_value
-            self._mark_connected()
-            event = found.ok_value
+            events.append(found.ok_value)
+        if not events or self._is_outdated(events[-1].version):
+            return None
+        self._mark_connected()
+        before = dict(self._objects)
+        changed = self._apply(events)
+        # Nothing tells when during the wait a change was noticed.
+        waited_s = wait_s if wait_s is not None and not changed else 0.0
+        self._confirmed_s = min(self._relay.now_s(), asked_s + waited_s)
+        self._advance(events[-1].version, before, self._difference(before))
+        return None
+
+    def _ask_watch(self, version: str, wait_s: float | None):
+        if wait_s is None:
+            return self._store.watch(self.kind, version)
+        return self._store.watch(self.kind, version, wait_s=wait_s)
+
+    def _apply(self, events: list[WatchEvent]) -> bool:
+        """Apply the events of a watch; return whether there are any changes."""
+        changed = False
+        for event in events:
             if event.type is WatchType.DELETED:
-                self._on_remove(event.obj.name)
+                self._remove(event.obj.name)
+                changed = True
             elif event.type is WatchType.MODIFIED:
-                self._on_put(event.obj)
+                self._put(event.obj)
                 self._changing = self._newest_only
-            else:
-                self._version = event.version
-        return None
+                changed = True
+        return changed
+
+    def _difference(self, before: dict[str, PlatformObject]) -> ChangedObjects:
+        """Return how the objects differ from what they were."""
+        now = self._objects
+        written = tuple(obj for name, obj in now.items() if before.get(name) != obj)
+        return ChangedObjects(
+            written, tuple(name for name in before if name not in now)
+        )
+
+    def _advance(
+        self,
+        version: str,
+        before: dict[str, PlatformObject],
+        changes: ChangedObjects,
+    ) -> None:
+        """Move on to a version of the store, and tell the others what changed."""
+        revision = int(version)
+        self._version = version
+        if self._changed is None:
+            self._changed = revision
+            return
+        written = tuple(
+            obj
+            for obj in changes.written
+            if obj.name not in before or self._matters(before[obj.name], obj)
+        )
+        if not written and not changes.removed:
+            return
+        since, self._changed = self._changed, revision
+        self._relay.tell(
+            self.kind,
+            since,
+            revision,
+            self.is_authoritative(),
+            ChangedObjects(written, changes.removed),
+        )
+
+    def _is_outdated(self, version: str) -> bool:
+        """Whether more is known already than an answer of the store tells."""
+        return self._version is not None and int(version) < int(self._version)
+
+    def _put(self, obj: PlatformObject) -> None:
+        self._objects[obj.name] = obj
+        self._on_put(obj)
+
+    def _remove(self, name: str) -> None:
+        self._objects.pop(name, None)
+        self._on_remove(name)
+
+    # Connection
+
+    def _retry_delay_s(self) -> float:
+        """Return the pause after a failed call.
+
+        The instance that tells the others keeps to the shortest one.
+        """
+        self._failures += 1
+        if self._relay.may_tell():
+            return RETRY_DELAY_S
+        return min(RETRY_DELAY_S * 2 ** (self._failures - 1), MAX_RETRY_DELAY_S)
 
     def _mark_disconnected(self, error: PlatformError) -> None:
         if not self.disconnected:
             self.disconnected = True
             self._state.events.event(
-                "platform unreachable", kind=self._kind.plural, reason=error.message
+                "platform unreachable", kind=self.kind.plural, reason=error.message
             )
 
     def _mark_connected(self) -> None:
+        self._failures = 0
         if self.disconnected:
             self.disconnected = False
             self.reconnected_s = self._state.clock.now()
-            self._state.events.event("platform reachable again", kind=self._kind.plural)
+            self._state.events.event("platform reachable again", kind=self.kind.plural)
 
 
-def watch_routes(store: Platform, state: InstanceState) -> ObjectWatcher:
+def watch_routes(
+    store: Platform, state: InstanceState, relay: StoreRelay | None = None
+) -> ObjectWatcher:
     """Return the watcher of the operator's configuration."""
 
     def on_put(obj: PlatformObject) -> None:
@@ -163,11 +343,20 @@
         state.events.event("routes object deleted", object=name)
 
     return ObjectWatcher(
-        platform.CONFIG, store, state, on_put, on_remove, on_list, newest_only=True
+        platform.CONFIG,
+        store,
+        state,
+        on_put,
+        on_remove,
+        on_list,
+        relay,
+        newest_only=True,
     )
 
 
-def watch_targets(store: Platform, state: InstanceState) -> ObjectWatcher:
+def watch_targets(
+    store: Platform, state: InstanceState, relay: StoreRelay | None = None
+) -> ObjectWatcher:
     """Return the watcher of the objects with which targets register."""
 
     def on_put(obj: PlatformObject) -> None:
@@ -192,10 +381,34 @@
             on_put(obj)
         state.targets_listed = True
 
-    watcher = ObjectWatcher(platform.TARGETS, store, state, on_put, on_remove, on_list)
+    watcher = ObjectWatcher(
+        platform.TARGETS,
+        store,
+        state,
+        on_put,
+        on_remove,
+        on_list,
+        relay,
+        matters=_is_other_target,
+    )
     return watcher
 
 
+def _is_other_target(before: PlatformObject, after: PlatformObject) -> bool:
+    """Whether more has changed than what a target holds, which views tell."""
+    return _without_items(before) != _without_items(after)
+
+
+def _without_items(obj: PlatformObject) -> FleetTarget | str:
+    """Return the target that an object describes, or why it describes none."""
+    match platform.decode_target(obj.name, obj.spec):
+        case Ok(target):
+            items = None if target.items is None else frozenset()
+            return replace(target, items=items, order_count=0)
+        case Err(reason):
+            return reason
+
+
 async def drop_missing_targets(watcher: ObjectWatcher, state: InstanceState) -> None:
     """Remove targets that are still missing some time after an outage."""
     while True:
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -8,6 +8,7 @@
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage.coordination.instance_reports import (
     min_report_interval_s,
     report_interval_s,
@@ -18,6 +19,7 @@
     FleetView,
     PeerMessage,
     PromptsSent,
+    StoreChanges,
     StreamOriginAsked,
     StreamOriginTold,
 )
@@ -25,6 +27,8 @@
 
 # Prompts sent within this time are announced in one message.
 PROMPT_BATCH_S = 0.004
+# Changes of the platform's store may fill the link for this long.
+MAX_RELAY_S = 0.25
 # How long an instance waits for the others to tell where a stream began.
 ORIGIN_TIMEOUT_S = 0.15
 
@@ -44,6 +48,7 @@
         self._sequence = 0
         self._report_requested = asyncio.Event()
         self._controller: PlacementController | None = None
+        self._store_relay: StoreRelay | None = None
         self._asked: dict[str, asyncio.Future[str]] = {}
         self._prompt_timer: asyncio.TimerHandle | None = None
         state.on_request_queued = self._report_requested.set
@@ -58,6 +63,10 @@
         """Set the controller that receives reports and views."""
         self._controller = controller
 
+    def set_store_relay(self, relay: StoreRelay) -> None:
+        """Set the relay that receives what others know of the platform's store."""
+        self._store_relay = relay
+
     async def start(self) -> None:
         """Listen for peers."""
         await self._server.start()
@@ -87,6 +96,26 @@
         else:
             self._client.send(address, view)
 
+    def send_store_changes(self, message: StoreChanges) -> None:
+        """Send changes to all instances that report to this one.
+
+        Changes that would fill the link for long are left to the others to fetch.
+        """
+        controller = self._controller
+        if controller is None:
+            return
+        addresses = controller.reporting_addresses
+        link_bytes_per_s = self._state.settings.link_bytes_per_s
+        if len(message.content) * len(addresses) > link_bytes_per_s * MAX_RELAY_S:
+            self._state.events.event(
+                "store changes not sent", kind=message.kind, size=len(message.content)
+            )
+            controller.request_view()
+            return
+        for address in addresses:
+            if address != self._address:
+                self._client.send(address, message)
+
     async def ask_stream_origin(self, request_id: str) -> str:
         """Return the version that began a stream; empty if no instance tells."""
         fut = self._asked.get(request_id)
@@ -180,6 +209,11 @@
                 ):
                     self._controller.receive_view(message)
                 self._state.apply_view(message)
+                if self._store_relay is not None:
+                    self._store_relay.receive_progress(message.store)
+            case StoreChanges():
+                if self._store_relay is not None:
+                    self._store_relay.receive_changes(message)
             case StreamOriginAsked():
                 self._tell_stream_origin(message)
             case StreamOriginTold():
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import uuid
 import zlib
 from collections.abc import Callable, Mapping
@@ -13,6 +12,7 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage.clock import seconds_since_boot
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.instance_reports import InstanceReports, parse_key
 from marjoramstage.coordination.leases import (
@@ -60,11 +60,6 @@
 MAX_ORDER_ANSWER_BYTES = 65_536
 
 
-def seconds_since_boot() -> float:
-    """Return the seconds since the machine booted, suspended time included."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class PlacementController:
     """One instance's part in deciding which models and adapters targets hold.
 
@@ -133,6 +128,11 @@
         record = self.elector.record
         return record.address if record is not None and record.holder else ""
 
+    @property
+    def reporting_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of the instances that report to this one."""
+        return self._reports.addresses
+
     @property
     def may_send_orders(self) -> bool:
         """Whether this instance may send orders now.
@@ -474,6 +474,7 @@
             ended or self._unrenewed_until_s > 0,
             recipients if few else (),
             self._reports.sequences if few else {},
+            self._state.store_progress(),
         )
         for address in recipients:
             self._send_view(address, view)
--- a/src/marjoramstage/clock.py
+++ b/src/marjoramstage/clock.py
@@ -7,6 +7,11 @@
 from typing import Protocol
 
 
+def seconds_since_boot() -> float:
+    """Return the seconds since the machine booted, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Clock(Protocol):
     """Source of time for code that is not given the time as an argument."""
 
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -23,6 +23,7 @@
 from marjoramstage._entry.peer_link import PeerLink
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
@@ -102,10 +103,19 @@
             era,
         )
         self._peer_link.set_controller(self._controller)
+        relay = StoreRelay(
+            era,
+            self._events,
+            max_confirmation_age_s(settings.bounds),
+            lambda: self._controller.may_send_orders,
+            self._peer_link.send_store_changes,
+        )
+        self._peer_link.set_store_relay(relay)
+        self._state.store_progress = relay.progress
         await self._listen(loop)
         await self._peer_link.start()
-        routes = watch_routes(store, self._state)
-        targets = watch_targets(store, self._state)
+        routes = watch_routes(store, self._state, relay)
+        targets = watch_targets(store, self._state, relay)
         for watcher in (routes, targets):
             era.on_rise(watcher.on_store_restored)
         load_monitor = LoadMonitor(
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -151,14 +151,19 @@
         return found.map(lambda data: None)
 
     async def watch(
-        self, kind: Kind, version: str, labels: Mapping[str, str] | None = None
+        self,
+        kind: Kind,
+        version: str,
+        labels: Mapping[str, str] | None = None,
+        wait_s: float | None = None,
     ) -> AsyncIterator[Result[WatchEvent, PlatformError]]:
         """Wait for changes after ``version`` with a single long poll.
 
         Ends after the events of that call; the last one is a bookmark.
         """
-        params = {"watch": version, "wait_ms": str(int(self._watch_wait_s * 1000))}
-        idle_s = self._watch_wait_s + WATCH_SLACK_S
+        wait_s = self._watch_wait_s if wait_s is None else wait_s
+        params = {"watch": version, "wait_ms": str(int(wait_s * 1000))}
+        idle_s = wait_s + WATCH_SLACK_S
         found = await self._call("GET", self._url(kind), params, idle_timeout_s=idle_s)
         events = _decode(found, lambda data: _decode_events(kind, data))
         if isinstance(events, Err):
--- a/src/marjoramstage/protocol/objects.py
+++ b/src/marjoramstage/protocol/objects.py
@@ -139,6 +139,13 @@
         """Delete the object if its resource version is still ``version``."""
 
     def watch(
-        self, kind: Kind, version: str, labels: Mapping[str, str] | None = None
+        self,
+        kind: Kind,
+        version: str,
+        labels: Mapping[str, str] | None = None,
+        wait_s: float | None = None,
     ) -> AsyncIterator[Result[WatchEvent, PlatformError]]:
-        """Watch a kind for changes after ``version``, until the connection ends."""
+        """Watch a kind for changes after ``version``, until the connection ends.
+
+        A client that asks anew after each answer waits ``wait_s`` for changes.
+        """
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -284,6 +284,57 @@
     running: int = 0
 
 
+@dataclass(frozen=True)
+class StoreProgress:
+    """How much the sender knows of one kind of objects in the platform's store.
+
+    Attributes
+    ----------
+    kind : str
+        Plural of the kind.
+    era : int
+        Era of the store that the revisions belong to.
+    changed : int
+        Revision of the last change that matters to other instances.
+    revision : int
+        Revision up to which nothing has changed since.
+    age_ms : int
+        Time since the store confirmed that, in milliseconds.
+    """
+
+    kind: str
+    era: int
+    changed: int
+    revision: int
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class StoreChanges:
+    """Changes of one kind of objects in the platform's store.
+
+    They are the same whoever sends them: all that changed after ``since`` and up
+    to ``revision`` in one era.
+
+    Attributes
+    ----------
+    kind : str
+        Plural of the kind.
+    certain : bool
+        Whether removed objects are gone for good; after an outage of the store
+        they may be written again.
+    content : bytes
+        Objects, encoded by `store_changes`.
+    """
+
+    kind: str
+    era: int
+    since: int
+    revision: int
+    certain: bool = True
+    content: bytes = b""
+
+
 @dataclass(frozen=True)
 class FleetView:
     """View of the fleet, sent by the holder of the placement lease.
@@ -301,6 +352,8 @@
     reported : Mapping
         Number of the report of each instance that `held` counts; empty if there
         are many.
+    store : tuple of StoreProgress
+        What the sender knows of the platform's store.
     """
 
     holder: str
@@ -312,6 +365,7 @@
     ended: bool = False
     peers: tuple[str, ...] = ()
     reported: Mapping[str, int] = field(default_factory=dict)
+    store: tuple[StoreProgress, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -365,6 +419,7 @@
     | PromptsSent
     | StreamOriginAsked
     | StreamOriginTold
+    | StoreChanges
 )
 
 _MESSAGES = {
@@ -380,6 +435,7 @@
     "prompts_sent": PromptsSent,
     "stream_origin_asked": StreamOriginAsked,
     "stream_origin_told": StreamOriginTold,
+    "store_changes": StoreChanges,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(load_idl("peers.thrift"), _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -130,6 +130,23 @@
   5: optional i64 running
 }
 
+struct StoreProgress {
+  1: optional string kind
+  2: optional i64 era
+  3: optional i64 changed
+  4: optional i64 revision
+  5: optional i64 age_ms
+}
+
+struct StoreChanges {
+  1: optional string kind
+  2: optional i64 era
+  3: optional i64 since
+  4: optional i64 revision
+  5: optional bool certain
+  6: optional binary content
+}
+
 struct FleetView {
   1: optional string holder
   2: optional i64 fence
@@ -140,6 +157,7 @@
   7: optional bool ended
   8: optional list<string> peers
   9: optional map<string, i64> reported
+  10: optional list<StoreProgress> store
 }
 
 struct PromptsSent {
@@ -171,4 +189,5 @@
   10: optional PromptsSent prompts_sent
   11: optional StreamOriginAsked stream_origin_asked
   12: optional StreamOriginTold stream_origin_told
+  13: optional StoreChanges store_changes
 }
--- a/src/marjoramstage/transport/platform.py
+++ b/src/marjoramstage/transport/platform.py
@@ -112,7 +112,11 @@
         return found.map(lambda data: None)
 
     async def watch(
-        self, kind: Kind, version: str, labels: Mapping[str, str] | None = None
+        self,
+        kind: Kind,
+        version: str,
+        labels: Mapping[str, str] | None = None,
+        wait_s: float | None = None,
     ) -> AsyncIterator[Result[WatchEvent, PlatformError]]:
         """Yield the changes of a kind after ``version`` until the connection ends."""
         params = _label_selector(labels) | {"watch": "true", "resourceVersion": version}
