Count replicas by what fits in memory; send only changes between full views

Its engines batch 96 requests but have memory for 40 of them, so a model counted as little used until its queue was long. RequestSizes learns the mean size of requests, and the planner counts what fits in kv_capacity. Test: load_simulation, "callers get more where memory for context runs out".

Bytes and processor time: with over 24 instances each order sent a full view (3 to 4 kB) to all of them, up to 25 a second. Between full views only targets whose items changed are sent now. Small fleets keep full views. Tests: many_instances, a third of the bytes, changes known within 0.1 s.

--- a/features/load_simulation.feature
+++ b/features/load_simulation.feature
@@ -9,6 +9,12 @@
     And at most 1 in 100 more requests is refused or cut off
     And more requests are answered in time
 
+  Scenario: callers get more where memory for context runs out before the slots
+    Given 10 engines that batch 96 requests and have memory for 40 of them
+    When 20 s are simulated with and without regard to that memory, 10 times
+    Then callers earn more of their value
+    And no class earns less than 0.4 of its value
+
   Scenario Outline: deferrable requests are served under the heaviest load, seed <seed>
     Given 6 engines and 20 models under 1.0 of the load of a busy hour
     And two engines fail for some seconds
--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -28,6 +28,7 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.placement_planner import PlacementPlanner
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
+from marjoramstage.coordination.request_sizes import RequestSizes
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.wait_policy import NoTargetReason, WaitPolicy
 from marjoramstage.state.fleet import Item
@@ -114,6 +115,7 @@
         self.servable_items, self.running_requests = ServableItems(), RunningRequests()
         self.health, self.prefill_backlog = TargetHealth(), PrefillBacklog()
         self.rates, self.wait_policy = DemandRates(), WaitPolicy()
+        self.request_sizes = RequestSizes()
         self.wait_queue, self.expected_retries = [], []
         self.dispatcher = Dispatcher(
             data_centre,
@@ -131,6 +133,7 @@
             req.item.model, req.traffic.latency_goal_s
         )
         self.rates.note(f"{SERVICE} {req.item.model}", latency_critical, now_s)
+        self.request_sizes.record(req.prompt + req.tokens)
         req.criteria = TargetCriteria(
             SERVICE,
             req.item,
@@ -235,6 +238,7 @@
     caches: CacheSizes = field(default_factory=CacheSizes)
     report_interval_s: float = 0.1
     view_interval_s: float = 0.1
+    announces_prompts: bool = True
 
     def __post_init__(self):
         self.rng, self.loop = random.Random(self.seed), VirtualLoop()
@@ -404,6 +408,8 @@
         return None if found is None else max(0.0, received_s + found - self.loop.now_s)
 
     def schedule_announcement(self, member):
+        if not self.announces_prompts:
+            return
         self.loop.after(ANNOUNCE_DELAY_S, self._announce_prompts, member)
 
     def _announce_prompts(self, member):
@@ -435,6 +441,9 @@
             resend = target_state.record_report(report, now_s)
             if resend is not None:
                 self._execute_order(resend)
+        self.planner.usable_slots = self.members[0].request_sizes.usable_slots(
+            self.spec.slots, self.spec.context_tokens
+        )
         for order in self.planner.plan_orders(self._demand(), now_s):
             self._execute_order(order)
         self.loop.after(0.05, self._tick)
--- a/features/many_instances.feature
+++ b/features/many_instances.feature
@@ -15,6 +15,13 @@
       | 89        | 10   | 4    |
       | 60        | 5    | 5    |
 
+  Scenario: with many instances a change is told without all that stays the same
+    Given a holder with a link of 200 Mbit/s that 89 instances report to
+    When one of 64 targets changes what it holds every 0.1 s for 10 s
+    Then an instance that gets the views knows each change within 0.1 s
+    And it knows at most 0.3 s late how many requests run
+    And views took at most a third of the bytes that full ones would take
+
   Scenario: a machine with a slow link takes a free lease after those with fast ones
     When 200 instances on fast links and 200 on slow ones choose their ranks
     Then each fast one comes before each slow one
--- a/features/steps/load_simulation.py
+++ b/features/steps/load_simulation.py
@@ -1,6 +1,7 @@
 """Steps that simulate load and check the results of callers."""
 
 from collections import Counter
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -12,6 +13,7 @@
     Traffic,
     earned_share,
 )
+from features.simulated_engine import CacheSizes, EngineSpeed
 from marjoramstage.coordination import prefill_backlog
 from marjoramstage.state.routes import EngineSpec, ModelSpec
 
@@ -27,6 +29,11 @@
 DEFERRABLE = tuple(f"m{n}" for n in range(10, 20))
 SHIFTS = (DemandShift(1, 2, 6), DemandShift(14, 2, 5), DemandShift(24, 2, 5))
 ASKED_OFTEN = 4
+CONTEXT_TOKENS = 95_317
+# An engine that reads prompts slowly.
+SLOW_READER = EngineSpeed(
+    0.00947, 0.0000275, 0.0000000261, 1 / 19_200, 2.35e-9, 2048, 3, CONTEXT_TOKENS
+)
 ENDED = ("in time", "late")
 
 
@@ -124,6 +131,95 @@
     assert paced > unpaced, (paced, unpaced)
 
 
+def _long_prompts_spec():
+    sizes = {"s": (16_100.0, 1.9, 0.7, 0.54), "m": (34_300.0, 4.0, 1.0, 0.78)}
+    models = {}
+    for number in range(28):
+        name = f"m{number}"
+        size = sizes["s" if number % 5 == 4 else "m"]
+        models[name] = ModelSpec(name, *size, 4, 40.0)
+    return EngineSpec(96, 83_000.0, 8, 2.8, models, context_tokens=CONTEXT_TOKENS)
+
+
+def _long_prompts():
+    prompt, events = (1800, 1.3, 6870), (7.5, 1.4, 30)
+    urgent, others = (
+        tuple(f"m{n}" for n in range(10)),
+        tuple(f"m{n}" for n in range(10, 28)),
+    )
+    draft = Traffic("draft", 37, 1, 0.5, 5, 1.8, 0.9, 1, prompt, events, urgent)
+    draft.adapter_share, draft.busy = 0.3, 4
+    rare = Traffic("rare", 5.2, 3, 0.5, 10, 1.8, 0.9, 1, prompt, events, others)
+    letter = Traffic(
+        "letter",
+        12,
+        0.8,
+        0.5,
+        15,
+        2.2,
+        1.1,
+        0,
+        (1110, 1.0, 3790),
+        (57, 0.89, 147),
+        urgent,
+    )
+    letter.busy = 4
+    return draft, rare, letter
+
+
+@given("10 engines that batch 96 requests and have memory for 40 of them")
+def make_long_prompts(context):
+    context.traffic = _long_prompts()
+
+
+def _run_long_prompts(context, spec, seed, length_s):
+    simulation = LoadSimulation(
+        spec,
+        context.traffic,
+        (DemandShift(1, 1, 7), DemandShift(12, 1, 5)),
+        (Outage(8, 1, 6),),
+        seed,
+        length_s,
+        targets=10,
+        instances=27,
+        speed=SLOW_READER,
+        hot_shares=(0.36, 0.27, 0.2, 0.17),
+        shift_step=1,
+        first_copies=4,
+        spare_disk_models=3,
+        caches=CacheSizes(60_000, 180_000),
+        report_interval_s=0.3,
+        view_interval_s=0.25,
+        announces_prompts=False,
+    )
+    return simulation.run()
+
+
+@when(
+    "{length:d} s are simulated with and without regard to that memory, {times:d} times"
+)
+def play_memory(context, length, times):
+    spec = _long_prompts_spec()
+    context.requests, context.unaware = [], []
+    for seed in range(1, times + 1):
+        context.requests += _run_long_prompts(context, spec, seed, length)
+        blind = replace(spec, context_tokens=0)
+        context.unaware += _run_long_prompts(context, blind, seed, length)
+
+
+@then("callers earn more of their value")
+def check_more(context):
+    aware, unaware = earned_share(context.requests), earned_share(context.unaware)
+    assert aware > unaware, (aware, unaware)
+
+
+@then("no class earns less than {part:g} of its value")
+def check_classes(context, part):
+    names = {req.traffic.name for req in context.requests}
+    earned = {name: earned_share(context.requests, name) for name in names}
+    assert min(earned.values()) >= part, earned
+
+
 @then("deferrable requests earn at least {part:g} of their value")
 def check_patient(context, part):
     earned = earned_share(context.requests, "deferrable")
--- a/features/steps/many_instances.py
+++ b/features/steps/many_instances.py
@@ -1,6 +1,8 @@
 """Steps about what the holder of the lease sends and sums up."""
 
+import itertools
 import math
+from unittest import mock
 
 from behave import given, then, when
 
@@ -13,7 +15,8 @@
     min_report_interval_s,
 )
 from marjoramstage.coordination.view_pacing import takeover_rank
-from marjoramstage.protocol.peers import EntryReport, encode
+from marjoramstage.protocol.peers import EntryReport, HeldItems, encode
+from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import CallerLimits, RouteTable, Service
 from marjoramstage.state.store_era import StoreEra
@@ -109,6 +112,64 @@
     assert max(gaps) <= most_s + TICK_S, max(gaps)
 
 
+@when("one of 64 targets changes what it holds every {gap_s:g} s for {for_s:d} s")
+def change_targets(context, gap_s, for_s):
+    held = {f"t{n}": HeldItems(f"t{n}", 1, ("m0",), n) for n in range(TARGETS)}
+    receiver = InstanceState(_settings(10), context.clock, None)
+    receiver.events = mock.Mock()
+    controller, context.changed_s, context.known_s = context.controller, {}, {}
+    context.full_s, step = [], 0
+    with mock.patch.object(controller, "_held_items", lambda: tuple(held.values())):
+        while context.clock.now_s < for_s:
+            context.clock.now_s += TICK_S
+            now_s = context.clock.now_s
+            if now_s >= gap_s * (step + 1):
+                step += 1
+                name, items = f"t{step % TARGETS}", ("m0", f"m{step}")
+                held[name] = HeldItems(name, 1, items, step)
+                context.changed_s[name, f"m{step}"] = now_s
+                controller.request_view()
+            controller.run_placement(now_s)
+            _receive(context, receiver, now_s)
+
+
+def _receive(context, receiver, now_s):
+    """Apply the views sent just now; note which changes are known by them."""
+    for view in {id(v): v for at_s, v in context.sent if at_s == now_s}.values():
+        receiver.apply_view(view)
+        context.full_s += [] if view.partial else [now_s]
+    for name, model in context.changed_s.keys() - context.known_s.keys():
+        target = FleetTarget(name, 1, "s", "10.0.0.1:80", "a", 4, items=frozenset())
+        if receiver.servable_items.holds(target, Item(model)):
+            context.known_s[name, model] = now_s
+
+
+@then("an instance that gets the views knows each change within {most_s:g} s")
+def check_changes(context, most_s):
+    late = {
+        key: context.known_s.get(key)
+        for key, at_s in context.changed_s.items()
+        if context.known_s.get(key, math.inf) - at_s > most_s + TICK_S
+    }
+    assert context.changed_s and not late, late
+
+
+@then("it knows at most {most_s:g} s late how many requests run")
+def check_full(context, most_s):
+    times = [0.0, *context.full_s]
+    gaps = [b - a for a, b in itertools.pairwise(times)]
+    assert max(gaps) <= most_s, max(gaps)
+
+
+@then("views took at most a third of the bytes that full ones would take")
+def check_partial(context):
+    views = {id(v): v for _, v in context.sent}.values()
+    sizes = [len(encode(view)) for view in views]
+    full = max(len(encode(v)) for v in views if not v.partial)
+    partial = [len(encode(v)) for v in views if v.partial]
+    assert partial and 3 * sum(partial) <= full * len(partial), (sum(sizes), full)
+
+
 @when("200 instances on fast links and 200 on slow ones choose their ranks")
 def choose_ranks(context):
     context.fast = {takeover_rank(n, FAST_BYTES_PER_S) for n in range(200)}
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -148,6 +148,7 @@
                 item.model, route.latency_goal_s
             )
             state.demand.note(f"{service} {item.model}", latency_critical, arrived_s)
+            state.record_size(service, headers.prompt_tokens + headers.output_tokens)
         ctx = RequestContext(
             req=req,
             route=route,
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from marjoramstage._entry.event_log import EventLog
@@ -18,11 +18,12 @@
     TargetCriteria,
 )
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
+from marjoramstage.coordination.request_sizes import RequestSizes
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
 from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.wait_queue import WaitQueue
-from marjoramstage.protocol.peers import FleetView, StoreProgress
+from marjoramstage.protocol.peers import FleetView, HeldItems, StoreProgress
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
@@ -80,6 +81,7 @@
         self.software = SoftwareHistory(clock.now())
         self._expected_retries: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedRetryBudget] = {}
+        self._request_sizes: dict[str, RequestSizes] = {}
         self.instance_count = 0
         self._last_view: tuple[str, int, int] = ("", 0, 0)
         self._load_etas: tuple[float, Mapping[str, int]] = (0.0, {})
@@ -142,6 +144,18 @@
                 found.instances = self.instance_count
         return found
 
+    def record_size(self, service: str, tokens: int) -> None:
+        """Record the prompt and the longest answer of a request for a model."""
+        self._request_sizes.setdefault(service, RequestSizes()).record(tokens)
+
+    def usable_slots(self, service: str, slots: int) -> int:
+        """Return how many requests a target with so many slots can run at once."""
+        sizes = self._request_sizes.get(service)
+        spec = self.table.services.get(service) if self.table is not None else None
+        if sizes is None or spec is None or spec.engine is None:
+            return slots
+        return sizes.usable_slots(slots, spec.engine.context_tokens)
+
     def apply_routes(self, table: RouteTable) -> None:
         """Put a version of the routes into force; ignore an older one."""
         if self.table is not None and table.version <= self.table.version:
@@ -201,20 +215,28 @@
                 "placement holder changed", holder=position[0], fence=view.fence
             )
         self._last_view = position
+        running = self._apply_held(view.held)
+        if view.partial:
+            self.schedule_assignment()
+            return
         self.instance_count = max(1, view.instances)
         self.peers = view.peers
         for retry_budget in self._budgets.values():
             retry_budget.instances = self.instance_count
-        running = {}
-        for held in view.held:
-            items = frozenset(_parse_item(text) for text in held.items)
-            self.servable_items.update(held.target, held.incarnation, items)
-            running[held.target] = held.running
         own_report = view.reported.get(self.settings.name, 0)
         self.running_requests.set_running(running, own_report)
         self._load_etas = (self.clock.now(), view.coming_ms)
         self.schedule_assignment()
 
+    def _apply_held(self, entries: Iterable[HeldItems]) -> dict[str, int]:
+        """Note what targets hold; return the requests that run at each."""
+        running = {}
+        for held in entries:
+            items = frozenset(_parse_item(text) for text in held.items)
+            self.servable_items.update(held.target, held.incarnation, items)
+            running[held.target] = held.running
+        return running
+
     def record_remote_prompts(self, tokens: Mapping[str, int]) -> None:
         """Record the prompts that another instance sent to known targets."""
         known = {t: n for t, n in tokens.items() if t in self.fleet.targets}
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -209,7 +209,7 @@
                 ):
                     self._controller.receive_view(message)
                 self._state.apply_view(message)
-                if self._store_relay is not None:
+                if self._store_relay is not None and not message.partial:
                     self._store_relay.receive_progress(message.store)
             case StoreChanges():
                 if self._store_relay is not None:
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -53,7 +53,8 @@
 # Part of the lease term that others wait before they take the lease, where
 # targets reject old fencing numbers.
 FENCED_TAKEOVER_FRACTION = 0.6
-# With more instances than this, they don't announce every prompt to each other.
+# With more instances than this, they don't announce every prompt to each other, and
+# the views after a change are partial ones.
 MAX_BROADCAST_PEERS = 24
 ORDER_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 1_048_576
@@ -112,6 +113,7 @@
         self._isolated = False
         self._sequence = 0
         self._view_pacer = ViewPacer(link_bytes_per_s)
+        self._sent_items: dict[str, tuple[int, tuple[str, ...]]] = {}
         self._next_summary_s = 0.0
         self._view_received_s = -VIEW_TTL_S
         self._orders_start_s = 0.0
@@ -326,7 +328,11 @@
         if changed:
             self.request_view()
         if self._view_pacer.is_due(now_s):
-            self._broadcast_view(now_s)
+            few = len(self._reports.addresses) <= MAX_BROADCAST_PEERS
+            if few or self._view_pacer.is_full_due(now_s):
+                self._broadcast_view(now_s)
+            else:
+                self._broadcast_changes(now_s)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
             self._log_summary(demand)
@@ -344,6 +350,9 @@
             )
             planner = PlacementPlanner(service.engine, load_limiter, first_report_s)
             self._planners[service.name] = planner
+        planner.usable_slots = self._state.usable_slots(
+            service.name, service.engine.slots
+        )
         targets = self._state.fleet.of_service(service.name)
         planner.update_targets((t for t in targets if t.items is not None), now_s)
         return planner
@@ -459,6 +468,28 @@
 
     # Views
 
+    def _broadcast_changes(self, now_s: float) -> None:
+        """Send every instance what targets hold, where that has changed."""
+        changed = tuple(
+            replace(held, running=0)
+            for held in self._held_items()
+            if self._sent_items.get(held.target) != (held.incarnation, held.items)
+        )
+        if not changed:
+            self._view_pacer.record_sent(0, 0, now_s, full=False)
+            return
+        self._sequence += 1
+        recipients = self._reports.addresses
+        view = FleetView(
+            self.elector.identity,
+            self._fence,
+            self._sequence,
+            len(recipients),
+            changed,
+            partial=True,
+        )
+        self._send_to_all(view, recipients, now_s)
+
     def _broadcast_view(self, now_s: float, ended: bool = False) -> None:
         """Send every instance what targets hold and how many requests they run."""
         self._sequence += 1
@@ -476,9 +507,19 @@
             self._reports.sequences if few else {},
             self._state.store_progress(),
         )
+        self._send_to_all(view, recipients, now_s)
+
+    def _send_to_all(
+        self, view: FleetView, recipients: tuple[str, ...], now_s: float
+    ) -> None:
+        for held in view.held:
+            self._sent_items[held.target] = (held.incarnation, held.items)
         for address in recipients:
             self._send_view(address, view)
-        self._view_pacer.record_sent(len(encode(view)), len(recipients), now_s)
+        view_bytes = len(encode(view))
+        self._view_pacer.record_sent(
+            view_bytes, len(recipients), now_s, full=not view.partial
+        )
 
     def _log_summary(self, demand: Mapping[str, DemandSnapshot]) -> None:
         """Log what each target holds and runs as known to this instance."""
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -96,6 +96,11 @@
     first_report_s : float
         Earliest time at which reports include the last orders of the previous
         lease holder.
+
+    Attributes
+    ----------
+    usable_slots : int
+        Requests that a target can run at once.
     """
 
     def __init__(
@@ -105,6 +110,7 @@
         first_report_s: float = 0.0,
     ):
         self.spec = spec
+        self.usable_slots = spec.slots
         self._first_report_s = first_report_s
         self.target_states: dict[str, TargetState] = {}
         self._values = ReplicaValues(spec)
@@ -154,7 +160,8 @@
         self._unreachable = demand.unreachable
         if now_s >= self._next_plan_s:
             self._next_plan_s = now_s + PLAN_INTERVAL_S
-            self._values.update(demand, frozenset(self.target_states))
+            names = frozenset(self.target_states)
+            self._values.update(demand, names, self.usable_slots)
             self._rebuild_index(demand)
             self._plan_loads(demand, now_s)
         orders = []
@@ -303,7 +310,7 @@
                 continue
             delay_s = self._time_to_serve_s(target_state, item, victims, demand, now_s)
             cost = gain * delay_s / EXPECTED_USE_S
-            cost += demand.running_at(target_state.target.name) / self.spec.slots
+            cost += demand.running_at(target_state.target.name) / self.usable_slots
             cost += sum(self._replica_value(target_state, v, demand) for v in victims)
             cost += UNUSED_MEMORY_COST * self._unused_memory_share(
                 target_state, item, victims
--- a/src/marjoramstage/coordination/replica_values.py
+++ b/src/marjoramstage/coordination/replica_values.py
@@ -64,15 +64,19 @@
     def __init__(self, spec: EngineSpec):
         self._spec = spec
         self._mean_run_s = 0.0
+        self._usable_slots = spec.slots
         self._idle_value = LAST_REPLICA_VALUE
 
-    def update(self, demand: DemandSnapshot, targets: frozenset[str]) -> None:
+    def update(
+        self, demand: DemandSnapshot, targets: frozenset[str], usable_slots: int
+    ) -> None:
         """Compute the values that are the same for all models.
 
         The value of an idle latency-critical model is the number of requests
         that would miss while it is loaded, times how often demand for one of
         the idle models is expected to rise.
         """
+        self._usable_slots = usable_slots
         rates = {name: demand.rate(Item(name)) for name in self._spec.models}
         total = sum(rates.values())
         running = sum(n for (name, _), n in demand.running.items() if name in targets)
@@ -121,7 +125,7 @@
         expected = demand.rate(item) * self._mean_run_s
         demand_now = max(demand.running_for_model(item.model), expected)
         demand_now += demand.waiting_by_model[item.model]
-        return demand_now / (replicas * MAX_SLOT_SHARE * self._spec.slots)
+        return demand_now / (replicas * MAX_SLOT_SHARE * self._usable_slots)
 
     def value_of_existing(
         self, item: Item, demand: DemandSnapshot, replicas: int, target: str
--- a/src/marjoramstage/coordination/view_pacing.py
+++ b/src/marjoramstage/coordination/view_pacing.py
@@ -2,7 +2,8 @@
 
 Each view goes to every instance. With many instances, views sent after each
 change would fill the link of a small machine, and its other traffic would be
-late. Time is an argument.
+late. So full views are sent regularly, and between them only what targets hold
+where that has changed. Time is an argument.
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
         self._link_bytes_per_s = link_bytes_per_s
         self._earliest_s = 0.0
         self._due_s = 0.0
+        self._full_due_s = 0.0
 
     def request(self) -> None:
         """Ask for a view as soon as the link allows."""
@@ -42,11 +44,19 @@
         """Whether to send a view now."""
         return now_s >= max(self._due_s, self._earliest_s)
 
-    def record_sent(self, view_bytes: int, recipients: int, now_s: float) -> None:
+    def is_full_due(self, now_s: float) -> bool:
+        """Whether the next view has to be a full one."""
+        return now_s >= self._full_due_s
+
+    def record_sent(
+        self, view_bytes: int, recipients: int, now_s: float, full: bool = True
+    ) -> None:
         """Record that a view was sent."""
         budget_bytes_per_s = self._link_bytes_per_s * MAX_LINK_SHARE
         self._earliest_s = now_s + view_bytes * recipients / budget_bytes_per_s
-        self._due_s = now_s + VIEW_INTERVAL_S
+        if full:
+            self._full_due_s = now_s + VIEW_INTERVAL_S
+        self._due_s = self._full_due_s
 
 
 def takeover_rank(number: int, link_bytes_per_s: float) -> int:
--- a/src/marjoramstage/platform/_config.py
+++ b/src/marjoramstage/platform/_config.py
@@ -77,6 +77,7 @@
         adapter_slots=int(data.get("adapter_slots") or 0),
         loads_per_s=float(data.get("loads_per_s") or 1),
         models={model.name: model for model in models},
+        context_tokens=max(0, int(data.get("kv_capacity") or 0)),
     )
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -354,6 +354,9 @@
         are many.
     store : tuple of StoreProgress
         What the sender knows of the platform's store.
+    partial : bool
+        Only ``held`` counts, without numbers of requests, and for the targets that
+        it lists: what they hold has changed since the view before.
     """
 
     holder: str
@@ -366,6 +369,7 @@
     peers: tuple[str, ...] = ()
     reported: Mapping[str, int] = field(default_factory=dict)
     store: tuple[StoreProgress, ...] = ()
+    partial: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -158,6 +158,7 @@
   8: optional list<string> peers
   9: optional map<string, i64> reported
   10: optional list<StoreProgress> store
+  11: optional bool partial
 }
 
 struct PromptsSent {
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -117,13 +117,20 @@
 
 @dataclass(frozen=True)
 class EngineSpec:
-    """Capacity of each target of an engine service, and the models for it."""
+    """Capacity of each target of an engine service, and the models for it.
+
+    Attributes
+    ----------
+    context_tokens : int
+        Tokens of running requests that fit in a target's memory; 0 if unknown.
+    """
 
     slots: int
     memory_mb: float
     adapter_slots: int
     loads_per_s: float
     models: Mapping[str, ModelSpec] = field(default_factory=dict)
+    context_tokens: int = 0
 
     def is_latency_critical(self, model: str, latency_goal_s: float) -> bool:
         """Whether a request is late if its model has to be swapped in first."""
