A suspended holder gives no orders before it renews; plain services say when to return

A holder of the placement lease whose process was suspended for less than its term took its lease for valid as it went on, and after more than its term it went on as if the store were away, until a target or a view showed its successor. Where targets check fencing numbers no order of it is carried out, but orders of two instances were on their way. Now it gives none until a renewal of its lease came through. Test: leases, "a holder that was suspended within its term"; on the code before it fails with (True, True, True) for before, meanwhile, after.

A caller of a plain service none of whose targets can be reached was told "model not held" and to come back after 2.5 s; it is now told "no target" and to come back after 0.4 s, and the log says so.

--- a/features/leases.feature
+++ b/features/leases.feature
@@ -62,6 +62,11 @@
     When a ended, holds again under a higher fence, and b of the first rank reads it
     Then lease elector b never took the lease
 
+  Scenario: a holder that was suspended within its term gives no order before it renews
+    Given a placement controller that holds the lease for 3 s
+    When its process is suspended for 2 s and the store does not answer
+    Then it gives no orders until its lease is renewed
+
   Scenario Outline: a lease write whose answer is lost is settled by reading
     Given lease electors a and b, and a holds the lease
     When the answer of a lease renewal of a is lost and it <effect>
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -6,12 +6,17 @@
 import asyncio
 import json
 import threading
+import time
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from marjoramstage.transport.sockets import reset_connection
+
 WATCH_S = 2.0
 EVENTS = 5
+RUN_S = 0.05
+STALL_S = 0.2
 
 
 class LoopThread:
@@ -171,6 +176,8 @@
     headers: list = field(default_factory=list)
     abandoned: list = field(default_factory=list)
     orders: list = field(default_factory=list)
+    order_times_s: list = field(default_factory=list)
+    accepted: list = field(default_factory=list)
     seq: int = 0
     born: int = 1
     software: str = "v1"
@@ -207,6 +214,8 @@
         model = req.headers.get("Model")
         if model and model not in self.models:
             return web.Response(status=421)
+        if self.fault == "reset-before":
+            return self._reset(req)
         self.runs.append(request_id)
         self.headers.append(dict(req.headers))
         if model:
@@ -218,6 +227,13 @@
             return web.Response(status=500, body=b"broken", headers=headers)
         if self.fault == "foreign":
             headers["Request-Id"] = "another"
+        if self.fault == "reset-while":
+            await asyncio.sleep(RUN_S)
+            return self._reset(req)
+        if self.fault == "reset-after":
+            resp = web.StreamResponse(headers={**headers, "Content-Length": "7"})
+            await resp.prepare(req)
+            return self._reset(req)
         if self.fault == "cut":
             resp = web.StreamResponse(headers={**headers, "Content-Length": "1000"})
             await resp.prepare(req)
@@ -226,6 +242,11 @@
             return resp
         return web.Response(body=b"ran " + body, headers=headers)
 
+    def _reset(self, req):
+        """Reset the connection of a request, as when the target is killed."""
+        reset_connection(req.transport)
+        return web.Response(status=500)
+
     async def _stream(self, req, headers):
         headers["Content-Type"] = "text/event-stream"
         resp = web.StreamResponse(headers=headers)
@@ -235,6 +256,9 @@
         try:
             for number in range(first, EVENTS + 1):
                 await asyncio.sleep(self.pause_s)
+                while self.fault == "stall" and number == 3:
+                    await resp.write(b":")
+                    await asyncio.sleep(STALL_S)
                 if self.fault == "break" and number == 3:
                     await resp.write(b"id: 3\nda")
                     req.transport.close()
@@ -249,8 +273,10 @@
     async def _order(self, req):
         order = json.loads(await req.read())
         self.orders.append(order)
+        self.order_times_s.append(time.monotonic())
         if order["precondition"] != self.seq:
             return web.Response(status=409)
+        self.accepted.append(order)
         self.seq += 1
         if order["op"] == "load":
             self.models.add(order["model"])
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -14,6 +15,12 @@
     StoredLease,
 )
 from features.model_check import find_violation
+from features.virtual_asyncio import run_virtual
+from marjoramstage import logs
+from marjoramstage._entry import placement_controller
+from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._instance.lease_runner import LEASE_TICK_S, LeaseRunner
 from marjoramstage._instance.tasks import TaskGroup
 from marjoramstage.clock import VirtualClock
@@ -27,6 +34,8 @@
 )
 from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.objects import PlatformError, PlatformFault
+from marjoramstage.state.node_settings import NodeSettings
+from marjoramstage.state.store_era import StoreEra
 
 EXAMPLES = 150
 RESTORE_EXAMPLES = 200
@@ -320,3 +329,67 @@
 @then("its lease dump says held again when the platform is back")
 def check_back(context):
     assert context.frozen[2] is False, context.frozen
+
+
+class AnsweringStore:
+    """Takes each write of the lease, or answers nothing."""
+
+    def __init__(self):
+        self.answers, self._revision = asyncio.Event(), 0
+        self.answers.set()
+
+    async def get(self, kind, name):
+        await self._answer()
+        return Err(PlatformError(PlatformFault.NOT_FOUND, Verdict.NOT_RUN))
+
+    async def create(self, obj):
+        await self._answer()
+        self._revision += 1
+        return Ok(replace(obj, version=str(self._revision)))
+
+    update = create
+
+    async def _answer(self):
+        await self.answers.wait()
+
+
+@given("a placement controller that holds the lease for 3 s")
+def make_controller(context):
+    context.lease_store, context.suspended_s = AnsweringStore(), 0.0
+
+
+@when("its process is suspended for {for_s:g} s and the store does not answer")
+def suspend_controller(context, for_s):
+    store = context.lease_store
+
+    def boot_s():
+        return 100.0 + asyncio.get_running_loop().time() + context.suspended_s
+
+    async def run():
+        settings = NodeSettings("i0", "", "a", "", "", "", (7000,), first_start=True)
+        clock = mock.Mock(now=boot_s)
+        events = EventLog(logs.component_logger("entry"), clock)
+        state = InstanceState(settings, clock, events)
+        controller = PlacementController(
+            state, store, None, "", lambda address, view: None, StoreEra()
+        )
+        task = asyncio.create_task(controller.run())
+        await asyncio.sleep(1.5)
+        context.before = controller.may_send_orders
+        store.answers.clear()
+        context.suspended_s = for_s
+        await asyncio.sleep(0.1)
+        context.meanwhile = controller.may_send_orders
+        store.answers.set()
+        await asyncio.sleep(1.0)
+        context.after = controller.may_send_orders
+        task.cancel()
+
+    with mock.patch.object(placement_controller, "seconds_since_boot", boot_s):
+        run_virtual(run())
+
+
+@then("it gives no orders until its lease is renewed")
+def check_controller(context):
+    found = (context.before, context.meanwhile, context.after)
+    assert found == (True, False, True), found
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -46,6 +46,8 @@
 TAKEOVER_REPORT_DELAY_S = 0.5
 # How long a holder may send orders after its lease expired without a renewal.
 UNRENEWED_GRACE_S = 30.0
+# A holder that did nothing for this long was suspended: another may hold the lease.
+MAX_STEP_GAP_S = 1.0
 # A holder counts as alive for this time after its last view.
 VIEW_TTL_S = 0.7
 CLOCK_MARGIN_S = 0.4
@@ -122,6 +124,8 @@
         self._rejected_fence = 0
         self._fence = 0
         self._unrenewed_until_s = 0.0
+        self._suspended = False
+        self._last_step_s = seconds_since_boot()
         self._stopping = False
 
     @property
@@ -143,7 +147,11 @@
         lease continues until another instance has taken it: the store may be
         unreachable for all instances, and once a successor has sent its first
         order to a target, that target rejects the former holder.
+
+        One that was suspended meanwhile sends none before its lease is renewed.
         """
+        if self._suspended:
+            return False
         now_s = seconds_since_boot()
         return now_s < self.elector.valid_until_s or now_s < self._unrenewed_until_s
 
@@ -151,12 +159,25 @@
         """Acquire and renew the lease, and send orders, until cancelled."""
         while True:
             now_s = seconds_since_boot()
+            self._note_step(now_s)
             if not self._holder_is_live(now_s) or self.elector.state == HOLDING:
                 self._apply_effects(self.elector.tick(self._takeover_rank, now_s))
             if self.may_send_orders and not self._is_isolated(now_s):
                 self.run_placement(now_s)
             await asyncio.sleep(TICK_S)
 
+    def _note_step(self, now_s: float) -> None:
+        """Pause orders if this process was suspended since the step before."""
+        gap_s, self._last_step_s = now_s - self._last_step_s, now_s
+        if gap_s <= MAX_STEP_GAP_S or not self.may_send_orders:
+            return
+        self._suspended = True
+        self._state.events.event(
+            "suspended while holding the lease",
+            fence=self._fence,
+            gap_s=round(gap_s, 1),
+        )
+
     async def stop(self) -> None:
         """Release the lease."""
         held = self.may_send_orders
@@ -223,6 +244,7 @@
 
     def _on_lease_held(self, fence: int) -> None:
         self._fence = fence
+        self._suspended = False
         if self._unrenewed_until_s:
             self._unrenewed_until_s = 0.0
             self._state.events.event("lease renewed late", fence=fence)
@@ -233,7 +255,8 @@
         """Continue without a valid lease unless another instance has it."""
         record = self.elector.record
         displaced = record is None or record.holder != self.elector.identity
-        if displaced or self._stopping or not self._state.settings.bounds.checks_fence:
+        fenced = self._state.settings.bounds.checks_fence
+        if displaced or self._stopping or self._suspended or not fenced:
             self._stop_orders()
             return
         now_s = seconds_since_boot()
--- a/src/marjoramstage/coordination/wait_policy.py
+++ b/src/marjoramstage/coordination/wait_policy.py
@@ -81,10 +81,10 @@
         return NoTargetReason.NO_TARGET
     if any_eligible:
         return NoTargetReason.FULL
+    if criteria.item is not None:
+        return NoTargetReason.NOT_HELD
     # A model can be loaded elsewhere; other services have no more targets.
-    if criteria.tried and criteria.item is None:
-        return NoTargetReason.TRIED_ALL
-    return NoTargetReason.NOT_HELD
+    return NoTargetReason.TRIED_ALL if criteria.tried else NoTargetReason.NO_TARGET
 
 
 @dataclass(frozen=True)
