Pause orders of a suspended holder also when its lease had run out

Traced: the rank of an instance in taking the lease is random, so it had not always taken it after 1.5 s; the test now waits 5 s. It is marked now whenever it had begun to give orders. A lease that lapsed is taken anew, which takes up to 6 s.

--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -374,14 +374,14 @@
             state, store, None, "", lambda address, view: None, StoreEra()
         )
         task = asyncio.create_task(controller.run())
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(5.0)  # the last of the ranks has taken it by then
         context.before = controller.may_send_orders
         store.answers.clear()
         context.suspended_s = for_s
         await asyncio.sleep(0.1)
         context.meanwhile = controller.may_send_orders
         store.answers.set()
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(6.0)  # it takes a lease that lapsed anew
         context.after = controller.may_send_orders
         task.cancel()
 
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -169,7 +169,8 @@
     def _note_step(self, now_s: float) -> None:
         """Pause orders if this process was suspended since the step before."""
         gap_s, self._last_step_s = now_s - self._last_step_s, now_s
-        if gap_s <= MAX_STEP_GAP_S or not self.may_send_orders:
+        gives_orders = self._orders_start_s > 0
+        if gap_s <= MAX_STEP_GAP_S or not gives_orders:
             return
         self._suspended = True
         self._state.events.event(
@@ -282,6 +283,7 @@
 
     def _stop_orders(self) -> None:
         self._orders_start_s = 0.0
+        self._suspended = False
         self._unrenewed_until_s = 0.0
         self._broadcast_view(seconds_since_boot(), ended=True)
         self._state.events.event("lease lost", fence=self._fence)
