--- a/features/relayed_store.py
+++ b/features/relayed_store.py
@@ -154,7 +154,7 @@
             self.era,
             self.events,
             max_confirmation_age_s(settings.bounds),
-            lambda: name in net.tellers,
+            lambda: name in net.publishers,
             lambda message: net.broadcast(self, message),
             lambda: net.now(),
         )
@@ -204,7 +204,7 @@
     def __init__(self, count):
         self.store = SharedStore()
         self.members = {f"i{n}": Member(self, f"i{n}") for n in range(count)}
-        self.tellers = {"i0"}
+        self.publishers = {"i0"}
         self.cut, self.lost, self.too_large = set(), 0, False
         self.in_force, self.known_leaving = {}, {}
 
@@ -253,7 +253,7 @@
 
     async def _send_views(self):
         while True:
-            for name in sorted(self.tellers):
+            for name in sorted(self.publishers):
                 member = self.members[name]
                 if member.frozen or not member.tasks:
                     continue
--- a/features/steps/store_relay.py
+++ b/features/steps/store_relay.py
@@ -66,9 +66,9 @@
 
 async def _kill(net, rng):
     net.members["i0"].stop()
-    net.tellers = set()
+    net.publishers = set()
     await asyncio.sleep(3.0)
-    net.tellers = {"i1"}
+    net.publishers = {"i1"}
 
 
 async def _suspend(net, rng):
@@ -104,11 +104,11 @@
 
 
 async def _take_over(net, rng):
-    net.tellers = {"i1"}
+    net.publishers = {"i1"}
 
 
 async def _double(net, rng):
-    net.tellers = {"i0", "i1"}
+    net.publishers = {"i0", "i1"}
 
 
 async def _cut_store(net, rng):
@@ -121,11 +121,11 @@
 
 FAULTS = {
     "nothing fails": _nothing,
-    "the teller is killed": _kill,
-    "the teller is suspended and resumed": _suspend,
-    "the store is silent to the teller": _silence,
-    "the store turns the teller away": _turn_away,
-    "the teller is cut off from the others": _cut,
+    "the publisher is killed": _kill,
+    "the publisher is suspended and resumed": _suspend,
+    "the store is silent to the publisher": _silence,
+    "the store turns the publisher away": _turn_away,
+    "the publisher is cut off from the others": _cut,
     "changes are lost on the way": _lose,
     "changes are too large to be sent": _enlarge,
     "another instance takes over": _take_over,
@@ -134,10 +134,10 @@
 }
 # These instances are suspended, killed or get no answer from the store.
 NOT_IN_TOUCH = {
-    "the teller is killed": {"i0"},
-    "the teller is suspended and resumed": {"i0"},
-    "the store is silent to the teller": {"i0"},
-    "the store turns the teller away": {"i0"},
+    "the publisher is killed": {"i0"},
+    "the publisher is suspended and resumed": {"i0"},
+    "the store is silent to the publisher": {"i0"},
+    "the store turns the publisher away": {"i0"},
 }
 
 
@@ -225,7 +225,7 @@
     assert context.listed == {frozenset(f"t{n}" for n in range(4))}, context.listed
 
 
-@when("the teller was cut off from the store and finds a target missing")
+@when("the publisher was cut off from the store and finds a target missing")
 def find_missing(context):
     async def script(net):
         await asyncio.sleep(SETTLE_S)
--- a/features/store_relay.feature
+++ b/features/store_relay.feature
@@ -22,16 +22,16 @@
     Examples:
       | case                                            | seed |
       | nothing fails                                   | 1    |
-      | the teller is killed                            | 1    |
-      | the teller is killed                            | 2    |
-      | the teller is suspended and resumed             | 1    |
-      | the teller is suspended and resumed             | 2    |
-      | the teller is suspended and resumed             | 3    |
-      | the store is silent to the teller               | 1    |
-      | the store is silent to the teller               | 2    |
-      | the store turns the teller away                 | 1    |
-      | the teller is cut off from the others           | 1    |
-      | the teller is cut off from the others           | 2    |
+      | the publisher is killed                            | 1    |
+      | the publisher is killed                            | 2    |
+      | the publisher is suspended and resumed             | 1    |
+      | the publisher is suspended and resumed             | 2    |
+      | the publisher is suspended and resumed             | 3    |
+      | the store is silent to the publisher               | 1    |
+      | the store is silent to the publisher               | 2    |
+      | the store turns the publisher away                 | 1    |
+      | the publisher is cut off from the others           | 1    |
+      | the publisher is cut off from the others           | 2    |
       | changes are lost on the way                     | 1    |
       | changes are too large to be sent                | 1    |
       | another instance takes over                     | 1    |
@@ -46,7 +46,7 @@
 
   Scenario: a target that the store may list again is not dropped by those who are told
     Given 6 instances, of which one tells the others
-    When the teller was cut off from the store and finds a target missing
+    When the publisher was cut off from the store and finds a target missing
     Then no instance drops the target before the store had time to list it again
 
   Scenario: an outage of the store costs few calls
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -1,7 +1,7 @@
 """Watches the routes and targets in the platform's object store.
 
-What one instance learns is relayed to the others; an instance asks the store
-itself only while it is not told. See `store_relay`.
+One instance publishes what it finds to the others; an instance asks the store
+itself only while nothing recent was published. See `store_relay`.
 """
 
 from __future__ import annotations
@@ -34,10 +34,10 @@
 MAX_RETRY_DELAY_S = 1.2
 # Pause between two watch calls.
 WATCH_INTERVAL_S = 0.9
-# The same for the instance that tells the others, and how long its calls wait for
-# changes: it is to notice soon when the store is silent.
-RELAY_INTERVAL_S = 0.2
-RELAY_WAIT_S = 0.3
+# The same for the instance that publishes, and how long its calls wait for changes:
+# it is to notice soon when the store is silent.
+PUBLISH_INTERVAL_S = 0.2
+PUBLISH_WAIT_S = 0.3
 # After an outage of the store, its list counts as complete after this time.
 RECOVERY_SETTLE_S = 2.2
 
@@ -93,22 +93,24 @@
         # Revision of the last change that matters; None if it is not known.
         self._changed: int | None = None
         self._confirmed_s = 0.0
-        self._told_until_s = 0.0
+        self._fresh_until_s = 0.0
         self._failures = 0
         self._relay.add(self)
 
     async def run(self) -> None:
-        """List and watch until cancelled, while no other instance tells."""
+        """List and watch until cancelled, unless another instance publishes."""
         while True:
-            told_s = self._told_for_s()
-            if told_s > 0:
-                await asyncio.sleep(told_s)
+            remaining_s = self._fresh_for_s()
+            if remaining_s > 0:
+                await asyncio.sleep(remaining_s)
                 continue
             error = await self._sync_once()
             if error is None:
                 self._mark_connected()
-                telling = self._relay.may_tell()
-                await asyncio.sleep(RELAY_INTERVAL_S if telling else WATCH_INTERVAL_S)
+                publishing = self._relay.may_publish()
+                await asyncio.sleep(
+                    PUBLISH_INTERVAL_S if publishing else WATCH_INTERVAL_S
+                )
                 continue
             if error.fault is PlatformFault.EXPIRED:
                 self._state.events.event("watch history expired", kind=self.kind.plural)
@@ -131,7 +133,7 @@
         """List the objects again; what is missing may still be written again."""
         self._version = None
         self._changed = None
-        self._told_until_s = 0.0
+        self._fresh_until_s = 0.0
         self.reconnected_s = self._state.clock.now()
 
     # Exchange with other instances
@@ -145,7 +147,7 @@
             self.kind.plural, era, self._changed, int(self._version), age_ms
         )
 
-    def learn_changes(self, message: StoreChanges, changes: ChangedObjects) -> None:
+    def apply_changes(self, message: StoreChanges, changes: ChangedObjects) -> None:
         """Apply changes that another instance sent, unless one before is missing."""
         if self._version is None:
             return
@@ -161,8 +163,8 @@
         self._changed = message.revision
         self._changing = False
 
-    def learn_progress(self, progress: StoreProgress) -> None:
-        """Rely on what another instance knows, unless it knows of more changes.
+    def apply_progress(self, progress: StoreProgress) -> None:
+        """Rely on another instance, unless it knows of changes that are missing here.
 
         One that knows less than this instance has not asked the store lately.
         """
@@ -174,15 +176,15 @@
         self._changed = progress.changed
         now_s = self._relay.now_s()
         fresh_s = self._relay.max_age_s - progress.age_ms / 1000
-        self._told_until_s = max(self._told_until_s, now_s + fresh_s)
+        self._fresh_until_s = max(self._fresh_until_s, now_s + fresh_s)
         if fresh_s > 0:
             self._mark_connected()
 
-    def _told_for_s(self) -> float:
-        """Return how long the store need not be asked."""
-        if self._version is None or self._relay.may_tell():
+    def _fresh_for_s(self) -> float:
+        """Return how long what was published is recent enough."""
+        if self._version is None or self._relay.may_publish():
             return 0.0
-        return self._told_until_s - self._relay.now_s()
+        return self._fresh_until_s - self._relay.now_s()
 
     # Calls to the store
 
@@ -211,7 +213,7 @@
 
     async def _watch(self, version: str) -> PlatformError | None:
         asked_s = self._relay.now_s()
-        wait_s = RELAY_WAIT_S if self._relay.may_tell() else None
+        wait_s = PUBLISH_WAIT_S if self._relay.may_publish() else None
         events: list[WatchEvent] = []
         async for found in self._ask_watch(version, wait_s):
             if isinstance(found, Err):
@@ -260,7 +262,7 @@
         before: dict[str, PlatformObject],
         changes: ChangedObjects,
     ) -> None:
-        """Move on to a version of the store, and tell the others what changed."""
+        """Move on to a version of the store, and publish what changed."""
         revision = int(version)
         self._version = version
         if self._changed is None:
@@ -274,7 +276,7 @@
         if not written and not changes.removed:
             return
         since, self._changed = self._changed, revision
-        self._relay.tell(
+        self._relay.publish(
             self.kind,
             since,
             revision,
@@ -283,7 +285,7 @@
         )
 
     def _is_outdated(self, version: str) -> bool:
-        """Whether more is known already than an answer of the store tells."""
+        """Whether an answer of the store is older than what is known."""
         return self._version is not None and int(version) < int(self._version)
 
     def _put(self, obj: PlatformObject) -> None:
@@ -299,10 +301,10 @@
     def _retry_delay_s(self) -> float:
         """Return the pause after a failed call.
 
-        The instance that tells the others keeps to the shortest one.
+        The instance that publishes keeps to the shortest one.
         """
         self._failures += 1
-        if self._relay.may_tell():
+        if self._relay.may_publish():
             return RETRY_DELAY_S
         return min(RETRY_DELAY_S * 2 ** (self._failures - 1), MAX_RETRY_DELAY_S)
 
@@ -395,7 +397,7 @@
 
 
 def _is_other_target(before: PlatformObject, after: PlatformObject) -> bool:
-    """Whether more has changed than what a target holds, which views tell."""
+    """Whether more has changed than what a target holds, which views carry."""
     return _without_items(before) != _without_items(after)
 
 
--- a/src/marjoramstage/_entry/store_relay.py
+++ b/src/marjoramstage/_entry/store_relay.py
@@ -1,4 +1,4 @@
-"""Passes on to all instances what one of them learns from the platform's store.
+"""Publishes to all instances what one of them reads in the platform's store.
 
 Each call to the store is paid for, and the calls of instances that all watch the
 same objects grow with their number. So the holder of the placement lease watches
@@ -47,15 +47,15 @@
     def progress(self, era: int) -> StoreProgress | None:
         """Return how much is known; None before the first list."""
 
-    def learn_changes(self, message: StoreChanges, changes: ChangedObjects) -> None:
+    def apply_changes(self, message: StoreChanges, changes: ChangedObjects) -> None:
         """Apply changes that another instance sent."""
 
-    def learn_progress(self, progress: StoreProgress) -> None:
+    def apply_progress(self, progress: StoreProgress) -> None:
         """Note how much another instance knows."""
 
 
 class StoreRelay:
-    """Exchanges what the watchers of an instance learn with the other instances.
+    """Exchanges what the watchers of an instance find with the other instances.
 
     Parameters
     ----------
@@ -63,8 +63,8 @@
         Of the store.
     max_age_s : float
         How long a confirmation is relied on; 0 to rely on none.
-    may_tell : callable
-        Whether this instance is the one that tells the others.
+    may_publish : callable
+        Whether this instance is the one that publishes.
     send : callable
         Sends changes to all other instances.
     now_s : callable
@@ -76,14 +76,14 @@
         era: StoreEra,
         events: EventLog,
         max_age_s: float = 0.0,
-        may_tell: Callable[[], bool] = lambda: False,
+        may_publish: Callable[[], bool] = lambda: False,
         send: Callable[[StoreChanges], None] = lambda message: None,
         now_s: Callable[[], float] = seconds_since_boot,
     ):
         self._era = era
         self._events = events
         self.max_age_s = max_age_s
-        self.may_tell = may_tell
+        self.may_publish = may_publish
         self._send = send
         self.now_s = now_s
         self._watchers: dict[str, RelayedWatcher] = {}
@@ -92,7 +92,7 @@
         """Relay the objects of a watcher."""
         self._watchers[watcher.kind.plural] = watcher
 
-    def tell(
+    def publish(
         self,
         kind: Kind,
         since: int,
@@ -100,8 +100,8 @@
         certain: bool,
         changes: ChangedObjects,
     ) -> None:
-        """Send changes to the other instances if this is the one that tells them."""
-        if not self.may_tell():
+        """Send changes to the other instances if this is the one that publishes."""
+        if not self.may_publish():
             return
         content = encode_changes(changes)
         era = self._era.current
@@ -124,7 +124,7 @@
                 "invalid store changes", kind=message.kind, reason=changes.err_value
             )
             return
-        watcher.learn_changes(message, changes.ok_value)
+        watcher.apply_changes(message, changes.ok_value)
 
     def receive_progress(self, entries: Iterable[StoreProgress]) -> None:
         """Note how much another instance knows of each kind.
@@ -135,4 +135,4 @@
         for progress in entries:
             watcher = self._watchers.get(progress.kind)
             if watcher is not None and progress.era == self._era.current:
-                watcher.learn_progress(progress)
+                watcher.apply_progress(progress)
