Watcher: form the difference once, mark the connection once, one job a module

The difference between the objects before and after stood in _list and in _difference, and _advance filtered it once more; it is formed in one place now. A good call marked the connection in _list or _watch and again in run. _ask_watch existed only because a test's store lacked an argument of the Platform protocol; that store has it now.

--- a/features/relayed_store.py
+++ b/features/relayed_store.py
@@ -8,12 +8,12 @@
 from marjoramstage import logs, platform
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
-from marjoramstage._entry.object_watcher import (
+from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
+from marjoramstage._entry.store_watchers import (
     drop_missing_targets,
     watch_routes,
     watch_targets,
 )
-from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.objects import (
     ObjectList,
@@ -124,12 +124,13 @@
         found = [obj for (k, _), obj in self._shared.objects.items() if k == kind]
         return Ok(ObjectList(tuple(found), str(self._shared.revision)))
 
-    async def watch(self, kind, version, labels=None, wait_s=WATCH_WAIT_S):
+    async def watch(self, kind, version, labels=None, wait_s=None):
         error = await self._shared.begin(self._name)
         if error is not None:
             yield error
             return
         asked_era = self._era.current
+        wait_s = WATCH_WAIT_S if wait_s is None else wait_s
         await self._shared.wait(kind, int(version), wait_s)
         self._era.observe(self._shared.era)
         if asked_era != self._era.current or int(version) > self._shared.revision:
@@ -192,7 +193,7 @@
             self.backlog.append(payload)
             return
         message = decode(payload)
-        if hasattr(message, "store"):
+        if isinstance(message, FleetView):
             self.relay.receive_progress(message.store)
         else:
             self.relay.receive_changes(message)
@@ -227,12 +228,13 @@
 
     def broadcast(self, sender, message):
         payload = encode(message)
-        if self.too_large and not hasattr(message, "store"):
+        is_view = isinstance(message, FleetView)
+        if self.too_large and not is_view:
             return
         for member in self.members.values():
             if member is sender or {sender.name, member.name} & self.cut:
                 continue
-            if self.lost and not hasattr(message, "store"):
+            if self.lost and not is_view:
                 self.lost -= 1
                 continue
             asyncio.get_running_loop().call_later(LINK_DELAY_S, member.receive, payload)
--- a/features/steps/config_updates.py
+++ b/features/steps/config_updates.py
@@ -9,7 +9,7 @@
 
 from features.virtual_asyncio import run_virtual
 from marjoramstage import platform
-from marjoramstage._entry.object_watcher import watch_routes
+from marjoramstage._entry.store_watchers import watch_routes
 from marjoramstage.protocol.objects import (
     ObjectList,
     PlatformObject,
@@ -48,7 +48,7 @@
         await asyncio.sleep(self._object_s)
         return Ok(ObjectList((self._object(newest),), str(newest)))
 
-    async def watch(self, kind, version, labels=None):
+    async def watch(self, kind, version, labels=None, wait_s=None):
         if self._versions[-1] <= int(version):
             await self._accepted.wait()
         await asyncio.sleep(STORE_DELAY_S)
--- a/features/steps/restored_store.py
+++ b/features/steps/restored_store.py
@@ -14,7 +14,7 @@
 from marjoramstage._entry import object_watcher
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
-from marjoramstage._entry.object_watcher import (
+from marjoramstage._entry.store_watchers import (
     drop_missing_targets,
     watch_targets,
 )
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -1,4 +1,4 @@
-"""Watches the routes and targets in the platform's object store.
+"""Watches one kind of objects in the platform's object store.
 
 One instance publishes what it finds to the others; an instance asks the store
 itself only while nothing recent was published. See `store_relay`.
@@ -8,11 +8,9 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import replace
 
-from result import Err, Ok
+from result import Err
 
-from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage.protocol.objects import (
@@ -26,7 +24,6 @@
 )
 from marjoramstage.protocol.peers import StoreChanges, StoreProgress
 from marjoramstage.protocol.store_changes import ChangedObjects
-from marjoramstage.state.fleet import FleetTarget
 from marjoramstage.state.store_era import StoreEra
 
 # Pause after the first of several failed calls; it doubles up to the longest one.
@@ -106,7 +103,6 @@
                 continue
             error = await self._sync_once()
             if error is None:
-                self._mark_connected()
                 publishing = self._relay.may_publish()
                 await asyncio.sleep(
                     PUBLISH_INTERVAL_S if publishing else WATCH_INTERVAL_S
@@ -205,36 +201,29 @@
         self._confirmed_s = asked_s
         before, self._objects = self._objects, {obj.name: obj for obj in objects}
         self._on_list(objects)
-        written = tuple(obj for obj in objects if before.get(obj.name) != obj)
-        removed = tuple(name for name in before if name not in self._objects)
-        self._changing = self._newest_only and bool(written or removed)
-        self._advance(version, before, ChangedObjects(written, removed))
+        self._changing = self._newest_only and before != self._objects
+        self._advance(version, before)
         return None
 
     async def _watch(self, version: str) -> PlatformError | None:
         asked_s = self._relay.now_s()
         wait_s = PUBLISH_WAIT_S if self._relay.may_publish() else None
         events: list[WatchEvent] = []
-        async for found in self._ask_watch(version, wait_s):
+        async for found in self._store.watch(self.kind, version, wait_s=wait_s):
             if isinstance(found, Err):
                 return found.err_value
             events.append(found.ok_value)
+        self._mark_connected()
         if not events or self._is_outdated(events[-1].version):
             return None
-        self._mark_connected()
         before = dict(self._objects)
         changed = self._apply(events)
         # Nothing tells when during the wait a change was noticed.
         waited_s = wait_s if wait_s is not None and not changed else 0.0
         self._confirmed_s = min(self._relay.now_s(), asked_s + waited_s)
-        self._advance(events[-1].version, before, self._difference(before))
+        self._advance(events[-1].version, before)
         return None
 
-    def _ask_watch(self, version: str, wait_s: float | None):
-        if wait_s is None:
-            return self._store.watch(self.kind, version)
-        return self._store.watch(self.kind, version, wait_s=wait_s)
-
     def _apply(self, events: list[WatchEvent]) -> bool:
         """Apply the events of a watch; return whether there are any changes."""
         changed = False
@@ -248,41 +237,31 @@
                 changed = True
         return changed
 
-    def _difference(self, before: dict[str, PlatformObject]) -> ChangedObjects:
-        """Return how the objects differ from what they were."""
+    def _changes_that_matter(self, before: dict[str, PlatformObject]) -> ChangedObjects:
+        """Return how the objects differ from before, for the other instances."""
         now = self._objects
-        written = tuple(obj for name, obj in now.items() if before.get(name) != obj)
-        return ChangedObjects(
-            written, tuple(name for name in before if name not in now)
+        written = tuple(
+            obj
+            for name, obj in now.items()
+            if name not in before
+            or (obj != before[name] and self._matters(before[name], obj))
         )
+        removed = tuple(name for name in before if name not in now)
+        return ChangedObjects(written, removed)
 
-    def _advance(
-        self,
-        version: str,
-        before: dict[str, PlatformObject],
-        changes: ChangedObjects,
-    ) -> None:
+    def _advance(self, version: str, before: dict[str, PlatformObject]) -> None:
         """Move on to a version of the store, and publish what changed."""
         revision = int(version)
         self._version = version
         if self._changed is None:
             self._changed = revision
             return
-        written = tuple(
-            obj
-            for obj in changes.written
-            if obj.name not in before or self._matters(before[obj.name], obj)
-        )
-        if not written and not changes.removed:
+        changes = self._changes_that_matter(before)
+        if not changes.written and not changes.removed:
             return
         since, self._changed = self._changed, revision
-        self._relay.publish(
-            self.kind,
-            since,
-            revision,
-            self.is_authoritative(),
-            ChangedObjects(written, changes.removed),
-        )
+        certain = self.is_authoritative()
+        self._relay.publish(self.kind, since, revision, certain, changes)
 
     def _is_outdated(self, version: str) -> bool:
         """Whether an answer of the store is older than what is known."""
@@ -321,102 +300,3 @@
             self.disconnected = False
             self.reconnected_s = self._state.clock.now()
             self._state.events.event("platform reachable again", kind=self.kind.plural)
-
-
-def watch_routes(
-    store: Platform, state: InstanceState, relay: StoreRelay | None = None
-) -> ObjectWatcher:
-    """Return the watcher of the operator's configuration."""
-
-    def on_put(obj: PlatformObject) -> None:
-        if obj.name != platform.CONFIG_NAME:
-            return
-        table = platform.decode_table(obj.spec)
-        if isinstance(table, Err):
-            state.events.event("invalid routes ignored", reason=table.err_value)
-            return
-        state.apply_routes(table.ok_value)
-
-    def on_list(objects: tuple[PlatformObject, ...]) -> None:
-        for obj in objects:
-            on_put(obj)
-
-    def on_remove(name: str) -> None:
-        state.events.event("routes object deleted", object=name)
-
-    return ObjectWatcher(
-        platform.CONFIG,
-        store,
-        state,
-        on_put,
-        on_remove,
-        on_list,
-        relay,
-        newest_only=True,
-    )
-
-
-def watch_targets(
-    store: Platform, state: InstanceState, relay: StoreRelay | None = None
-) -> ObjectWatcher:
-    """Return the watcher of the objects with which targets register."""
-
-    def on_put(obj: PlatformObject) -> None:
-        target = platform.decode_target(obj.name, obj.spec)
-        if isinstance(target, Err):
-            state.events.event(
-                "invalid target removed", target=obj.name, reason=target.err_value
-            )
-            on_remove(obj.name)
-            return
-        state.put_target(target.ok_value)
-
-    def on_remove(name: str) -> None:
-        if name in state.fleet.targets:
-            state.remove_target(name, watcher.is_authoritative())
-
-    def on_list(objects: tuple[PlatformObject, ...]) -> None:
-        names = {obj.name for obj in objects}
-        for name in [name for name in state.fleet.targets if name not in names]:
-            on_remove(name)
-        for obj in objects:
-            on_put(obj)
-        state.targets_listed = True
-
-    watcher = ObjectWatcher(
-        platform.TARGETS,
-        store,
-        state,
-        on_put,
-        on_remove,
-        on_list,
-        relay,
-        matters=_is_other_target,
-    )
-    return watcher
-
-
-def _is_other_target(before: PlatformObject, after: PlatformObject) -> bool:
-    """Whether more has changed than what a target holds, which views carry."""
-    return _without_items(before) != _without_items(after)
-
-
-def _without_items(obj: PlatformObject) -> FleetTarget | str:
-    """Return the target that an object describes, or why it describes none."""
-    match platform.decode_target(obj.name, obj.spec):
-        case Ok(target):
-            items = None if target.items is None else frozenset()
-            return replace(target, items=items, order_count=0)
-        case Err(reason):
-            return reason
-
-
-async def drop_missing_targets(watcher: ObjectWatcher, state: InstanceState) -> None:
-    """Remove targets that are still missing some time after an outage."""
-    while True:
-        await asyncio.sleep(RETRY_DELAY_S)
-        if state.fleet.missing and watcher.is_authoritative():
-            names = sorted(state.fleet.missing)
-            state.events.event("missing targets dropped", targets=names)
-            for name in names:
-                state.remove_target(name, confirmed=True)
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -15,15 +15,15 @@
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.load_monitor import LoadMonitor
-from marjoramstage._entry.object_watcher import (
-    drop_missing_targets,
-    watch_routes,
-    watch_targets,
-)
 from marjoramstage._entry.peer_link import PeerLink
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
+from marjoramstage._entry.store_watchers import (
+    drop_missing_targets,
+    watch_routes,
+    watch_targets,
+)
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
