One piece for compression, for the bound of a body, for messages to all peers

Twins found on reading the change again: - store_changes decompressed within a bound as document_tree did; both call protocol/compression now, each with its own bound. - MAX_BODY_BYTES stood in response_body and server_connection with one value; it stands in overhead. - Three loops of PeerLink sent a message to all addresses but the own one. - ViewPacer kept when a view is due beside when a full one is; it keeps whether one was asked for. - The parser of the IDL was left in the running program, where nothing used it any more; it went to the tool that generates the structs, which the test imports. The generated file is the same.

--- a/features/config_net.py
+++ b/features/config_net.py
@@ -10,6 +10,7 @@
 
 from marjoramstage.coordination import config_events as events
 from marjoramstage.coordination.config_node import ConfigNode
+from marjoramstage.protocol.compression import compress, decompress
 from marjoramstage.protocol.events import InventoryAccepted
 from marjoramstage.protocol.peers import (
     DocumentsSent,
@@ -19,9 +20,8 @@
     encode,
 )
 from marjoramstage.state.document_tree import (
+    MAX_DOCUMENT_BYTES,
     build_tree,
-    compress,
-    decompress,
     inventory_from_tree,
 )
 from marjoramstage.state.inventory import inventory_from_data
@@ -303,7 +303,9 @@
     if not isinstance(message, DocumentsSent):
         return message
     documents = tuple(
-        NamedDocument(d.name, compress(decompress(d.content)[:-1] + b" "))
+        NamedDocument(
+            d.name, compress(decompress(d.content, MAX_DOCUMENT_BYTES)[:-1] + b" ")
+        )
         for d in message.documents
     )
     return replace(message, documents=documents)
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -13,7 +13,6 @@
 
 from marjoramstage.metrics import LocalMetrics
 from marjoramstage.protocol import _peers_structs, peers
-from marjoramstage.protocol._thrift import load_idl
 from marjoramstage.protocol.peers import (
     AdapterWanted,
     DataCentreSummary,
@@ -48,6 +47,7 @@
     read_frame,
     write_frame,
 )
+from tools.generate_structs import load_idl
 
 SECRET = "a secret of some length"
 TIMEOUT_S = 20.0
@@ -55,7 +55,7 @@
 CLIENT = PeerIdentity("client", "dc", SECRET)
 VALID_MESSAGE = AdapterWanted("e1", "rooms", "1", "dc")
 SENDER = MemberEntry("i1", 7, 3, address="127.0.0.1:9", data_centre="dc")
-IDL = load_idl("peers.thrift")
+IDL = load_idl()
 
 
 def to_frame(payload):
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import uuid
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
@@ -112,9 +112,7 @@
             )
             controller.request_view()
             return
-        for address in addresses:
-            if address != self._address:
-                self._client.send(address, message)
+        self._send_to_others(addresses, message)
 
     async def ask_stream_origin(self, request_id: str) -> str:
         """Return the version that began a stream; empty if no instance tells."""
@@ -123,9 +121,7 @@
             fut = asyncio.get_running_loop().create_future()
             self._asked[request_id] = fut
             message = StreamOriginAsked(request_id, self._address)
-            for address in self._state.peers:
-                if address != self._address:
-                    self._client.send(address, message)
+            self._send_to_others(self._state.peers, message)
         try:
             async with asyncio.timeout(ORIGIN_TIMEOUT_S):
                 return await asyncio.shield(fut)
@@ -159,9 +155,7 @@
         message = PromptsSent(
             state.settings.name, state.prefill_backlog.take_unannounced()
         )
-        for address in state.peers:
-            if address != self._address:
-                self._client.send(address, message)
+        self._send_to_others(state.peers, message)
 
     def _send_report(self) -> None:
         controller = self._controller
@@ -198,6 +192,12 @@
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
         )
 
+    def _send_to_others(self, addresses: Iterable[str], message: PeerMessage) -> None:
+        """Send a message to these instances, but not to this one."""
+        for address in addresses:
+            if address != self._address:
+                self._client.send(address, message)
+
     def _receive(self, message: PeerMessage) -> None:
         match message:
             case EntryReport():
@@ -209,7 +209,7 @@
                 ):
                     self._controller.receive_view(message)
                 self._state.apply_view(message)
-                if self._store_relay is not None and not message.partial:
+                if self._store_relay is not None:
                     self._store_relay.receive_progress(message.store)
             case StoreChanges():
                 if self._store_relay is not None:
--- a/src/marjoramstage/coordination/distribution.py
+++ b/src/marjoramstage/coordination/distribution.py
@@ -23,6 +23,7 @@
     StopWatch,
     WatchHead,
 )
+from marjoramstage.protocol.compression import compress, decompress
 from marjoramstage.protocol.events import InventoryAccepted
 from marjoramstage.protocol.peers import (
     DocumentsAsked,
@@ -32,8 +33,7 @@
     NamedDocument,
 )
 from marjoramstage.state.document_tree import (
-    compress,
-    decompress,
+    MAX_DOCUMENT_BYTES,
     document_name,
     inventory_from_tree,
     missing_documents,
@@ -193,7 +193,7 @@
         found = []
         for sent in message.documents:
             try:
-                content = decompress(sent.content)
+                content = decompress(sent.content, MAX_DOCUMENT_BYTES)
             except ValueError:
                 self.refused_documents += 1
                 continue
--- a/src/marjoramstage/coordination/view_pacing.py
+++ b/src/marjoramstage/coordination/view_pacing.py
@@ -33,16 +33,17 @@
     def __init__(self, link_bytes_per_s: float):
         self._link_bytes_per_s = link_bytes_per_s
         self._earliest_s = 0.0
-        self._due_s = 0.0
         self._full_due_s = 0.0
+        self._requested = False
 
     def request(self) -> None:
         """Ask for a view as soon as the link allows."""
-        self._due_s = 0.0
+        self._requested = True
 
     def is_due(self, now_s: float) -> bool:
         """Whether to send a view now."""
-        return now_s >= max(self._due_s, self._earliest_s)
+        wanted = self._requested or self.is_full_due(now_s)
+        return wanted and now_s >= self._earliest_s
 
     def is_full_due(self, now_s: float) -> bool:
         """Whether the next view has to be a full one."""
@@ -56,7 +57,7 @@
         self._earliest_s = now_s + view_bytes * recipients / budget_bytes_per_s
         if full:
             self._full_due_s = now_s + VIEW_INTERVAL_S
-        self._due_s = self._full_due_s
+        self._requested = False
 
 
 def takeover_rank(number: int, link_bytes_per_s: float) -> int:
--- a/src/marjoramstage/protocol/_thrift.py
+++ b/src/marjoramstage/protocol/_thrift.py
@@ -8,14 +8,11 @@
 
 import dataclasses
 import enum
-import io
 import types
 import typing
 from collections.abc import Mapping
-from importlib import resources
 from typing import Any
 
-import thriftpy2
 from thriftpy2.protocol.compact import TCompactProtocol
 from thriftpy2.thrift import TException, TType
 from thriftpy2.transport import TMemoryBuffer
@@ -25,13 +22,6 @@
 MAX_ELEMENTS = 20_000
 
 
-def load_idl(name: str) -> types.ModuleType:
-    """Parse an IDL file of this package, also from a zip archive."""
-    text = resources.files(__package__).joinpath(name).read_text()
-    module = f"{__package__}.{name.replace('.', '_')}_thrift"
-    return thriftpy2.load_fp(io.StringIO(text), module)
-
-
 class BoundedCompactProtocol(TCompactProtocol):
     """The compact protocol with a limit on the size of collections."""
 
--- a/src/marjoramstage/protocol/store_changes.py
+++ b/src/marjoramstage/protocol/store_changes.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import json
-import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
+from marjoramstage.protocol.compression import compress, decompress
 from marjoramstage.protocol.objects import Kind, PlatformObject
 
 COMPRESSION_LEVEL = 1
@@ -31,20 +31,16 @@
     """Return the content of a message."""
     written = [[obj.name, obj.version, obj.spec] for obj in changes.written]
     text = json.dumps([written, changes.removed], separators=(",", ":"))
-    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
+    return compress(text.encode(), COMPRESSION_LEVEL)
 
 
 def decode_changes(kind: Kind, content: bytes) -> Result[ChangedObjects, str]:
     """Return the changes in the content of a message, or why it is invalid."""
     try:
-        unpacker = zlib.decompressobj()
-        text = unpacker.decompress(content, MAX_CONTENT_BYTES)
-        if unpacker.unconsumed_tail or not unpacker.eof:
-            return Err("content too large or incomplete")
-        written, removed = json.loads(text)
+        written, removed = json.loads(decompress(content, MAX_CONTENT_BYTES))
         objects = tuple(_object(kind, entry) for entry in written)
         return Ok(ChangedObjects(objects, _names(removed)))
-    except (zlib.error, ValueError, TypeError) as exc:
+    except (ValueError, TypeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
 
 
--- a/src/marjoramstage/state/document_tree.py
+++ b/src/marjoramstage/state/document_tree.py
@@ -11,7 +11,6 @@
 import functools
 import hashlib
 import json
-import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -52,29 +51,6 @@
     return hashlib.sha256(content).hexdigest()
 
 
-def compress(content: bytes) -> bytes:
-    """Compress a document for a peer."""
-    return zlib.compress(content)
-
-
-def decompress(payload: bytes) -> bytes:
-    """Decompress a document from a peer.
-
-    Raises
-    ------
-    ValueError
-        The payload is invalid, truncated or exceeds the size limit.
-    """
-    stream = zlib.decompressobj()
-    try:
-        content = stream.decompress(payload, MAX_DOCUMENT_BYTES)
-    except zlib.error as exc:
-        raise ValueError("document cannot be decompressed") from exc
-    if not stream.eof:
-        raise ValueError("document is truncated or too large")
-    return content
-
-
 def canonical_json(data: Any) -> bytes:
     """Return the canonical JSON encoding that is hashed."""
     return json.dumps(data, sort_keys=True, separators=(",", ":")).encode()
--- a/src/marjoramstage/transport/overhead.py
+++ b/src/marjoramstage/transport/overhead.py
@@ -1,9 +1,12 @@
-"""Bounds the bytes of a message that are no part of its body."""
+"""Bounds what a peer may send in one message: its body, and all else."""
 
 from __future__ import annotations
 
 import asyncio
 
+# What is read of one body, also of one that was refused as too large: the peer may
+# read its answer only after it has sent all of the body.
+MAX_BODY_BYTES = 67_108_864
 # Heads, interim responses, chunk lines and trailers of one message.
 MAX_OVERHEAD_BYTES = 65_536
 # Further bytes allowed for each byte of the body, for bodies of small chunks.
--- a/src/marjoramstage/transport/response_body.py
+++ b/src/marjoramstage/transport/response_body.py
@@ -8,9 +8,7 @@
 
 from marjoramstage.transport.client_connection import ClientConnection, ConnectionEnd
 from marjoramstage.transport.framing import Framing, response_framing
-
-# What is read of one body at most, unless a reader sets a lower limit.
-MAX_BODY_BYTES = 67_108_864
+from marjoramstage.transport.overhead import MAX_BODY_BYTES
 
 
 class BodyTooLargeError(aiohttp.ClientPayloadError):
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -8,11 +8,11 @@
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
-from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
-
-# What is read of one body, also of one that was refused as too large: the peer may
-# read its answer only after it has sent all of the body.
-MAX_BODY_BYTES = 67_108_864
+from marjoramstage.transport.overhead import (
+    MAX_BODY_BYTES,
+    OverheadMeter,
+    limit_receive_size,
+)
 
 
 class ServerConnection(RequestHandler):
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -16,7 +16,8 @@
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
 from marjoramstage.transport.framing import Framing
-from marjoramstage.transport.response_body import MAX_BODY_BYTES, ResponseBody
+from marjoramstage.transport.overhead import MAX_BODY_BYTES
+from marjoramstage.transport.response_body import ResponseBody
 from marjoramstage.transport.send_once import ConnectionLostError, send_once
 from marjoramstage.transport.sockets import create_client_socket
 
--- a/tools/generate_structs.py
+++ b/tools/generate_structs.py
@@ -4,18 +4,14 @@
 are committed: ``python tools/generate_structs.py``.
 """
 
-import sys
 from pathlib import Path
 
+import thriftpy2
 from thriftpy2.thrift import TType
 
-ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / "src"))
-
-from marjoramstage.protocol._thrift import load_idl  # noqa: E402
-
-IDL = "peers.thrift"
-TARGET = ROOT / "src" / "marjoramstage" / "protocol" / "_peers_structs.py"
+PROTOCOL = Path(__file__).resolve().parent.parent / "src/marjoramstage/protocol"
+IDL = PROTOCOL / "peers.thrift"
+TARGET = PROTOCOL / "_peers_structs.py"
 HEAD = '''"""Thrift structs of the messages between instances.
 
 Generated from ``peers.thrift`` by ``tools/generate_structs.py``; not edited by hand.
@@ -25,6 +21,11 @@
 '''
 
 
+def load_idl():
+    """Parse the IDL; return a module with its structs."""
+    return thriftpy2.load(str(IDL), "peers_thrift")
+
+
 def _type_name(code):
     return f"TType.{TType._VALUES_TO_NAMES[code]}"
 
@@ -68,7 +69,7 @@
 
 def source():
     """Return the source of the module."""
-    idl = load_idl(IDL)
+    idl = load_idl()
     lines = [HEAD.rstrip("\n")]
     for cls in idl.__thrift_meta__["structs"]:
         lines += _struct(cls)
