--- a/features/steps/many_instances.py
+++ b/features/steps/many_instances.py
@@ -85,7 +85,7 @@
     context.for_s = for_s
     while context.clock.now_s < for_s:
         context.clock.now_s += TICK_S
-        context.controller.request_view()
+        context.controller.views.request()
         context.controller.run_placement(context.clock.now_s)
 
 
@@ -119,7 +119,9 @@
     receiver.events = mock.Mock()
     controller, context.changed_s, context.known_s = context.controller, {}, {}
     context.full_s, step = [], 0
-    with mock.patch.object(controller, "_held_items", lambda: tuple(held.values())):
+    with mock.patch.object(
+        controller.views, "_held_items", lambda: tuple(held.values())
+    ):
         while context.clock.now_s < for_s:
             context.clock.now_s += TICK_S
             now_s = context.clock.now_s
@@ -128,7 +130,7 @@
                 name, items = f"t{step % TARGETS}", ("m0", f"m{step}")
                 held[name] = HeldItems(name, 1, items, step)
                 context.changed_s[name, f"m{step}"] = now_s
-                controller.request_view()
+                controller.views.request()
             controller.run_placement(now_s)
             _receive(context, receiver, now_s)
 
@@ -137,7 +139,8 @@
     """Apply the views sent just now; note which changes are known by them."""
     for view in {id(v): v for at_s, v in context.sent if at_s == now_s}.values():
         receiver.apply_view(view)
-        context.full_s += [] if view.partial else [now_s]
+        if not view.partial:
+            context.full_s.append(now_s)
     for name, model in context.changed_s.keys() - context.known_s.keys():
         target = FleetTarget(name, 1, "s", "10.0.0.1:80", "a", 4, items=frozenset())
         if receiver.servable_items.holds(target, Item(model)):
@@ -164,10 +167,9 @@
 @then("views took at most a third of the bytes that full ones would take")
 def check_partial(context):
     views = {id(v): v for _, v in context.sent}.values()
-    sizes = [len(encode(view)) for view in views]
     full = max(len(encode(v)) for v in views if not v.partial)
     partial = [len(encode(v)) for v in views if v.partial]
-    assert partial and 3 * sum(partial) <= full * len(partial), (sum(sizes), full)
+    assert partial and 3 * sum(partial) <= full * len(partial), (sum(partial), full)
 
 
 @when("200 instances on fast links and 200 on slow ones choose their ranks")
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -110,7 +110,7 @@
             self._state.events.event(
                 "store changes not sent", kind=message.kind, size=len(message.content)
             )
-            controller.request_view()
+            controller.views.request()
             return
         self._send_to_others(addresses, message)
 
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -12,9 +12,10 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.view_sender import ViewSender
 from marjoramstage.clock import seconds_since_boot
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
-from marjoramstage.coordination.instance_reports import InstanceReports, parse_key
+from marjoramstage.coordination.instance_reports import InstanceReports
 from marjoramstage.coordination.leases import (
     HOLDING,
     LeaseEffect,
@@ -27,12 +28,12 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.peer_liveness import PeerLiveness
 from marjoramstage.coordination.placement_planner import PlacementPlanner
-from marjoramstage.coordination.view_pacing import ViewPacer, takeover_rank
+from marjoramstage.coordination.view_pacing import takeover_rank
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
-from marjoramstage.protocol.peers import EntryReport, FleetView, HeldItems, encode
+from marjoramstage.protocol.peers import EntryReport, FleetView
 from marjoramstage.state.fleet import FleetTarget, TargetReport
 from marjoramstage.state.routes import Service
 from marjoramstage.state.store_era import StoreEra
@@ -55,9 +56,6 @@
 # Part of the lease term that others wait before they take the lease, where
 # targets reject old fencing numbers.
 FENCED_TAKEOVER_FRACTION = 0.6
-# With more instances than this, they don't announce every prompt to each other, and
-# the views after a change are partial ones.
-MAX_BROADCAST_PEERS = 24
 ORDER_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 1_048_576
 MAX_ORDER_ANSWER_BYTES = 65_536
@@ -76,6 +74,11 @@
         Sends a view to the instance at an address.
     era : StoreEra
         Of ``store``.
+
+    Attributes
+    ----------
+    views : ViewSender
+        Sends views while this instance holds the lease.
     """
 
     def __init__(
@@ -92,7 +95,6 @@
         era.on_rise(self._on_store_restored)
         self._store = store
         self._target_client = target_client
-        self._send_view = send_view
         identity = f"{state.settings.name}/{uuid.uuid4().hex[:12]}"
         lease_s = state.settings.bounds.lease_s
         fenced = state.settings.bounds.checks_fence
@@ -106,16 +108,16 @@
         self.elector = LeaseElector(
             LEASE_NAME, identity, address, timing, state.settings.first_start
         )
-        link_bytes_per_s = state.settings.link_bytes_per_s
-        number = zlib.crc32(identity.encode())
-        self._takeover_rank = takeover_rank(number, link_bytes_per_s)
+        self._takeover_rank = takeover_rank(
+            zlib.crc32(identity.encode()), state.settings.link_bytes_per_s
+        )
         self._planners: dict[str, PlacementPlanner] = {}
         self._reports = InstanceReports()
         self._peer_liveness = PeerLiveness()
         self._isolated = False
-        self._sequence = 0
-        self._view_pacer = ViewPacer(link_bytes_per_s)
-        self._sent_items: dict[str, tuple[int, tuple[str, ...]]] = {}
+        self.views = ViewSender(
+            state, identity, self._reports, self._planners, send_view
+        )
         self._next_summary_s = 0.0
         self._view_received_s = -VIEW_TTL_S
         self._orders_start_s = 0.0
@@ -263,7 +265,7 @@
         now_s = seconds_since_boot()
         self._unrenewed_until_s = now_s + UNRENEWED_GRACE_S
         self._state.events.event("lease not renewed", fence=self._fence)
-        self._broadcast_view(now_s)
+        self._send_view(now_s)
 
     def _on_displaced(self, reason: str) -> None:
         """Stop sending orders: another instance holds the lease."""
@@ -285,7 +287,7 @@
         self._orders_start_s = 0.0
         self._suspended = False
         self._unrenewed_until_s = 0.0
-        self._broadcast_view(seconds_since_boot(), ended=True)
+        self._send_view(seconds_since_boot(), ended=True)
         self._state.events.event("lease lost", fence=self._fence)
 
     def _on_store_restored(self, era: int) -> None:
@@ -294,6 +296,10 @@
         self._on_displaced("the store was restored")
         self._apply_effects(effects)
 
+    def _send_view(self, now_s: float, ended: bool = False) -> None:
+        """Send a view now; without a valid lease it says that another may take it."""
+        self.views.send(now_s, self._fence, ended or self._unrenewed_until_s > 0)
+
     async def _read_lease(self) -> None:
         found = await self._store.get(platform.LEASES, LEASE_NAME)
         now_s = seconds_since_boot()
@@ -329,10 +335,6 @@
 
     # Orders
 
-    def request_view(self) -> None:
-        """Ask for a view to be sent as soon as the link allows."""
-        self._view_pacer.request()
-
     def run_placement(self, now_s: float) -> None:
         """Send the orders and the view that are due."""
         table = self._state.table
@@ -351,13 +353,8 @@
                 changed = True
                 self._spawn(self._execute_order(planner, order))
         if changed:
-            self.request_view()
-        if self._view_pacer.is_due(now_s):
-            few = len(self._reports.addresses) <= MAX_BROADCAST_PEERS
-            if few or self._view_pacer.is_full_due(now_s):
-                self._broadcast_view(now_s)
-            else:
-                self._broadcast_changes(now_s)
+            self.views.request()
+        self.views.send_if_due(now_s, self._fence, self._unrenewed_until_s > 0)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
             self._log_summary(demand)
@@ -412,7 +409,7 @@
         if resend is not None and self.may_send_orders:
             self._spawn(self._execute_order(planner, resend))
         if not known or target_state.pending is None:
-            self.request_view()
+            self.views.request()
 
     async def _fetch_report(self, target: FleetTarget) -> TargetReport | None:
         call = TargetRequest(
@@ -470,7 +467,7 @@
             answer=answer.value,
             took_ms=round((now_s - sent_s) * 1000, 1),
         )
-        self.request_view()
+        self.views.request()
 
     async def _send_order(self, target: FleetTarget, order: Order) -> OrderAnswer:
         call = TargetRequest(
@@ -491,61 +488,6 @@
             return OrderAnswer.UNKNOWN
         return platform.decode_order_answer(reply.status)
 
-    # Views
-
-    def _broadcast_changes(self, now_s: float) -> None:
-        """Send every instance what targets hold, where that has changed."""
-        changed = tuple(
-            replace(held, running=0)
-            for held in self._held_items()
-            if self._sent_items.get(held.target) != (held.incarnation, held.items)
-        )
-        if not changed:
-            self._view_pacer.record_sent(0, 0, now_s, full=False)
-            return
-        self._sequence += 1
-        recipients = self._reports.addresses
-        view = FleetView(
-            self.elector.identity,
-            self._fence,
-            self._sequence,
-            len(recipients),
-            changed,
-            partial=True,
-        )
-        self._send_to_all(view, recipients, now_s)
-
-    def _broadcast_view(self, now_s: float, ended: bool = False) -> None:
-        """Send every instance what targets hold and how many requests they run."""
-        self._sequence += 1
-        recipients = self._reports.addresses
-        few = len(recipients) <= MAX_BROADCAST_PEERS
-        view = FleetView(
-            self.elector.identity,
-            self._fence,
-            self._sequence,
-            len(recipients),
-            self._held_items(),
-            self._coming_ms(now_s),
-            ended or self._unrenewed_until_s > 0,
-            recipients if few else (),
-            self._reports.sequences if few else {},
-            self._state.store_progress(),
-        )
-        self._send_to_all(view, recipients, now_s)
-
-    def _send_to_all(
-        self, view: FleetView, recipients: tuple[str, ...], now_s: float
-    ) -> None:
-        for held in view.held:
-            self._sent_items[held.target] = (held.incarnation, held.items)
-        for address in recipients:
-            self._send_view(address, view)
-        view_bytes = len(encode(view))
-        self._view_pacer.record_sent(
-            view_bytes, len(recipients), now_s, full=not view.partial
-        )
-
     def _log_summary(self, demand: Mapping[str, DemandSnapshot]) -> None:
         """Log what each target holds and runs as known to this instance."""
         for service, planner in self._planners.items():
@@ -569,32 +511,6 @@
                 "placement", service=service, targets=targets, blocked=blocked
             )
 
-    def _coming_ms(self, now_s: float) -> dict[str, int]:
-        """Return the expected time until each awaited item is loaded."""
-        coming = {}
-        for key in self._reports.waiting_keys():
-            service, item = parse_key(key)
-            planner = self._planners.get(service)
-            eta_s = planner.eta_s(item, now_s) if planner else None
-            if eta_s is not None:
-                coming[key] = int(eta_s * 1000)
-        return coming
-
-    def _held_items(self) -> tuple[HeldItems, ...]:
-        running = self._reports.running_by_target()
-        held = []
-        for planner in self._planners.values():
-            for name, target_state in planner.target_states.items():
-                if not target_state.known:
-                    continue
-                items = tuple(
-                    sorted(str(item) for item in target_state.servable_items())
-                )
-                born = target_state.target.incarnation
-                held.append(HeldItems(name, born, items, running.pop(name, 0)))
-        held += [HeldItems(name, 0, (), count) for name, count in running.items()]
-        return tuple(held)
-
     def _spawn(self, coro) -> None:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
