--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -51,6 +51,46 @@
 apply.accepted | accepted-stays-in-force |
 """
 
+SEEN_ELSEWHERE = """## Seen at similar systems
+
+What operators of similar systems told us, whether it can happen here, and the
+scenario that stands for it. All run in CI.
+
+| seen elsewhere | here | scenario |
+| --- | --- | --- |
+| a second copy of an answer, late, on a connection in use again, reaches the next \
+caller | no: the id of each answer is compared, bytes after an answer close the \
+connection, and what may not be repeated has a connection of its own | \
+field_failures: a second copy of an answer; endless_bytes: bytes after the answer |
+| a planned stop under load cuts off requests just accepted | no: ready fails first, \
+the listener stays for 2.6 s, what was read is answered | field_failures: a planned \
+stop under load; drain: rolling replacement |
+| slow but sound streams are cut, stalled ones that send a byte now and then never \
+end | no: a stream has until its deadline and no idle limit | field_failures: a \
+stream that is slow, that stalls |
+| an answer that broke off halfway reaches the caller as complete | it could (ORDER, \
+issue 26); mended then | answer_framing: each framing with each end |
+| after a restart a server that had left is in use again | no: nothing is kept by a \
+process; it lists the store anew, and a restored store marks what is missing | \
+field_failures: a target that has left; restored_store; store_relay: a publisher \
+that was suspended |
+| after a restart a key that had been withdrawn is in use again | the instances on \
+the platform hold no keys; the product's own interface reads its secret at each \
+start | none needed |
+| around a hand-over two processes act for a moment, and orders go out twice | a \
+holder that was suspended went on without asking; mended. An order carries the count \
+of orders it rests on, so that a second one has no effect | leases: a holder that \
+was suspended within its term; field_failures: a holder that was suspended; the \
+lease model |
+
+A booking whose service is killed or reset before, while or after it runs, with the
+caller pressing again at another instance (the complaint of the large deployment):
+field_failures, "a booking whose service is lost". Each press runs at most once. The
+caller gets 502, which promises nothing, where the service may have run it, and 503
+with the time to come back only where no connection could be made. The log line
+`request ended` names the request and which of the two it was.
+"""
+
 
 def write_proofs(matrix: MatrixResult, path: str | Path, seed: int) -> None:
     """Write the page; ``seed`` is the seed that the matrix ran with."""
@@ -75,6 +115,7 @@
     parts.append(DEMONSTRATIONS)
     lines = "\n".join(f"- {name}" for name in matrix.not_covered)
     parts.append(f"## Not covered by the matrix\n\n{lines}\n")
+    parts.append(SEEN_ELSEWHERE)
     Path(path).write_text("\n".join(parts))
 
 
