Log for how long models have been blocked, and how many targets are idle

The placement line gave the reason for which a model waits, but neither for how long nor whether targets are idle meanwhile, so a wait for a busy target could not be told from a lack of room. No decision changes.

--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -357,7 +357,7 @@
         self.views.send_if_due(now_s, self._fence, self._unrenewed_until_s > 0)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
-            self._log_summary(demand)
+            self._log_summary(demand, now_s)
 
     def _planner(self, service: Service, now_s: float) -> PlacementPlanner:
         planner = self._planners.get(service.name)
@@ -488,7 +488,7 @@
             return OrderAnswer.UNKNOWN
         return platform.decode_order_answer(reply.status)
 
-    def _log_summary(self, demand: Mapping[str, DemandSnapshot]) -> None:
+    def _log_summary(self, demand: Mapping[str, DemandSnapshot], now_s: float) -> None:
         """Log what each target holds and runs as known to this instance."""
         for service, planner in self._planners.items():
             targets = {}
@@ -504,11 +504,16 @@
                 )
             waiting = demand[service].waiting_by_model
             blocked = {
-                item.model: f"{waiting[item.model]} waiting: {reason.value}"
+                item.model: f"{waiting[item.model]} waiting, blocked for "
+                f"{planner.blocked_for_s(item, now_s):.1f} s: {reason.value}"
                 for item, reason in planner.blocked.items()
             }
             self._state.events.event(
-                "placement", service=service, targets=targets, blocked=blocked
+                "placement",
+                service=service,
+                targets=targets,
+                idle_targets=planner.count_idle(),
+                blocked=blocked,
             )
 
     def _spawn(self, coro) -> None:
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -131,6 +131,14 @@
         """Models that the last plan found no target for, and why."""
         return self._blocked
 
+    def blocked_for_s(self, item: Item, now_s: float) -> float:
+        """Return for how long no target has been found for a model, in seconds."""
+        return now_s - self._blocked_since_s.get(item, now_s)
+
+    def count_idle(self) -> int:
+        """Count the usable targets that carry out no order and are to get none."""
+        return sum(self._is_idle(state) for state in self._usable_targets())
+
     def update_targets(self, targets: Iterable[FleetTarget], now_s: float) -> None:
         """Replace the set of targets; a restarted target starts empty."""
         found = {target.name: target for target in targets}
@@ -353,8 +361,7 @@
 
     def _is_overdue(self, item: Item, now_s: float) -> bool:
         """Whether a model has been blocked for longer than a fetch takes."""
-        since_s = self._blocked_since_s.get(item, now_s)
-        return now_s - since_s > self.spec.models[item.model].load_s
+        return self.blocked_for_s(item, now_s) > self.spec.models[item.model].load_s
 
     def _is_idle(self, target_state: TargetState) -> bool:
         return (
