Models that stay blocked reserve the next load of a busy target

Cause: a blocked model waited for its cheapest target, and each time that one was idle a model asked for more often took it; nothing grew with the time waited.

Ruled out: the rate of the weight store (about 2 of 9.5 loads a second used).

Now: the value of a model that is held nowhere grows with the time for which it has been blocked; beyond the time of a fetch it reserves the next load of a target, up to a fifth of the targets. Only a model in steady demand that is held nowhere goes before.

--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import enum
 import math
 from collections.abc import Iterable, Mapping
 
+from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.replica_index import ReplicaIndex
@@ -68,17 +68,6 @@
 SINGLE_REQUEST_DRAIN_S = 2.0
 
 
-class BlockReason(enum.Enum):
-    """Why a model that needs another replica is not being loaded."""
-
-    NO_ROOM = "no room"
-    CACHED_NO_ROOM = "no room at targets with its weights"
-    TARGET_BUSY = "best target busy"
-    LOAD_LIMIT = "limit on loads from the weight store"
-    LOW_UTILISATION = "too little used for a load from the weight store"
-    FETCH_UNDER_WAY = "other models are loaded from the weight store"
-
-
 def _drain_s(runs: int) -> float:
     """Return how long an unload is expected to wait for running requests."""
     return SINGLE_REQUEST_DRAIN_S * (1.0 + math.log(runs)) if runs else 0.0
@@ -117,8 +106,7 @@
         self._load_limiter = load_limiter
         self._planned: dict[str, Item] = {}
         self._queue_etas_s: dict[Item, float] = {}
-        self._blocked: dict[Item, BlockReason] = {}
-        self._blocked_since_s: dict[Item, float] = {}
+        self._blocked = BlockedModels(spec)
         self._unreachable: frozenset[str] = frozenset()
         self._index = ReplicaIndex((), {}, DemandSnapshot())
         loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
@@ -129,11 +117,11 @@
     @property
     def blocked(self) -> Mapping[Item, BlockReason]:
         """Models that the last plan found no target for, and why."""
-        return self._blocked
+        return self._blocked.reasons
 
     def blocked_for_s(self, item: Item, now_s: float) -> float:
         """Return for how long no target has been found for a model, in seconds."""
-        return now_s - self._blocked_since_s.get(item, now_s)
+        return self._blocked.blocked_for_s(item, now_s)
 
     def count_idle(self) -> int:
         """Count the usable targets that carry out no order and are to get none."""
@@ -206,22 +194,19 @@
     def _plan_loads(self, demand: DemandSnapshot, now_s: float) -> None:
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
-        self._blocked.clear()
-        items = self._models_to_load(demand)
-        for item in self._blocked_since_s.keys() - set(items):
-            del self._blocked_since_s[item]
+        items = self._models_to_load(demand, now_s)
+        self._blocked.begin_plan(items, self._index.ready, self.target_states, now_s)
         for item in items:
             found = self._choose_target(item, demand, now_s)
             if isinstance(found, BlockReason):
-                self._blocked[item] = found
-                self._blocked_since_s.setdefault(item, now_s)
+                self._blocked.add(item, found, now_s)
                 self._queue_etas_s[item] = self._queue_eta_s(len(self._queue_etas_s))
                 continue
             target_state, victims = found
             for victim in victims:
                 target_state.retire(victim, now_s)
             self._planned[target_state.target.name] = item
-            self._blocked_since_s.pop(item, None)
+            self._blocked.remove(item)
             self._rebuild_index(demand)
 
     def _rebuild_index(self, demand: DemandSnapshot) -> None:
@@ -238,21 +223,27 @@
         places = max(1, self._index.deferrable)
         return (ahead + 1) * QUEUE_ETA_FACTOR * stay_s / places
 
-    def _models_to_load(self, demand: DemandSnapshot) -> list[Item]:
-        """Return the models that need another replica, most valuable first."""
-        lacking: list[tuple[float, int, Item]] = []
+    def _models_to_load(self, demand: DemandSnapshot, now_s: float) -> list[Item]:
+        """Return the models that need another replica, most valuable first.
+
+        Of equal ones, those blocked for longest come first.
+        """
+        lacking: list[tuple[float, float, Item]] = []
         for name in self.spec.models:
             item = Item(name)
-            gain = self._extra_replica_value(item, demand)
+            gain = self._extra_replica_value(item, demand, now_s)
             if gain > 0:
-                lacking.append((gain, demand.waiting_by_model[name], item))
+                lacking.append((gain, self.blocked_for_s(item, now_s), item))
         lacking.sort(key=lambda entry: entry[:2], reverse=True)
         return [item for _, _, item in lacking]
 
-    def _extra_replica_value(self, item: Item, demand: DemandSnapshot) -> float:
+    def _extra_replica_value(
+        self, item: Item, demand: DemandSnapshot, now_s: float
+    ) -> float:
         """Return the value of one more replica; 0 if none is needed."""
         replicas = self._index.ready[item.model] + self._index.pending[item.model]
-        return self._values.value_of_extra(item, demand, replicas)
+        blocked_s = self.blocked_for_s(item, now_s)
+        return self._values.value_of_extra(item, demand, replicas, blocked_s)
 
     def _replica_value(
         self, target_state: TargetState, item: Item, demand: DemandSnapshot
@@ -284,7 +275,7 @@
         tuple or BlockReason
             The target and the models to evict there; or why there is none.
         """
-        gain = self._extra_replica_value(item, demand)
+        gain = self._extra_replica_value(item, demand, now_s)
         target_states = self._index.usable
         cached = [
             s
@@ -298,7 +289,39 @@
         found = self._cheapest_target(target_states, item, gain, demand, now_s)
         if found is None:
             return fetch_blocked or BlockReason.NO_ROOM
-        return found if self._is_idle(found[0]) else BlockReason.TARGET_BUSY
+        if self._is_free(found[0], item, demand):
+            return found
+        if not self._may_reserve(item, now_s):
+            return BlockReason.TARGET_BUSY
+        return self._reserve_target(target_states, item, gain, demand, now_s)
+
+    def _may_reserve(self, item: Item, now_s: float) -> bool:
+        """Whether a model that no target holds has waited for too long for one."""
+        if self._index.ready[item.model] or not self._blocked.is_overdue(item, now_s):
+            return False
+        return self._blocked.may_reserve(item, len(self.target_states))
+
+    def _reserve_target(
+        self,
+        target_states: list[TargetState],
+        item: Item,
+        gain: float,
+        demand: DemandSnapshot,
+        now_s: float,
+    ) -> tuple[TargetState, tuple[Item, ...]] | BlockReason:
+        """Return the cheapest target that is free; else reserve its next load."""
+        candidates = [
+            s
+            for s in target_states
+            if not self._blocked.is_reserved_for_other(s.target.name, item)
+        ]
+        found = self._cheapest_target(candidates, item, gain, demand, now_s)
+        if found is None:
+            return BlockReason.TARGET_BUSY
+        if self._is_free(found[0], item, demand):
+            return found
+        self._blocked.reserve(item, found[0].target.name)
+        return BlockReason.TARGET_BUSY
 
     def _cheapest_target(
         self,
@@ -353,15 +376,25 @@
             if replicas == 0 or utilisation >= FETCH_MIN_UTILISATION:
                 return None
             return BlockReason.LOW_UTILISATION
-        if self._is_overdue(item, now_s):
+        if self._blocked.is_overdue(item, now_s):
             return None
         if cached:
             return BlockReason.CACHED_NO_ROOM
         return None if now_s >= self._next_fetch_s else BlockReason.FETCH_UNDER_WAY
 
-    def _is_overdue(self, item: Item, now_s: float) -> bool:
-        """Whether a model has been blocked for longer than a fetch takes."""
-        return self.blocked_for_s(item, now_s) > self.spec.models[item.model].load_s
+    def _is_free(
+        self, target_state: TargetState, item: Item, demand: DemandSnapshot
+    ) -> bool:
+        """Whether a target can begin to load a model now.
+
+        A reservation for another model doesn't bind one that is in steady demand
+        and held nowhere.
+        """
+        if not self._is_idle(target_state):
+            return False
+        if not self._blocked.is_reserved_for_other(target_state.target.name, item):
+            return True
+        return demand.is_active(item) and not self._index.ready[item.model]
 
     def _is_idle(self, target_state: TargetState) -> bool:
         return (
@@ -453,7 +486,8 @@
         if self._index.ready[victim.model] > 1:
             # The others serve a rise until more are loaded.
             return True
-        return self._is_overdue(item, now_s) and not self._index.deferrable
+        overdue = self._blocked.is_overdue(item, now_s)
+        return overdue and not self._index.deferrable
 
     def _next_model_order(
         self,
--- a/src/marjoramstage/coordination/replica_values.py
+++ b/src/marjoramstage/coordination/replica_values.py
@@ -24,6 +24,9 @@
 KEEP_SECOND_REPLICA_VALUE = 1.5
 MAX_DEFERRABLE_VALUE = 10.0
 
+# The value of a model that is held nowhere doubles in the time of a fetch, or in this.
+MIN_AGING_S = 1.0
+
 # Value of each request that waits for a model, and of each that runs at a replica.
 WAITING_VALUE = 0.5
 WAITING_LATENCY_CRITICAL_VALUE = 1.0
@@ -93,9 +96,20 @@
         self._idle_value = IDLE_WEIGHT * missed / (RISE_INTERVAL_S * idle)
 
     def value_of_extra(
-        self, item: Item, demand: DemandSnapshot, replicas: int
+        self,
+        item: Item,
+        demand: DemandSnapshot,
+        replicas: int,
+        blocked_s: float = 0.0,
     ) -> float:
-        """Return the value of one more replica; 0 if none is needed."""
+        """Return the value of one more replica; 0 if none is needed.
+
+        Parameters
+        ----------
+        blocked_s : float
+            How long the model has needed one in vain, in seconds. Its value grows
+            with it, so that models asked for rarely have their turn too.
+        """
         waiting = demand.waiting_by_model[item.model]
         if replicas == 0:
             if not waiting:
@@ -108,7 +122,8 @@
                 else WAITING_VALUE
             )
             value = demand.slow_rate(item) + each * waiting
-            return min(value, MAX_DEFERRABLE_VALUE)
+            load_s = max(self._spec.models[item.model].load_s, MIN_AGING_S)
+            return min(value * (1 + blocked_s / load_s), MAX_DEFERRABLE_VALUE)
         utilisation = self.utilisation(item, demand, replicas)
         if utilisation > 1.0:
             return _utilisation_value(utilisation)
