Heed what targets say in their answers: that they leave, or want a pause

Server-Leaving and the Retry-After of a 503 are decoded once in platform/ and recorded for every answer of a target: requests, streams, refusals, reports and orders. A target that leaves gets no further request of this instance until the platform lists a later start of it; one that asked for a pause gets nothing until it is over. Callers are refused at once while all targets pause, to come back spread after its end. The holder of the lease learns of leaving targets from reports, for placement.

Before: nothing read either header.

--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -183,6 +183,10 @@
     software: str = "v1"
     fault: str = ""
     pause_s: float = 0.01
+    leaving: bool = False
+    leaving_only: str = ""
+    retry_after: str = ""
+    arrivals: list = field(default_factory=list)
 
     def spec(self, state="ready"):
         found = {
@@ -203,12 +207,17 @@
 
     async def handle(self, req):
         if req.path == "/api/report":
-            return web.json_response(self._report())
+            return web.json_response(self._report(), headers=self._notices("report"))
         if req.path == "/api/order":
             return await self._order(req)
+        self.arrivals.append(time.monotonic())
+        if self.retry_after:
+            headers = {"Not-Run": "1", "Retry-After": self.retry_after}
+            return web.Response(status=503, headers=headers | self._notices("refusal"))
         body = await req.read()
         request_id = req.headers.get("Request-Id", "")
         headers = {"Request-Id": request_id, "Stamp": f"{self.name}.{request_id}"}
+        headers |= self._notices("answer")
         if self.fault == "busy":
             return web.Response(status=503, headers={"Not-Run": "1"})
         model = req.headers.get("Model")
@@ -222,6 +231,11 @@
             return await self._stream(req, headers)
         return await self._answer(req, body, headers)
 
+    def _notices(self, kind):
+        """Return what the target says of itself in an answer of this kind."""
+        told = self.leaving and self.leaving_only in ("", kind)
+        return {"Server-Leaving": "1"} if told else {}
+
     async def _answer(self, req, body, headers):
         if self.fault == "error":
             return web.Response(status=500, body=b"broken", headers=headers)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -46,6 +46,7 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 UNKNOWN_ORIGIN_RETRY_AFTER_S = 0.5
 STOPPING_RETRY_AFTER_S = 0.05
+NO_BUDGET_RETRY_AFTER_S = 0.2
 # Requests may wait for a model that is loaded within this time of a stop.
 STOPPING_MAX_WAIT_S = 1.0
 
@@ -290,7 +291,9 @@
             raise TruncatedAnswerError("no budget to go on")
         if ctx.possible_runs:
             raise RefusalError(502, "the target's answer was lost")
-        raise RefusalError(503, "not run, no budget for a repeat", 0.2)
+        pause_s = self._state.shortest_pause_s(ctx.criteria) or 0.0
+        retry_s = max(NO_BUDGET_RETRY_AFTER_S, pause_s)
+        raise RefusalError(503, "not run, no budget for a repeat", retry_s)
 
     async def _acquire_target(self, ctx: RequestContext) -> FleetTarget:
         """Occupy a slot at a target, waiting for one if need be."""
@@ -340,7 +343,10 @@
         )
         if ctx.resp is not None:
             remaining_s = ctx.deadline_s - now_s
-        decision = self._wait_policy.decide(reason, waited_s, remaining_s, eta_s)
+        pause_s = state.shortest_pause_s(ctx.criteria)
+        decision = self._wait_policy.decide(
+            reason, waited_s, remaining_s, eta_s, pause_s
+        )
         return decision, reason
 
     def _loads_before_stop(self, eta_s: float | None, now_s: float) -> bool:
@@ -363,7 +369,8 @@
         targets = state.fleet.of_service(ctx.service)
         any_listed = any(not target.leaving for target in targets)
         any_eligible = any_listed and bool(state.eligible(ctx.criteria))
-        return no_target_reason(ctx.criteria, any_listed, any_eligible)
+        any_paused = state.shortest_pause_s(ctx.criteria) is not None
+        return no_target_reason(ctx.criteria, any_listed, any_eligible, any_paused)
 
     def _no_target_error(
         self, ctx: RequestContext, reason: str, retry_after_s: float
@@ -414,6 +421,8 @@
 
         ctx.attempts += 1
         ctx.tried.append(target.name)
+        notice = platform.target_notice(answer.status, answer.headers)
+        self._state.targets_out.record(target, notice, ctx.headers.request_id)
         return answer
 
     def _target_headers(
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.targets_out import TargetsOut
 from marjoramstage.clock import Clock
 from marjoramstage.coordination.demand_rates import DemandRates
 from marjoramstage.coordination.dispatcher import (
@@ -22,6 +23,7 @@
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
 from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
 from marjoramstage.coordination.target_health import TargetHealth
+from marjoramstage.coordination.target_notices import TargetNotices
 from marjoramstage.coordination.wait_queue import WaitQueue
 from marjoramstage.protocol.peers import FleetView, HeldItems, StoreProgress
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item
@@ -42,6 +44,10 @@
         The routes in force; None until the first version is known.
     targets_listed : bool
         The targets have been listed at least once.
+    notices : TargetNotices
+        What targets said of themselves in their answers.
+    targets_out : TargetsOut
+        Takes note of it.
     stopping : bool
         Shutdown has begun.
     stopping_s : float
@@ -71,6 +77,10 @@
         self.servable_items = ServableItems()
         self.running_requests = RunningRequests()
         self.health = TargetHealth()
+        self.notices = TargetNotices()
+        self.targets_out = TargetsOut(
+            self.fleet, self.notices, clock, events, self.schedule_assignment
+        )
         self.prefill_backlog = PrefillBacklog()
         self.demand = DemandRates()
         self.peers: tuple[str, ...] = ()
@@ -92,6 +102,7 @@
             self.health,
             self.prefill_backlog,
             random.Random(),
+            self.notices,
         )
         self.wait_queue = WaitQueue(self.acquire_slot)
         self._assignment_timer: asyncio.TimerHandle | None = None
@@ -176,6 +187,7 @@
         if before is not None and before.incarnation == target.incarnation:
             # A restored store may list it as before it announced that it leaves.
             target = replace(target, leaving=target.leaving or before.leaving)
+        target = self.targets_out.apply(target)
         if before is not None and before.software != target.software:
             self.software.record(before.service, before.software, self.clock.now())
         self.fleet.put(target)
@@ -196,10 +208,20 @@
             self.software.record(target.service, target.software, self.clock.now())
         self.fleet.remove(name, confirmed)
         if confirmed:
+            self.notices.forget_unnumbered(name)
             self.health.forget(name)
             self.prefill_backlog.forget(name)
         self.events.event("target removed", target=name, settled=confirmed)
 
+    def pause_left_s(self, target: FleetTarget) -> float:
+        """Return how much longer a target wants no requests of this instance."""
+        return self.notices.pause_left_s(target, self.clock.now())
+
+    def shortest_pause_s(self, criteria: TargetCriteria) -> float | None:
+        """Return when the first target that asked for a pause takes requests again."""
+        targets = self.fleet.of_service(criteria.service)
+        return self._dispatcher.shortest_pause_s(criteria, targets, self.clock.now())
+
     def sole_software(self, service: str) -> str:
         """Return the only version of a service's targets of late; empty if several."""
         present = [target.software for target in self.fleet.of_service(service)]
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -189,6 +189,7 @@
             fast_rates=state.demand.fast.per_thousand_s(now_s),
             slow_rates=state.demand.slow.per_thousand_s(now_s),
             unreached=state.unreachable_targets(),
+            leaving=state.targets_out.leaving(),
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
         )
 
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -37,7 +37,11 @@
 from marjoramstage.state.fleet import FleetTarget, TargetReport
 from marjoramstage.state.routes import Service
 from marjoramstage.state.store_era import StoreEra
-from marjoramstage.transport.target_client import TargetClient, TargetRequest
+from marjoramstage.transport.target_client import (
+    TargetClient,
+    TargetReply,
+    TargetRequest,
+)
 
 LEASE_NAME = "placement"
 TICK_S = 0.02
@@ -377,11 +381,18 @@
         )
         targets = self._state.fleet.of_service(service.name)
         planner.update_targets((t for t in targets if t.items is not None), now_s)
+        planner.paused = frozenset(
+            state.target.name
+            for state in planner.target_states.values()
+            if self._state.pause_left_s(state.target) > 0
+        )
         return planner
 
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
         for target_state in planner.target_states.values():
             name = target_state.target.name
+            if name in planner.paused:
+                continue
             if name in self._polled_targets or not target_state.needs_report(now_s):
                 continue
             self._polled_targets.add(name)
@@ -421,7 +432,7 @@
         )
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                reply = await self._target_client.fetch(call, MAX_REPORT_BYTES)
+                reply = await self._call_target(target, call, MAX_REPORT_BYTES)
         except (TargetError, TimeoutError) as exc:
             self._state.events.event(
                 "report request failed",
@@ -445,7 +456,8 @@
         target_state = planner.target_states.get(order.target)
         if target is None or target_state is None:
             return
-        if not self.may_send_orders or self._rejected_fence == self._fence:
+        paused = self._state.pause_left_s(target) > 0
+        if paused or not self.may_send_orders or self._rejected_fence == self._fence:
             target_state.record_answer(OrderAnswer.NOT_SENT, seconds_since_boot())
             return
         fenced_order = replace(order, holder=self.elector.identity, fence=self._fence)
@@ -480,7 +492,7 @@
         )
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                reply = await self._target_client.fetch(call, MAX_ORDER_ANSWER_BYTES)
+                reply = await self._call_target(target, call, MAX_ORDER_ANSWER_BYTES)
         except TargetError as exc:
             not_run = exc.verdict is Verdict.NOT_RUN
             return OrderAnswer.NOT_SENT if not_run else OrderAnswer.UNKNOWN
@@ -488,6 +500,15 @@
             return OrderAnswer.UNKNOWN
         return platform.decode_order_answer(reply.status)
 
+    async def _call_target(
+        self, target: FleetTarget, call: TargetRequest, max_bytes: int
+    ) -> TargetReply:
+        """Make a control call; heed what the target says of itself."""
+        reply = await self._target_client.fetch(call, max_bytes)
+        notice = platform.target_notice(reply.status, reply.headers)
+        self._state.targets_out.record(target, notice, "")
+        return reply
+
     def _log_summary(self, demand: Mapping[str, DemandSnapshot]) -> None:
         """Log what each target holds and runs as known to this instance."""
         for service, planner in self._planners.items():
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -55,6 +55,18 @@
             "Times that the platform's store came back from a copy.",
             registry=self.registry,
         )
+        self.target_notices = Counter(
+            "marjoramstage_target_notices",
+            "Times that a target said that it wants no requests, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self.targets_out = Gauge(
+            "marjoramstage_targets_out",
+            "Targets that get no requests because they said so, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "marjoramstage_waiting",
             "Requests that wait for a place.",
--- a/src/marjoramstage/coordination/demand_snapshot.py
+++ b/src/marjoramstage/coordination/demand_snapshot.py
@@ -32,6 +32,8 @@
         long time.
     unreachable : frozenset of str
         Targets that several instances recently failed to connect to.
+    leaving : frozenset of tuple
+        Names and incarnations of targets that told an instance that they leave.
     """
 
     waiting: Mapping[Item, int] = field(default_factory=dict)
@@ -40,6 +42,7 @@
     slow_rates: Mapping[Item, float] = field(default_factory=dict)
     latency_critical_rates: Mapping[Item, float] = field(default_factory=dict)
     unreachable: frozenset[str] = frozenset()
+    leaving: frozenset[tuple[str, int]] = frozenset()
 
     def rate(self, item: Item) -> float:
         """Return the current requests a second for a model."""
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -10,11 +10,12 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.target_health import TargetHealth
+from marjoramstage.coordination.target_notices import TargetNotices
 from marjoramstage.state.fleet import FleetTarget, Item
 
 # Costs are relative to a target with requests in all of its slots, which costs 1.
@@ -154,6 +155,8 @@
     ----------
     data_centre : str
         Data centre of this instance.
+    notices : TargetNotices
+        What targets said of themselves to this instance.
     """
 
     def __init__(
@@ -164,6 +167,7 @@
         health: TargetHealth,
         prefill_backlog: PrefillBacklog,
         rng: random.Random,
+        notices: TargetNotices | None = None,
     ):
         self._data_centre = data_centre
         self._servable_items = servable_items
@@ -171,28 +175,42 @@
         self._health = health
         self._prefill_backlog = prefill_backlog
         self._rng = rng
+        self._notices = notices or TargetNotices()
 
     def eligible(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
     ) -> list[FleetTarget]:
         """Return the reachable targets that can serve a request, full or not."""
         found = []
-        item = criteria.item
-        for target in targets:
-            if target.leaving or target.service != criteria.service:
-                continue
-            # First what rules out most targets of a large service.
-            if item is not None and not self._holds(target, item):
-                continue
+        for target in self._holders(criteria, targets):
             if target.name in criteria.tried:
                 continue
-            if not _runs(target, criteria.software):
-                continue
             if not self._health.is_reachable(target.name, now_s):
                 continue
+            if self._notices.pause_left_s(target, now_s) > 0:
+                continue
             found.append(target)
         return found
 
+    def shortest_pause_s(
+        self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
+    ) -> float | None:
+        """Return when the first target that asked for a pause takes requests again.
+
+        Targets that the request was sent to before count too: its caller may come
+        back to them.
+
+        Returns
+        -------
+        float or None
+            Time in seconds; None if no target that can serve the request pauses.
+        """
+        pauses_s = [
+            self._notices.pause_left_s(target, now_s)
+            for target in self._holders(criteria, targets)
+        ]
+        return min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
+
     def choose(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
     ) -> FleetTarget | None:
@@ -211,6 +229,21 @@
                 best = (cost, target)
         return best[1] if best else None
 
+    def _holders(
+        self, criteria: TargetCriteria, targets: Iterable[FleetTarget]
+    ) -> Iterator[FleetTarget]:
+        """Yield the targets that have what a request requires."""
+        item = criteria.item
+        for target in targets:
+            if target.leaving or target.service != criteria.service:
+                continue
+            # First what rules out most targets of a large service.
+            if item is not None and not self._holds(target, item):
+                continue
+            if not _runs(target, criteria.software):
+                continue
+            yield target
+
     def _holds(self, target: FleetTarget, item: Item) -> bool:
         return target.items is None or self._servable_items.holds(target, item)
 
--- a/src/marjoramstage/coordination/instance_reports.py
+++ b/src/marjoramstage/coordination/instance_reports.py
@@ -117,8 +117,14 @@
         latency_critical = _sum_by_service(reports, lambda r: r.pressing_rates)
         running: Counter[tuple[str, Item]] = Counter()
         unreachable_counts: Counter[str] = Counter()
+        leaving: set[tuple[str, int]] = set()
         for report in reports:
             unreachable_counts.update(report.unreached)
+            leaving.update(
+                (t.target, int(t.incarnation))
+                for t in report.leaving
+                if t.incarnation.isdecimal()
+            )
             for key, count in report.running.items():
                 running[parse_key(key)] += count
         unreachable = frozenset(
@@ -132,6 +138,7 @@
                 _per_second(slow.get(name, {})),
                 _per_second(latency_critical.get(name, {})),
                 unreachable,
+                frozenset(leaving),
             )
             for name in services
         }
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -101,6 +101,8 @@
     ----------
     usable_slots : int
         Requests that a target can run at once.
+    paused : frozenset of str
+        Targets that take no orders for now; they keep what they hold.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
     ):
         self.spec = spec
         self.usable_slots = spec.slots
+        self.paused: frozenset[str] = frozenset()
         self._first_report_s = first_report_s
         self.target_states: dict[str, TargetState] = {}
         self._values = ReplicaValues(spec)
@@ -120,6 +123,7 @@
         self._blocked: dict[Item, BlockReason] = {}
         self._blocked_since_s: dict[Item, float] = {}
         self._unreachable: frozenset[str] = frozenset()
+        self._leaving: frozenset[tuple[str, int]] = frozenset()
         self._index = ReplicaIndex((), {}, DemandSnapshot())
         loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
         self._fetch_interval_s = 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
@@ -158,6 +162,7 @@
             if name in self.target_states:
                 self.target_states[name].touch(item, now_s)
         self._unreachable = demand.unreachable
+        self._leaving = demand.leaving
         if now_s >= self._next_plan_s:
             self._next_plan_s = now_s + PLAN_INTERVAL_S
             names = frozenset(self.target_states)
@@ -260,6 +265,7 @@
             if s.known
             and not s.target.leaving
             and s.target.name not in self._unreachable
+            and (s.target.name, s.target.incarnation) not in self._leaving
         ]
 
     def _choose_target(
@@ -277,7 +283,9 @@
             The target and the models to evict there; or why there is none.
         """
         gain = self._extra_replica_value(item, demand)
-        target_states = self._index.usable
+        target_states = [
+            s for s in self._index.usable if s.target.name not in self.paused
+        ]
         cached = [
             s
             for s in target_states
@@ -459,6 +467,8 @@
         name = target_state.target.name
         if target_state.pending is not None or not target_state.known:
             return None
+        if name in self.paused:
+            return None
         if target_state.target.leaving or item in target_state.items:
             self._drop_plan(target_state)
             return None
@@ -510,6 +520,7 @@
             if s.pending is None
             and s.holds(item.base)
             and s.target.name not in self._planned
+            and s.target.name not in self.paused
         ]
         ready.sort(key=lambda s: (not s.fits(item), demand.running_at(s.target.name)))
         for target_state in ready:
@@ -524,10 +535,10 @@
         """Free an adapter slot at each target that has none left."""
         orders = []
         for target_state in self._usable_targets():
-            if (
-                target_state.pending is not None
-                or target_state.target.name in self._planned
-            ):
+            name = target_state.target.name
+            if target_state.pending is not None or name in self._planned:
+                continue
+            if name in self.paused:
                 continue
             if len(target_state.adapters()) < self.spec.adapter_slots:
                 continue
--- a/src/marjoramstage/coordination/wait_policy.py
+++ b/src/marjoramstage/coordination/wait_policy.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import random
 from dataclasses import dataclass
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
@@ -40,6 +41,13 @@
         Retry time given to callers when all targets stay full.
     min_retry_s : float
         Shortest retry time given to callers.
+    pause_wait_s : float
+        A pause of targets that ends within this time is waited for.
+    pause_spread : float
+        Callers that are refused because of a pause come back spread over this share
+        of it after its end.
+    min_pause_spread_s : float
+        The least time over which they are spread.
     """
 
     eta_wait_s: float = 0.35
@@ -51,6 +59,9 @@
     no_target_s: float = 0.4
     full_retry_s: float = 0.7
     min_retry_s: float = 0.05
+    pause_wait_s: float = 0.3
+    pause_spread: float = 0.25
+    min_pause_spread_s: float = 0.5
 
 
 DEFAULT_LIMITS = WaitLimits()
@@ -63,11 +74,15 @@
     NOT_HELD = "model not held"
     NO_TARGET = "no target"
     TRIED_ALL = "every target tried"
+    PAUSED = "targets asked for a pause"
     STOPPING = "stopping"
 
 
 def no_target_reason(
-    criteria: TargetCriteria, any_listed: bool, any_eligible: bool
+    criteria: TargetCriteria,
+    any_listed: bool,
+    any_eligible: bool,
+    any_paused: bool = False,
 ) -> NoTargetReason:
     """Return why a request has no target.
 
@@ -76,11 +91,15 @@
     any_listed, any_eligible : bool
         Whether its service has targets that aren't leaving, and whether one of
         them can serve the request once it has room.
+    any_paused : bool
+        Whether one of them could, had it not asked for a pause.
     """
     if not any_listed:
         return NoTargetReason.NO_TARGET
     if any_eligible:
         return NoTargetReason.FULL
+    if any_paused:
+        return NoTargetReason.PAUSED
     if criteria.item is not None:
         return NoTargetReason.NOT_HELD
     # A model can be loaded elsewhere; other services have no more targets.
@@ -106,10 +125,19 @@
 
 
 class WaitPolicy:
-    """Policy for requests of one instance that have no target."""
+    """Policy for requests of one instance that have no target.
 
-    def __init__(self, limits: WaitLimits = DEFAULT_LIMITS):
+    Parameters
+    ----------
+    rng : random.Random, optional
+        Spreads the times at which callers come back.
+    """
+
+    def __init__(
+        self, limits: WaitLimits = DEFAULT_LIMITS, rng: random.Random | None = None
+    ):
         self._limits = limits
+        self._rng = rng or random.Random()
 
     def decide(
         self,
@@ -117,6 +145,7 @@
         waited_s: float,
         remaining_s: float,
         eta_s: float | None = None,
+        pause_s: float | None = None,
     ) -> WaitDecision:
         """Decide whether a request waits or is refused.
 
@@ -127,8 +156,14 @@
             unless an answer has started.
         eta_s : float or None
             Expected time until the model is loaded; None if unknown.
+        pause_s : float or None
+            Time until the first target that asked for a pause takes requests
+            again; None if none did.
         """
         limits = self._limits
+        first_again = pause_s is not None and (eta_s is None or eta_s > pause_s)
+        if reason is NoTargetReason.PAUSED and first_again:
+            return self._during_pause(pause_s, remaining_s)
         if reason is NoTargetReason.TRIED_ALL:
             return WaitDecision(True, retry_after_s=limits.no_target_s)
         if reason is NoTargetReason.NO_TARGET:
@@ -151,6 +186,15 @@
             return WaitDecision(True, retry_after_s=eta_s + limits.response_start_s)
         return WaitDecision(False, limits.recheck_s)
 
+    def _during_pause(self, pause_s: float, remaining_s: float) -> WaitDecision:
+        """Refuse a request until targets take some again, or wait if that is soon."""
+        limits = self._limits
+        in_time = pause_s + limits.response_start_s <= remaining_s
+        if pause_s <= limits.pause_wait_s and in_time:
+            return WaitDecision(False, min(pause_s, limits.recheck_s))
+        spread_s = max(limits.min_pause_spread_s, limits.pause_spread * pause_s)
+        return WaitDecision(True, retry_after_s=pause_s + self._rng.random() * spread_s)
+
     def _wait_at_most(
         self, max_wait_s: float, waited_s: float, remaining_s: float, retry_s: float
     ) -> WaitDecision:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -24,6 +24,7 @@
     watch_routes,
     watch_targets,
 )
+from marjoramstage._entry.targets_out import OutCause
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
@@ -112,6 +113,7 @@
         )
         self._peer_link.set_store_relay(relay)
         self._state.store_progress = relay.progress
+        self._state.targets_out.on_out = self._on_target_out
         await self._listen(loop)
         await self._peer_link.start()
         routes = watch_routes(store, self._state, relay)
@@ -138,6 +140,10 @@
         self._events.event("store restored", era=era)
         self._metrics.store_restores.inc()
 
+    def _on_target_out(self, cause: OutCause) -> None:
+        """Count a target that says that it wants no requests."""
+        self._metrics.target_notices.labels(cause.value).inc()
+
     async def _run_task(self, coro) -> None:
         """Run a background task; log an exception that ends it."""
         try:
@@ -195,6 +201,8 @@
     async def _handle_probe(self, req: web.BaseRequest) -> web.Response:
         if req.path == METRICS_PATH:
             self._metrics.waiting.set(len(self._state.wait_queue))
+            for cause, count in self._state.targets_out.counts().items():
+                self._metrics.targets_out.labels(cause.value).set(count)
             self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
             return web.Response(
                 body=self._metrics.exposition(), content_type="text/plain"
--- a/src/marjoramstage/platform/__init__.py
+++ b/src/marjoramstage/platform/__init__.py
@@ -13,6 +13,7 @@
     proves_not_run,
     request_id_of,
     target_headers,
+    target_notice,
 )
 from marjoramstage.platform._orders import (
     decode_order_answer,
@@ -51,4 +52,5 @@
     "proves_not_run",
     "request_id_of",
     "target_headers",
+    "target_notice",
 ]
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from multidict import CIMultiDict
+from multidict import CIMultiDict, MultiMapping
 
-from marjoramstage.state.fleet import Item
+from marjoramstage.state.fleet import Item, TargetNotice
 from marjoramstage.state.routes import MAX_URGENCY
 
 REQUEST_ID = "Request-Id"
@@ -19,9 +20,14 @@
 RESUMES = "Resumes"
 MAX_ID_CHARS = 128
 STAMP = "Stamp"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 
 MS = 0.001
 
+# The longest pause that a target can ask for, in seconds.
+MAX_PAUSE_S = 3600.0
+
 # Hop-by-hop headers, and others that concern a single connection; not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -39,6 +45,9 @@
     )
 )
 
+# Headers of a target's answer that are meant for this system, not for its callers.
+_TARGET_NOTICE_HEADERS = frozenset((LEAVING.lower(),))
+
 # Headers that only this system may send to a target; dropped if a caller sends them.
 _RESERVED_HEADERS = frozenset(
     (
@@ -96,6 +105,25 @@
     return NOT_RUN in headers or status == 421
 
 
+def target_notice(status: int, headers: MultiMapping[str]) -> TargetNotice:
+    """Return what a target says of itself in an answer; invalid values are ignored.
+
+    Any target answers 503 when it is full, so only there does `Retry-After` ask for
+    a pause. The longest of several pauses applies.
+    """
+    leaving = any(
+        word.strip() == "1"
+        for value in headers.getall(LEAVING, ())
+        for word in value.split(",")
+    )
+    pauses_s = (
+        [_parse_pause(text) for text in headers.getall(RETRY_AFTER, ())]
+        if status == 503
+        else []
+    )
+    return TargetNotice(leaving, max(pauses_s, default=0.0))
+
+
 def caller_headers(headers: Mapping[str, str]) -> CallerHeaders:
     """Parse the headers of a caller; invalid values are ignored."""
     prompt, output = _parse_tokens(headers.get("Tokens", ""))
@@ -161,9 +189,11 @@
 def answer_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers of a target's answer to forward to the caller."""
     connection = headers.get("Connection", "")
-    drop = _HOP_BY_HOP_HEADERS | {
-        name.strip().lower() for name in connection.split(",")
-    }
+    drop = (
+        _HOP_BY_HOP_HEADERS
+        | _TARGET_NOTICE_HEADERS
+        | {name.strip().lower() for name in connection.split(",")}
+    )
     kept: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
         if name.lower() not in drop:
@@ -178,6 +208,15 @@
         return None
 
 
+def _parse_pause(text: str) -> float:
+    """Return a pause in seconds; 0 for a date, or for what is no finite number."""
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return 0.0
+    return min(max(0.0, pause_s), MAX_PAUSE_S) if math.isfinite(pause_s) else 0.0
+
+
 def _parse_item(text: str) -> Item | None:
     model, _, adapter = text.partition("/")
     return Item(model, adapter) if model else None
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -276,6 +276,7 @@
         8: (TType.MAP, "slow_rates", (TType.STRING, TType.I64), False),
         9: (TType.MAP, "pressing_rates", (TType.STRING, TType.I64), False),
         10: (TType.LIST, "unreached", TType.STRING, False),
+        11: (TType.LIST, "leaving", (TType.STRUCT, LeavingTarget), False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -288,6 +289,7 @@
         ("slow_rates", None),
         ("pressing_rates", None),
         ("unreached", None),
+        ("leaving", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -253,6 +253,8 @@
         averaged over a very long time.
     unreached : tuple of str
         Targets to which the sender recently failed to connect.
+    leaving : tuple of LeavingTarget
+        Targets that told the sender that they leave.
     """
 
     instance: str
@@ -265,6 +267,7 @@
     slow_rates: Mapping[str, int] = field(default_factory=dict)
     pressing_rates: Mapping[str, int] = field(default_factory=dict)
     unreached: tuple[str, ...] = ()
+    leaving: tuple[LeavingTarget, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -121,6 +121,7 @@
   8: optional map<string, i64> slow_rates
   9: optional map<string, i64> pressing_rates
   10: optional list<string> unreached
+  11: optional list<LeavingTarget> leaving
 }
 
 struct HeldItems {
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -90,6 +90,23 @@
     on_disk: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True)
+class TargetNotice:
+    """What a target says of itself in the headers of an answer.
+
+    Attributes
+    ----------
+    leaving : bool
+        It is about to terminate and wants no further requests.
+    pause_s : float
+        Time for which it wants no requests from the instance that it answers, from
+        the arrival of the answer; 0 if it asks for no pause.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
 @dataclass
 class Fleet:
     """The targets that are known now.
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -67,6 +67,7 @@
     """The complete response to a control call."""
 
     status: int
+    headers: CIMultiDictProxy[str]
     body: bytes
 
 
@@ -156,7 +157,7 @@
             body = b"".join([chunk async for chunk in answer.iter_chunks()])
         finally:
             answer.close()
-        return TargetReply(answer.status, body)
+        return TargetReply(answer.status, answer.headers, body)
 
     async def send(
         self, request: TargetRequest, max_bytes: int = MAX_BODY_BYTES
