--- a/features/entry_deployment.py
+++ b/features/entry_deployment.py
@@ -81,8 +81,8 @@
     return address
 
 
-def start_target(context, name, service, models):
-    target = StandinTarget(name, "", 0, service, models)
+def start_target(context, name, service, models, **fields):
+    target = StandinTarget(name, "", 0, service, models, **fields)
     target.host, port = listen(context, target.handle).split(":")
     target.port = int(port)
     context.targets[name] = target
--- a/features/steps/target_notices_path.py
+++ b/features/steps/target_notices_path.py
@@ -2,11 +2,19 @@
 
 import json
 import re
+import signal
 import time
 
 from behave import given, then, when
 
-from features.entry_deployment import get, put, send
+from features.entry_deployment import (
+    get,
+    put,
+    ready_status,
+    send,
+    start_instance,
+    start_target,
+)
 from features.processes import wait_for
 
 MOST_TRIES = 60
@@ -32,11 +40,13 @@
 @when("bookings are sent to i1 until s1 was asked, and then 12 more")
 def book_until_told(context):
     context.told = []
+    service = context.targets["s1"]
+    before = len(service.arrivals)
     for _ in range(MOST_TRIES):
         context.told.append(_book(context))
-        if context.targets["s1"].arrivals:
+        if len(service.arrivals) > before:
             break
-    assert len(context.targets["s1"].arrivals) == 1
+    assert len(service.arrivals) == before + 1
     context.more = [_book(context) for _ in range(12)]
 
 
@@ -167,3 +177,56 @@
     assert "m1" in engine.models, engine.models
     assert context.statuses[-4:] == [200] * 4, context.statuses
     assert set(context.ids[-4:]) <= set(engine.runs)
+
+
+@given("service s1 says in all its answers that it leaves")
+def make_leaving_in_all(context):
+    context.targets["s1"].leaving = True
+
+
+@when("i1 is suspended for {for_s:d} s and 12 more are sent")
+def suspend(context, for_s):
+    process = context.deployment.processes["i1"]
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(for_s)
+    process.send_signal(signal.SIGCONT)
+    context.more += [_book(context) for _ in range(12)]
+
+
+@when("i1 is killed and started again")
+def restart_instance(context):
+    context.deployment.processes["i1"].kill()
+    context.deployment.processes["i1"].wait()
+    start_instance(context, "i1", 1)
+    wait_for(lambda: ready_status(context, "i1") == 200, "i1 is ready again")
+
+
+@then("no more than one booking to each start of i1 reached s1")
+def check_starts(context):
+    assert len(context.targets["s1"].arrivals) == 2
+
+
+@given("a new engine e3 with m2 that says only in its reports that it leaves")
+def add_engine(context):
+    told = {"leaving": True, "leaving_only": "report"}
+    start_target(context, "e3", "engine", {"m2"}, **told)
+
+
+@when("m2 is asked for until it is loaded at another engine")
+def ask_until_loaded(context):
+    def loaded():
+        for name in context.instances:
+            send(context, "POST", "/night/x", "m2", name)
+        return any("m2" in context.targets[name].models for name in ("e1", "e2"))
+
+    wait_for(loaded, "m2 is loaded at e1 or e2")
+
+
+@then("the holder of the lease logs that e3 is out, by no request")
+def check_report_logged(context):
+    out = []
+    for name in context.instances:
+        text = (context.deployment.folder / f"{name}.log").read_text()
+        lines = [json.loads(line) for line in text.splitlines()]
+        out += [line for line in lines if line["event"] == "target out"]
+    assert [(line["target"], line["request"]) for line in out] == [("e3", "")], out
--- a/features/target_notices_path.feature
+++ b/features/target_notices_path.feature
@@ -39,3 +39,21 @@
     Given engine e1 says that it leaves
     When m1 is asked for at both instances, again and again for 6 s
     Then m1 is loaded at e2 and the last requests were answered there
+
+  Scenario: an engine that says only in its reports that it leaves
+    Given a new engine e3 with m2 that says only in its reports that it leaves
+    When m2 is asked for until it is loaded at another engine
+    Then the holder of the lease logs that e3 is out, by no request
+
+  Scenario: an instance that is suspended keeps what it was told
+    Given service s1 says only in answer that it leaves, the store being away
+    When bookings are sent to i1 until s1 was asked, and then 12 more
+    And i1 is suspended for 3 s and 12 more are sent
+    Then none of the 12 reached s1, each was answered, and no caller was told why
+
+  Scenario: an instance that starts anew is told again
+    Given service s1 says in all its answers that it leaves
+    When bookings are sent to i1 until s1 was asked, and then 12 more
+    And i1 is killed and started again
+    And bookings are sent to i1 until s1 was asked, and then 12 more
+    Then no more than one booking to each start of i1 reached s1
