An instance that gives no orders wakes ten times a second, not fifty

Calls to the kernel of one idle instance beside the holder, 10 s, four instances on loopback with a stand-in store (trial, strace -c): 3,147 before, of them 1,508 epoll_wait and 1,390 getpid, two thirds for the step of the placement controller every 20 ms, which does nothing there. The holder keeps its step.

Ruled out as the cause of most calls: small messages (49 sendto, 46 recvfrom) and sockets (7 connections) in the same 10 s. The test failed before (50 steps a second, 12 allowed); a lapse of the holder is noticed 0.1 s later at most.

--- a/features/many_instances.feature
+++ b/features/many_instances.feature
@@ -35,3 +35,8 @@
       | 9         |
       | 89        |
       | 300       |
+
+  Scenario: an instance that gives no orders wakes rarely beside a live holder
+    Given an instance that gets a view of the holder every 0.25 s
+    When its part in the lease runs for 10 s
+    Then it woke at most 12 times a second, and knows within 0.2 s that views stopped
--- a/features/steps/many_instances.py
+++ b/features/steps/many_instances.py
@@ -1,12 +1,15 @@
 """Steps about what the holder of the lease sends and sums up."""
 
+import asyncio
 import itertools
 import math
 from unittest import mock
 
 from behave import given, then, when
 
+from features.virtual_asyncio import VirtualTimeLoop
 from marjoramstage import logs
+from marjoramstage._entry import placement_controller
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
@@ -15,13 +18,19 @@
     min_report_interval_s,
 )
 from marjoramstage.coordination.view_pacing import takeover_rank
-from marjoramstage.protocol.peers import EntryReport, HeldItems, encode
+from marjoramstage.protocol.peers import (
+    EntryReport,
+    FleetView,
+    HeldItems,
+    encode,
+)
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import CallerLimits, RouteTable, Service
 from marjoramstage.state.store_era import StoreEra
 
 TICK_S = 0.02
+VIEW_INTERVAL_S = 0.25
 TARGETS = 64
 BYTES_PER_S_PER_MBPS = 125_000
 FAST_BYTES_PER_S, SLOW_BYTES_PER_S = 25_000_000, 1_250_000
@@ -202,3 +211,52 @@
 def check_reports(context, most, sums):
     assert context.per_s <= most, context.per_s
     assert context.sums_per_s <= sums, context.sums_per_s
+
+
+@given("an instance that gets a view of the holder every 0.25 s")
+def make_follower(context):
+    make_holder(context, 200, 0)
+    context.wakes = []
+
+
+@when("its part in the lease runs for {for_s:d} s")
+def run_follower(context, for_s):
+    loop = VirtualTimeLoop()
+    context.add_cleanup(loop.close)
+    controller, sleep = context.controller, asyncio.sleep
+    context.asked_s = []
+
+    async def counted_sleep(delay_s):
+        context.wakes.append(loop.time())
+        await sleep(delay_s)
+
+    def ask(rank, now_s):
+        context.asked_s.append(now_s)
+        return []
+
+    async def run():
+        task = loop.create_task(controller.run())
+        for number in range(int(for_s / VIEW_INTERVAL_S)):
+            controller.receive_view(FleetView("other", 1, number, 2))
+            await sleep(VIEW_INTERVAL_S)
+        context.last_view_s = loop.time() - VIEW_INTERVAL_S
+        await sleep(2.0)
+        task.cancel()
+
+    with (
+        mock.patch.object(placement_controller, "seconds_since_boot", loop.time),
+        mock.patch.object(placement_controller.asyncio, "sleep", counted_sleep),
+        mock.patch.object(controller.elector, "tick", ask),
+    ):
+        loop.run_until_complete(run())
+
+
+@then(
+    "it woke at most {most:d} times a second, "
+    "and knows within {late:g} s that views stopped"
+)
+def check_follower(context, most, late):
+    wakes = [at_s for at_s in context.wakes if at_s <= context.last_view_s]
+    assert len(wakes) <= most * context.last_view_s, len(wakes)
+    lapsed_s = context.last_view_s + placement_controller.VIEW_TTL_S
+    assert lapsed_s <= context.asked_s[0] <= lapsed_s + late, context.asked_s[0]
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -45,6 +45,8 @@
 
 LEASE_NAME = "placement"
 TICK_S = 0.02
+# The same while this instance gives no orders.
+IDLE_TICK_S = 0.1
 SUMMARY_INTERVAL_S = 2.0
 # A new holder requests reports after this time, when they show the last orders
 # of its predecessor.
@@ -170,7 +172,7 @@
                 self._apply_effects(self.elector.tick(self._takeover_rank, now_s))
             if self.may_send_orders and not self._is_isolated(now_s):
                 self.run_placement(now_s)
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self.may_send_orders else IDLE_TICK_S)
 
     def _note_step(self, now_s: float) -> None:
         """Pause orders if this process was suspended since the step before."""
