A reservation ends when nobody waits for its model

Its turn (the time that counts as waited) stays, the target does not. The test failed before. The pause of targets is looked up once for a decision to wait, not twice.

--- a/features/planner_fleet.feature
+++ b/features/planner_fleet.feature
@@ -33,3 +33,8 @@
       | targets | rare |
       | 3       | 18   |
       | 4       | 24   |
+
+  Scenario: a reservation does not keep a target from others once nobody waits for it
+    Given a model that has reserved the next load of the only target
+    When nobody waits for that model any more
+    Then the target is not kept for it, and it keeps its turn for 10 s
--- a/features/steps/planner_fleet.py
+++ b/features/steps/planner_fleet.py
@@ -1,11 +1,13 @@
 """Steps about the planner of a fleet with many targets and models."""
 
 import sys
+from collections import Counter
 
 from behave import given, then, when
 
 from features.simulated_targets import DISK_LOAD_S, STORE_LOAD_S, FakeTarget
 from features.simulated_targets import TargetSimulation as Simulation
+from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.placement_planner import PlacementPlanner
@@ -214,3 +216,26 @@
     starved = [str(item) for item in context.rates if item not in context.first_held_s]
     assert not starved, starved
     assert max(context.first_held_s.values()) <= most, context.first_held_s
+
+
+@given("a model that has reserved the next load of the only target")
+def reserve_only(context):
+    context.blocked = BlockedModels(_spec(["r1", "r2"]))
+    context.blocked.begin_plan([Item("r1")], Counter(), ("t0",), 0.0)
+    context.blocked.add(Item("r1"), BlockReason.TARGET_BUSY, 0.0)
+    context.blocked.reserve(Item("r1"), "t0")
+    assert context.blocked.is_reserved_for_other("t0", Item("r2"))
+
+
+@when("nobody waits for that model any more")
+def stop_waiting(context):
+    context.blocked.begin_plan([], Counter(), ("t0",), 5.0)
+
+
+@then("the target is not kept for it, and it keeps its turn for {for_s:d} s")
+def check_not_kept(context, for_s):
+    assert not context.blocked.is_reserved_for_other("t0", Item("r2"))
+    assert context.blocked.blocked_for_s(Item("r1"), 5.0) == 5.0
+    after_s = for_s + 0.1
+    context.blocked.begin_plan([], Counter(), ("t0",), after_s)
+    assert context.blocked.blocked_for_s(Item("r1"), after_s) == 0.0
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -331,7 +331,8 @@
         state = self._state
         now_s = state.clock.now()
         item = ctx.criteria.item
-        reason = self._no_target_reason(ctx)
+        pause_s = state.shortest_pause_s(ctx.criteria)
+        reason = self._no_target_reason(ctx, pause_s is not None)
         eta_s = state.eta_s(ctx.service, item) if item is not None else None
         waited_s = now_s - ctx.arrived_s
         if state.stopping and not self._loads_before_stop(eta_s, now_s):
@@ -343,7 +344,6 @@
         )
         if ctx.resp is not None:
             remaining_s = ctx.deadline_s - now_s
-        pause_s = state.shortest_pause_s(ctx.criteria)
         decision = self._wait_policy.decide(
             reason, waited_s, remaining_s, eta_s, pause_s
         )
@@ -364,12 +364,13 @@
         elif not waiter.fut.cancelled():
             self._state.release_slot(waiter.fut.result(), ctx.criteria)
 
-    def _no_target_reason(self, ctx: RequestContext) -> NoTargetReason:
+    def _no_target_reason(
+        self, ctx: RequestContext, any_paused: bool
+    ) -> NoTargetReason:
         state = self._state
         targets = state.fleet.of_service(ctx.service)
         any_listed = any(not target.leaving for target in targets)
         any_eligible = any_listed and bool(state.eligible(ctx.criteria))
-        any_paused = state.shortest_pause_s(ctx.criteria) is not None
         return no_target_reason(ctx.criteria, any_listed, any_eligible, any_paused)
 
     def _no_target_error(
--- a/src/marjoramstage/coordination/blocked_models.py
+++ b/src/marjoramstage/coordination/blocked_models.py
@@ -82,8 +82,9 @@
         # A model that is served has had its turn.
         for item in [item for item in self._since_s if ready[item.model]]:
             self.remove(item)
-        for target in self._reserved.keys() - set(targets):
-            del self._reserved[target]
+        for target, item in list(self._reserved.items()):
+            if target not in targets or item not in wanted_now:
+                del self._reserved[target]
 
     def add(self, item: Item, reason: BlockReason, now_s: float) -> None:
         """Record that no target can load a model now."""
