--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -12,6 +12,7 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.target_control import TargetControl
 from marjoramstage._entry.view_sender import ViewSender
 from marjoramstage.clock import seconds_since_boot
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
@@ -29,19 +30,14 @@
 from marjoramstage.coordination.peer_liveness import PeerLiveness
 from marjoramstage.coordination.placement_planner import PlacementPlanner
 from marjoramstage.coordination.view_pacing import takeover_rank
-from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
 from marjoramstage.protocol.peers import EntryReport, FleetView
-from marjoramstage.state.fleet import FleetTarget, TargetReport
+from marjoramstage.state.fleet import FleetTarget
 from marjoramstage.state.routes import Service
 from marjoramstage.state.store_era import StoreEra
-from marjoramstage.transport.target_client import (
-    TargetClient,
-    TargetReply,
-    TargetRequest,
-)
+from marjoramstage.transport.target_client import TargetClient
 
 LEASE_NAME = "placement"
 TICK_S = 0.02
@@ -62,9 +58,6 @@
 # Part of the lease term that others wait before they take the lease, where
 # targets reject old fencing numbers.
 FENCED_TAKEOVER_FRACTION = 0.6
-ORDER_TIMEOUT_S = 1.0
-MAX_REPORT_BYTES = 1_048_576
-MAX_ORDER_ANSWER_BYTES = 65_536
 
 
 class PlacementController:
@@ -100,7 +93,7 @@
         self._era = era
         era.on_rise(self._on_store_restored)
         self._store = store
-        self._target_client = target_client
+        self._target_control = TargetControl(state, target_client)
         identity = f"{state.settings.name}/{uuid.uuid4().hex[:12]}"
         lease_s = state.settings.bounds.lease_s
         fenced = state.settings.bounds.checks_fence
@@ -404,7 +397,7 @@
         self, planner: PlacementPlanner, target: FleetTarget
     ) -> None:
         try:
-            report = await self._fetch_report(target)
+            report = await self._target_control.fetch_report(target)
         finally:
             self._polled_targets.discard(target.name)
         now_s = seconds_since_boot()
@@ -424,34 +417,6 @@
         if not known or target_state.pending is None:
             self.views.request()
 
-    async def _fetch_report(self, target: FleetTarget) -> TargetReport | None:
-        call = TargetRequest(
-            target.address,
-            "GET",
-            platform.REPORT_PATH,
-            platform.order_headers(target.name),
-            b"",
-        )
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                reply = await self._call_target(target, call, MAX_REPORT_BYTES)
-        except (TargetError, TimeoutError) as exc:
-            self._state.events.event(
-                "report request failed",
-                target=target.name,
-                reason=str(exc) or "timeout",
-            )
-            return None
-        if reply.status != 200:
-            return None
-        report = platform.decode_report(reply.body)
-        if isinstance(report, Err):
-            self._state.events.event(
-                "invalid report", target=target.name, reason=report.err_value
-            )
-            return None
-        return report.ok_value
-
     async def _execute_order(self, planner: PlacementPlanner, order: Order) -> None:
         """Send an order to its target and record the outcome."""
         target = self._state.fleet.targets.get(order.target)
@@ -464,7 +429,7 @@
             return
         fenced_order = replace(order, holder=self.elector.identity, fence=self._fence)
         sent_s = seconds_since_boot()
-        answer = await self._send_order(target, fenced_order)
+        answer = await self._target_control.send_order(target, fenced_order)
         if answer is OrderAnswer.FENCED:
             self._rejected_fence = fenced_order.fence
             self._on_displaced("a target rejected the fencing number")
@@ -483,34 +448,6 @@
         )
         self.views.request()
 
-    async def _send_order(self, target: FleetTarget, order: Order) -> OrderAnswer:
-        call = TargetRequest(
-            target.address,
-            "POST",
-            platform.ORDER_PATH,
-            platform.order_headers(target.name),
-            platform.encode_order(order),
-            new_connection=True,
-        )
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                reply = await self._call_target(target, call, MAX_ORDER_ANSWER_BYTES)
-        except TargetError as exc:
-            not_run = exc.verdict is Verdict.NOT_RUN
-            return OrderAnswer.NOT_SENT if not_run else OrderAnswer.UNKNOWN
-        except TimeoutError:
-            return OrderAnswer.UNKNOWN
-        return platform.decode_order_answer(reply.status)
-
-    async def _call_target(
-        self, target: FleetTarget, call: TargetRequest, max_bytes: int
-    ) -> TargetReply:
-        """Make a control call; heed what the target says of itself."""
-        reply = await self._target_client.fetch(call, max_bytes)
-        notice = platform.target_notice(reply.status, reply.headers)
-        self._state.targets_out.record(target, notice, "")
-        return reply
-
     def _log_summary(self, demand: Mapping[str, DemandSnapshot], now_s: float) -> None:
         """Log what each target holds and runs as known to this instance."""
         for service, planner in self._planners.items():
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from marjoramstage.coordination.adapter_planner import AdapterPlanner
 from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
@@ -23,12 +24,11 @@
 
 PLAN_INTERVAL_S = 0.1
 
-# A model or adapter gets no new requests for this long before its unload, so that
-# every instance has learned of it and the requests there can end. The maximum
-# applies to a model that still runs requests.
+# A model gets no new requests for this long before its unload, so that every
+# instance has learned of it and the requests there can end. The maximum applies to
+# one that still runs requests.
 MIN_RETIRE_S = 0.12
 MAX_RETIRE_S = 2.5
-ADAPTER_RETIRE_S = 0.08
 
 # Estimated time until an adapter can be used at a target that holds its model.
 ADAPTER_ETA_S = 0.06
@@ -110,6 +110,7 @@
         self._planned: dict[str, Item] = {}
         self._queue_etas_s: dict[Item, float] = {}
         self._blocked = BlockedModels(spec)
+        self._adapters = AdapterPlanner(spec)
         self._unreachable: frozenset[str] = frozenset()
         self._leaving: frozenset[tuple[str, int]] = frozenset()
         self._index = ReplicaIndex((), {}, DemandSnapshot())
@@ -172,9 +173,9 @@
             )
             if order is not None:
                 orders.append(order)
-        orders += self._adapter_orders(demand, now_s)
-        orders += self._spare_slot_orders(demand, now_s)
-        return orders
+        usable = self._usable_targets()
+        free = [state for state in usable if self._takes_orders(state)]
+        return orders + self._adapters.plan_orders(usable, free, demand, now_s)
 
     def eta_s(self, item: Item, now_s: float) -> float | None:
         """Return the expected time until an item is loaded; None if unknown."""
@@ -404,6 +405,11 @@
             return True
         return demand.is_active(item) and not self._index.ready[item.model]
 
+    def _takes_orders(self, target_state: TargetState) -> bool:
+        """Whether no load is planned for a target and it has not asked for a pause."""
+        name = target_state.target.name
+        return name not in self._planned and name not in self.paused
+
     def _is_idle(self, target_state: TargetState) -> bool:
         return (
             target_state.target.name not in self._planned
@@ -520,13 +526,13 @@
                     return None
                 self._load_limiter.record_load(now_s)
                 self._next_fetch_s = now_s + self._fetch_interval_s
-            return self._create_order(target_state, item, True, now_s)
+            return target_state.begin_order(item, True, now_s)
         retiring = [m for m in target_state.models() if target_state.is_retiring(m)]
         for found in retiring:
             retired_s = now_s - target_state.items[found].since_s
             runs = demand.running_for_model_at(name, found.model)
             if retired_s >= (MAX_RETIRE_S if runs else MIN_RETIRE_S):
-                return self._create_order(target_state, found, False, now_s)
+                return target_state.begin_order(found, False, now_s)
         if not retiring:
             del self._planned[name]
         return None
@@ -537,94 +543,3 @@
         for item in target_state.models():
             if target_state.is_retiring(item):
                 target_state.cancel_retirement(item)
-
-    # Adapters
-
-    def _adapter_orders(self, demand: DemandSnapshot, now_s: float) -> list[Order]:
-        orders = []
-        wanted = [i for i, n in demand.waiting.items() if i.adapter and n]
-        for item in wanted:
-            if any(s.holds(item) or s.is_loading(item) for s in self._usable_targets()):
-                continue
-            order = self._adapter_order(item, demand, now_s)
-            if order is not None:
-                orders.append(order)
-        return orders
-
-    def _adapter_order(
-        self, item: Item, demand: DemandSnapshot, now_s: float
-    ) -> Order | None:
-        """Return the next order to load an adapter, at the least busy target."""
-        ready = [
-            s
-            for s in self._usable_targets()
-            if s.pending is None
-            and s.holds(item.base)
-            and s.target.name not in self._planned
-            and s.target.name not in self.paused
-        ]
-        ready.sort(key=lambda s: (not s.fits(item), demand.running_at(s.target.name)))
-        for target_state in ready:
-            if target_state.fits(item):
-                return self._create_order(target_state, item, True, now_s)
-            order = self._free_adapter_slot(target_state, demand, now_s)
-            if order is not None:
-                return order
-        return None
-
-    def _spare_slot_orders(self, demand: DemandSnapshot, now_s: float) -> list[Order]:
-        """Free an adapter slot at each target that has none left."""
-        orders = []
-        for target_state in self._usable_targets():
-            name = target_state.target.name
-            if target_state.pending is not None or name in self._planned:
-                continue
-            if name in self.paused:
-                continue
-            if len(target_state.adapters()) < self.spec.adapter_slots:
-                continue
-            order = self._free_adapter_slot(target_state, demand, now_s)
-            if order is not None:
-                orders.append(order)
-        return orders
-
-    def _free_adapter_slot(
-        self, target_state: TargetState, demand: DemandSnapshot, now_s: float
-    ) -> Order | None:
-        """Retire an adapter, or unload one that has been retired long enough."""
-        for item in target_state.adapters():
-            held = target_state.items[item]
-            if held.state is not ItemState.RETIRING:
-                continue
-            if now_s - held.since_s < ADAPTER_RETIRE_S:
-                return None
-            return self._create_order(target_state, item, False, now_s)
-        idle = self._least_recently_used_adapter(target_state, demand, now_s)
-        if idle is not None:
-            target_state.retire(idle, now_s)
-        return None
-
-    def _least_recently_used_adapter(
-        self, target_state: TargetState, demand: DemandSnapshot, now_s: float
-    ) -> Item | None:
-        """Return the least recently used adapter without requests."""
-        idle = []
-        for item in target_state.adapters():
-            held = target_state.items[item]
-            if held.state is not ItemState.HELD or demand.waiting.get(item):
-                continue
-            if demand.running.get((target_state.target.name, item)):
-                continue
-            if now_s - held.since_s < MIN_RETIRE_S:
-                continue
-            idle.append((held.used_s, item))
-        return min(idle)[1] if idle else None
-
-    def _create_order(
-        self, target_state: TargetState, item: Item, load: bool, now_s: float
-    ) -> Order:
-        order = Order(
-            target_state.target.name, item, load, order_count=target_state.order_count
-        )
-        target_state.record_order(order, now_s)
-        return order
--- a/src/marjoramstage/coordination/target_state.py
+++ b/src/marjoramstage/coordination/target_state.py
@@ -189,6 +189,12 @@
         held = self.items[item]
         held.state, held.since_s = ItemState.RETIRING, now_s
 
+    def begin_order(self, item: Item, load: bool, now_s: float) -> Order:
+        """Return an order for this target, recorded as pending."""
+        order = Order(self.target.name, item, load, order_count=self.order_count)
+        self.record_order(order, now_s)
+        return order
+
     def record_order(self, order: Order, now_s: float) -> None:
         """Record an order before it is sent; it may take effect from then on."""
         if order.load:
