--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -91,6 +91,23 @@
 `request ended` names the request and which of the two it was.
 """
 
+PLATFORM_PROMISES = """## On the users' platform
+
+Promises of an instance on the platform that the matrix above does not play.
+
+| promise | scenario, which failed on the code before |
+| --- | --- |
+| a target that says in any answer that it leaves gets no further request of the \
+instance that was told, with the store and the other instances away, after a \
+suspension, and until a later start of it is listed | target_notices_path: a service \
+that leaves; target_notices: random orders of answers, lists and restarts |
+| a target that asked for a pause gets nothing until it is over; callers are told \
+when it is, and do not come back at once | target_notices_path: both services ask for \
+a pause; target_notices: a pause that is asked for twice |
+| each model that is asked for has its turn | planner_fleet: no model that is asked \
+for is starved; load_simulation: rare models of a fleet |
+"""
+
 
 def write_proofs(matrix: MatrixResult, path: str | Path, seed: int) -> None:
     """Write the page; ``seed`` is the seed that the matrix ran with."""
@@ -116,6 +133,7 @@
     lines = "\n".join(f"- {name}" for name in matrix.not_covered)
     parts.append(f"## Not covered by the matrix\n\n{lines}\n")
     parts.append(SEEN_ELSEWHERE)
+    parts.append(PLATFORM_PROMISES)
     Path(path).write_text("\n".join(parts))
 
 
