--- a/features/steps/target_notices.py
+++ b/features/steps/target_notices.py
@@ -109,20 +109,46 @@
     _pause(context, ((0.0, 1, 3.0), (1.0, 1, 1.0)))
 
 
+@given("a target whose first start said that it leaves and whose second one serves")
+def make_second_start(context):
+    context.loop = VirtualTimeLoop()
+    context.add_cleanup(context.loop.close)
+    context.state = make_state(context.loop)
+    state = context.state
+    state.put_target(make_target("t", 1))
+    state.targets_out.record(make_target("t", 1), TargetNotice(True), "r")
+    state.put_target(make_target("t", 2))
+    assert state.eligible(TargetCriteria("of-t"))
+
+
+@when("the platform lists the first start again")
+def list_first(context):
+    context.state.put_target(make_target("t", 1))
+
+
+@then("it gets no request until the second start is listed once more")
+def check_second(context):
+    assert not context.state.eligible(TargetCriteria("of-t"))
+    context.state.put_target(make_target("t", 2))
+    assert context.state.eligible(TargetCriteria("of-t"))
+
+
 @given("a target that pauses for 3 s, and an answer of its start before with 9 s")
 def pause_late(context):
     _pause(context, ((0.0, 2, 3.0), (1.0, 1, 9.0)))
 
 
 def _pause(context, answers):
-    """Give answers, each with its time, start and pause; find the first request."""
+    """Give answers, each with its time, start and pause; find the first request.
+
+    The first answer is of the present start of the target.
+    """
     loop = VirtualTimeLoop()
     context.add_cleanup(loop.close)
     state = make_state(loop)
     criteria = TargetCriteria("of-t")
 
     async def run():
-        state.put_target(make_target("t", incarnation=2 if len(answers) == 2 else 1))
         state.put_target(make_target("t", incarnation=answers[0][1]))
         for at_s, incarnation, pause_s in answers:
             await asyncio.sleep(at_s - loop.time())
--- a/features/target_notices.feature
+++ b/features/target_notices.feature
@@ -54,6 +54,11 @@
     Given a target that answers a pause of 3 s, and after 1 s one of 1 s
     Then it gets no request until 3 s after the first, and then some at once
 
+  Scenario: a restored store lists a start that left after a later one
+    Given a target whose first start said that it leaves and whose second one serves
+    When the platform lists the first start again
+    Then it gets no request until the second start is listed once more
+
   Scenario: a report of a target that is gone does not end the pause of the present one
     Given a target that pauses for 3 s, and an answer of its start before with 9 s
     Then it gets no request until 3 s after the first, and then some at once
--- a/src/marjoramstage/coordination/target_notices.py
+++ b/src/marjoramstage/coordination/target_notices.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from marjoramstage.state.fleet import FleetTarget
 
@@ -21,10 +21,21 @@
 
 @dataclass(frozen=True)
 class _Leaving:
-    """A target that leaves: the incarnation that said so, and when that was learnt."""
+    """A target that leaves.
+
+    Attributes
+    ----------
+    incarnation : int
+        The newest that said so.
+    since_s : float
+        When that was learnt.
+    is_over : bool
+        A later incarnation has been listed since.
+    """
 
     incarnation: int
     since_s: float
+    is_over: bool = False
 
 
 class TargetNotices:
@@ -68,17 +79,17 @@
         return leaving is not None and target.incarnation <= leaving.incarnation
 
     def end_leaving(self, target: FleetTarget, now_s: float) -> float | None:
-        """Forget that an earlier incarnation of a target left.
+        """Record that a target is back in a later incarnation than the one that left.
 
         Returns
         -------
         float or None
-            Time since it said so, in seconds; None if none did.
+            Time since that one said so, in seconds; None if that isn't news.
         """
         leaving = self._leaving.get(target.name)
-        if leaving is None or self.is_leaving(target):
+        if leaving is None or leaving.is_over or self.is_leaving(target):
             return None
-        del self._leaving[target.name]
+        self._leaving[target.name] = replace(leaving, is_over=True)
         return now_s - leaving.since_s
 
     def forget_unnumbered(self, name: str) -> None:
