A pause ends planned unloads; regular summaries pass the limit on log lines

The plan is dropped and its models serve on. The scenario failed before.

Lines written at a fixed interval pass the limit now (one in 2 s a service, one in 5 s). The scenario had no such method before.

--- a/features/event_logs.feature
+++ b/features/event_logs.feature
@@ -18,6 +18,11 @@
       | 500   | 1    | 80    |
       | 1000  | 5    | 240   |
 
+  Scenario: regular summaries are written while other lines are over the limit
+    Given an event log of 40 lines a second
+    When 1000 events and 5 summaries are logged in 5 s
+    Then each summary was written
+
   Scenario: the story command prints the log lines of one request
     Given a log file with lines of two requests, collector prefixes and invalid JSON
     When the story of the first request is printed
--- a/features/steps/event_logs.py
+++ b/features/steps/event_logs.py
@@ -108,6 +108,22 @@
     assert written + sum(told) == context.count, (written, told)
 
 
+@when("{count:d} events and {summaries:d} summaries are logged in {span:d} s")
+def log_summaries(context, count, summaries, span):
+    context.summaries = summaries
+    for number in range(count):
+        context.events.event("something")
+        if number % (count // summaries) == count // summaries - 1:
+            context.events.summary("placement")
+        context.clock.advance(span / count)
+
+
+@then("each summary was written")
+def check_summaries(context):
+    names = [line.event for line in context.record.lines]
+    assert names.count("placement") == context.summaries, names.count("placement")
+
+
 @given("a log file with lines of two requests, collector prefixes and invalid JSON")
 def make_file(context):
     with tempfile.NamedTemporaryFile("w", suffix=".log", delete=False) as file:
--- a/features/steps/target_notices.py
+++ b/features/steps/target_notices.py
@@ -19,6 +19,7 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.placement_planner import PlacementPlanner
 from marjoramstage.coordination.wait_policy import NoTargetReason, WaitPolicy
+from marjoramstage.protocol.control import OrderAnswer
 from marjoramstage.protocol.peers import EntryReport, LeavingTarget, decode, encode
 from marjoramstage.state.fleet import Item, TargetNotice
 
@@ -251,6 +252,29 @@
     _wait_for(context, "m5")
 
 
+@when("t1 is about to unload models for another one, and pauses")
+def pause_before_unload(context):
+    item = Item("m5")
+    demand = DemandSnapshot({item: 3}, {}, {item: 3.0}, {item: 3.0}, {item: 3.0})
+    # Both targets are full, and t1 has the weights of m5.
+    state = context.planner.target_states["t1"]
+    for name in ("m6", "m7", "m8"):
+        if state.fits(Item(name)):
+            order = state.begin_order(Item(name), True, context.simulation.now_s)
+            state.record_answer(OrderAnswer.ALREADY_DONE, context.simulation.now_s)
+            context.simulation.targets["t1"].items.add(order.item)
+    context.simulation.run(context.planner, lambda now_s: demand, 2 * STEP_S)
+    assert any(state.is_retiring(found) for found in state.models()), state.items
+    context.planner.paused = frozenset(("t1",))
+    context.simulation.run(context.planner, lambda now_s: demand, 1.0)
+
+
+@then("every model of t1 serves requests")
+def check_serving(context):
+    state = context.planner.target_states["t1"]
+    assert all(state.holds(found) for found in state.models()), state.items
+
+
 @when("one instance reports that t1 leaves and a model of t1 is waited for")
 def wait_in_leave(context):
     _wait_for(context, "m1", frozenset((("t1", 1),)))
--- a/features/target_notices.feature
+++ b/features/target_notices.feature
@@ -88,6 +88,11 @@
     Then no order goes to t1 and t2 is ordered to load the model
     And the models of t1 are not loaded elsewhere
 
+  Scenario: a target that asks for a pause before its planned unload serves its models
+    Given a planner of targets t1 and t2, which hold other models
+    When t1 is about to unload models for another one, and pauses
+    Then every model of t1 serves requests
+
   Scenario: the models of a target that told one instance that it leaves
     Given a planner of targets t1 and t2, which hold other models
     When one instance reports that t1 leaves and a model of t1 is waited for
--- a/src/marjoramstage/_entry/event_log.py
+++ b/src/marjoramstage/_entry/event_log.py
@@ -49,12 +49,23 @@
             self._lines_dropped += 1
             return
         self._lines_this_second += 1
-        if self._lines_dropped:
-            fields["lines_dropped"], self._lines_dropped = self._lines_dropped, 0
-        self._log.info(name, extra={"event": name, **fields})
+        self._write(name, fields)
+
+    def summary(self, name: str, **fields: Any) -> None:
+        """Write a line regardless of the limit.
+
+        For lines that are written at a fixed interval of seconds: they matter most
+        while others are dropped.
+        """
+        self._write(name, fields)
 
     def sampled(self, name: str, **fields: Any) -> None:
         """Write a line for one in ``sample_every`` events of this name."""
         self._counts[name] += 1
         if self._counts[name] % self._sample_every == 1:
             self.event(name, seen=self._counts[name], **fields)
+
+    def _write(self, name: str, fields: dict[str, Any]) -> None:
+        if self._lines_dropped:
+            fields["lines_dropped"], self._lines_dropped = self._lines_dropped, 0
+        self._log.info(name, extra={"event": name, **fields})
--- a/src/marjoramstage/_entry/load_monitor.py
+++ b/src/marjoramstage/_entry/load_monitor.py
@@ -57,6 +57,6 @@
         counters = Counter(self._peer_counters)
         added = counters - self._logged_counters
         self._logged_counters = counters
-        self._events.event(
+        self._events.summary(
             "instance load", max_delay_ms=round(max_delay_s * 1000, 1), **added
         )
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -468,7 +468,7 @@
                 f"{planner.blocked_for_s(item, now_s):.1f} s: {reason.value}"
                 for item, reason in planner.blocked.items()
             }
-            self._state.events.event(
+            self._state.events.summary(
                 "placement",
                 service=service,
                 targets=targets,
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -514,9 +514,8 @@
         name = target_state.target.name
         if target_state.pending is not None or not target_state.known:
             return None
-        if name in self.paused:
-            return None
-        if target_state.target.leaving or item in target_state.items:
+        unusable = target_state.target.leaving or name in self.paused
+        if unusable or item in target_state.items:
             self._drop_plan(target_state)
             return None
         if target_state.fits(item):
