--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -111,6 +111,10 @@
         finally:
             self._log.answer_ended(ctx, answer, splitter)
 
+    def _note_beginning(self, ctx: RequestContext) -> None:
+        if ctx.answer_began_s is None:
+            ctx.answer_began_s = self._state.clock.now()
+
     async def _relay_whole(
         self, ctx: RequestContext, answer: TargetResponse
     ) -> web.StreamResponse:
@@ -118,6 +122,7 @@
         buffered = bytearray()
         chunks = answer.iter_chunks()
         async for chunk in chunks:
+            self._note_beginning(ctx)
             buffered += chunk
             if len(buffered) > MAX_BUFFERED_BYTES:
                 return await self._relay_large(ctx, answer, bytes(buffered), chunks)
@@ -156,6 +161,7 @@
             ctx.resumable = True
         resp = ctx.resp
         async for chunk in answer.iter_chunks():
+            self._note_beginning(ctx)
             events = self._split(splitter, chunk)
             if not events:
                 continue
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -387,7 +387,7 @@
     ) -> web.StreamResponse:
         """Send a request to one target and relay its answer."""
         state = self._state
-        ctx.target_software = target.software
+        ctx.begin_attempt(target.software, state.clock.now())
         answer = await self._send(ctx, target)
         ok = False
         try:
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -43,6 +43,10 @@
         Targets to which it was sent.
     target_software : str
         Version of the program of the last one.
+    sent_s : float
+        When the last attempt was begun.
+    answer_began_s : float or None
+        When the last attempt's target began to write the body of its answer.
     """
 
     req: web.BaseRequest
@@ -64,6 +68,8 @@
     pause_s: float = 0.0
     tried: list[str] = field(default_factory=list)
     target_software: str = ""
+    sent_s: float = 0.0
+    answer_began_s: float | None = None
 
     @property
     def takes_stream_up(self) -> bool:
@@ -75,6 +81,17 @@
         """Id of the request that got the first event of the stream."""
         return self.headers.resumes or self.headers.request_id
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests may have; the last is its own."""
+        return self.headers.parts[:-1]
+
+    def begin_attempt(self, software: str, now_s: float) -> None:
+        """Record that it is about to be sent to a target with this program."""
+        self.target_software = software
+        self.sent_s = now_s
+        self.answer_began_s = None
+
     def record_event(self, event: StreamEvent, now_s: float) -> None:
         """Record that events up to this one were relayed to the caller."""
         event_id = event.id
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -17,6 +17,7 @@
 from marjoramstage.transport.target_client import TargetResponse
 
 ANSWERED = "answered"
+MAX_LOGGED_PARTS = 16
 
 
 class OriginSource(enum.Enum):
@@ -96,6 +97,8 @@
     ) -> None:
         """Record an attempt that failed."""
         self._metrics.failed_attempts.labels(exc.reason or "failed").inc()
+        began_s = ctx.answer_began_s
+        writing_s = None if began_s is None else self._state.clock.now() - began_s
         self._state.events.event(
             "attempt failed",
             request=ctx.headers.request_id,
@@ -103,6 +106,8 @@
             reason=str(exc),
             verdict=exc.verdict.value,
             attempt=ctx.attempts,
+            writing_ms=None if writing_s is None else round(writing_s * 1000, 1),
+            parts=ctx.shared_parts[:MAX_LOGGED_PARTS],
         )
 
     def attempt_timed_out(self) -> None:
