Requests that have a part of a prompt which crashes targets are held back

What callers saw: requests with one part in their prompts crashed target after target, and everybody's answers with them. Cause: nothing looked for what the requests of several crashes share (CallerHeaders.parts was read nowhere), so that retries and new requests went round all targets.

Now each instance reports which of its requests were at a target when that crashed (broken off, and the target takes no connection; not those on which it had written for 1 s), tells all others, and all judge: a part is quarantined if three requests that have it, sent one after the other, ended in crashes and none went well since. More are asked for where targets crash for other reasons too, or where answers on the part went well before. Requests with it get 503 with the time of the end. The platform's store keeps it for instances that start.

The test of unknown fields of peers' messages used number 15, which is taken now; it uses 99.

--- a/features/crashing_engine.py
+++ b/features/crashing_engine.py
@@ -76,6 +76,8 @@
         self._connections.add(req.transport)
         try:
             return await self.handle(req)
+        except ConnectionError:
+            return web.Response(status=500)
         finally:
             self._connections.discard(req.transport)
 
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from marjoramstage._entry.caller_handler import CallerHandler
+from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
@@ -98,7 +99,11 @@
         self._client = TargetClient()
         self.asked = []
         handler = CallerHandler(
-            self.state, self._client, self.metrics, self._tell_origin
+            self.state,
+            self._client,
+            self.metrics,
+            self._tell_origin,
+            CrashObserver(self.state, self._client),
         )
         self._server = BoundedServer(
             handler.handle, handler_cancellation=True, access_log=None
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -15,6 +15,7 @@
 from marjoramstage.protocol import _peers_structs, peers
 from marjoramstage.protocol.peers import (
     AdapterWanted,
+    CrashedRequest,
     DataCentreSummary,
     DemandEntry,
     DocumentsAsked,
@@ -30,11 +31,15 @@
     MemberEntry,
     MemberState,
     NamedDocument,
+    PartsHarmless,
+    PartsQuarantined,
     PromptsSent,
+    QuarantinedParts,
     Rumour,
     StoreChanges,
     StreamOriginAsked,
     StreamOriginTold,
+    TargetCrashed,
     decode,
     encode,
 )
@@ -211,7 +216,7 @@
 @when("a peer message has an unknown field at each level")
 def unknown_fields(context):
     text = resources.files("marjoramstage.protocol").joinpath("peers.thrift")
-    newer = text.read_text().replace(" {\n", " {\n  15: optional string newer\n")
+    newer = text.read_text().replace(" {\n", " {\n  99: optional string newer\n")
     idl = thriftpy2.load_fp(io.StringIO(newer), "newer_thrift")
     head = idl.Head(generation=3, root="r", newer="x")
     entry = idl.MemberEntry(name="i1", incarnation=7, heartbeat=3, newer="x")
@@ -280,6 +285,9 @@
     PromptsSent("i1", {"t": 800}),
     StreamOriginAsked("r1", "127.0.0.1:7380"),
     StreamOriginTold("r1", "v2"),
+    TargetCrashed("e1", 7, 120, (CrashedRequest("r1", ("aa", "bb"), 80),)),
+    PartsHarmless({"aa": 1500}),
+    PartsQuarantined((QuarantinedParts(("aa", "bb"), 900),), "127.0.0.1:7380"),
     StoreChanges("servers", 3, 41, 57, False, b"\x00\xff"),
 )
 
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -7,6 +7,7 @@
 from aiohttp import HttpVersion11, web
 
 from marjoramstage import platform
+from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.request_context import NOT_RUN_STATUSES, RequestContext
 from marjoramstage._entry.request_log import RequestLog
@@ -89,9 +90,12 @@
 class AnswerRelay:
     """Relays answers of targets to callers."""
 
-    def __init__(self, state: InstanceState, log: RequestLog):
+    def __init__(
+        self, state: InstanceState, log: RequestLog, crash_observer: CrashObserver
+    ):
         self._state = state
         self._log = log
+        self._crash_observer = crash_observer
 
     async def relay(
         self, ctx: RequestContext, answer: TargetResponse
@@ -111,9 +115,11 @@
         finally:
             self._log.answer_ended(ctx, answer, splitter)
 
-    def _note_beginning(self, ctx: RequestContext) -> None:
+    def _note_writing(self, ctx: RequestContext) -> None:
+        """Record that a target writes on its answer."""
         if ctx.answer_began_s is None:
             ctx.answer_began_s = self._state.clock.now()
+        self._crash_observer.writing(ctx)
 
     async def _relay_whole(
         self, ctx: RequestContext, answer: TargetResponse
@@ -122,7 +128,7 @@
         buffered = bytearray()
         chunks = answer.iter_chunks()
         async for chunk in chunks:
-            self._note_beginning(ctx)
+            self._note_writing(ctx)
             buffered += chunk
             if len(buffered) > MAX_BUFFERED_BYTES:
                 return await self._relay_large(ctx, answer, bytes(buffered), chunks)
@@ -161,7 +167,7 @@
             ctx.resumable = True
         resp = ctx.resp
         async for chunk in answer.iter_chunks():
-            self._note_beginning(ctx)
+            self._note_writing(ctx)
             events = self._split(splitter, chunk)
             if not events:
                 continue
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -11,6 +11,7 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.answer_relay import AnswerRelay, check_answer
+from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.request_context import (
@@ -35,6 +36,7 @@
 from marjoramstage.state.routes import Route, RunPolicy
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
+    BROKEN,
     TargetClient,
     TargetRequest,
     TargetResponse,
@@ -50,6 +52,8 @@
 # Requests may wait for a model that is loaded within this time of a stop.
 STOPPING_MAX_WAIT_S = 1.0
 
+QUARANTINED = "part of the prompt crashes targets"
+
 # Part of the latency goal for which a prompt may be held back to pace prefill.
 PACING_FRACTION = 1.0
 
@@ -70,12 +74,14 @@
         target_client: TargetClient,
         metrics: PrometheusMetrics,
         ask_stream_origin: Callable[[str], Awaitable[str]],
+        crash_observer: CrashObserver,
     ):
         self._state = state
         self._target_client = target_client
         self._ask_stream_origin = ask_stream_origin
         self._log = RequestLog(state, metrics)
-        self._relay = AnswerRelay(state, self._log)
+        self._crash_observer = crash_observer
+        self._relay = AnswerRelay(state, self._log, crash_observer)
         self._wait_policy = WaitPolicy()
         self._busy_conns: set[object] = set()
 
@@ -242,8 +248,10 @@
     async def _run_attempts(self, ctx: RequestContext) -> web.StreamResponse:
         """Send a request to targets until one gives an answer to relay."""
         while True:
+            self._check_quarantine(ctx)
             target = await self._acquire_target(ctx)
             try:
+                self._check_quarantine(ctx)
                 async with asyncio.timeout(self._remaining_s(ctx)):
                     return await self._attempt(ctx, target)
             except TargetError as exc:
@@ -256,6 +264,14 @@
             finally:
                 self._state.release_slot(target, ctx.criteria)
 
+    def _check_quarantine(self, ctx: RequestContext) -> None:
+        """Raise if requests with such a prompt crash targets."""
+        now_s = self._state.clock.now()
+        quarantine = self._state.quarantine.find(ctx.shared_parts, now_s)
+        if quarantine is not None:
+            retry_s = quarantine.until_s - now_s
+            raise self._no_target_error(ctx, QUARANTINED, retry_s)
+
     def _on_attempt_failed(
         self, ctx: RequestContext, target: FleetTarget, exc: TargetError
     ) -> None:
@@ -274,6 +290,8 @@
             # What two versions of a target's program write doesn't fit together.
             ctx.criteria = replace(ctx.criteria, software=target.software)
         self._log.attempt_failed(ctx, target, exc)
+        if exc.reason == BROKEN:
+            self._crash_observer.broke_off(ctx, target)
         may_retry = not_run or (
             ctx.route.run_policy is RunPolicy.REPEATABLE
             and ctx.possible_runs < ctx.route.max_attempts
@@ -315,6 +333,7 @@
     async def _wait_for_slot(self, ctx: RequestContext, waiter: Waiter) -> FleetTarget:
         """Wait until the queue assigns a target or the wait policy gives up."""
         while True:
+            self._check_quarantine(ctx)
             decision, reason = self._wait_decision(ctx)
             if decision.refuse:
                 if reason is NoTargetReason.NOT_HELD:
@@ -394,6 +413,7 @@
             check_answer(ctx, answer)
             resp = await self._relay.relay(ctx, answer)
             ok = answer.status < 500
+            self._crash_observer.answered(ctx, target, answer)
             return resp
         finally:
             answer.close()
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -18,6 +18,7 @@
     ServableItems,
     TargetCriteria,
 )
+from marjoramstage.coordination.part_quarantine import PartQuarantine
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.request_sizes import RequestSizes
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
@@ -89,6 +90,7 @@
         self.store_progress: Callable[[], tuple[StoreProgress, ...]] = lambda: ()
         self.stream_origins = StreamOrigins()
         self.software = SoftwareHistory(clock.now())
+        self.quarantine = PartQuarantine()
         self._expected_retries: list[tuple[float, str, Item]] = []
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._request_sizes: dict[str, RequestSizes] = {}
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -8,6 +8,7 @@
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage._entry.quarantine_sync import QuarantineSync
 from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage.coordination.instance_reports import (
     min_report_interval_s,
@@ -17,11 +18,14 @@
 from marjoramstage.protocol.peers import (
     EntryReport,
     FleetView,
+    PartsHarmless,
+    PartsQuarantined,
     PeerMessage,
     PromptsSent,
     StoreChanges,
     StreamOriginAsked,
     StreamOriginTold,
+    TargetCrashed,
 )
 from marjoramstage.transport.peers import PeerClient, PeerIdentity, PeerServer
 
@@ -49,6 +53,7 @@
         self._report_requested = asyncio.Event()
         self._controller: PlacementController | None = None
         self._store_relay: StoreRelay | None = None
+        self._quarantine_sync: QuarantineSync | None = None
         self._asked: dict[str, asyncio.Future[str]] = {}
         self._prompt_timer: asyncio.TimerHandle | None = None
         state.on_request_queued = self._report_requested.set
@@ -67,6 +72,10 @@
         """Set the relay that receives what others know of the platform's store."""
         self._store_relay = relay
 
+    def set_quarantine_sync(self, sync: QuarantineSync) -> None:
+        """Set what receives messages about prompts that crash targets."""
+        self._quarantine_sync = sync
+
     async def start(self) -> None:
         """Listen for peers."""
         await self._server.start()
@@ -112,7 +121,7 @@
             )
             controller.views.request()
             return
-        self._send_to_others(addresses, message)
+        self.send_to_others(addresses, message)
 
     async def ask_stream_origin(self, request_id: str) -> str:
         """Return the version that began a stream; empty if no instance tells."""
@@ -121,7 +130,7 @@
             fut = asyncio.get_running_loop().create_future()
             self._asked[request_id] = fut
             message = StreamOriginAsked(request_id, self._address)
-            self._send_to_others(self._state.peers, message)
+            self.send_to_others(self._state.peers, message)
         try:
             async with asyncio.timeout(ORIGIN_TIMEOUT_S):
                 return await asyncio.shield(fut)
@@ -155,7 +164,7 @@
         message = PromptsSent(
             state.settings.name, state.prefill_backlog.take_unannounced()
         )
-        self._send_to_others(state.peers, message)
+        self.send_to_others(state.peers, message)
 
     def _send_report(self) -> None:
         controller = self._controller
@@ -193,7 +202,7 @@
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
         )
 
-    def _send_to_others(self, addresses: Iterable[str], message: PeerMessage) -> None:
+    def send_to_others(self, addresses: Iterable[str], message: PeerMessage) -> None:
         """Send a message to these instances, but not to this one."""
         for address in addresses:
             if address != self._address:
@@ -219,5 +228,8 @@
                 self._tell_stream_origin(message)
             case StreamOriginTold():
                 self._learn_stream_origin(message)
+            case TargetCrashed() | PartsHarmless() | PartsQuarantined():
+                if self._quarantine_sync is not None:
+                    self._quarantine_sync.receive(message)
             case PromptsSent():
                 self._state.record_remote_prompts(message.tokens)
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -67,6 +67,16 @@
             ("cause",),
             registry=self.registry,
         )
+        self.target_crashes = Counter(
+            "marjoramstage_target_crashes",
+            "Crashes of targets that broke off requests of this instance.",
+            registry=self.registry,
+        )
+        self.quarantines = Gauge(
+            "marjoramstage_quarantines",
+            "Parts of prompts, or sets of them, that are in quarantine.",
+            registry=self.registry,
+        )
         self.waiting = Gauge(
             "marjoramstage_waiting",
             "Requests that wait for a place.",
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -47,6 +47,8 @@
         When the last attempt was begun.
     answer_began_s : float or None
         When the last attempt's target began to write the body of its answer.
+    harmless : bool
+        That target is known not to have crashed under it.
     """
 
     req: web.BaseRequest
@@ -70,6 +72,7 @@
     target_software: str = ""
     sent_s: float = 0.0
     answer_began_s: float | None = None
+    harmless: bool = False
 
     @property
     def takes_stream_up(self) -> bool:
@@ -91,6 +94,7 @@
         self.target_software = software
         self.sent_s = now_s
         self.answer_began_s = None
+        self.harmless = False
 
     def record_event(self, event: StreamEvent, now_s: float) -> None:
         """Record that events up to this one were relayed to the caller."""
--- /dev/null
+++ b/src/marjoramstage/coordination/part_quarantine.py
@@ -0,0 +1,424 @@
+"""Finds parts of prompts that crash targets, and quarantines them.
+
+Targets crash for many reasons, and then all their requests break off. A part of a
+prompt is suspected if request after request that has it ends in a crash and none goes
+well. Only requests that were sent one after the other count: those that run side by
+side break off together, whatever the cause.
+
+Parts that always came together can't be told apart, so a quarantine holds for
+requests that have all of them; it gets wider as one of them is seen to be harmless.
+The module does no I/O: time is an argument.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Container, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+
+# Crashes in a row under requests with a part until it is quarantined, and under
+# requests that have just one of several parts that are in quarantine together.
+MIN_CRASHES = 3
+MIN_FURTHER_CRASHES = 2
+# Where targets also crash for other reasons, some parts are there several times by
+# chance. So each two other crashes within this time call for one more, up to a limit.
+OTHER_CRASHES_S = 10.0
+MAX_NEEDED_CRASHES = 6
+# A part isn't to blame while another was there in most of its crashes that is about
+# as likely to be; after many crashes only while that one is clearly more likely.
+RIVAL_COVERAGE = 0.6
+RIVAL_WEIGHT = 0.8
+CLEAR_RIVAL_WEIGHT = 1.25
+# How much weight a part keeps on which answers went well before its first crash, and
+# how many more crashes it takes to quarantine it.
+KNOWN_PART_WEIGHT = 0.5
+FURTHER_KNOWN_PART_CRASHES = 1
+# How long a quarantine lasts after the last crash, in seconds. Requests are tried
+# again then; for as long again, one crash renews it.
+QUARANTINE_S = 600.0
+# How long a crash is remembered, in seconds.
+CRASH_TTL_S = 120.0
+# Time in seconds after which all instances have reported the requests of a crash,
+# and the answers that were begun just after it and go well.
+SETTLE_S = 1.2
+# Reports of one crash differ by less than this, in seconds.
+SAME_CRASH_S = 1.5
+MAX_CRASHES = 256
+MAX_REQUESTS_PER_CRASH = 128
+MAX_QUARANTINES = 256
+MAX_HARMLESS_PARTS = 8192
+
+NEVER_S = float("-inf")
+
+
+@dataclass(frozen=True)
+class TargetStart:
+    """One start of a target."""
+
+    target: str
+    incarnation: int
+
+
+@dataclass(frozen=True)
+class CrashedRequest:
+    """A request that may have crashed its target.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Parts of its prompt that other requests may have too.
+    sent_s : float
+        When it was sent to the target.
+    """
+
+    request_id: str
+    parts: tuple[str, ...]
+    sent_s: float
+
+
+@dataclass(frozen=True)
+class Quarantine:
+    """Requests that are not sent to targets: those that have all of these parts.
+
+    Attributes
+    ----------
+    crashed_s : float
+        When the last target crashed under such a request.
+    since_s : float or None
+        When the first did; None if another instance found it.
+    """
+
+    parts: frozenset[str]
+    crashed_s: float
+    since_s: float | None = None
+
+    @property
+    def until_s(self) -> float:
+        """When such requests are tried again."""
+        return self.crashed_s + QUARANTINE_S
+
+    def holds(self, now_s: float) -> bool:
+        """Whether it is in force."""
+        return now_s < self.until_s
+
+    def is_refuted(self, began_s: float) -> bool:
+        """Whether an answer on one of its parts that went well speaks against it."""
+        since_s = self.crashed_s if self.since_s is None else self.since_s
+        return began_s > since_s
+
+    def covers(self, parts: Iterable[str]) -> bool:
+        """Whether a request with these parts has all parts in quarantine."""
+        return self.parts.issubset(parts)
+
+
+@dataclass
+class _Crash:
+    """A crash of a target, and the requests that it may be due to."""
+
+    start: TargetStart
+    at_s: float
+    requests: list[CrashedRequest] = field(default_factory=list)
+
+    def is_due_to(self, quarantine: Quarantine) -> bool:
+        """Whether a request that is now held back was there."""
+        return any(quarantine.covers(req.parts) for req in self.requests)
+
+    def requests_with(self, part: str) -> list[CrashedRequest]:
+        """Return the requests that have a part."""
+        return [req for req in self.requests if part in req.parts]
+
+
+@dataclass(frozen=True)
+class _Suspicion:
+    """What speaks against a part.
+
+    Attributes
+    ----------
+    crashes : tuple of _Crash
+        Those under requests with the part since it was last seen to be harmless.
+    run : tuple of _Crash
+        Those of them under different requests that were sent one after the other.
+    requests : tuple of CrashedRequest
+        The requests with the part in all these crashes.
+    is_known : bool
+        Answers on it went well before.
+    """
+
+    part: str
+    crashes: tuple[_Crash, ...]
+    run: tuple[_Crash, ...]
+    requests: tuple[CrashedRequest, ...]
+    is_known: bool
+
+    @property
+    def requests_per_crash(self) -> float:
+        """How many requests had the part in each crash; a culprit needs just one."""
+        return len(self.requests) / len(self.crashes)
+
+    @property
+    def weight(self) -> float:
+        """How likely the part is to blame, compared with others."""
+        share = KNOWN_PART_WEIGHT if self.is_known else 1.0
+        return share * len(self.crashes) / self.requests_per_crash
+
+    def has_rival(self, other: _Suspicion) -> bool:
+        """Whether another part may explain these crashes as well.
+
+        One that all these requests have too, and more of them, explains them worse.
+        """
+        if set(other.requests) >= set(self.requests):
+            return False
+        is_long = len(self.run) >= MAX_NEEDED_CRASHES
+        share = CLEAR_RIVAL_WEIGHT if is_long else RIVAL_WEIGHT
+        if other.weight < share * self.weight:
+            return False
+        starts = {crash.start for crash in other.crashes}
+        covered = sum(crash.start in starts for crash in self.run)
+        return covered >= RIVAL_COVERAGE * len(self.run)
+
+
+def _in_sequence(part: str, crashes: Iterable[_Crash]) -> list[_Crash]:
+    """Return the crashes under different requests sent one after the other."""
+    found: list[_Crash] = []
+    seen: set[str] = set()
+    last_s = NEVER_S
+    for crash in crashes:
+        requests = crash.requests_with(part)
+        if all(req.sent_s <= last_s or req.request_id in seen for req in requests):
+            continue
+        found.append(crash)
+        seen.update(req.request_id for req in requests)
+        last_s = crash.at_s
+    return found
+
+
+def _needed_crashes(
+    suspicion: _Suspicion, crashes: Iterable[_Crash], held: Container[str]
+) -> int:
+    """Return how many crashes in a row speak clearly against a part.
+
+    Parameters
+    ----------
+    crashes : iterable of _Crash
+        All that no quarantine explains.
+    held : container of str
+        Parts that are in quarantine, perhaps only together with others.
+    """
+    if suspicion.part in held:
+        return MIN_FURTHER_CRASHES
+    last_s = suspicion.run[-1].at_s
+    own = {crash.start for crash in suspicion.crashes}
+    others = sum(
+        crash.start not in own and last_s - OTHER_CRASHES_S <= crash.at_s <= last_s
+        for crash in crashes
+    )
+    needed = MIN_CRASHES + others // 2
+    if suspicion.is_known:
+        needed += FURTHER_KNOWN_PART_CRASHES
+    return min(MAX_NEEDED_CRASHES, needed)
+
+
+class PartQuarantine:
+    """Parts of prompts that crash targets, as one instance knows them."""
+
+    def __init__(self):
+        self._crashes: list[_Crash] = []
+        self._quarantines: list[Quarantine] = []
+        self._crashed_parts: set[str] = set()
+        # When targets began to write answers that went well.
+        self._harmless_s: OrderedDict[str, float] = OrderedDict()
+
+    def find(self, parts: Sequence[str], now_s: float) -> Quarantine | None:
+        """Return the quarantine that holds back a request with these parts."""
+        for quarantine in self._quarantines:
+            if quarantine.holds(now_s) and quarantine.covers(parts):
+                return quarantine
+        return None
+
+    def active(self, now_s: float) -> list[Quarantine]:
+        """Return all quarantines in force."""
+        return [q for q in self._quarantines if q.holds(now_s)]
+
+    def harmless_s(self, part: str) -> float:
+        """Return when a target began to write the last sound answer on a part.
+
+        `NEVER_S` if that isn't known.
+        """
+        return self._harmless_s.get(part, NEVER_S)
+
+    def record_crash(
+        self, start: TargetStart, at_s: float, requests: Iterable[CrashedRequest]
+    ) -> None:
+        """Record requests that a crash of a target broke off.
+
+        Several instances report the same crash, each its own requests.
+        """
+        for crash in self._crashes:
+            if crash.start == start and abs(crash.at_s - at_s) <= SAME_CRASH_S:
+                break
+        else:
+            crash = _Crash(start, at_s)
+            self._crashes.append(crash)
+            self._crashes.sort(key=lambda c: c.at_s)
+            del self._crashes[:-MAX_CRASHES]
+        known = {req.request_id for req in crash.requests}
+        crash.requests += [req for req in requests if req.request_id not in known]
+        del crash.requests[MAX_REQUESTS_PER_CRASH:]
+        for req in crash.requests:
+            self._crashed_parts.update(req.parts)
+
+    def record_harmless(self, parts: Iterable[str], began_s: float) -> list[str]:
+        """Record an answer that was written without a crash.
+
+        Parameters
+        ----------
+        parts : iterable of str
+            Parts of the prompt that was answered.
+        began_s : float
+            When the target began to write.
+
+        Returns
+        -------
+        list of str
+            Those parts that a crash before that spoke against.
+        """
+        return [part for part in parts if self._acquit(part, began_s)]
+
+    def judge(self, now_s: float) -> list[Quarantine]:
+        """Quarantine what crashed targets; return what is new."""
+        self._forget_old(now_s)
+        self._renew(now_s)
+        found = []
+        while suspicion := self._worst_suspicion(now_s):
+            quarantine = self._quarantine_for(suspicion)
+            self._add(quarantine)
+            self._lift_explained(quarantine)
+            found.append(quarantine)
+        return found
+
+    def merge(self, quarantine: Quarantine) -> bool:
+        """Apply a quarantine that another instance found.
+
+        Returns
+        -------
+        bool
+            False if its parts have been seen to be harmless since.
+        """
+        crashed_s = quarantine.crashed_s
+        parts = {part for part in quarantine.parts if self.harmless_s(part) < crashed_s}
+        if not parts:
+            return False
+        self._crashed_parts.update(parts)
+        known = [q for q in self._quarantines if q.parts <= parts]
+        if not known:
+            self._add(Quarantine(frozenset(parts), crashed_s))
+        for own in known:
+            last_s = max(own.crashed_s, crashed_s)
+            self._quarantines.remove(own)
+            self._quarantines.append(replace(own, crashed_s=last_s))
+        return True
+
+    def _add(self, quarantine: Quarantine) -> None:
+        """Add a quarantine in place of those that hold back less."""
+        kept = [q for q in self._quarantines if not quarantine.parts <= q.parts]
+        self._quarantines = [*kept, quarantine][-MAX_QUARANTINES:]
+
+    def _worst_suspicion(self, now_s: float) -> _Suspicion | None:
+        """Return what most likely caused crashes that no quarantine explains."""
+        active = self.active(now_s)
+        crashes = [
+            crash
+            for crash in self._settled(now_s)
+            if not any(crash.is_due_to(quarantine) for quarantine in active)
+        ]
+        parts = {part for c in crashes for req in c.requests for part in req.parts}
+        suspicions = [self._suspect(part, crashes) for part in sorted(parts)]
+        suspicions = [s for s in suspicions if s is not None]
+        held = {part for quarantine in active for part in quarantine.parts}
+        found = [
+            suspicion
+            for suspicion in suspicions
+            if len(suspicion.run) >= _needed_crashes(suspicion, crashes, held)
+            and not any(suspicion.has_rival(other) for other in suspicions)
+        ]
+        return max(found, key=lambda s: s.weight, default=None)
+
+    def _suspect(self, part: str, crashes: Iterable[_Crash]) -> _Suspicion | None:
+        since_s = self.harmless_s(part)
+        own = [c for c in crashes if c.at_s >= since_s and c.requests_with(part)]
+        if not own:
+            return None
+        requests = [req for crash in own for req in crash.requests_with(part)]
+        run = _in_sequence(part, own)
+        is_known = since_s > NEVER_S
+        return _Suspicion(part, tuple(own), tuple(run), tuple(requests), is_known)
+
+    def _quarantine_for(self, suspicion: _Suspicion) -> Quarantine:
+        """Return the quarantine of a part and of all that always came with it."""
+        first_s, last_s = suspicion.run[0].at_s, suspicion.run[-1].at_s
+        common = set.intersection(*(set(req.parts) for req in suspicion.requests))
+        parts = {name for name in common if self.harmless_s(name) <= first_s}
+        return Quarantine(frozenset(parts | {suspicion.part}), last_s, first_s)
+
+    def _lift_explained(self, quarantine: Quarantine) -> None:
+        """End the quarantines whose crashes another one explains, and more of them."""
+        due = [crash.start for crash in self._crashes if crash.is_due_to(quarantine)]
+        for other in list(self._quarantines):
+            if other is quarantine or other.parts & quarantine.parts:
+                continue
+            theirs = {c.start for c in self._crashes if c.is_due_to(other)}
+            if theirs and theirs < set(due):
+                self._quarantines.remove(other)
+
+    def _settled(self, now_s: float) -> list[_Crash]:
+        """Return the crashes of which all reports have come."""
+        return [crash for crash in self._crashes if now_s - crash.at_s >= SETTLE_S]
+
+    def _renew(self, now_s: float) -> None:
+        """Prolong the quarantines under which another target crashed."""
+        crashes = self._settled(now_s)
+        for index, quarantine in enumerate(self._quarantines):
+            times_s = [crash.at_s for crash in crashes if crash.is_due_to(quarantine)]
+            crashed_s = max(times_s, default=NEVER_S)
+            if crashed_s > quarantine.crashed_s:
+                self._quarantines[index] = replace(quarantine, crashed_s=crashed_s)
+
+    def _acquit(self, part: str, began_s: float) -> bool:
+        """Record that a part is harmless; return whether it was suspected."""
+        before_s = self.harmless_s(part)
+        if began_s <= before_s:
+            return False
+        self._harmless_s[part] = began_s
+        self._harmless_s.move_to_end(part)
+        while len(self._harmless_s) > MAX_HARMLESS_PARTS:
+            self._harmless_s.popitem(last=False)
+        if part not in self._crashed_parts:
+            return False
+        refuted = [
+            quarantine
+            for quarantine in self._quarantines
+            if part in quarantine.parts and quarantine.is_refuted(began_s)
+        ]
+        for quarantine in refuted:
+            self._drop_part(quarantine, part)
+        return bool(refuted) or any(
+            before_s <= crash.at_s < began_s and crash.requests_with(part)
+            for crash in self._crashes
+        )
+
+    def _drop_part(self, quarantine: Quarantine, part: str) -> None:
+        self._quarantines.remove(quarantine)
+        rest = quarantine.parts - {part}
+        if rest:
+            self._add(replace(quarantine, parts=rest))
+
+    def _forget_old(self, now_s: float) -> None:
+        self._crashes = [c for c in self._crashes if now_s - c.at_s <= CRASH_TTL_S]
+        self._quarantines = [
+            q for q in self._quarantines if now_s < q.until_s + QUARANTINE_S
+        ]
+        self._crashed_parts = {
+            part for c in self._crashes for req in c.requests for part in req.parts
+        }
+        for quarantine in self._quarantines:
+            self._crashed_parts |= quarantine.parts
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -12,12 +12,14 @@
 
 from marjoramstage import logs, platform
 from marjoramstage._entry.caller_handler import CallerHandler
+from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.load_monitor import LoadMonitor
 from marjoramstage._entry.peer_link import PeerLink
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.quarantine_sync import QuarantineSync
 from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage._entry.store_watchers import (
     drop_missing_targets,
@@ -89,11 +91,13 @@
         store = platform.ObjectStore(self._session, settings.platform_address, era)
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         self._peer_link = PeerLink(self._state, address)
+        crash_observer = CrashObserver(self._state, self._target_client)
         self._handler = CallerHandler(
             self._state,
             self._target_client,
             self._metrics,
             self._peer_link.ask_stream_origin,
+            crash_observer,
         )
         self._controller = PlacementController(
             self._state,
@@ -104,6 +108,18 @@
             era,
         )
         self._peer_link.set_controller(self._controller)
+        quarantines = QuarantineSync(
+            self._state,
+            store,
+            self._controller,
+            self._metrics,
+            address,
+            self._peer_link.send_to_others,
+        )
+        self._peer_link.set_quarantine_sync(quarantines)
+        crash_observer.on_crash = quarantines.record_crash
+        crash_observer.on_harmless = quarantines.record_harmless
+        era.on_rise(quarantines.on_store_restored)
         relay = StoreRelay(
             era,
             self._events,
@@ -129,6 +145,7 @@
             drop_missing_targets(targets, self._state),
             self._controller.run(),
             self._peer_link.run(),
+            quarantines.run(),
             self._watch_settings(),
             load_monitor.run(),
         ):
--- a/src/marjoramstage/platform/__init__.py
+++ b/src/marjoramstage/platform/__init__.py
@@ -21,7 +21,13 @@
     encode_order,
 )
 from marjoramstage.platform._settings import SETTINGS_VARIABLE, load_node_settings
-from marjoramstage.platform._store import CONFIG, LEASES, TARGETS, ObjectStore
+from marjoramstage.platform._store import (
+    CONFIG,
+    LEASES,
+    QUARANTINES,
+    TARGETS,
+    ObjectStore,
+)
 from marjoramstage.platform._targets import decode_target
 
 CONFIG_NAME = "main"
@@ -34,6 +40,7 @@
     "CONFIG_NAME",
     "LEASES",
     "ORDER_PATH",
+    "QUARANTINES",
     "READY_PATH",
     "REPORT_PATH",
     "SETTINGS_VARIABLE",
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -18,6 +18,7 @@
 URGENCY = "Urgency"
 LAST_EVENT = "Last-Event-Id"
 RESUMES = "Resumes"
+PROMPT_PREFIX = "Prompt-Prefix"
 MAX_ID_CHARS = 128
 STAMP = "Stamp"
 LEAVING = "Server-Leaving"
@@ -133,7 +134,7 @@
         item=_parse_item(headers.get("Model", "")),
         prompt_tokens=prompt,
         output_tokens=output,
-        parts=_parse_parts(headers.get("Prompt-Prefix", "")),
+        parts=_parse_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT, ""),
         resumes=headers.get(RESUMES, "")[:MAX_ID_CHARS],
     )
@@ -231,5 +232,6 @@
 
 
 def _parse_parts(text: str) -> tuple[str, ...]:
-    parts = [part.strip().partition(":")[0] for part in text.split(",")]
-    return tuple(part for part in parts if part)
+    """Return the identities of a prompt's parts; they are hexadecimal numbers."""
+    parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
+    return tuple(part[:MAX_ID_CHARS] for part in parts if part)
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -420,6 +420,75 @@
     ]
 
 
+class CrashedRequest(TPayload):
+    """Struct ``CrashedRequest`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "request_id", False),
+        2: (TType.LIST, "parts", TType.STRING, False),
+        3: (TType.I64, "sent_ago_ms", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("request_id", None),
+        ("parts", None),
+        ("sent_ago_ms", None),
+    ]
+
+
+class TargetCrashed(TPayload):
+    """Struct ``TargetCrashed`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "target", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.I64, "age_ms", False),
+        4: (TType.LIST, "requests", (TType.STRUCT, CrashedRequest), False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("target", None),
+        ("incarnation", None),
+        ("age_ms", None),
+        ("requests", None),
+    ]
+
+
+class PartsHarmless(TPayload):
+    """Struct ``PartsHarmless`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.MAP, "ages_ms", (TType.STRING, TType.I64), False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("ages_ms", None),
+    ]
+
+
+class QuarantinedParts(TPayload):
+    """Struct ``QuarantinedParts`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.LIST, "parts", TType.STRING, False),
+        2: (TType.I64, "age_ms", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("parts", None),
+        ("age_ms", None),
+    ]
+
+
+class PartsQuarantined(TPayload):
+    """Struct ``PartsQuarantined`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.LIST, "quarantines", (TType.STRUCT, QuarantinedParts), False),
+        2: (TType.STRING, "address", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("quarantines", None),
+        ("address", None),
+    ]
+
+
 class Frame(TPayload):
     """Struct ``Frame`` of the IDL."""
 
@@ -437,6 +506,9 @@
         11: (TType.STRUCT, "stream_origin_asked", StreamOriginAsked, False),
         12: (TType.STRUCT, "stream_origin_told", StreamOriginTold, False),
         13: (TType.STRUCT, "store_changes", StoreChanges, False),
+        14: (TType.STRUCT, "target_crashed", TargetCrashed, False),
+        15: (TType.STRUCT, "parts_harmless", PartsHarmless, False),
+        16: (TType.STRUCT, "parts_quarantined", PartsQuarantined, False),
     }
     default_spec = [  # noqa: RUF012
         ("hello", None),
@@ -452,4 +524,7 @@
         ("stream_origin_asked", None),
         ("stream_origin_told", None),
         ("store_changes", None),
+        ("target_crashed", None),
+        ("parts_harmless", None),
+        ("parts_quarantined", None),
     ]
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -414,6 +414,80 @@
     software: str
 
 
+@dataclass(frozen=True)
+class CrashedRequest:
+    """A request that may have crashed its target.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Parts of its prompt, without the last.
+    sent_ago_ms : int
+        Time from its sending to the crash, in milliseconds.
+    """
+
+    request_id: str
+    parts: tuple[str, ...]
+    sent_ago_ms: int
+
+
+@dataclass(frozen=True)
+class TargetCrashed:
+    """A crash of a target, with requests of the sender that it broke off.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since the crash, in milliseconds.
+    """
+
+    target: str
+    incarnation: int
+    age_ms: int
+    requests: tuple[CrashedRequest, ...] = ()
+
+
+@dataclass(frozen=True)
+class PartsHarmless:
+    """Parts of prompts on which targets wrote answers without a crash.
+
+    Attributes
+    ----------
+    ages_ms : Mapping
+        Time since a target began to write, in milliseconds, by part.
+    """
+
+    ages_ms: Mapping[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class QuarantinedParts:
+    """Parts of prompts; requests that have all of them crash targets.
+
+    Attributes
+    ----------
+    age_ms : int
+        Time since the last such crash, in milliseconds.
+    """
+
+    parts: tuple[str, ...]
+    age_ms: int
+
+
+@dataclass(frozen=True)
+class PartsQuarantined:
+    """The quarantines that the sender knows.
+
+    Attributes
+    ----------
+    address : str
+        Of the sender, which is told if they are out of date.
+    """
+
+    quarantines: tuple[QuarantinedParts, ...]
+    address: str = ""
+
+
 PeerMessage = (
     Hello
     | Gossip
@@ -428,6 +502,9 @@
     | StreamOriginAsked
     | StreamOriginTold
     | StoreChanges
+    | TargetCrashed
+    | PartsHarmless
+    | PartsQuarantined
 )
 
 _MESSAGES = {
@@ -444,6 +521,9 @@
     "stream_origin_asked": StreamOriginAsked,
     "stream_origin_told": StreamOriginTold,
     "store_changes": StoreChanges,
+    "target_crashed": TargetCrashed,
+    "parts_harmless": PartsHarmless,
+    "parts_quarantined": PartsQuarantined,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(_peers_structs, _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -177,6 +177,33 @@
   2: optional string software
 }
 
+struct CrashedRequest {
+  1: optional string request_id
+  2: optional list<string> parts
+  3: optional i64 sent_ago_ms
+}
+
+struct TargetCrashed {
+  1: optional string target
+  2: optional i64 incarnation
+  3: optional i64 age_ms
+  4: optional list<CrashedRequest> requests
+}
+
+struct PartsHarmless {
+  1: optional map<string, i64> ages_ms
+}
+
+struct QuarantinedParts {
+  1: optional list<string> parts
+  2: optional i64 age_ms
+}
+
+struct PartsQuarantined {
+  1: optional list<QuarantinedParts> quarantines
+  2: optional string address
+}
+
 // Exactly one field is set.
 struct Frame {
   1: optional Hello hello
@@ -192,4 +219,7 @@
   11: optional StreamOriginAsked stream_origin_asked
   12: optional StreamOriginTold stream_origin_told
   13: optional StoreChanges store_changes
+  14: optional TargetCrashed target_crashed
+  15: optional PartsHarmless parts_harmless
+  16: optional PartsQuarantined parts_quarantined
 }
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -13,6 +14,7 @@
 import yarl
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from marjoramstage.addresses import split_address
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
 from marjoramstage.transport.framing import Framing
@@ -144,6 +146,17 @@
         await self._pooled.close()
         await self._fresh.close()
 
+    async def accepts_connections(self, address: str) -> bool:
+        """Whether a target can be connected to."""
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def fetch(self, request: TargetRequest, max_bytes: int) -> TargetReply:
         """Send a control call; return its response with the whole body.
 
