Quarantine what is unknown of two parts, and after many crashes side by side

Parts on which answers went well before are left out of a quarantine if another was always there; five crashes that are most of all count with two in a row.

--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -17,6 +17,8 @@
       | different second parts          | 1 t1 pc, 2 t2 pd, 3 t3 pe                      | 9   | p pc  | c d      |
       | the fatal part anywhere         | 1 t1 pc, 2 t2 cq, 3 t3 rsc                     | 9   | c xcy | p q rs   |
       | one of several goes well        | 1 t1 pc, 2 t2 pc, 2.5 ok p, 3 t3 pc            | 9   | c qc  | p pd     |
+      | a part that is known beside it   | 0.5 ok p, 1 t1 pc, 2 t2 pc, 3 t3 pc            | 9   | c qc  | p pd     |
+      | many crashes side by side       | 1 t1 c, 1.02 t2 c, 1.04 t3 c, 2 t4 c, 2.02 t5 c | 9  | c     | p        |
       | it goes well in between         | 1 t1 p, 2 t2 p, 2.5 ok p, 3 t3 p, 4 t4 p       | 9   | -     | p        |
       | it went well before             | 0.5 ok p, 1 t1 p, 2 t2 p, 3 t3 p               | 9   | -     | p        |
       | it went well before, four       | 0.5 ok p, 1 t1 p, 2 t2 p, 3 t3 p, 4 t4 p       | 9   | p     | q        |
--- a/src/marjoramstage/coordination/part_quarantine.py
+++ b/src/marjoramstage/coordination/part_quarantine.py
@@ -20,6 +20,11 @@
 # requests that have just one of several parts that are in quarantine together.
 MIN_CRASHES = 3
 MIN_FURTHER_CRASHES = 2
+# Requests that run side by side may crash many targets within a moment. Then two
+# crashes in a row are enough if so many are due to the part, and this share of all.
+MANY_CRASHES = 5
+MIN_CRASHES_OF_MANY = 2
+SHARE_OF_MANY = 0.8
 # Where targets also crash for other reasons, some parts are there several times by
 # chance. So each two other crashes within this time call for one more, up to a limit.
 OTHER_CRASHES_S = 10.0
@@ -214,7 +219,10 @@
     )
     needed = MIN_CRASHES + others // 2
     if suspicion.is_known:
-        needed += FURTHER_KNOWN_PART_CRASHES
+        return min(MAX_NEEDED_CRASHES, needed + FURTHER_KNOWN_PART_CRASHES)
+    count = len(suspicion.crashes)
+    if count >= MANY_CRASHES and count >= SHARE_OF_MANY * (count + others):
+        return MIN_CRASHES_OF_MANY
     return min(MAX_NEEDED_CRASHES, needed)
 
 
@@ -354,11 +362,15 @@
         return _Suspicion(part, tuple(own), tuple(run), tuple(requests), is_known)
 
     def _quarantine_for(self, suspicion: _Suspicion) -> Quarantine:
-        """Return the quarantine of a part and of all that always came with it."""
+        """Return the quarantine of a part and of all that always came with it.
+
+        Parts on which answers went well before are left out, unless all are such.
+        """
         first_s, last_s = suspicion.run[0].at_s, suspicion.run[-1].at_s
         common = set.intersection(*(set(req.parts) for req in suspicion.requests))
         parts = {name for name in common if self.harmless_s(name) <= first_s}
-        return Quarantine(frozenset(parts | {suspicion.part}), last_s, first_s)
+        unknown = {name for name in parts if self.harmless_s(name) == NEVER_S}
+        return Quarantine(frozenset(unknown or parts), last_s, first_s)
 
     def _lift_explained(self, quarantine: Quarantine) -> None:
         """End the quarantines whose crashes another one explains, and more of them."""
