Streams are taken up at the version that began them after all instances were killed

What callers saw: streams joined from two versions of the targets' software, with nothing in the answer to show it. Cause: which version began a stream, and which versions are gone, lived in the memory of the instances alone; one that had just started took the only version that it saw for the one that began all streams. Now each instance keeps in the platform's store the versions that it has seen of late and, while there are several, the streams that each began (0.7 s late at most); one that starts reads them, and relies on a sole version only if the records have it or it has watched for 30 s itself. One that doesn't know asks the others, then the store.

In answer_framing two rows said that an instance that knows no history relies on the version that it sees; that is the fault. They now state that the version was stored, and two new rows that without that it refuses.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -95,8 +95,12 @@
 
     Examples:
       | case                                  | versions | known                       | named      | received                  |
-      | all targets run one version           | v1, v1   | nobody knows where it began | r0         | events 4 to 6 of any      |
-      | names no request                      | v1, v1   | nobody knows where it began | no request | events 4 to 6 of any      |
+      | all targets run one version           | v1, v1   | v1 alone was stored         | r0         | events 4 to 6 of any      |
+      | names no request                      | v1, v1   | v1 alone was stored         | no request | events 4 to 6 of any      |
+      | a version that is gone was stored     | v2, v2   | v1 alone was stored         | r0         | 503 with a time to return |
+      | the versions before are not known     | v1, v1   | nobody knows where it began | r0         | 503 with a time to return |
+      | none is known, and names no request   | v1, v1   | nobody knows where it began | no request | 503 with a time to return |
+      | it was stored                         | v1, v2   | that v2 began it was stored | r0         | events 4 to 6 of v2       |
       | this instance began it                | v1, v2   | this instance began it at v2 | r0        | events 4 to 6 of v2       |
       | another instance began it             | v1, v2   | another began it at v1      | r0         | events 4 to 6 of v1       |
       | nobody knows where it began           | v1, v2   | nobody knows where it began | r0         | 503 with a time to return |
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -10,6 +10,7 @@
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.stream_versions import StreamVersions
 from marjoramstage.clock import SystemClock
 from marjoramstage.logs import component_logger
 from marjoramstage.state.fleet import FleetTarget
@@ -49,6 +50,15 @@
 )
 
 
+class KnownOrigins:
+    """Stored origins that have been read already; there are no others."""
+
+    is_loaded = True
+
+    async def reload(self):
+        """Read nothing new."""
+
+
 @dataclass
 class Received:
     """What a caller received; ``whole`` if HTTP shows that the body is complete."""
@@ -102,7 +112,7 @@
             self.state,
             self._client,
             self.metrics,
-            self._tell_origin,
+            StreamVersions(self.state, KnownOrigins(), self._tell_origin),
             CrashObserver(self.state, self._client),
         )
         self._server = BoundedServer(
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.entry_caller import HOST, EntryInstance
+from features.entry_caller import HOST, SERVICE, EntryInstance
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
@@ -26,6 +26,7 @@
     ScriptedTarget,
     chunk,
 )
+from marjoramstage.coordination.stream_origins import digest
 from marjoramstage.state.fleet import FleetTarget
 
 ENDS = (
@@ -172,6 +173,10 @@
     now_s = state.clock.now()
     if known == "this instance began it at v2":
         state.stream_origins.record("r0", "v2", now_s)
+    if known == "v1 alone was stored":
+        state.software.learn({SERVICE: ("v1",)}, now_s)
+    if known == "that v2 began it was stored":
+        state.stream_origins.learn({"v2": (digest("r0"),)})
     if known == "v1 was there until now":
         old = FleetTarget("old", 1, "plain", "127.0.0.1:9", "a", 8, software="v1")
         state.put_target(old)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from aiohttp import web
@@ -20,7 +19,8 @@
     RequestContext,
     TruncatedAnswerError,
 )
-from marjoramstage._entry.request_log import ANSWERED, OriginSource, RequestLog
+from marjoramstage._entry.request_log import ANSWERED, RequestLog
+from marjoramstage._entry.stream_versions import StreamVersions
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.coordination.wait_policy import (
     DEFAULT_LIMITS,
@@ -59,26 +59,19 @@
 
 
 class CallerHandler:
-    """Handler of callers' requests.
-
-    Parameters
-    ----------
-    ask_stream_origin : callable
-        Asks the other instances which version of a target's program began a stream;
-        gives an empty text if none knows.
-    """
+    """Handler of callers' requests."""
 
     def __init__(
         self,
         state: InstanceState,
         target_client: TargetClient,
         metrics: PrometheusMetrics,
-        ask_stream_origin: Callable[[str], Awaitable[str]],
+        stream_versions: StreamVersions,
         crash_observer: CrashObserver,
     ):
         self._state = state
         self._target_client = target_client
-        self._ask_stream_origin = ask_stream_origin
+        self._stream_versions = stream_versions
         self._log = RequestLog(state, metrics)
         self._crash_observer = crash_observer
         self._relay = AnswerRelay(state, self._log, crash_observer)
@@ -218,7 +211,7 @@
         RefusalError
             It isn't known, so that no target may go on with the stream.
         """
-        software, source = await self._find_software(ctx)
+        software, source = await self._stream_versions.find(ctx)
         self._log.stream_taken_up(ctx, software, source)
         if not software:
             raise RefusalError(
@@ -226,25 +219,6 @@
             )
         ctx.criteria = replace(ctx.criteria, software=software)
 
-    async def _find_software(self, ctx: RequestContext) -> tuple[str, OriginSource]:
-        """Return the version that began a stream, and how it became known.
-
-        An instance that has started lately may not have seen a version that is gone,
-        so it asks the others first.
-        """
-        state, resumes = self._state, ctx.headers.resumes
-        now_s = state.clock.now()
-        own = state.stream_origins.find(resumes, now_s)
-        if resumes and own:
-            return own, OriginSource.OWN
-        sole = state.sole_software(ctx.service)
-        if sole and (state.software.is_complete(now_s) or not resumes):
-            return sole, OriginSource.SOLE
-        told = await self._ask_stream_origin(resumes) if resumes else ""
-        if told:
-            return told, OriginSource.TOLD
-        return sole, OriginSource.SOLE if sole else OriginSource.UNKNOWN
-
     async def _run_attempts(self, ctx: RequestContext) -> web.StreamResponse:
         """Send a request to targets until one gives an answer to relay."""
         while True:
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -224,10 +224,19 @@
         targets = self.fleet.of_service(criteria.service)
         return self._dispatcher.shortest_pause_s(criteria, targets, self.clock.now())
 
+    def services_with_resumable_streams(self) -> list[str]:
+        """Return the services whose streams callers may take up, sorted."""
+        return [] if self.table is None else self.table.resumable_services()
+
+    def software_versions(self, service: str) -> tuple[str, ...]:
+        """Return the versions of a service's targets of late, sorted."""
+        present = [target.software for target in self.fleet.of_service(service)]
+        return self.software.versions(service, present, self.clock.now())
+
     def sole_software(self, service: str) -> str:
         """Return the only version of a service's targets of late; empty if several."""
-        present = [target.software for target in self.fleet.of_service(service)]
-        return self.software.sole(service, present, self.clock.now())
+        versions = self.software_versions(service)
+        return versions[0] if len(versions) == 1 else ""
 
     def apply_view(self, view: FleetView) -> None:
         """Apply a view sent by the holder of the placement lease."""
--- /dev/null
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -0,0 +1,165 @@
+"""Keeps in the platform's store which version of targets began which streams.
+
+An instance that starts has seen neither the streams that callers take up nor the
+versions that are gone, even if all were killed at once. So each instance stores the
+versions that it has seen of late and, while a service has run several, the streams
+that each began.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from marjoramstage import platform
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage.protocol.objects import (
+    Platform,
+    PlatformError,
+    PlatformFault,
+    PlatformObject,
+)
+from marjoramstage.state.origin_record import OriginRecord
+
+# An instance writes this often at most, and with many instances less often.
+WRITE_INTERVAL_S = 0.7
+WRITE_INTERVAL_PER_INSTANCE_S = 0.02
+# Streams that an instance stores, the newest ones.
+MAX_STORED_STREAMS = 2000
+RELOAD_INTERVAL_S = 1.0
+CLEANUP_INTERVAL_S = 60.0
+
+
+class OriginStore:
+    """Stores the record of one instance, and reads those of all.
+
+    Attributes
+    ----------
+    is_loaded : bool
+        What earlier instances stored is known.
+    """
+
+    def __init__(
+        self, state: InstanceState, store: Platform, controller: PlacementController
+    ):
+        self._state = state
+        self._store = store
+        self._controller = controller
+        self._written: OriginRecord | None = None
+        self._read_s = 0.0
+        self._cleaned_s = state.clock.now()
+        self._silent: set[str] = set()
+        self._reading: asyncio.Task[bool] | None = None
+        self.is_loaded = False
+
+    async def run(self) -> None:
+        """Read what is stored, then write what changes, until cancelled."""
+        while True:
+            interval_s = max(
+                WRITE_INTERVAL_S,
+                WRITE_INTERVAL_PER_INSTANCE_S * self._state.instance_count,
+            )
+            if not self.is_loaded:
+                self.is_loaded = await self._read()
+            elif self._state.targets_listed:
+                await self._write()
+                await self._clean_up()
+            await asyncio.sleep(interval_s)
+
+    def on_store_restored(self, era: int) -> None:
+        """Write again, as the store may have lost the record."""
+        self._written = None
+
+    async def reload(self) -> None:
+        """Read what other instances have stored meanwhile, unless just done."""
+        if self._reading is None:
+            if self._state.clock.now() - self._read_s < RELOAD_INTERVAL_S:
+                return
+            self._reading = asyncio.create_task(self._read())
+        try:
+            await asyncio.shield(self._reading)
+        finally:
+            if self._reading is not None and self._reading.done():
+                self._reading = None
+
+    async def _read(self) -> bool:
+        """Take over all records; return whether they could be read."""
+        found = await self._store.list(platform.STREAM_ORIGINS)
+        if isinstance(found, Err):
+            self._state.events.event(
+                "stream origins not read", reason=found.err_value.message
+            )
+            return False
+        state = self._state
+        self._read_s = state.clock.now()
+        for obj in found.ok_value.objects:
+            match platform.decode_origins(obj.spec):
+                case Ok(record):
+                    state.software.learn(record.versions, self._read_s)
+                    state.stream_origins.learn(record.origins)
+                case Err(reason):
+                    state.events.event(
+                        "invalid stream origins ignored", object=obj.name, reason=reason
+                    )
+        return True
+
+    async def _write(self) -> None:
+        """Write this instance's record if it has changed."""
+        record = self._record()
+        if record == self._written:
+            return
+        obj = platform.encode_origins(self._state.settings.name, record)
+        match await self._put(obj):
+            case Ok():
+                self._written = record
+            case Err(error):
+                self._written = None
+                self._state.events.event(
+                    "stream origins not written", reason=error.message
+                )
+
+    async def _put(self, obj: PlatformObject) -> Result[PlatformObject, PlatformError]:
+        """Write an object that no other instance writes, whatever its version."""
+        updated = await self._store.update(obj)
+        if isinstance(updated, Ok):
+            return updated
+        if updated.err_value.fault is not PlatformFault.NOT_FOUND:
+            return updated
+        return await self._store.create(obj)
+
+    def _record(self) -> OriginRecord:
+        state = self._state
+        versions = {
+            service: names
+            for service in state.services_with_resumable_streams()
+            if (names := state.software_versions(service))
+        }
+        if all(len(names) == 1 for names in versions.values()):
+            return OriginRecord(versions)
+        now_s = state.clock.now()
+        return OriginRecord(
+            versions, state.stream_origins.newest(MAX_STORED_STREAMS, now_s)
+        )
+
+    async def _clean_up(self) -> None:
+        """Remove the records of instances that are gone, if this holds the lease."""
+        now_s = self._state.clock.now()
+        if now_s - self._cleaned_s < CLEANUP_INTERVAL_S:
+            return
+        self._cleaned_s = now_s
+        if not self._controller.may_send_orders:
+            return
+        found = await self._store.list(platform.STREAM_ORIGINS)
+        if isinstance(found, Err):
+            return
+        live = self._controller.reporting_instances | {self._state.settings.name}
+        silent = {obj.name: obj for obj in found.ok_value.objects}
+        for name in live:
+            silent.pop(name, None)
+        for name in self._silent & silent.keys():
+            await self._store.delete(
+                platform.STREAM_ORIGINS, name, silent[name].version
+            )
+        self._silent = set(silent)
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -140,6 +140,11 @@
         """Return the addresses of the instances that report to this one."""
         return self._reports.addresses
 
+    @property
+    def reporting_instances(self) -> set[str]:
+        """Return the names of the instances that report to this one."""
+        return set(self._reports.sequences)
+
     @property
     def may_send_orders(self) -> bool:
         """Whether this instance may send orders now.
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -31,6 +31,8 @@
         All targets have run one version of late.
     TOLD
         Another instance told it.
+    STORED
+        An instance had stored it, perhaps before it was killed.
     UNKNOWN
         It did not.
     """
@@ -38,6 +40,7 @@
     OWN = "own"
     SOLE = "sole"
     TOLD = "told"
+    STORED = "stored"
     UNKNOWN = "unknown"
 
 
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -16,6 +16,7 @@
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.load_monitor import LoadMonitor
+from marjoramstage._entry.origin_store import OriginStore
 from marjoramstage._entry.peer_link import PeerLink
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
@@ -26,6 +27,7 @@
     watch_routes,
     watch_targets,
 )
+from marjoramstage._entry.stream_versions import StreamVersions
 from marjoramstage._entry.targets_out import OutCause
 from marjoramstage.addresses import split_address
 from marjoramstage.clock import SystemClock
@@ -91,14 +93,6 @@
         store = platform.ObjectStore(self._session, settings.platform_address, era)
         address = f"{settings.ip}:{settings.peer_ports[0]}"
         self._peer_link = PeerLink(self._state, address)
-        crash_observer = CrashObserver(self._state, self._target_client)
-        self._handler = CallerHandler(
-            self._state,
-            self._target_client,
-            self._metrics,
-            self._peer_link.ask_stream_origin,
-            crash_observer,
-        )
         self._controller = PlacementController(
             self._state,
             store,
@@ -108,6 +102,14 @@
             era,
         )
         self._peer_link.set_controller(self._controller)
+        origins = OriginStore(self._state, store, self._controller)
+        versions = StreamVersions(
+            self._state, origins, self._peer_link.ask_stream_origin
+        )
+        crash_observer = CrashObserver(self._state, self._target_client)
+        self._handler = CallerHandler(
+            self._state, self._target_client, self._metrics, versions, crash_observer
+        )
         quarantines = QuarantineSync(
             self._state,
             store,
@@ -120,6 +122,7 @@
         crash_observer.on_crash = quarantines.record_crash
         crash_observer.on_harmless = quarantines.record_harmless
         era.on_rise(quarantines.on_store_restored)
+        era.on_rise(origins.on_store_restored)
         relay = StoreRelay(
             era,
             self._events,
@@ -146,6 +149,7 @@
             self._controller.run(),
             self._peer_link.run(),
             quarantines.run(),
+            origins.run(),
             self._watch_settings(),
             load_monitor.run(),
         ):
--- a/src/marjoramstage/platform/__init__.py
+++ b/src/marjoramstage/platform/__init__.py
@@ -20,11 +20,13 @@
     decode_report,
     encode_order,
 )
+from marjoramstage.platform._origins import decode_origins, encode_origins
 from marjoramstage.platform._settings import SETTINGS_VARIABLE, load_node_settings
 from marjoramstage.platform._store import (
     CONFIG,
     LEASES,
     QUARANTINES,
+    STREAM_ORIGINS,
     TARGETS,
     ObjectStore,
 )
@@ -44,16 +46,19 @@
     "READY_PATH",
     "REPORT_PATH",
     "SETTINGS_VARIABLE",
+    "STREAM_ORIGINS",
     "TARGETS",
     "CallerHeaders",
     "ObjectStore",
     "answer_headers",
     "caller_headers",
     "decode_order_answer",
+    "decode_origins",
     "decode_report",
     "decode_table",
     "decode_target",
     "encode_order",
+    "encode_origins",
     "load_node_settings",
     "order_headers",
     "proves_not_run",
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -46,6 +46,7 @@
 CONFIG = Kind("", "", "config", "config")
 TARGETS = Kind("", "", "servers", "servers")
 LEASES = Kind("", "", "marjoramstage-leases", "lease")
+STREAM_ORIGINS = Kind("", "", "marjoramstage-stream-origins", "stream-origins")
 QUARANTINES = Kind("", "", "marjoramstage-quarantines", "quarantine")
 
 _CALL_ERRORS = (
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -184,6 +184,11 @@
             found.sort(key=lambda route: -len(route.prefix))
         self._by_host = by_host
 
+    def resumable_services(self) -> list[str]:
+        """Return the services of routes whose streams may be taken up, sorted."""
+        routes = (route for route in self.routes if route.resumable)
+        return sorted({share.service for route in routes for share in route.split})
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``."""
         for route in self._by_host.get(host, ()):
