Crashes are indexed by part when judged, and judged by one timer

A judgement walked all requests of all crashes for each part, and each report set a timer of its own; with hundreds of crashes that would hold up the event loop. Records of streams are created first at a first start, and versions that others tell again don't prolong what counts as recent.

--- a/src/marjoramstage/_entry/origin_store.py
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -48,6 +48,7 @@
         self._store = store
         self._controller = controller
         self._written: OriginRecord | None = None
+        self._exists = False
         self._read_s = 0.0
         self._cleaned_s = state.clock.now()
         self._silent: set[str] = set()
@@ -71,6 +72,7 @@
     def on_store_restored(self, era: int) -> None:
         """Write again, as the store may have lost the record."""
         self._written = None
+        self._exists = False
 
     async def reload(self) -> None:
         """Read what other instances have stored meanwhile, unless just done."""
@@ -95,9 +97,12 @@
         state = self._state
         self._read_s = state.clock.now()
         for obj in found.ok_value.objects:
+            self._exists = self._exists or obj.name == state.settings.name
             match platform.decode_origins(obj.spec):
                 case Ok(record):
-                    state.software.learn(record.versions, self._read_s)
+                    if not self.is_loaded:
+                        # Later, what others have seen is known here too.
+                        state.software.learn(record.versions, self._read_s)
                     state.stream_origins.learn(record.origins)
                 case Err(reason):
                     state.events.event(
@@ -122,12 +127,13 @@
 
     async def _put(self, obj: PlatformObject) -> Result[PlatformObject, PlatformError]:
         """Write an object that no other instance writes, whatever its version."""
-        updated = await self._store.update(obj)
-        if isinstance(updated, Ok):
-            return updated
-        if updated.err_value.fault is not PlatformFault.NOT_FOUND:
-            return updated
-        return await self._store.create(obj)
+        call = self._store.update if self._exists else self._store.create
+        written = await call(obj)
+        if isinstance(written, Ok) or written.err_value.fault is PlatformFault.EXISTS:
+            self._exists = True
+        elif written.err_value.fault is PlatformFault.NOT_FOUND:
+            self._exists = False
+        return written
 
     def _record(self) -> OriginRecord:
         state = self._state
--- a/src/marjoramstage/_entry/quarantine_sync.py
+++ b/src/marjoramstage/_entry/quarantine_sync.py
@@ -37,6 +37,7 @@
 STEP_S = 0.5
 ANNOUNCEMENT_INTERVAL_S = 2.0
 LOAD_RETRY_S = 1.0
+MIN_JUDGE_INTERVAL_S = 0.1
 # Crashes and harmless parts that a holder passes on each second.
 MAX_FORWARDED_PER_S = 10
 # Requests of one crash that are told to other instances.
@@ -77,6 +78,7 @@
         self._announced_s = 0.0
         self._forwards_second = 0
         self._forwards = 0
+        self._judge_timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
         """Load what is stored, then keep it up to date until cancelled."""
@@ -167,10 +169,18 @@
         self, start: TargetStart, at_s: float, requests: Iterable[CrashedRequest]
     ) -> None:
         self._state.quarantine.record_crash(start, at_s, requests)
-        loop = asyncio.get_running_loop()
-        loop.call_later(SETTLE_S, self._judge)
+        if self._judge_timer is None:
+            loop = asyncio.get_running_loop()
+            self._judge_timer = loop.call_later(SETTLE_S, self._judge)
 
     def _judge(self) -> None:
+        """Judge the crashes that have settled, and soon those that have not."""
+        self._judge_timer = None
+        unsettled_s = self._state.quarantine.unsettled_s(self._now_s())
+        if unsettled_s > 0:
+            loop = asyncio.get_running_loop()
+            delay_s = max(MIN_JUDGE_INTERVAL_S, unsettled_s)
+            self._judge_timer = loop.call_later(delay_s, self._judge)
         found = self._state.quarantine.judge(self._now_s())
         if not found:
             return
--- a/src/marjoramstage/coordination/part_quarantine.py
+++ b/src/marjoramstage/coordination/part_quarantine.py
@@ -182,13 +182,29 @@
         return covered >= RIVAL_COVERAGE * len(self.run)
 
 
-def _in_sequence(part: str, crashes: Iterable[_Crash]) -> list[_Crash]:
+def _by_part(
+    crashes: Iterable[_Crash],
+) -> dict[str, list[tuple[_Crash, list[CrashedRequest]]]]:
+    """Return the crashes under each part, with the requests that have it."""
+    found: dict[str, list[tuple[_Crash, list[CrashedRequest]]]] = {}
+    for crash in crashes:
+        requests: dict[str, list[CrashedRequest]] = {}
+        for req in crash.requests:
+            for part in req.parts:
+                requests.setdefault(part, []).append(req)
+        for part, having in requests.items():
+            found.setdefault(part, []).append((crash, having))
+    return found
+
+
+def _in_sequence(
+    crashes: Iterable[tuple[_Crash, list[CrashedRequest]]],
+) -> list[_Crash]:
     """Return the crashes under different requests sent one after the other."""
     found: list[_Crash] = []
     seen: set[str] = set()
     last_s = NEVER_S
-    for crash in crashes:
-        requests = crash.requests_with(part)
+    for crash, requests in crashes:
         if all(req.sent_s <= last_s or req.request_id in seen for req in requests):
             continue
         found.append(crash)
@@ -304,6 +320,12 @@
             found.append(quarantine)
         return found
 
+    def unsettled_s(self, now_s: float) -> float:
+        """Return when the next crash can be judged; 0 if there is none."""
+        ages_s = [now_s - crash.at_s for crash in self._crashes]
+        waits_s = [SETTLE_S - age_s for age_s in ages_s if age_s < SETTLE_S]
+        return min(waits_s, default=0.0)
+
     def merge(self, quarantine: Quarantine) -> bool:
         """Apply a quarantine that another instance found.
 
@@ -339,8 +361,9 @@
             for crash in self._settled(now_s)
             if not any(crash.is_due_to(quarantine) for quarantine in active)
         ]
-        parts = {part for c in crashes for req in c.requests for part in req.parts}
-        suspicions = [self._suspect(part, crashes) for part in sorted(parts)]
+        suspicions = [
+            self._suspect(part, found) for part, found in _by_part(crashes).items()
+        ]
         suspicions = [s for s in suspicions if s is not None]
         held = {part for quarantine in active for part in quarantine.parts}
         found = [
@@ -351,15 +374,27 @@
         ]
         return max(found, key=lambda s: s.weight, default=None)
 
-    def _suspect(self, part: str, crashes: Iterable[_Crash]) -> _Suspicion | None:
+    def _suspect(
+        self, part: str, crashes: Iterable[tuple[_Crash, list[CrashedRequest]]]
+    ) -> _Suspicion | None:
+        """Return what speaks against a part; None if it was harmless since.
+
+        Parameters
+        ----------
+        crashes : iterable of pairs
+            Crashes, in order, and the requests there that have the part.
+        """
         since_s = self.harmless_s(part)
-        own = [c for c in crashes if c.at_s >= since_s and c.requests_with(part)]
+        own = [(crash, reqs) for crash, reqs in crashes if crash.at_s >= since_s]
         if not own:
             return None
-        requests = [req for crash in own for req in crash.requests_with(part)]
-        run = _in_sequence(part, own)
-        is_known = since_s > NEVER_S
-        return _Suspicion(part, tuple(own), tuple(run), tuple(requests), is_known)
+        return _Suspicion(
+            part,
+            crashes=tuple(crash for crash, _ in own),
+            run=tuple(_in_sequence(own)),
+            requests=tuple(req for _, reqs in own for req in reqs),
+            is_known=since_s > NEVER_S,
+        )
 
     def _quarantine_for(self, suspicion: _Suspicion) -> Quarantine:
         """Return the quarantine of a part and of all that always came with it.
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -20,6 +20,7 @@
 RESUMES = "Resumes"
 PROMPT_PREFIX = "Prompt-Prefix"
 MAX_ID_CHARS = 128
+MAX_PARTS = 256
 STAMP = "Stamp"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -234,4 +235,4 @@
 def _parse_parts(text: str) -> tuple[str, ...]:
     """Return the identities of a prompt's parts; they are hexadecimal numbers."""
     parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
-    return tuple(part[:MAX_ID_CHARS] for part in parts if part)
+    return tuple(part[:MAX_ID_CHARS] for part in parts if part)[-MAX_PARTS:]
