--- a/features/crash_simulation.py
+++ b/features/crash_simulation.py
@@ -9,12 +9,8 @@
 import random
 from dataclasses import dataclass, field
 
-from marjoramstage.coordination.part_quarantine import (
-    SETTLE_S,
-    CrashedRequest,
-    PartQuarantine,
-    TargetStart,
-)
+from marjoramstage.coordination.crash_evidence import CrashedRequest, TargetStart
+from marjoramstage.coordination.part_quarantine import SETTLE_S, PartQuarantine
 
 FATAL = "fatal"
 HARMLESS_AFTER_S = 1.0
--- a/features/memory_platform.py
+++ b/features/memory_platform.py
@@ -7,6 +7,7 @@
 from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.objects import (
     HEAD,
+    ObjectList,
     PlatformError,
     PlatformFault,
     PlatformObject,
@@ -57,6 +58,25 @@
             return Err(PlatformError(PlatformFault.NOT_FOUND, Verdict.NOT_RUN))
         return Ok(obj)
 
+    async def list(self, kind):
+        await self._enter()
+        if self.down:
+            return DOWN
+        found = [obj for (k, _), obj in self.objects.items() if k == kind]
+        return Ok(ObjectList(tuple(found), str(self.version)))
+
+    async def delete(self, kind, name, version):
+        await self._enter()
+        if self.down:
+            return DOWN
+        known = self.objects.get((kind, name))
+        if known is None:
+            return Err(PlatformError(PlatformFault.NOT_FOUND, Verdict.NOT_RUN))
+        if known.version != version:
+            return Err(PlatformError(PlatformFault.CONFLICT, Verdict.NOT_RUN))
+        del self.objects[kind, name]
+        return Ok(None)
+
     async def create(self, obj):
         return await self._put(obj)
 
--- a/features/steps/part_quarantine.py
+++ b/features/steps/part_quarantine.py
@@ -5,12 +5,11 @@
 from behave import given, then, when
 
 from features.crash_simulation import CrashLoad, CrashSimulation
+from marjoramstage.coordination.crash_evidence import CrashedRequest, TargetStart
 from marjoramstage.coordination.part_quarantine import (
     SETTLE_S,
-    CrashedRequest,
     PartQuarantine,
     Quarantine,
-    TargetStart,
 )
 
 STABLE_S = 3.0
--- a/src/marjoramstage/_entry/crash_observer.py
+++ b/src/marjoramstage/_entry/crash_observer.py
@@ -14,7 +14,7 @@
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.request_context import RequestContext
-from marjoramstage.coordination.part_quarantine import CrashedRequest, TargetStart
+from marjoramstage.coordination.crash_evidence import CrashedRequest, TargetStart
 from marjoramstage.state.fleet import FleetTarget
 from marjoramstage.transport.framing import Framing
 from marjoramstage.transport.target_client import TargetClient, TargetResponse
--- a/src/marjoramstage/_entry/quarantine_sync.py
+++ b/src/marjoramstage/_entry/quarantine_sync.py
@@ -1,4 +1,4 @@
-"""Shares what crashes targets: among the instances, and with the platform's store.
+"""Shares among the instances what crashes targets.
 
 Each instance tells the others which of its requests were at a target that crashed,
 and which parts of prompts proved harmless, so that all judge by the same evidence.
@@ -10,23 +10,15 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections.abc import Callable, Iterable
 
-from result import Err
-
-from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
-from marjoramstage.coordination.part_quarantine import (
-    SETTLE_S,
-    CrashedRequest,
-    Quarantine,
-    TargetStart,
-)
+from marjoramstage._entry.quarantine_store import QuarantineStore
+from marjoramstage.coordination.crash_evidence import CrashedRequest, TargetStart
+from marjoramstage.coordination.part_quarantine import SETTLE_S, Quarantine
 from marjoramstage.protocol import peers
-from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
 from marjoramstage.protocol.peers import (
     PartsHarmless,
     PartsQuarantined,
@@ -61,20 +53,19 @@
     def __init__(
         self,
         state: InstanceState,
-        store: Platform,
+        stored: QuarantineStore,
         controller: PlacementController,
         metrics: PrometheusMetrics,
         address: str,
         send: Callable[[Iterable[str], PeerMessage], None],
     ):
         self._state = state
-        self._store = store
+        self._stored = stored
         self._controller = controller
         self._metrics = metrics
         self._address = address
         self._send = send
         self._known: set[frozenset[str]] = set()
-        self._stored: set[frozenset[str]] = set()
         self._announced_s = 0.0
         self._forwards_second = 0
         self._forwards = 0
@@ -83,18 +74,18 @@
     async def run(self) -> None:
         """Load what is stored, then keep it up to date until cancelled."""
         while True:
-            if await self._load():
+            if await self._stored.load():
                 break
             await asyncio.sleep(LOAD_RETRY_S)
+        self._note_changes("stored")
         while True:
             await asyncio.sleep(STEP_S)
             self._note_changes("ended")
             self._announce_if_due()
-            await self._update_store()
-
-    def on_store_restored(self, era: int) -> None:
-        """Store everything again, as the store may have lost it."""
-        self._stored.clear()
+            if self._controller.may_send_orders:
+                await self._stored.update(removes=True)
+            elif self._state.peers:
+                await self._stored.update(removes=False)
 
     # What this instance observes
 
@@ -244,72 +235,9 @@
         self._known = active
         self._metrics.quarantines.set(len(active))
 
-    # The platform's store
-
-    async def _load(self) -> bool:
-        """Apply what is stored; return whether it could be read."""
-        found = await self._store.list(platform.QUARANTINES)
-        if isinstance(found, Err):
-            self._state.events.event(
-                "quarantines not read", reason=found.err_value.message
-            )
-            return False
-        now_s = self._now_s()
-        for obj in found.ok_value.objects:
-            parts = _decode(obj)
-            if not parts:
-                self._state.events.event("invalid quarantine ignored", object=obj.name)
-                continue
-            self._stored.add(parts)
-            self._state.quarantine.merge(Quarantine(parts, now_s))
-        self._note_changes("stored")
-        return True
-
-    async def _update_store(self) -> None:
-        """Store the quarantines in force, and remove those that are over."""
-        holds_lease = self._controller.may_send_orders
-        if not holds_lease and not self._state.peers:
-            return
-        active = {q.parts for q in self._state.quarantine.active(self._now_s())}
-        for parts in active - self._stored:
-            obj = PlatformObject(
-                platform.QUARANTINES, _name_of(parts), {"parts": sorted(parts)}
-            )
-            if _is_settled(await self._store.create(obj), PlatformFault.EXISTS):
-                self._stored.add(parts)
-        for parts in self._stored - active:
-            if not holds_lease or await self._remove(parts):
-                self._stored.discard(parts)
-
-    async def _remove(self, parts: frozenset[str]) -> bool:
-        """Remove a quarantine from the store; return whether it is gone."""
-        found = await self._store.get(platform.QUARANTINES, _name_of(parts))
-        if isinstance(found, Err):
-            return found.err_value.fault is PlatformFault.NOT_FOUND
-        obj = found.ok_value
-        removed = await self._store.delete(obj.kind, obj.name, obj.version)
-        return _is_settled(removed, PlatformFault.NOT_FOUND)
-
     def _now_s(self) -> float:
         return self._state.clock.now()
 
 
-def _is_settled(result, settled_by: PlatformFault) -> bool:
-    """Whether a call succeeded or found that there was nothing to do."""
-    return not isinstance(result, Err) or result.err_value.fault is settled_by
-
-
 def _to_ms(time_s: float) -> int:
     return max(0, round(time_s / MS))
-
-
-def _name_of(parts: frozenset[str]) -> str:
-    return hashlib.sha256("\n".join(sorted(parts)).encode()).hexdigest()[:32]
-
-
-def _decode(obj: PlatformObject) -> frozenset[str]:
-    """Return the parts that an object names; none if it is invalid."""
-    parts = (obj.spec or {}).get("parts")
-    if not isinstance(parts, list) or not all(isinstance(p, str) for p in parts):
-        return frozenset()
-    return frozenset(parts)
--- a/src/marjoramstage/_entry/stream_versions.py
+++ b/src/marjoramstage/_entry/stream_versions.py
@@ -49,8 +49,8 @@
         own = self._own(resumes)
         if own:
             return own, OriginSource.OWN
-        sole = self._state.sole_software(ctx.service)
-        if sole and self._knows_versions(ctx.service):
+        sole = self._sole(ctx.service)
+        if sole:
             return sole, OriginSource.SOLE
         told = await self._ask(resumes) if resumes else ""
         if told:
@@ -60,17 +60,17 @@
         stored = self._own(resumes)
         if stored:
             return stored, OriginSource.STORED
-        sole = self._state.sole_software(ctx.service)
-        if sole and self._knows_versions(ctx.service):
-            return sole, OriginSource.SOLE
-        return "", OriginSource.UNKNOWN
+        sole = self._sole(ctx.service)
+        return sole, OriginSource.SOLE if sole else OriginSource.UNKNOWN
 
     def _own(self, resumes: str) -> str:
         state = self._state
         return state.stream_origins.find(resumes, state.clock.now())
 
-    def _knows_versions(self, service: str) -> bool:
+    def _sole(self, service: str) -> str:
+        """Return the only version of late; empty if one that is gone may be missing."""
         state = self._state
-        return self._stored.is_loaded and state.software.is_complete(
-            service, state.clock.now()
-        )
+        is_complete = state.software.is_complete(service, state.clock.now())
+        if not (self._stored.is_loaded and is_complete):
+            return ""
+        return state.sole_software(service)
--- a/src/marjoramstage/coordination/part_quarantine.py
+++ b/src/marjoramstage/coordination/part_quarantine.py
@@ -13,31 +13,20 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Container, Iterable, Sequence
-from dataclasses import dataclass, field, replace
-
-# Crashes in a row under requests with a part until it is quarantined, and under
-# requests that have just one of several parts that are in quarantine together.
-MIN_CRASHES = 3
-MIN_FURTHER_CRASHES = 2
-# Requests that run side by side may crash many targets within a moment. Then two
-# crashes in a row are enough if so many are due to the part, and this share of all.
-MANY_CRASHES = 5
-MIN_CRASHES_OF_MANY = 2
-SHARE_OF_MANY = 0.8
-# Where targets also crash for other reasons, some parts are there several times by
-# chance. So each two other crashes within this time call for one more, up to a limit.
-OTHER_CRASHES_S = 10.0
-MAX_NEEDED_CRASHES = 6
-# A part isn't to blame while another was there in most of its crashes that is about
-# as likely to be; after many crashes only while that one is clearly more likely.
-RIVAL_COVERAGE = 0.6
-RIVAL_WEIGHT = 0.8
-CLEAR_RIVAL_WEIGHT = 1.25
-# How much weight a part keeps on which answers went well before its first crash, and
-# how many more crashes it takes to quarantine it.
-KNOWN_PART_WEIGHT = 0.5
-FURTHER_KNOWN_PART_CRASHES = 1
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from marjoramstage.coordination.crash_evidence import (
+    NEVER_S,
+    Crash,
+    CrashedRequest,
+    Suspicion,
+    TargetStart,
+    by_part,
+    in_sequence,
+    needed_crashes,
+)
+
 # How long a quarantine lasts after the last crash, in seconds. Requests are tried
 # again then; for as long again, one crash renews it.
 QUARANTINE_S = 600.0
@@ -53,33 +42,6 @@
 MAX_QUARANTINES = 256
 MAX_HARMLESS_PARTS = 8192
 
-NEVER_S = float("-inf")
-
-
-@dataclass(frozen=True)
-class TargetStart:
-    """One start of a target."""
-
-    target: str
-    incarnation: int
-
-
-@dataclass(frozen=True)
-class CrashedRequest:
-    """A request that may have crashed its target.
-
-    Attributes
-    ----------
-    parts : tuple of str
-        Parts of its prompt that other requests may have too.
-    sent_s : float
-        When it was sent to the target.
-    """
-
-    request_id: str
-    parts: tuple[str, ...]
-    sent_s: float
-
 
 @dataclass(frozen=True)
 class Quarantine:
@@ -116,137 +78,11 @@
         return self.parts.issubset(parts)
 
 
-@dataclass
-class _Crash:
-    """A crash of a target, and the requests that it may be due to."""
-
-    start: TargetStart
-    at_s: float
-    requests: list[CrashedRequest] = field(default_factory=list)
-
-    def is_due_to(self, quarantine: Quarantine) -> bool:
-        """Whether a request that is now held back was there."""
-        return any(quarantine.covers(req.parts) for req in self.requests)
-
-    def requests_with(self, part: str) -> list[CrashedRequest]:
-        """Return the requests that have a part."""
-        return [req for req in self.requests if part in req.parts]
-
-
-@dataclass(frozen=True)
-class _Suspicion:
-    """What speaks against a part.
-
-    Attributes
-    ----------
-    crashes : tuple of _Crash
-        Those under requests with the part since it was last seen to be harmless.
-    run : tuple of _Crash
-        Those of them under different requests that were sent one after the other.
-    requests : tuple of CrashedRequest
-        The requests with the part in all these crashes.
-    is_known : bool
-        Answers on it went well before.
-    """
-
-    part: str
-    crashes: tuple[_Crash, ...]
-    run: tuple[_Crash, ...]
-    requests: tuple[CrashedRequest, ...]
-    is_known: bool
-
-    @property
-    def requests_per_crash(self) -> float:
-        """How many requests had the part in each crash; a culprit needs just one."""
-        return len(self.requests) / len(self.crashes)
-
-    @property
-    def weight(self) -> float:
-        """How likely the part is to blame, compared with others."""
-        share = KNOWN_PART_WEIGHT if self.is_known else 1.0
-        return share * len(self.crashes) / self.requests_per_crash
-
-    def has_rival(self, other: _Suspicion) -> bool:
-        """Whether another part may explain these crashes as well.
-
-        One that all these requests have too, and more of them, explains them worse.
-        """
-        if set(other.requests) >= set(self.requests):
-            return False
-        is_long = len(self.run) >= MAX_NEEDED_CRASHES
-        share = CLEAR_RIVAL_WEIGHT if is_long else RIVAL_WEIGHT
-        if other.weight < share * self.weight:
-            return False
-        starts = {crash.start for crash in other.crashes}
-        covered = sum(crash.start in starts for crash in self.run)
-        return covered >= RIVAL_COVERAGE * len(self.run)
-
-
-def _by_part(
-    crashes: Iterable[_Crash],
-) -> dict[str, list[tuple[_Crash, list[CrashedRequest]]]]:
-    """Return the crashes under each part, with the requests that have it."""
-    found: dict[str, list[tuple[_Crash, list[CrashedRequest]]]] = {}
-    for crash in crashes:
-        requests: dict[str, list[CrashedRequest]] = {}
-        for req in crash.requests:
-            for part in req.parts:
-                requests.setdefault(part, []).append(req)
-        for part, having in requests.items():
-            found.setdefault(part, []).append((crash, having))
-    return found
-
-
-def _in_sequence(
-    crashes: Iterable[tuple[_Crash, list[CrashedRequest]]],
-) -> list[_Crash]:
-    """Return the crashes under different requests sent one after the other."""
-    found: list[_Crash] = []
-    seen: set[str] = set()
-    last_s = NEVER_S
-    for crash, requests in crashes:
-        if all(req.sent_s <= last_s or req.request_id in seen for req in requests):
-            continue
-        found.append(crash)
-        seen.update(req.request_id for req in requests)
-        last_s = crash.at_s
-    return found
-
-
-def _needed_crashes(
-    suspicion: _Suspicion, crashes: Iterable[_Crash], held: Container[str]
-) -> int:
-    """Return how many crashes in a row speak clearly against a part.
-
-    Parameters
-    ----------
-    crashes : iterable of _Crash
-        All that no quarantine explains.
-    held : container of str
-        Parts that are in quarantine, perhaps only together with others.
-    """
-    if suspicion.part in held:
-        return MIN_FURTHER_CRASHES
-    last_s = suspicion.run[-1].at_s
-    own = {crash.start for crash in suspicion.crashes}
-    others = sum(
-        crash.start not in own and last_s - OTHER_CRASHES_S <= crash.at_s <= last_s
-        for crash in crashes
-    )
-    needed = MIN_CRASHES + others // 2
-    if suspicion.is_known:
-        return min(MAX_NEEDED_CRASHES, needed + FURTHER_KNOWN_PART_CRASHES)
-    count = len(suspicion.crashes)
-    if count >= MANY_CRASHES and count >= SHARE_OF_MANY * (count + others):
-        return MIN_CRASHES_OF_MANY
-    return min(MAX_NEEDED_CRASHES, needed)
-
-
 class PartQuarantine:
     """Parts of prompts that crash targets, as one instance knows them."""
 
     def __init__(self):
-        self._crashes: list[_Crash] = []
+        self._crashes: list[Crash] = []
         self._quarantines: list[Quarantine] = []
         self._crashed_parts: set[str] = set()
         # When targets began to write answers that went well.
@@ -281,7 +117,7 @@
             if crash.start == start and abs(crash.at_s - at_s) <= SAME_CRASH_S:
                 break
         else:
-            crash = _Crash(start, at_s)
+            crash = Crash(start, at_s)
             self._crashes.append(crash)
             self._crashes.sort(key=lambda c: c.at_s)
             del self._crashes[:-MAX_CRASHES]
@@ -353,30 +189,32 @@
         kept = [q for q in self._quarantines if not quarantine.parts <= q.parts]
         self._quarantines = [*kept, quarantine][-MAX_QUARANTINES:]
 
-    def _worst_suspicion(self, now_s: float) -> _Suspicion | None:
+    def _worst_suspicion(self, now_s: float) -> Suspicion | None:
         """Return what most likely caused crashes that no quarantine explains."""
         active = self.active(now_s)
         crashes = [
             crash
             for crash in self._settled(now_s)
-            if not any(crash.is_due_to(quarantine) for quarantine in active)
+            if not any(
+                crash.has_request_with(quarantine.parts) for quarantine in active
+            )
         ]
         suspicions = [
-            self._suspect(part, found) for part, found in _by_part(crashes).items()
+            self._suspect(part, found) for part, found in by_part(crashes).items()
         ]
         suspicions = [s for s in suspicions if s is not None]
         held = {part for quarantine in active for part in quarantine.parts}
         found = [
             suspicion
             for suspicion in suspicions
-            if len(suspicion.run) >= _needed_crashes(suspicion, crashes, held)
+            if len(suspicion.run) >= needed_crashes(suspicion, crashes, held)
             and not any(suspicion.has_rival(other) for other in suspicions)
         ]
         return max(found, key=lambda s: s.weight, default=None)
 
     def _suspect(
-        self, part: str, crashes: Iterable[tuple[_Crash, list[CrashedRequest]]]
-    ) -> _Suspicion | None:
+        self, part: str, crashes: Iterable[tuple[Crash, list[CrashedRequest]]]
+    ) -> Suspicion | None:
         """Return what speaks against a part; None if it was harmless since.
 
         Parameters
@@ -388,15 +226,15 @@
         own = [(crash, reqs) for crash, reqs in crashes if crash.at_s >= since_s]
         if not own:
             return None
-        return _Suspicion(
+        return Suspicion(
             part,
             crashes=tuple(crash for crash, _ in own),
-            run=tuple(_in_sequence(own)),
+            run=tuple(in_sequence(own)),
             requests=tuple(req for _, reqs in own for req in reqs),
             is_known=since_s > NEVER_S,
         )
 
-    def _quarantine_for(self, suspicion: _Suspicion) -> Quarantine:
+    def _quarantine_for(self, suspicion: Suspicion) -> Quarantine:
         """Return the quarantine of a part and of all that always came with it.
 
         Parts on which answers went well before are left out, unless all are such.
@@ -409,15 +247,19 @@
 
     def _lift_explained(self, quarantine: Quarantine) -> None:
         """End the quarantines whose crashes another one explains, and more of them."""
-        due = [crash.start for crash in self._crashes if crash.is_due_to(quarantine)]
+        due = [
+            crash.start
+            for crash in self._crashes
+            if crash.has_request_with(quarantine.parts)
+        ]
         for other in list(self._quarantines):
             if other is quarantine or other.parts & quarantine.parts:
                 continue
-            theirs = {c.start for c in self._crashes if c.is_due_to(other)}
+            theirs = {c.start for c in self._crashes if c.has_request_with(other.parts)}
             if theirs and theirs < set(due):
                 self._quarantines.remove(other)
 
-    def _settled(self, now_s: float) -> list[_Crash]:
+    def _settled(self, now_s: float) -> list[Crash]:
         """Return the crashes of which all reports have come."""
         return [crash for crash in self._crashes if now_s - crash.at_s >= SETTLE_S]
 
@@ -425,7 +267,11 @@
         """Prolong the quarantines under which another target crashed."""
         crashes = self._settled(now_s)
         for index, quarantine in enumerate(self._quarantines):
-            times_s = [crash.at_s for crash in crashes if crash.is_due_to(quarantine)]
+            times_s = [
+                crash.at_s
+                for crash in crashes
+                if crash.has_request_with(quarantine.parts)
+            ]
             crashed_s = max(times_s, default=NEVER_S)
             if crashed_s > quarantine.crashed_s:
                 self._quarantines[index] = replace(quarantine, crashed_s=crashed_s)
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -20,6 +20,7 @@
 from marjoramstage._entry.peer_link import PeerLink
 from marjoramstage._entry.placement_controller import PlacementController
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
+from marjoramstage._entry.quarantine_store import QuarantineStore
 from marjoramstage._entry.quarantine_sync import QuarantineSync
 from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage._entry.store_watchers import (
@@ -110,9 +111,10 @@
         self._handler = CallerHandler(
             self._state, self._target_client, self._metrics, versions, crash_observer
         )
+        stored_quarantines = QuarantineStore(self._state, store)
         quarantines = QuarantineSync(
             self._state,
-            store,
+            stored_quarantines,
             self._controller,
             self._metrics,
             address,
@@ -121,7 +123,7 @@
         self._peer_link.set_quarantine_sync(quarantines)
         crash_observer.on_crash = quarantines.record_crash
         crash_observer.on_harmless = quarantines.record_harmless
-        era.on_rise(quarantines.on_store_restored)
+        era.on_rise(stored_quarantines.on_store_restored)
         era.on_rise(origins.on_store_restored)
         relay = StoreRelay(
             era,
