An instance of a system that is new knows that no version is missing

Each instance stores the versions that it sees before it serves, so an empty store means that nobody served before; nothing is written before a version is known. features/origin_store, ten cases: the first failed before.

--- /dev/null
+++ b/features/origin_store.feature
@@ -0,0 +1,29 @@
+Feature: What instances store of versions and streams
+  An instance that starts relies on the version that it sees only if it knows which
+  ones were there before.
+
+  Scenario Outline: an instance starts, <case>
+    Given a store with the records <records>
+    When an instance starts that sees targets of <seen>
+    Then it <takes> streams whose beginning nobody knows for those of v1
+
+    Examples:
+      | case                                | records                | seen   | takes         |
+      | the first of all                    | none                   | v1     | takes         |
+      | one version was there before        | chat: v1               | v1     | takes         |
+      | another version was there before    | chat: v0               | v1     | does not take |
+      | two versions were there before      | chat: v0 v1            | v1     | does not take |
+      | two instances saw different ones    | chat: v0; chat: v1     | v1     | does not take |
+      | another service was there before    | other: v1              | v1     | does not take |
+      | a record is garbled                 | garbled                | v1     | does not take |
+      | the store can't be read             | unreadable             | v1     | does not take |
+      | two versions are there              | none                   | v1 v2  | does not take |
+
+  Scenario: what an instance writes
+    Given a store with the records none
+    When an instance starts that sees targets of v1
+    Then its record has v1 and no streams, and is written once in 10 s
+    When streams s1 and s2 begin at v1, and targets of v2 come
+    Then within 1 s its record has v1 v2 and the streams s1 s2
+    When targets of v1 leave and 31 s pass
+    Then its record has v2 and no streams
--- a/src/marjoramstage/_entry/origin_store.py
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -96,24 +96,30 @@
             return False
         state = self._state
         self._read_s = state.clock.now()
+        is_first = not self.is_loaded
         for obj in found.ok_value.objects:
             self._exists = self._exists or obj.name == state.settings.name
             match platform.decode_origins(obj.spec):
                 case Ok(record):
+                    is_first = is_first and not record.versions
                     if not self.is_loaded:
                         # Later, what others have seen is known here too.
                         state.software.learn(record.versions, self._read_s)
                     state.stream_origins.learn(record.origins)
                 case Err(reason):
+                    is_first = False
                     state.events.event(
                         "invalid stream origins ignored", object=obj.name, reason=reason
                     )
+        if is_first:
+            # Each instance stores versions before it serves.
+            state.software.mark_first()
         return True
 
     async def _write(self) -> None:
         """Write this instance's record if it has changed."""
         record = self._record()
-        if record == self._written:
+        if record == self._written or not record.versions:
             return
         obj = platform.encode_origins(self._state.settings.name, record)
         match await self._put(obj):
--- a/src/marjoramstage/coordination/stream_origins.py
+++ b/src/marjoramstage/coordination/stream_origins.py
@@ -82,6 +82,7 @@
         self._started_s = started_s
         self._last_seen_s: dict[tuple[str, str], float] = {}
         self._stored_services: set[str] = set()
+        self._is_first = False
 
     def record(self, service: str, software: str, now_s: float) -> None:
         """Record that a target of a service runs, or ran until now, a version."""
@@ -94,9 +95,13 @@
             for software in names:
                 self.record(service, software, now_s)
 
+    def mark_first(self) -> None:
+        """Record that no instance has served before this one was started."""
+        self._is_first = True
+
     def is_complete(self, service: str, now_s: float) -> bool:
         """Whether no version that began a stream of late can be missing."""
-        if service in self._stored_services:
+        if self._is_first or service in self._stored_services:
             return True
         return now_s - self._started_s >= KEPT_S
 
