Log and count how resumed streams end

Now each has a line with the holders of its version and of others, and new and resumed streams are counted by whether they began. The line and the series for a resume are named resume requested and marjoramstage_resume_requests (before: stream taken up). Ruled out: sampling less, which would cost lines for all requests. Before: no such line; after: answer_framing, two new scenarios.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -109,6 +109,17 @@
       | its version was there until now       | v2, v2   | v1 was there until now      | r0         | 503 with a time to return |
       | no version is known                   | ?, ?     | nobody knows where it began | r0         | 503 with a time to return |
 
+  Scenario Outline: the end of a resumed stream can be told from its line and the counts
+    Given targets of versions <versions>, and <known>
+    When a caller that has events 1 to 3 takes the stream up and names r0
+    Then its line says <began>, <own> of its version hold the model, <others> others
+    And it is counted as a resumed stream: <began>
+
+    Examples:
+      | versions | known                  | began          | own | others |
+      | v1, v2   | another began it at v1 | it began       | 1   | 1      |
+      | v2, v2   | another began it at v1 | it was refused | 0   | 2      |
+
   Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
     Then each of these answers to /stream/ over HTTP/1.0 is received as stated
       | framing                 | ends                                 | received  |
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -149,6 +149,7 @@
 @when("a caller that has events 1 to 3 takes the stream up and names {named}")
 def take_up(context, named):
     more = {"Last_Event_Id": "3"}
+    context.lines = []
     if named != "no request":
         more["Resumes"] = named
 
@@ -157,7 +158,11 @@
         told = {"r0": "v1"} if context.known == "another began it at v1" else {}
         async with EntryInstance(targets, context.software, told) as instance:
             prepare(instance.state, context.known)
+            instance.state.events.event = lambda name, **fields: context.lines.append(
+                (name, fields)
+            )
             received = await instance.send("/resumable-stream/x", **more)
+            context.counted = instance.metrics.registry
         ran = [bool(target.runs.counts) for target in targets]
         return received, ran
 
@@ -199,6 +204,21 @@
     assert not any(context.ran), context.ran
 
 
+@then("its line says {began}, {own:d} of its version hold the model, {others:d} others")
+def check_resume_line(context, began, own, others):
+    (line,) = [fields for name, fields in context.lines if name == "resume ended"]
+    assert line["began"] == (began == "it began"), line
+    assert (line["holders"], line["other_holders"]) == (own, others), line
+    assert (line["outcome"] == "answered") == line["began"], line
+
+
+@then("it is counted as a resumed stream: {began}")
+def check_resume_count(context, began):
+    labels = {"kind": "resumed", "began": "yes" if began == "it began" else "no"}
+    name = "marjoramstage_resumable_streams_total"
+    assert context.counted.get_sample_value(name, labels) == 1, labels
+
+
 def check_table(table, path, before):
     check_problems(run_rows(table, path, before))
 
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -96,7 +96,7 @@
         outcome = "cancelled"
         try:
             ctx = await self._build_context(req, arrived_s)
-            if ctx.takes_stream_up:
+            if ctx.resumes_stream:
                 await self._choose_software(ctx)
             resp = await self._run_attempts(ctx)
             outcome = ANSWERED
@@ -204,7 +204,7 @@
         )
 
     async def _choose_software(self, ctx: RequestContext) -> None:
-        """Restrict a stream that is taken up to the version that began it.
+        """Restrict a resumed stream to the version that began it.
 
         Raises
         ------
@@ -212,7 +212,7 @@
             It isn't known, so that no target may go on with the stream.
         """
         software, source = await self._stream_versions.find(ctx)
-        self._log.stream_taken_up(ctx, software, source)
+        self._log.resume_requested(ctx, software, source)
         if not software:
             raise RefusalError(
                 503, "version of the stream not known", UNKNOWN_ORIGIN_RETRY_AFTER_S
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -14,6 +14,7 @@
 from marjoramstage.coordination.demand_rates import DemandRates
 from marjoramstage.coordination.dispatcher import (
     Dispatcher,
+    HolderCounts,
     RunningRequests,
     ServableItems,
     TargetCriteria,
@@ -224,6 +225,11 @@
         targets = self.fleet.of_service(criteria.service)
         return self._dispatcher.shortest_pause_s(criteria, targets, self.clock.now())
 
+    def count_holders(self, criteria: TargetCriteria) -> HolderCounts:
+        """Count the targets that hold what a request requires, usable or not."""
+        targets = self.fleet.of_service(criteria.service)
+        return self._dispatcher.count_holders(criteria, targets)
+
     def services_with_resumable_streams(self) -> list[str]:
         """Return the services whose streams callers may take up, sorted."""
         return [] if self.table is None else self.table.resumable_services()
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -44,12 +44,19 @@
             ("framing", "connection", "inside_event"),
             registry=self.registry,
         )
-        self.streams_taken_up = Counter(
-            "marjoramstage_streams_taken_up",
-            "Streams that callers take up, by how the version became known.",
+        self.resume_requests = Counter(
+            "marjoramstage_resume_requests",
+            "Requests that resume a stream, by how its version became known.",
             ("origin",),
             registry=self.registry,
         )
+        self.resumable_streams = Counter(
+            "marjoramstage_resumable_streams",
+            "Requests for resumable streams that ended, new or resumed, by whether "
+            "an event was relayed.",
+            ("kind", "began"),
+            registry=self.registry,
+        )
         self.store_restores = Counter(
             "marjoramstage_store_restores",
             "Times that the platform's store came back from a copy.",
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -75,7 +75,7 @@
     harmless: bool = False
 
     @property
-    def takes_stream_up(self) -> bool:
+    def resumes_stream(self) -> bool:
         """Whether its caller has a part of the stream from an earlier request."""
         return self.route.resumable and bool(self.headers.last_event_id)
 
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -81,13 +81,13 @@
             incomplete_bytes=len(splitter.incomplete),
         )
 
-    def stream_taken_up(
+    def resume_requested(
         self, ctx: RequestContext, software: str, source: OriginSource
     ) -> None:
-        """Record that a caller takes a stream up."""
-        self._metrics.streams_taken_up.labels(source.value).inc()
+        """Record that a caller resumes a stream."""
+        self._metrics.resume_requests.labels(source.value).inc()
         self._state.events.event(
-            "stream taken up",
+            "resume requested",
             request=ctx.headers.request_id,
             resumes=ctx.headers.resumes,
             after=ctx.headers.last_event_id,
@@ -127,6 +127,8 @@
         """Record the end of a request."""
         took_s = self._state.clock.now() - arrived_s
         self._metrics.observe_request(ctx.route if ctx else None, outcome, took_s)
+        if ctx is not None and ctx.route.resumable:
+            self._resumable_stream_ended(ctx, outcome, took_s)
         first_event_s = took_s
         if ctx is not None and ctx.first_event_s is not None:
             first_event_s = ctx.first_event_s
@@ -152,3 +154,30 @@
             self._state.events.sampled("request answered", **fields)
         else:
             self._state.events.event("request ended", **fields)
+
+    def _resumable_stream_ended(
+        self, ctx: RequestContext, outcome: str, took_s: float
+    ) -> None:
+        """Record whether a new or a resumed stream began.
+
+        How a resumed one ended is never left out of the log, so that the share that
+        goes on can be told from it.
+        """
+        began = ctx.first_event_s is not None
+        kind = "resumed" if ctx.resumes_stream else "new"
+        self._metrics.resumable_streams.labels(kind, "yes" if began else "no").inc()
+        if not ctx.resumes_stream:
+            return
+        holders = self._state.count_holders(ctx.criteria)
+        self._state.events.event(
+            "resume ended",
+            request=ctx.headers.request_id,
+            resumes=ctx.headers.resumes,
+            software=ctx.criteria.software,
+            outcome=outcome,
+            began=began,
+            last_event=ctx.last_event_id,
+            took_ms=round(took_s * 1000, 1),
+            holders=holders.same_software,
+            other_holders=holders.other_software,
+        )
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -11,7 +11,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.target_health import TargetHealth
@@ -60,6 +60,21 @@
     software: str | None = None
 
 
+@dataclass(frozen=True)
+class HolderCounts:
+    """Numbers of targets that hold what a request requires and aren't leaving.
+
+    Attributes
+    ----------
+    same_software, other_software : int
+        Those that run the version that the request requires, and the others. If it
+        requires none, all run the same.
+    """
+
+    same_software: int
+    other_software: int
+
+
 class ServableItems:
     """Items that requests may be sent for at each target.
 
@@ -211,6 +226,14 @@
         ]
         return min((pause_s for pause_s in pauses_s if pause_s > 0), default=None)
 
+    def count_holders(
+        self, criteria: TargetCriteria, targets: Iterable[FleetTarget]
+    ) -> HolderCounts:
+        """Count the targets that hold what a request requires, reachable or not."""
+        holders = list(self._holders(replace(criteria, software=None), targets))
+        same = sum(_runs(target, criteria.software) for target in holders)
+        return HolderCounts(same, len(holders) - same)
+
     def choose(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
     ) -> FleetTarget | None:
