Load models for resumed streams at the version that can resume them

What callers saw: after targets crash, streams that they resume get 503 (model not held) while new ones begin. Class: a constraint on where work may run that routing applies and placement does not know. Now instances report such requests by version too, and the planner loads for them first, at that version, moves a planned load to a target that comes back with the weights on its disk, and estimates the time for that version. Ruled out by trials: a cost for replicas at a version that is new to their model, and leaving out callers who wait for less than a load: neither raised the share.

--- a/features/load_simulation.feature
+++ b/features/load_simulation.feature
@@ -45,6 +45,17 @@
       | 1    |
       | 3    |
 
+  Scenario Outline: models are loaded for streams whose callers wait for them, <versions>
+    Given 6 engines and 20 models under 1.2 of the load of a busy hour
+    And engines run <versions> by turns, and two fail at a time, three times
+    When 30 s are simulated in which callers resume streams, seeds 1 to 12
+    Then resumed deferrable streams go on at least half as often as new ones begin
+
+    Examples:
+      | versions  |
+      | v1 and v2 |
+      | v1        |
+
   Scenario Outline: resumed streams are not refused while new ones begin, <versions>, seed <seed>
     Given 6 engines and 20 models under 1.2 of the load of a busy hour
     And engines run <versions> by turns, and two fail at a time, three times
--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -86,6 +86,8 @@
     software : str or None
         Version of the engine that began the stream which the caller resumes; None
         for a new stream.
+    engines_left : int
+        Engines of that version that served when the stream was resumed.
     """
 
     traffic: Traffic
@@ -105,6 +107,7 @@
     target: str = ""
     outcome: str = ""
     software: str | None = None
+    engines_left: int = 0
 
     @property
     def until_s(self):
@@ -198,7 +201,7 @@
         reason = NoTargetReason.FULL if eligible else NoTargetReason.NOT_HELD
         remaining_s = min(req.until_s, req.arrived_s + req.caller_wait_s) - now_s
         waited_s = now_s - req.arrived_s
-        eta_s = self.simulation.eta_s(req.item)
+        eta_s = self.simulation.eta_s(req.criteria.item_version or req.item)
         decision = self.wait_policy.decide(reason, waited_s, remaining_s, eta_s)
         if not decision.refuse:
             self.simulation.loop.after(
@@ -208,20 +211,20 @@
         self.wait_queue.remove(req)
         if reason is NoTargetReason.NOT_HELD:
             until_s = now_s + decision.retry_after_s + RETRY_SLACK_S
-            self.expected_retries.append((until_s, req.item))
+            self.expected_retries.append((until_s, req.criteria))
         self.simulation.refused(req, decision.retry_after_s)
 
     def ended(self, req):
         self.running_requests.end(req.target, req.item)
 
-    def waiting_by_item(self):
+    def awaited(self):
+        """Return the criteria of waiting requests and of retries that are to come."""
         now_s = self.simulation.loop.now_s
         self.expected_retries = [
             pair for pair in self.expected_retries if pair[0] > now_s
         ]
-        found = Counter(req.item for req in self.wait_queue)
-        found.update(item for _, item in self.expected_retries)
-        return found
+        waiting = [req.criteria for req in self.wait_queue]
+        return waiting + [criteria for _, criteria in self.expected_retries]
 
 
 @dataclass
@@ -478,10 +481,12 @@
         return self._demand_found
 
     def _sum_demand(self, now_s):
-        waiting, running = Counter(), Counter()
+        waiting, running, resuming = Counter(), Counter(), Counter()
         sums = {"fast": Counter(), "slow": Counter(), "latency_critical": Counter()}
         for member in self.members:
-            waiting.update(member.waiting_by_item())
+            awaited = member.awaited()
+            waiting.update(c.item for c in awaited)
+            resuming.update(c.item_version for c in awaited if c.item_version)
             for key, count in member.running_requests.local.items():
                 running[key] += count
             for kind, found in sums.items():
@@ -500,6 +505,7 @@
             sums["slow"],
             sums["latency_critical"],
             unreached,
+            resuming=resuming,
         )
 
     def _announce_view(self):
@@ -522,8 +528,13 @@
                         name, target_state.target.incarnation, held
                     )
             member.schedule_assignment()
-        items = {item for m in self.members for item in m.waiting_by_item()}
-        found = {item: self.planner.eta_s(item, now_s) for item in items}
+        awaited = [criteria for m in self.members for criteria in m.awaited()]
+        found = {c.item: self.planner.eta_s(c.item, now_s) for c in awaited}
+        found |= {
+            c.item_version: self.planner.resume_eta_s(c.item_version, now_s)
+            for c in awaited
+            if c.item_version
+        }
         self._load_etas = (now_s, {i: s for i, s in found.items() if s is not None})
         self.loop.after(self.view_interval_s, self._announce_view)
 
@@ -531,16 +542,19 @@
 
     def _fail_engines(self, outage):
         names = self.rng.sample(sorted(self.engines), outage.count)
+        lost = [req for name in names for req in self.engines[name].crash()]
+        for req in lost:
+            self._end(req, "broken")
+            if req.first_s is not None and self.versions != ("",):
+                self._resume(req)
         for name in names:
-            for req in self.engines[name].crash():
-                self._end(req, "broken")
-                if req.first_s is not None and self.versions != ("",):
-                    self._resume(req)
             self.loop.after(outage.for_s, self._recover, name)
             self.loop.after(3.0, self.delisted.add, name)
 
     def _resume(self, broken):
         """Let a caller resume a stream at the version that began it."""
+        software = self.engines[broken.target].software
+        left = [e for e in self.engines.values() if e.up and e.software == software]
         req = replace(
             broken,
             prompt=broken.prompt + broken.generated,
@@ -553,7 +567,8 @@
             prefilled=0,
             target="",
             outcome="",
-            software=self.engines[broken.target].software,
+            software=software,
+            engines_left=len(left),
         )
         req.on_event = lambda ended: self._event(req, ended)
         self.requests.append(req)
--- a/features/simulated_targets.py
+++ b/features/simulated_targets.py
@@ -38,10 +38,18 @@
     overcommitted: bool = False
     store_loads: list = field(default_factory=list)
     past_reports: list = field(default_factory=list)
+    software: str = ""
 
     def listing(self):
         return FleetTarget(
-            self.name, self.incarnation, "s", "10.0.0.1:80", "a", 64, items=frozenset()
+            self.name,
+            self.incarnation,
+            "s",
+            "10.0.0.1:80",
+            "a",
+            64,
+            items=frozenset(),
+            software=self.software,
         )
 
     def order(self, order, now_s):
--- a/features/steps/load_simulation.py
+++ b/features/steps/load_simulation.py
@@ -35,6 +35,8 @@
     0.00947, 0.0000275, 0.0000000261, 1 / 19_200, 2.35e-9, 2048, 3, CONTEXT_TOKENS
 )
 ENDED = ("in time", "late")
+# Resumed streams count if so many engines of their version serve.
+MIN_ENGINES = 2
 MIN_RESUMED = 12
 
 
@@ -247,6 +249,15 @@
     context.outages = tuple(Outage(at_s, 2, 2.0) for at_s in (8.0, 15.0, 22.0))
 
 
+@when("{length:d} s are simulated in which callers resume streams, seeds 1 to {most:d}")
+def run_resuming_often(context, length, most):
+    requests = []
+    for seed in range(1, most + 1):
+        run_resuming(context, length, seed)
+        requests += context.requests
+    context.requests = requests
+
+
 @when("{length:d} s are simulated in which callers resume streams, seed {seed:d}")
 def run_resuming(context, length, seed):
     context.simulation = LoadSimulation(
@@ -265,9 +276,15 @@
     return sum(req.first_s is not None for req in requests) / len(requests)
 
 
+@then("resumed deferrable streams go on at least half as often as new ones begin")
+def check_resumed_deferrable(context):
+    context.requests = [r for r in context.requests if r.traffic.name == "deferrable"]
+    check_resumed(context)
+
+
 @then("resumed streams go on at least half as often as new ones begin")
 def check_resumed(context):
-    resumed = [req for req in context.requests if req.software is not None]
+    resumed = [req for req in context.requests if req.engines_left >= MIN_ENGINES]
     new = [req for req in context.requests if req.software is None]
     assert len(resumed) >= MIN_RESUMED, len(resumed)
     shares = _began_share(resumed), _began_share(new)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -326,7 +326,7 @@
         item = ctx.criteria.item
         pause_s = state.shortest_pause_s(ctx.criteria)
         reason = self._no_target_reason(ctx, pause_s is not None)
-        eta_s = state.eta_s(ctx.service, item) if item is not None else None
+        eta_s = state.eta_s(ctx.criteria) if item is not None else None
         waited_s = now_s - ctx.arrived_s
         if state.stopping and not self._loads_before_stop(eta_s, now_s):
             return WaitDecision(
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -28,7 +28,7 @@
 from marjoramstage.coordination.target_notices import TargetNotices
 from marjoramstage.coordination.wait_queue import WaitQueue
 from marjoramstage.protocol.peers import FleetView, HeldItems, StoreProgress
-from marjoramstage.state.fleet import Fleet, FleetTarget, Item
+from marjoramstage.state.fleet import Fleet, FleetTarget, Item, ItemVersion
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
 
@@ -92,7 +92,7 @@
         self.stream_origins = StreamOrigins()
         self.software = SoftwareHistory(clock.now())
         self.quarantine = PartQuarantine()
-        self._expected_retries: list[tuple[float, str, Item]] = []
+        self._expected_retries: list[tuple[float, TargetCriteria]] = []
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._request_sizes: dict[str, RequestSizes] = {}
         self.instance_count = 0
@@ -281,10 +281,11 @@
         known = {t: n for t, n in tokens.items() if t in self.fleet.targets}
         self.prefill_backlog.record_remote(known, self.clock.now())
 
-    def eta_s(self, service: str, item: Item) -> float | None:
+    def eta_s(self, criteria: TargetCriteria) -> float | None:
         """Return the expected time until an item is held; None if unknown."""
         received_s, coming = self._load_etas
-        coming_ms = coming.get(f"{service} {item}")
+        needed = criteria.item_version or criteria.item
+        coming_ms = coming.get(f"{criteria.service} {needed}")
         if coming_ms is None:
             return None
         return max(0.0, received_s + coming_ms * 0.001 - self.clock.now())
@@ -293,18 +294,29 @@
         """Expect the caller of a refused request to retry it after a while."""
         if criteria.item is not None:
             until_s = self.clock.now() + after_s + RETRY_SLACK_S
-            self._expected_retries.append((until_s, criteria.service, criteria.item))
+            self._expected_retries.append((until_s, criteria))
 
     def waiting_by_item(self) -> Counter[tuple[str, Item]]:
         """Count the queued requests and expected retries of each item."""
+        found = self.wait_queue.count_by_item()
+        for criteria in self._retries_to_come():
+            found[criteria.service, criteria.item] += 1
+        return found
+
+    def resuming_by_item(self) -> Counter[tuple[str, ItemVersion]]:
+        """Count those of `waiting_by_item` that need one version of a target."""
+        found = self.wait_queue.count_resuming()
+        for criteria in self._retries_to_come():
+            if criteria.item_version is not None:
+                found[criteria.service, criteria.item_version] += 1
+        return found
+
+    def _retries_to_come(self) -> list[TargetCriteria]:
         now_s = self.clock.now()
         self._expected_retries = [
             entry for entry in self._expected_retries if entry[0] > now_s
         ]
-        found = self.wait_queue.count_by_item()
-        for _, service, item in self._expected_retries:
-            found[service, item] += 1
-        return found
+        return [criteria for _, criteria in self._expected_retries]
 
     def unreachable_targets(self) -> tuple[str, ...]:
         """Return the targets to which connections failed lately."""
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -186,6 +186,7 @@
         self._sequence += 1
         now_s = state.clock.now()
         waiting = state.waiting_by_item().items()
+        resuming = state.resuming_by_item().items()
         running = state.running_requests.local.items()
         state.running_requests.mark_reported(self._sequence)
         return EntryReport(
@@ -200,6 +201,7 @@
             unreached=state.unreachable_targets(),
             leaving=state.targets_out.leaving(),
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
+            resuming={f"{service} {needed}": n for (service, needed), n in resuming},
         )
 
     def send_to_others(self, addresses: Iterable[str], message: PeerMessage) -> None:
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -6,7 +6,11 @@
 from dataclasses import replace
 
 from marjoramstage._entry.instance_state import InstanceState
-from marjoramstage.coordination.instance_reports import InstanceReports, parse_key
+from marjoramstage.coordination.instance_reports import (
+    InstanceReports,
+    parse_key,
+    parse_resuming_key,
+)
 from marjoramstage.coordination.placement_planner import PlacementPlanner
 from marjoramstage.coordination.view_pacing import ViewPacer
 from marjoramstage.protocol.peers import FleetView, HeldItems, encode
@@ -133,6 +137,12 @@
             eta_s = planner.eta_s(item, now_s) if planner else None
             if eta_s is not None:
                 coming[key] = int(eta_s * 1000)
+        for key in self._reports.resuming_keys():
+            service, needed = parse_resuming_key(key)
+            planner = self._planners.get(service)
+            eta_s = planner.resume_eta_s(needed, now_s) if planner else None
+            if eta_s is not None:
+                coming[key] = int(eta_s * 1000)
         return coming
 
     def _held_items(self) -> tuple[HeldItems, ...]:
--- a/src/marjoramstage/coordination/adapter_planner.py
+++ b/src/marjoramstage/coordination/adapter_planner.py
@@ -22,6 +22,16 @@
 MIN_RESIDENCY_S = 0.12
 
 
+def _wanted_adapters(demand: DemandSnapshot) -> list[tuple[Item, str | None]]:
+    """Return the adapters that requests wait for, and the version they need, if any.
+
+    Those that one version has to serve come first: any other request can use them.
+    """
+    resumed = [(n.item, n.software) for n, c in demand.resuming.items() if c]
+    others = [(item, None) for item, count in demand.waiting.items() if count]
+    return [pair for pair in resumed + others if pair[0].adapter]
+
+
 class AdapterPlanner:
     """Plans the orders about adapters for all targets of one service."""
 
@@ -55,11 +65,15 @@
         now_s: float,
     ) -> list[Order]:
         orders = []
-        wanted = [i for i, n in demand.waiting.items() if i.adapter and n]
-        for item in wanted:
-            if any(s.holds(item) or s.is_loading(item) for s in usable):
+        for item, software in _wanted_adapters(demand):
+            if any(
+                s.holds(item) or s.is_loading(item)
+                for s in usable
+                if software in (None, s.target.software)
+            ):
                 continue
-            order = self._load(item, free, demand, now_s)
+            fitting = [s for s in free if software in (None, s.target.software)]
+            order = self._load(item, fitting, demand, now_s)
             if order is not None:
                 orders.append(order)
         return orders
--- a/src/marjoramstage/coordination/demand_snapshot.py
+++ b/src/marjoramstage/coordination/demand_snapshot.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from marjoramstage.state.fleet import Item
+from marjoramstage.state.fleet import Item, ItemVersion
 
 # Request rates from which a model counts as active, and as latency-critical:
 # requested by callers for whom an answer after a load would be late.
@@ -34,6 +34,9 @@
         Targets that several instances recently failed to connect to.
     leaving : frozenset of tuple
         Names and incarnations of targets that told an instance that they leave.
+    resuming : Mapping
+        Number of the waiting requests that resume a stream, by item and by the
+        version of a target's program that has to serve them.
     """
 
     waiting: Mapping[Item, int] = field(default_factory=dict)
@@ -43,6 +46,7 @@
     latency_critical_rates: Mapping[Item, float] = field(default_factory=dict)
     unreachable: frozenset[str] = frozenset()
     leaving: frozenset[tuple[str, int]] = frozenset()
+    resuming: Mapping[ItemVersion, int] = field(default_factory=dict)
 
     def rate(self, item: Item) -> float:
         """Return the current requests a second for a model."""
@@ -72,6 +76,30 @@
         """Return the number of a target's requests for a model and its adapters."""
         return self._by_target_and_model[target, model]
 
+    def is_resumed(self, item: Item) -> bool:
+        """Whether streams of a model wait to be resumed."""
+        return item.model in self._resumed_by_model
+
+    def resumed_count(self, item: Item) -> int:
+        """Return how many streams of a model wait to be resumed."""
+        return self._resumed_by_model[item.model]
+
+    @cached_property
+    def resumed_models(self) -> tuple[ItemVersion, ...]:
+        """Models that streams wait for to be resumed, most awaited first."""
+        found: Counter[ItemVersion] = Counter()
+        for needed, count in self.resuming.items():
+            found[needed.base] += count
+        return tuple(needed for needed, count in found.most_common() if count)
+
+    @cached_property
+    def _resumed_by_model(self) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for needed, count in self.resuming.items():
+            if count:
+                found[needed.item.model] += count
+        return found
+
     @cached_property
     def _deferrable_models(self) -> frozenset[str]:
         """Models that were asked for lately, but not by callers in a hurry."""
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -16,7 +16,7 @@
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.target_notices import TargetNotices
-from marjoramstage.state.fleet import FleetTarget, Item
+from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 
 # Costs are relative to a target with requests in all of its slots, which costs 1.
 REMOTE_DATA_CENTRE_COST = 0.15
@@ -59,6 +59,13 @@
     pacing_deadline_s: float = 0.0
     software: str | None = None
 
+    @property
+    def item_version(self) -> ItemVersion | None:
+        """Return the item and the version that has to serve it; None if any may."""
+        if self.item is None or not self.software:
+            return None
+        return ItemVersion(self.item, self.software)
+
 
 @dataclass(frozen=True)
 class HolderCounts:
--- a/src/marjoramstage/coordination/instance_reports.py
+++ b/src/marjoramstage/coordination/instance_reports.py
@@ -14,7 +14,7 @@
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.peer_liveness import LIVE_S
 from marjoramstage.protocol.peers import EntryReport
-from marjoramstage.state.fleet import Item
+from marjoramstage.state.fleet import Item, ItemVersion
 
 # Instances that have to fail to connect to a target before it counts as down.
 UNREACHABLE_QUORUM = 2
@@ -72,6 +72,10 @@
         """Return the service and item, as one text, of all requests that wait."""
         return {key for _, report in self._reports.values() for key in report.waiting}
 
+    def resuming_keys(self) -> set[str]:
+        """Return the same with the version, for requests that resume a stream."""
+        return {key for _, report in self._reports.values() for key in report.resuming}
+
     def running_by_target(self) -> Counter[str]:
         """Count the requests at each target."""
         found: Counter[str] = Counter()
@@ -112,6 +116,7 @@
     def _sum(self, services: frozenset[str]) -> dict[str, DemandSnapshot]:
         reports = [report for _, report in self._reports.values()]
         waiting = _sum_by_service(reports, lambda report: report.waiting)
+        resuming = _sum_resuming(reports)
         fast = _sum_by_service(reports, lambda report: report.fast_rates)
         slow = _sum_by_service(reports, lambda report: report.slow_rates)
         latency_critical = _sum_by_service(reports, lambda r: r.pressing_rates)
@@ -139,6 +144,7 @@
                 _per_second(latency_critical.get(name, {})),
                 unreachable,
                 frozenset(leaving),
+                resuming.get(name, {}),
             )
             for name in services
         }
@@ -152,6 +158,24 @@
     return name, Item(model, adapter)
 
 
+@lru_cache(MAX_CACHED_KEYS)
+def parse_resuming_key(text: str) -> tuple[str, ItemVersion]:
+    """Parse ``SERVICE ITEM VERSION``; a version may contain spaces."""
+    name, _, rest = text.partition(" ")
+    item, _, software = rest.partition(" ")
+    return name, ItemVersion(parse_key(f"{name} {item}")[1], software)
+
+
+def _sum_resuming(reports: Iterable[EntryReport]) -> dict[str, Counter[ItemVersion]]:
+    """Sum the requests that resume streams by service, item and version."""
+    found: dict[str, Counter[ItemVersion]] = {}
+    for report in reports:
+        for key, count in report.resuming.items():
+            service, needed = parse_resuming_key(key)
+            found.setdefault(service, Counter())[needed] += count
+    return found
+
+
 def _sum_by_service(
     reports: Iterable[EntryReport], counts_of: Callable[[EntryReport], Mapping]
 ) -> dict[str, Counter[Item]]:
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -9,17 +9,17 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from marjoramstage.coordination.adapter_planner import AdapterPlanner
 from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.replica_index import ReplicaIndex
-from marjoramstage.coordination.replica_values import ReplicaValues
+from marjoramstage.coordination.replica_values import RESUME_VALUE, ReplicaValues
 from marjoramstage.coordination.target_state import UNLOAD_S, ItemState, TargetState
 from marjoramstage.protocol.control import Order
-from marjoramstage.state.fleet import FleetTarget, Item
+from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 from marjoramstage.state.routes import EngineSpec
 
 PLAN_INTERVAL_S = 0.1
@@ -64,6 +64,9 @@
 # A new replica is expected to be needed for about this long.
 EXPECTED_USE_S = 8.0
 
+# A planned load moves to another target only if it is sooner there by this time.
+MIN_GAIN_S = 0.5
+
 # Expected time until a model's only request at a target ends.
 SINGLE_REQUEST_DRAIN_S = 2.0
 
@@ -109,6 +112,7 @@
         self._load_limiter = load_limiter
         self._planned: dict[str, Item] = {}
         self._queue_etas_s: dict[Item, float] = {}
+        self._resume_etas_s: dict[ItemVersion, float] = {}
         self._blocked = BlockedModels(spec)
         self._adapters = AdapterPlanner(spec)
         self._unreachable: frozenset[str] = frozenset()
@@ -165,6 +169,7 @@
             names = frozenset(self.target_states)
             self._values.update(demand, names, self.usable_slots)
             self._rebuild_index(demand)
+            self._plan_resumed_loads(demand, now_s)
             self._plan_loads(demand, now_s)
         orders = []
         for name, item in list(self._planned.items()):
@@ -179,24 +184,124 @@
 
     def eta_s(self, item: Item, now_s: float) -> float | None:
         """Return the expected time until an item is loaded; None if unknown."""
+        queue_eta_s = self._queue_etas_s.get(item.base)
+        return self._time_to_load_s(item, self._usable_targets(), queue_eta_s, now_s)
+
+    def resume_eta_s(self, needed: ItemVersion, now_s: float) -> float | None:
+        """Return the same for streams that one version of targets has to resume."""
+        target_states = self._usable_targets(needed.software)
+        queue_eta_s = self._resume_etas_s.get(needed.base)
+        return self._time_to_load_s(needed.item, target_states, queue_eta_s, now_s)
+
+    def _time_to_load_s(
+        self,
+        item: Item,
+        target_states: Sequence[TargetState],
+        queue_eta_s: float | None,
+        now_s: float,
+    ) -> float | None:
+        """Return when one of these targets is expected to have loaded an item.
+
+        Parameters
+        ----------
+        queue_eta_s : float or None
+            The answer if no load of its model is planned there.
+        """
         if item.adapter:
-            if any(
-                target_state.holds(item.base) for target_state in self._usable_targets()
-            ):
+            if any(target_state.holds(item.base) for target_state in target_states):
                 return ADAPTER_ETA_S
-            base_s = self.eta_s(item.base, now_s)
+            base_s = self._time_to_load_s(item.base, target_states, queue_eta_s, now_s)
             return None if base_s is None else base_s + ADAPTER_ETA_S
         found = []
-        for target_state in self._usable_targets():
+        for target_state in target_states:
             if target_state.is_loading(item):
                 found.append(target_state.remaining_load_s(item, now_s))
             elif self._planned.get(target_state.target.name) == item:
                 unload_s = 0.0 if target_state.fits(item) else UNLOAD_S
                 found.append(target_state.load_s(item) + unload_s)
-        return min(found, default=self._queue_etas_s.get(item))
+        return min(found, default=queue_eta_s)
 
     # Models
 
+    def _plan_resumed_loads(self, demand: DemandSnapshot, now_s: float) -> None:
+        """Choose a target for each model that streams wait for to be resumed.
+
+        A replica at targets of another version is of no use to them.
+        """
+        self._resume_etas_s.clear()
+        for needed in demand.resumed_models:
+            if needed.item.model in self.spec.models:
+                self._plan_resumed_load(needed, demand, now_s)
+
+    def _plan_resumed_load(
+        self, needed: ItemVersion, demand: DemandSnapshot, now_s: float
+    ) -> None:
+        item, target_states = needed.item, self._usable_targets(needed.software)
+        if any(s.holds(item) or s.is_loading(item) for s in target_states):
+            return
+        candidates = self._may_load(item, target_states, now_s)
+        found = self._cheapest_target(candidates, item, RESUME_VALUE, demand, now_s)
+        if found is None:
+            return
+        delay_s = self._time_to_serve_s(found[0], item, found[1], demand, now_s)
+        self._resume_etas_s[needed] = delay_s
+        planned = [s for s in target_states if self._plans(s, item)]
+        if not self._is_idle(found[0]):
+            return
+        if planned and not self._is_sooner(delay_s, planned[0], item, demand, now_s):
+            return
+        for target_state in planned:
+            self._drop_plan(target_state)
+        self._plan_load(item, *found, demand, now_s)
+
+    def _plans(self, target_state: TargetState, item: Item) -> bool:
+        """Whether a target is to load a model next."""
+        return self._planned.get(target_state.target.name) == item
+
+    def _is_sooner(
+        self,
+        delay_s: float,
+        planned: TargetState,
+        item: Item,
+        demand: DemandSnapshot,
+        now_s: float,
+    ) -> bool:
+        """Whether a load elsewhere is clearly sooner than the one that is planned."""
+        retiring = [m for m in planned.models() if not planned.holds(m)]
+        runs = [
+            demand.running_for_model_at(planned.target.name, m.model) for m in retiring
+        ]
+        planned_s = planned.load_s(item) + planned.remaining_order_s(now_s)
+        planned_s += max((_drain_s(count) for count in runs), default=0.0)
+        return delay_s + MIN_GAIN_S < planned_s
+
+    def _may_load(
+        self, item: Item, target_states: Sequence[TargetState], now_s: float
+    ) -> list[TargetState]:
+        """Return those of some targets that may be ordered to load a model."""
+        may_fetch = self._load_limiter.allows(now_s)
+        return [
+            s
+            for s in target_states
+            if s.target.name not in self.paused
+            and (may_fetch or s.has_weights_cached(item.model))
+        ]
+
+    def _plan_load(
+        self,
+        item: Item,
+        target_state: TargetState,
+        victims: Iterable[Item],
+        demand: DemandSnapshot,
+        now_s: float,
+    ) -> None:
+        """Plan the load of a model and the evictions that make room for it."""
+        for victim in victims:
+            target_state.retire(victim, now_s)
+        self._planned[target_state.target.name] = item
+        self._blocked.remove(item)
+        self._rebuild_index(demand)
+
     def _plan_loads(self, demand: DemandSnapshot, now_s: float) -> None:
         """Choose a target for each model that needs another replica."""
         self._queue_etas_s.clear()
@@ -208,12 +313,7 @@
                 self._blocked.add(item, found, now_s)
                 self._queue_etas_s[item] = self._queue_eta_s(len(self._queue_etas_s))
                 continue
-            target_state, victims = found
-            for victim in victims:
-                target_state.retire(victim, now_s)
-            self._planned[target_state.target.name] = item
-            self._blocked.remove(item)
-            self._rebuild_index(demand)
+            self._plan_load(item, *found, demand, now_s)
 
     def _rebuild_index(self, demand: DemandSnapshot) -> None:
         self._index = ReplicaIndex(self._usable_targets(), self._planned, demand)
@@ -258,11 +358,13 @@
         name, replicas = target_state.target.name, self._index.ready[item.model]
         return self._values.value_of_existing(item, demand, replicas, name)
 
-    def _usable_targets(self) -> list[TargetState]:
+    def _usable_targets(self, software: str | None = None) -> list[TargetState]:
+        """Return the targets that can be used, perhaps only those of one version."""
         return [
             s
             for s in self.target_states.values()
             if s.known
+            and software in (None, s.target.software)
             and not s.target.leaving
             and s.target.name not in self._unreachable
             and (s.target.name, s.target.incarnation) not in self._leaving
@@ -457,7 +559,7 @@
         valued = []
         for found in target_state.models():
             held = target_state.items[found]
-            if held.state is not ItemState.HELD or demand.waiting.get(found):
+            if held.state is not ItemState.HELD or self._is_kept(found, item, demand):
                 continue
             if now_s - held.since_s < MIN_RESIDENCY_S:
                 continue
@@ -479,6 +581,20 @@
                 return tuple(chosen)
         return None
 
+    def _is_kept(self, held: Item, item: Item, demand: DemandSnapshot) -> bool:
+        """Whether a model is kept instead of ``item``, as requests wait for it.
+
+        Streams to be resumed have a claim to a replica that fewer requests wait for,
+        or whose model has another one.
+        """
+        waiting = demand.waiting.get(held, 0)
+        if not waiting or not demand.is_resumed(item):
+            return waiting > 0
+        if demand.is_resumed(held):
+            return True
+        others = self._index.ready[held.model] - 1
+        return others < 1 and waiting >= demand.resumed_count(item)
+
     def _may_displace(
         self,
         victim: Item,
@@ -495,6 +611,8 @@
         """
         if not demand.is_latency_critical(victim) or demand.is_active(item):
             return True
+        if demand.is_resumed(item):
+            return True
         if target_state.has_weights_cached(item.model):
             return True
         if self._index.ready[victim.model] > 1:
--- a/src/marjoramstage/coordination/replica_values.py
+++ b/src/marjoramstage/coordination/replica_values.py
@@ -23,6 +23,9 @@
 ADD_SECOND_REPLICA_VALUE = 2.0
 KEEP_SECOND_REPLICA_VALUE = 1.5
 MAX_DEFERRABLE_VALUE = 10.0
+# Of a replica for streams that can be resumed nowhere else: what they have been
+# answered so far is lost without it.
+RESUME_VALUE = MAX_EXTRA_REPLICA_VALUE
 
 # The value of a model that is held nowhere doubles in the time of a fetch, or in this.
 MIN_AGING_S = 1.0
--- a/src/marjoramstage/coordination/wait_queue.py
+++ b/src/marjoramstage/coordination/wait_queue.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
-from marjoramstage.state.fleet import FleetTarget, Item
+from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 
 
 @dataclass(order=True)
@@ -72,6 +72,18 @@
                 found[waiter.criteria.service, waiter.criteria.item] += 1
         return found
 
+    def count_resuming(self) -> Counter[tuple[str, ItemVersion]]:
+        """Return the number of waiting requests that resume a stream.
+
+        They are counted by service, and by item and version of its targets.
+        """
+        found: Counter[tuple[str, ItemVersion]] = Counter()
+        for waiter in self._waiters:
+            needed = waiter.criteria.item_version
+            if needed is not None:
+                found[waiter.criteria.service, needed] += 1
+        return found
+
     def assign_targets(self) -> None:
         """Assign targets to as many waiting requests as possible."""
         if not self._waiters:
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -277,6 +277,7 @@
         9: (TType.MAP, "pressing_rates", (TType.STRING, TType.I64), False),
         10: (TType.LIST, "unreached", TType.STRING, False),
         11: (TType.LIST, "leaving", (TType.STRUCT, LeavingTarget), False),
+        12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -290,6 +291,7 @@
         ("pressing_rates", None),
         ("unreached", None),
         ("leaving", None),
+        ("resuming", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -255,6 +255,9 @@
         Targets to which the sender recently failed to connect.
     leaving : tuple of LeavingTarget
         Targets that told the sender that they leave.
+    resuming : Mapping
+        Those of ``waiting`` that resume a stream, by service, item and version of
+        the target's program, joined by spaces.
     """
 
     instance: str
@@ -268,6 +271,7 @@
     pressing_rates: Mapping[str, int] = field(default_factory=dict)
     unreached: tuple[str, ...] = ()
     leaving: tuple[LeavingTarget, ...] = ()
+    resuming: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -122,6 +122,7 @@
   9: optional map<string, i64> pressing_rates
   10: optional list<string> unreached
   11: optional list<LeavingTarget> leaving
+  12: optional map<string, i64> resuming
 }
 
 struct HeldItems {
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -29,6 +29,30 @@
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
 
+@dataclass(frozen=True)
+class ItemVersion:
+    """An item as served by targets that run one version of their program.
+
+    A resumed stream goes on at the version that began it, or not at all.
+
+    Attributes
+    ----------
+    software : str
+        That version.
+    """
+
+    item: Item
+    software: str
+
+    @property
+    def base(self) -> ItemVersion:
+        """Return the same for the model of an adapter."""
+        return ItemVersion(self.item.base, self.software)
+
+    def __str__(self) -> str:
+        return f"{self.item} {self.software}"
+
+
 @dataclass(frozen=True)
 class FleetTarget:
     """One target in one incarnation.
