The holder of the lease stores the streams that all instances began

Cause: each instance stored its streams every 0.7 s at most, 1.2 s with 60 and 3.9 s with 195 instances. Ruled out: recording at the send of a request (a later attempt may be at another version), and acknowledged reports (repeating three intervals needs no state). A digest stored for two versions is now unknown; before, the last one read counted.

--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -27,3 +27,23 @@
     Then within 1 s its record has v1 v2 and the streams s1 s2
     When targets of v1 leave and 31 s pass
     Then its record has v2 and no streams
+
+  Scenario Outline: young streams are known after all instances were killed, <n> instances <holder>
+    Given <n> instances <holder> see targets of v1 and v2 and relay streams
+    When each begins a stream and all are killed <after> s later
+    Then an instance that starts finds the versions of at least <found> of these streams
+    And the store got at most <calls> calls in the 30 s before
+
+    Examples:
+      | n   | holder                  | after | found | calls |
+      | 2   | that all know of begun streams | 0.6   | 2     | 86    |
+      | 7   | that all know of begun streams | 0.25  | 7     | 300   |
+      | 60  | that all know of begun streams | 0.25  | 60    | 1500  |
+      | 195 | that all know of begun streams | 0.6   | 195   | 1365  |
+      | 7   | with a holder that knows of none | 0.8   | 7     | 300   |
+
+  Scenario: a stream that two versions are said to have begun is not resumed
+    Given a store with the records chat: v1 v2
+    When an instance starts that sees targets of v1 v2
+    And stream s1 is stored as begun at v1 by one instance and at v2 by another
+    Then the version of s1 is not known
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -15,6 +15,7 @@
 from marjoramstage.protocol import _peers_structs, peers
 from marjoramstage.protocol.peers import (
     AdapterWanted,
+    BegunStreams,
     CrashedRequest,
     DataCentreSummary,
     DemandEntry,
@@ -270,6 +271,7 @@
         {"s m": 400},
         {"s m": 5},
         ("t2",),
+        begun=(BegunStreams("v1", ("0123456789ab", "cd")), BegunStreams("v2")),
     ),
     FleetView(
         "i2/x",
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -177,6 +177,7 @@
             if ctx.route.resumable and ctx.first_event_s is None:
                 origins = self._state.stream_origins
                 origins.record(ctx.stream_id, ctx.target_software, now_s)
+                self._state.on_stream_begun()
             ctx.record_event(events[-1], now_s)
         problem = splitter.truncation(answer.framing)
         if problem:
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -35,6 +35,8 @@
 ASSIGNMENT_DELAY_S = 0.01
 # A retry is expected for this long after the time that its caller was told.
 RETRY_SLACK_S = 0.3
+# A holder that stores the origins of streams counts as such after its last view.
+ORIGINS_KEPT_S = 1.5
 
 
 class InstanceState:
@@ -62,8 +64,12 @@
         Called when a request starts to wait for a target.
     on_prompt_sent : callable
         Called when a prompt is sent to a target.
+    on_stream_begun : callable
+        Called when the first event of a stream was relayed.
     store_progress : callable
         Returns how much is known of the platform's store.
+    keeps_origins : callable
+        Returns whether this instance stores the streams that reports name.
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock, events: EventLog):
@@ -89,6 +95,9 @@
         self.on_request_queued: Callable[[], None] = lambda: None
         self.on_prompt_sent: Callable[[], None] = lambda: None
         self.store_progress: Callable[[], tuple[StoreProgress, ...]] = lambda: ()
+        self.on_stream_begun: Callable[[], None] = lambda: None
+        self.keeps_origins: Callable[[], bool] = lambda: False
+        self._origins_kept_until_s = 0.0
         self.stream_origins = StreamOrigins()
         self.software = SoftwareHistory(clock.now())
         self.quarantine = PartQuarantine()
@@ -244,6 +253,22 @@
         versions = self.software_versions(service)
         return versions[0] if len(versions) == 1 else ""
 
+    def recent_versions(self) -> dict[str, tuple[str, ...]]:
+        """Return the recent versions of each service with resumable streams."""
+        return {
+            service: names
+            for service in self.services_with_resumable_streams()
+            if (names := self.software_versions(service))
+        }
+
+    def runs_several_versions(self) -> bool:
+        """Whether a service with resumable streams recently ran several versions."""
+        return any(len(names) > 1 for names in self.recent_versions().values())
+
+    def origins_are_kept(self) -> bool:
+        """Whether the holder of the lease stores the streams that reports name."""
+        return self.clock.now() < self._origins_kept_until_s
+
     def apply_view(self, view: FleetView) -> None:
         """Apply a view sent by the holder of the placement lease."""
         position = (view.holder, view.fence, view.sequence)
@@ -260,6 +285,8 @@
             return
         self.instance_count = max(1, view.instances)
         self.peers = view.peers
+        kept_s = ORIGINS_KEPT_S if view.keeps_origins and not view.ended else 0.0
+        self._origins_kept_until_s = self.clock.now() + kept_s
         for retry_budget in self._budgets.values():
             retry_budget.instances = self.instance_count
         own_report = view.reported.get(self.settings.name, 0)
--- a/src/marjoramstage/_entry/origin_store.py
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -26,6 +26,8 @@
 # An instance writes this often at most, and with many instances less often.
 WRITE_INTERVAL_S = 0.7
 WRITE_INTERVAL_PER_INSTANCE_S = 0.02
+# The same for new streams while the holder of the lease stores those of all.
+KEPT_WRITE_INTERVAL_S = 10.0
 # Streams that an instance stores, the newest ones.
 MAX_STORED_STREAMS = 2000
 RELOAD_INTERVAL_S = 1.0
@@ -48,6 +50,7 @@
         self._store = store
         self._controller = controller
         self._written: OriginRecord | None = None
+        self._written_s = 0.0
         self._exists = False
         self._read_s = 0.0
         self._cleaned_s = state.clock.now()
@@ -118,6 +121,8 @@
 
     async def _write(self) -> None:
         """Write this instance's record if it has changed."""
+        if not self._is_due():
+            return
         record = self._record()
         if record == self._written or not record.versions:
             return
@@ -125,6 +130,7 @@
         match await self._put(obj):
             case Ok():
                 self._written = record
+                self._written_s = self._state.clock.now()
             case Err(error):
                 self._written = None
                 self._state.events.event(
@@ -141,13 +147,21 @@
             self._exists = False
         return written
 
+    def _is_due(self) -> bool:
+        """Whether to write now what has changed.
+
+        While the holder of the lease stores streams, new ones alone can wait.
+        """
+        state = self._state
+        if self._written is None or not state.origins_are_kept():
+            return True
+        if self._written.versions != state.recent_versions():
+            return True
+        return state.clock.now() - self._written_s >= KEPT_WRITE_INTERVAL_S
+
     def _record(self) -> OriginRecord:
         state = self._state
-        versions = {
-            service: names
-            for service in state.services_with_resumable_streams()
-            if (names := state.software_versions(service))
-        }
+        versions = state.recent_versions()
         if all(len(names) == 1 for names in versions.values()):
             return OriginRecord(versions)
         now_s = state.clock.now()
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -16,6 +16,7 @@
 )
 from marjoramstage.metrics import LocalMetrics
 from marjoramstage.protocol.peers import (
+    BegunStreams,
     EntryReport,
     FleetView,
     PartsHarmless,
@@ -35,6 +36,8 @@
 MAX_RELAY_S = 0.25
 # How long an instance waits for the others to tell where a stream began.
 ORIGIN_TIMEOUT_S = 0.15
+# Each stream is in reports for this many regular intervals, as one may get lost.
+REPEATED_REPORTS = 3
 
 
 class PeerLink:
@@ -51,12 +54,14 @@
         self._incarnation = uuid.uuid4().hex[:12]
         self._sequence = 0
         self._report_requested = asyncio.Event()
+        self._reports_streams = False
         self._controller: PlacementController | None = None
         self._store_relay: StoreRelay | None = None
         self._quarantine_sync: QuarantineSync | None = None
         self._asked: dict[str, asyncio.Future[str]] = {}
         self._prompt_timer: asyncio.TimerHandle | None = None
         state.on_request_queued = self._report_requested.set
+        state.on_stream_begun = self._request_origin_report
         state.on_prompt_sent = self._schedule_prompt_announcement
 
     @property
@@ -200,8 +205,22 @@
             unreached=state.unreachable_targets(),
             leaving=state.targets_out.leaving(),
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
+            begun=self._begun_streams(now_s),
         )
 
+    def _begun_streams(self, now_s: float) -> tuple[BegunStreams, ...]:
+        """Return the recently begun streams, if several versions run."""
+        self._reports_streams = self._state.runs_several_versions()
+        if not self._reports_streams:
+            return ()
+        repeated_s = REPEATED_REPORTS * report_interval_s(self._state.instance_count)
+        return self._state.stream_origins.begun_since(now_s - repeated_s)
+
+    def _request_origin_report(self) -> None:
+        """Send a report soon after a stream began, if several versions run."""
+        if self._reports_streams:
+            self._report_requested.set()
+
     def send_to_others(self, addresses: Iterable[str], message: PeerMessage) -> None:
         """Send a message to these instances, but not to this one."""
         for address in addresses:
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -33,7 +33,7 @@
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
-from marjoramstage.protocol.peers import EntryReport, FleetView
+from marjoramstage.protocol.peers import BegunStreams, EntryReport, FleetView
 from marjoramstage.state.fleet import FleetTarget
 from marjoramstage.state.routes import Service
 from marjoramstage.state.store_era import StoreEra
@@ -78,6 +78,8 @@
     ----------
     views : ViewSender
         Sends views while this instance holds the lease.
+    on_streams_begun : callable
+        Called with the streams that a report names, while this holds the lease.
     """
 
     def __init__(
@@ -128,6 +130,9 @@
         self._suspended = False
         self._last_step_s = seconds_since_boot()
         self._stopping = False
+        self.on_streams_begun: Callable[[tuple[BegunStreams, ...]], None] = (
+            lambda begun: None
+        )
 
     @property
     def holder_address(self) -> str:
@@ -200,6 +205,8 @@
 
     def receive_report(self, report: EntryReport) -> None:
         """Store the report of an instance."""
+        if report.begun and self.may_send_orders:
+            self.on_streams_begun(report.begun)
         now_s = seconds_since_boot()
         if not self._reports.add(report, now_s):
             return
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -84,6 +84,7 @@
             recipients if few else (),
             self._reports.sequences if few else {},
             self._state.store_progress(),
+            keeps_origins=self._state.keeps_origins(),
         )
         self._send_to_all(view, recipients, now_s)
 
--- a/src/marjoramstage/coordination/stream_origins.py
+++ b/src/marjoramstage/coordination/stream_origins.py
@@ -9,14 +9,18 @@
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 
+from marjoramstage.protocol.peers import BegunStreams
+
 # Streams are taken up again within the time that their callers wait.
 KEPT_S = 30.0
 MAX_STREAMS = 20_000
 # Of a stream's id only a digest is stored, in bytes.
 DIGEST_BYTES = 6
+# Streams that one report names, the newest ones.
+MAX_BEGUN_STREAMS = 2000
 
 
 def digest(request_id: str) -> str:
@@ -30,11 +34,13 @@
     def __init__(self):
         self._origins: OrderedDict[str, tuple[str, float]] = OrderedDict()
         self._stored: OrderedDict[str, str] = OrderedDict()
+        self._begun: deque[tuple[float, str, str]] = deque(maxlen=MAX_BEGUN_STREAMS)
 
     def record(self, request_id: str, software: str, now_s: float) -> None:
         """Record the version that wrote events of a stream."""
         self._origins[request_id] = (software, now_s)
         self._origins.move_to_end(request_id)
+        self._begun.append((now_s, request_id, software))
         while len(self._origins) > MAX_STREAMS or self._oldest_s() < now_s - KEPT_S:
             self._origins.popitem(last=False)
 
@@ -48,14 +54,28 @@
         return self._stored.get(digest(request_id), "")
 
     def learn(self, origins: Mapping[str, Iterable[str]]) -> None:
-        """Take over what was stored: digests of streams, by version."""
+        """Take over what was stored: digests of streams, by version.
+
+        A digest that two versions have counts as unknown.
+        """
         for software, digests in origins.items():
             for stored in digests:
-                self._stored[stored] = software
+                is_same = self._stored.get(stored, software) == software
+                self._stored[stored] = software if is_same else ""
                 self._stored.move_to_end(stored)
         while len(self._stored) > MAX_STREAMS:
             self._stored.popitem(last=False)
 
+    def begun_since(self, since_s: float) -> tuple[BegunStreams, ...]:
+        """Return the streams that began from a time on, by version."""
+        found: dict[str, list[str]] = {}
+        for begun_s, request_id, software in reversed(self._begun):
+            if begun_s < since_s:
+                break
+            if software:
+                found.setdefault(software, []).append(digest(request_id))
+        return tuple(BegunStreams(name, tuple(of)) for name, of in found.items())
+
     def newest(self, count: int, now_s: float) -> dict[str, tuple[str, ...]]:
         """Return digests of the newest streams, by the version that began them."""
         found: dict[str, list[str]] = {}
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from marjoramstage import logs, platform
+from marjoramstage._entry.begun_stream_store import BegunStreamStore
 from marjoramstage._entry.caller_handler import CallerHandler
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
@@ -104,6 +105,9 @@
         )
         self._peer_link.set_controller(self._controller)
         origins = OriginStore(self._state, store, self._controller)
+        begun = BegunStreamStore(self._state, store, self._controller)
+        self._controller.on_streams_begun = begun.record
+        self._state.keeps_origins = lambda: begun.is_keeping
         versions = StreamVersions(
             self._state, origins, self._peer_link.ask_stream_origin
         )
@@ -125,6 +129,7 @@
         crash_observer.on_harmless = quarantines.record_harmless
         era.on_rise(stored_quarantines.on_store_restored)
         era.on_rise(origins.on_store_restored)
+        era.on_rise(begun.on_store_restored)
         relay = StoreRelay(
             era,
             self._events,
@@ -152,6 +157,7 @@
             self._peer_link.run(),
             quarantines.run(),
             origins.run(),
+            begun.run(),
             self._watch_settings(),
             load_monitor.run(),
         ):
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -262,6 +262,19 @@
     ]
 
 
+class BegunStreams(TPayload):
+    """Struct ``BegunStreams`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "software", False),
+        2: (TType.LIST, "digests", TType.STRING, False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("software", None),
+        ("digests", None),
+    ]
+
+
 class EntryReport(TPayload):
     """Struct ``EntryReport`` of the IDL."""
 
@@ -277,6 +290,7 @@
         9: (TType.MAP, "pressing_rates", (TType.STRING, TType.I64), False),
         10: (TType.LIST, "unreached", TType.STRING, False),
         11: (TType.LIST, "leaving", (TType.STRUCT, LeavingTarget), False),
+        13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -290,6 +304,7 @@
         ("pressing_rates", None),
         ("unreached", None),
         ("leaving", None),
+        ("begun", None),
     ]
 
 
@@ -365,6 +380,7 @@
         9: (TType.MAP, "reported", (TType.STRING, TType.I64), False),
         10: (TType.LIST, "store", (TType.STRUCT, StoreProgress), False),
         11: (TType.BOOL, "partial", False),
+        13: (TType.BOOL, "keeps_origins", False),
     }
     default_spec = [  # noqa: RUF012
         ("holder", None),
@@ -378,6 +394,7 @@
         ("reported", None),
         ("store", None),
         ("partial", None),
+        ("keeps_origins", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -235,6 +235,20 @@
     hops: int = 0
 
 
+@dataclass(frozen=True)
+class BegunStreams:
+    """Streams that one version of a target's program began.
+
+    Attributes
+    ----------
+    digests : tuple of str
+        Digests of the ids of the streams.
+    """
+
+    software: str
+    digests: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class EntryReport:
     """Report of an instance to the holder of the placement lease.
@@ -255,6 +269,8 @@
         Targets to which the sender recently failed to connect.
     leaving : tuple of LeavingTarget
         Targets that told the sender that they leave.
+    begun : tuple of BegunStreams
+        Streams that the sender relayed recently, while several versions run.
     """
 
     instance: str
@@ -268,6 +284,7 @@
     pressing_rates: Mapping[str, int] = field(default_factory=dict)
     unreached: tuple[str, ...] = ()
     leaving: tuple[LeavingTarget, ...] = ()
+    begun: tuple[BegunStreams, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -361,6 +378,8 @@
     partial : bool
         Only ``held`` counts, without numbers of requests, and for the targets that
         it lists: what they hold has changed since the view before.
+    keeps_origins : bool
+        Whether the sender stores the streams that reports name.
     """
 
     holder: str
@@ -374,6 +393,7 @@
     reported: Mapping[str, int] = field(default_factory=dict)
     store: tuple[StoreProgress, ...] = ()
     partial: bool = False
+    keeps_origins: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -110,6 +110,11 @@
   5: optional i32 hops
 }
 
+struct BegunStreams {
+  1: optional string software
+  2: optional list<string> digests
+}
+
 struct EntryReport {
   1: optional string instance
   2: optional string address
@@ -122,6 +127,7 @@
   9: optional map<string, i64> pressing_rates
   10: optional list<string> unreached
   11: optional list<LeavingTarget> leaving
+  13: optional list<BegunStreams> begun
 }
 
 struct HeldItems {
@@ -160,6 +166,7 @@
   9: optional map<string, i64> reported
   10: optional list<StoreProgress> store
   11: optional bool partial
+  13: optional bool keeps_origins
 }
 
 struct PromptsSent {
