Read stored origins again for a request that came after the last read

Callers saw: a resumed stream got 503, version of the stream not known, though an instance that was killed since had stored it. Cause: what was read less than 1 s ago was not read again, whatever was stored after it. Now a request waits for a read that began after it arrived; reads still begin at most once a second, a failed one too (before, each request repeated a failed one at once). Ruled out: a read for each request, which the store's calls forbid. The step that builds a request gives it a time of arrival. Conclusion: what is stored before a request comes is found, at the price of up to 1 s.

--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -47,3 +47,16 @@
     When an instance starts that sees targets of v1 v2
     And stream s1 is stored as begun at v1 by one instance and at v2 by another
     Then the version of s1 is not known
+
+  Scenario Outline: a stream that was stored just after the last read is resumed, <case>
+    Given a store with the records chat: v1 v2
+    When an instance starts that sees targets of v1 v2
+    And a read of the store has just begun, and s9 is stored as begun at v1 by another
+    And <count> requests in <for> s resume <stream>, the first 0.2 s later
+    Then each is resumed at "<version>" within 1 s, with <reads> reads
+
+    Examples:
+      | case             | count | for | stream | version | reads |
+      | one request      | 1     | 1   | s9     | v1      | 1     |
+      | many at once     | 50    | 0.5 | s9     | v1      | 1     |
+      | never stored     | 50    | 5   | s8     | none    | 7     |
--- a/features/steps/origin_store.py
+++ b/features/steps/origin_store.py
@@ -26,6 +26,11 @@
     """Counts writes; an update needs no version, as at the platform."""
 
     writes = 0
+    reads = 0
+
+    async def list(self, kind):
+        self.reads += 1
+        return await super().list(kind)
 
     async def update(self, obj):
         known = self.objects.get((obj.kind, obj.name))
@@ -85,7 +90,11 @@
     async def ask(request_id):
         return ""
 
-    ctx = SimpleNamespace(headers=SimpleNamespace(resumes="r1"), service="chat")
+    ctx = SimpleNamespace(
+        headers=SimpleNamespace(resumes="r1"),
+        service="chat",
+        arrived_s=context.loop.time(),
+    )
     versions = StreamVersions(context.state, context.origins, ask)
     found, _ = context.loop.run_until_complete(versions.find(ctx))
     assert found == ("v1" if takes == "takes" else ""), found
@@ -128,3 +137,43 @@
 @then("its record has v2 and no streams")
 def check_last(context):
     assert record(context) == OriginRecord({"chat": ("v2",)}), record(context)
+
+
+@when("a read of the store has just begun, and s9 is stored as begun at v1 by another")
+def store_after_read(context):
+    now_s = context.loop.time()
+    context.loop.run_until_complete(context.origins.reload(now_s))
+    record = OriginRecord({"chat": ("v1", "v2")}, {"v1": (digest("s9"),)})
+    obj = replace(platform.encode_origins("i9", record), version="1")
+    context.store.objects[obj.kind, obj.name] = obj
+    context.store.reads = 0
+
+
+@when("{count:d} requests in {for_s:g} s resume {stream}, the first {after:g} s later")
+def resume(context, count, for_s, stream, after):
+    async def ask(request_id):
+        return ""
+
+    async def find(at_s):
+        await asyncio.sleep(at_s)
+        headers = SimpleNamespace(resumes=stream)
+        arrived_s = context.loop.time()
+        ctx = SimpleNamespace(headers=headers, service="chat", arrived_s=arrived_s)
+        software, _ = await versions.find(ctx)
+        return software, context.loop.time() - arrived_s
+
+    async def find_all():
+        times_s = (after + number * for_s / count for number in range(count))
+        return await asyncio.gather(*map(find, times_s))
+
+    versions = StreamVersions(context.state, context.origins, ask)
+    context.found = context.loop.run_until_complete(find_all())
+
+
+@then('each is resumed at "{version}" within {limit_s:g} s, with {reads:d} reads')
+def check_resumed(context, version, limit_s, reads):
+    expected = "" if version == "none" else version
+    for software, waited_s in context.found:
+        assert software == expected, (software, waited_s)
+        assert waited_s <= limit_s, waited_s
+    assert context.store.reads <= reads, context.store.reads
--- a/features/steps/young_streams.py
+++ b/features/steps/young_streams.py
@@ -148,7 +148,7 @@
 def check_found(context, found):
     state = make_instance(context.loop, "new")
     origins = OriginStore(state, context.store, Controller(False, lambda begun: None))
-    context.loop.run_until_complete(origins.reload())
+    context.loop.run_until_complete(origins.reload(context.loop.time()))
     now_s = context.loop.time()
     versions = [
         state.stream_origins.find(f"young-{number}", now_s)
@@ -171,7 +171,7 @@
         record = OriginRecord({"chat": VERSIONS}, {version: (digest("s1"),)})
         obj = replace(platform.encode_origins(name, record), version="1")
         context.store.objects[obj.kind, obj.name] = obj
-    context.loop.run_until_complete(context.origins.reload())
+    context.loop.run_until_complete(context.origins.reload(context.loop.time()))
 
 
 @then("the version of s1 is not known")
--- a/src/marjoramstage/_entry/origin_store.py
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -52,10 +52,10 @@
         self._written: OriginRecord | None = None
         self._written_s = 0.0
         self._exists = False
-        self._read_s = 0.0
+        self._read_began_s = -RELOAD_INTERVAL_S
         self._cleaned_s = state.clock.now()
         self._silent: set[str] = set()
-        self._reading: asyncio.Task[bool] | None = None
+        self._reading: asyncio.Task[None] | None = None
         self.is_loaded = False
 
     async def run(self) -> None:
@@ -77,20 +77,25 @@
         self._written = None
         self._exists = False
 
-    async def reload(self) -> None:
-        """Read what other instances have stored meanwhile, unless just done."""
-        if self._reading is None:
-            if self._state.clock.now() - self._read_s < RELOAD_INTERVAL_S:
-                return
-            self._reading = asyncio.create_task(self._read())
-        try:
+    async def reload(self, since_s: float) -> None:
+        """Read what other instances have stored, unless that began since a time.
+
+        Waits for the next read, as reads have a shortest interval.
+        """
+        while self._read_began_s < since_s:
+            if self._reading is None or self._reading.done():
+                self._reading = asyncio.create_task(self._read_next())
             await asyncio.shield(self._reading)
-        finally:
-            if self._reading is not None and self._reading.done():
-                self._reading = None
+
+    async def _read_next(self) -> None:
+        """Read once the interval since the last read is over."""
+        next_s = self._read_began_s + RELOAD_INTERVAL_S
+        await asyncio.sleep(max(0.0, next_s - self._state.clock.now()))
+        await self._read()
 
     async def _read(self) -> bool:
         """Take over all records; return whether they could be read."""
+        self._read_began_s = self._state.clock.now()
         found = await self._store.list(platform.STREAM_ORIGINS)
         if isinstance(found, Err):
             self._state.events.event(
@@ -98,7 +103,7 @@
             )
             return False
         state = self._state
-        self._read_s = state.clock.now()
+        now_s = state.clock.now()
         is_first = not self.is_loaded
         for obj in found.ok_value.objects:
             self._exists = self._exists or obj.name == state.settings.name
@@ -107,7 +112,7 @@
                     is_first = is_first and not record.versions
                     if not self.is_loaded:
                         # Later, what others have seen is known here too.
-                        state.software.learn(record.versions, self._read_s)
+                        state.software.learn(record.versions, now_s)
                     state.stream_origins.learn(record.origins)
                 case Err(reason):
                     is_first = False
--- a/src/marjoramstage/_entry/stream_versions.py
+++ b/src/marjoramstage/_entry/stream_versions.py
@@ -15,8 +15,8 @@
 
     is_loaded: bool
 
-    async def reload(self) -> None:
-        """Read what other instances have stored meanwhile."""
+    async def reload(self, since_s: float) -> None:
+        """Read what other instances have stored, unless that began since a time."""
 
 
 class StreamVersions:
@@ -56,7 +56,7 @@
         if told:
             return told, OriginSource.TOLD
         if resumes:
-            await self._stored.reload()
+            await self._stored.reload(ctx.arrived_s)
         stored = self._own(resumes)
         if stored:
             return stored, OriginSource.STORED
