--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -27,3 +27,47 @@
     Then within 1 s its record has v1 v2 and the streams s1 s2
     When targets of v1 leave and 31 s pass
     Then its record has v2 and no streams
+
+  Scenario Outline: young streams are known after all instances were killed, <n> instances <holder>
+    Given <n> instances <holder> see targets of v1 and v2 and relay streams
+    When each begins a stream and all are killed <after> s later
+    Then an instance that starts finds the versions of at least <found> of these streams
+    And the store got at most <calls> calls in the 30 s before
+
+    Examples:
+      | n   | holder                  | after | found | calls |
+      | 2   | that all know of begun streams | 0.6   | 2     | 86    |
+      | 7   | that all know of begun streams | 0.25  | 7     | 300   |
+      | 60  | that all know of begun streams | 0.25  | 60    | 1500  |
+      | 195 | that all know of begun streams | 0.6   | 195   | 1365  |
+      | 7   | with a holder that knows of none | 0.8   | 7     | 300   |
+
+  Scenario: a stream that two versions are said to have begun is not resumed
+    Given a store with the records chat: v1 v2
+    When an instance starts that sees targets of v1 v2
+    And stream s1 is stored as begun at v1 by one instance and at v2 by another
+    Then the version of s1 is not known
+
+  Scenario Outline: a stream that was stored just after the last read is resumed, <case>
+    Given a store with the records chat: v1 v2
+    When an instance starts that sees targets of v1 v2
+    And a read of the store has just begun, and s9 is stored as begun at v1 by another
+    And <count> requests in <for> s resume <stream>, the first 0.2 s later
+    Then each is resumed at "<version>" within 1 s, with <reads> reads
+
+    Examples:
+      | case             | count | for | stream | version | reads |
+      | one request      | 1     | 1   | s9     | v1      | 1     |
+      | many at once     | 50    | 0.5 | s9     | v1      | 1     |
+      | never stored     | 50    | 5   | s8     | none    | 7     |
+
+  Scenario Outline: the version of a stream is known until 30 s after its last event, <case>
+    Given an instance that relays a stream of <lasts> s with an event each <interval> s
+    Then its version is known while it runs and 29 s after its end, not 31 s after
+    And its origin was recorded at most <records> times
+
+    Examples:
+      | case             | lasts | interval | records |
+      | a short stream   | 2     | 0.1      | 2       |
+      | a long one       | 40    | 2        | 10      |
+      | many events      | 40    | 0.01     | 10      |
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -235,6 +235,20 @@
     hops: int = 0
 
 
+@dataclass(frozen=True)
+class BegunStreams:
+    """Streams that one version of a target's program began.
+
+    Attributes
+    ----------
+    digests : tuple of str
+        Digests of the ids of the streams.
+    """
+
+    software: str
+    digests: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True)
 class EntryReport:
     """Report of an instance to the holder of the placement lease.
@@ -258,6 +272,8 @@
     resuming : Mapping
         Those of ``waiting`` that resume a stream, by service, item and version of
         the target's program, joined by spaces.
+    begun : tuple of BegunStreams
+        Streams that the sender relayed recently, while several versions run.
     """
 
     instance: str
@@ -272,6 +288,7 @@
     unreached: tuple[str, ...] = ()
     leaving: tuple[LeavingTarget, ...] = ()
     resuming: Mapping[str, int] = field(default_factory=dict)
+    begun: tuple[BegunStreams, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -365,6 +382,8 @@
     partial : bool
         Only ``held`` counts, without numbers of requests, and for the targets that
         it lists: what they hold has changed since the view before.
+    keeps_origins : bool
+        Whether the sender stores the streams that reports name.
     """
 
     holder: str
@@ -378,6 +397,7 @@
     reported: Mapping[str, int] = field(default_factory=dict)
     store: tuple[StoreProgress, ...] = ()
     partial: bool = False
+    keeps_origins: bool = False
 
 
 @dataclass(frozen=True)
