An answer without an id proves nothing on a reused connection

Cause: check_answer compared ids only if the answer had one, and proves_not_run looks at Not-Run or 421 alone.

Now an answer without an id on a connection that carried an earlier request is foreign: MAY_HAVE_RUN, nothing of it is relayed. An answer with the id, or without one on a first connection, counts as before.

Ruled out: copies with the earlier id (502 before too), glued or 50 ms later (the connection is dropped), /once/ and /stream/ (a connection of their own). Orders have a connection of their own, so an earlier order's answer can't be taken for a later one's.

--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -211,18 +211,19 @@
         if req.path == "/api/order":
             return await self._order(req)
         self.arrivals.append(time.monotonic())
+        request_id = req.headers.get("Request-Id", "")
+        refusal = {"Not-Run": "1", "Request-Id": request_id}
         if self.retry_after:
-            headers = {"Not-Run": "1", "Retry-After": self.retry_after}
+            headers = {**refusal, "Retry-After": self.retry_after}
             return web.Response(status=503, headers=headers | self._notices("refusal"))
         body = await req.read()
-        request_id = req.headers.get("Request-Id", "")
         headers = {"Request-Id": request_id, "Stamp": f"{self.name}.{request_id}"}
         headers |= self._notices("answer")
         if self.fault == "busy":
-            return web.Response(status=503, headers={"Not-Run": "1"})
+            return web.Response(status=503, headers=refusal)
         model = req.headers.get("Model")
         if model and model not in self.models:
-            return web.Response(status=421)
+            return web.Response(status=421, headers={"Request-Id": request_id})
         if self.fault == "reset-before":
             return self._reset(req)
         self.runs.append(request_id)
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -19,7 +19,7 @@
     StreamEvent,
     event_number,
 )
-from marjoramstage.transport.target_client import BROKEN, TargetResponse
+from marjoramstage.transport.target_client import BROKEN, FOREIGN, TargetResponse
 
 EVENT_STREAM = "text/event-stream"
 # Larger answers are relayed as they arrive.
@@ -42,7 +42,14 @@
             "the answer carries the id of another request",
             Verdict.MAY_HAVE_RUN,
             status,
-            "foreign",
+            FOREIGN,
+        )
+    if not answered_id and answer.reused_connection:
+        raise TargetError(
+            "the answer carries no id and may be that of an earlier request",
+            Verdict.MAY_HAVE_RUN,
+            status,
+            FOREIGN,
         )
     if platform.proves_not_run(status, headers):
         raise TargetError(
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -43,9 +43,17 @@
     when the connection ends, even when it was reset or closed by this side. It
     bounds single lines, but neither the number of interim responses nor the size
     of chunk lines, and it queues responses that nothing asked for.
+
+    Attributes
+    ----------
+    end : ConnectionEnd
+        How it ended, if it did.
+    requests : int
+        Number of requests that were sent on it.
     """
 
     end = ConnectionEnd.OPEN
+    requests = 0
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop=loop)
@@ -56,6 +64,7 @@
         """Prepare for the response to a request that is about to be sent."""
         self._meter.restart()
         self._answered = False
+        self.requests += 1
         super().set_response_params(**kwargs)
 
     def feed_data(self, data: tuple[RawResponseMessage, Any], size: int = 0) -> None:
--- a/src/marjoramstage/transport/response_body.py
+++ b/src/marjoramstage/transport/response_body.py
@@ -33,6 +33,8 @@
         How the response marks the end of its body.
     received_bytes : int
         Size of what was read so far.
+    reused_connection : bool
+        An earlier request was sent on the connection of the response.
     """
 
     def __init__(self, resp: aiohttp.ClientResponse, max_bytes: int = MAX_BODY_BYTES):
@@ -41,6 +43,8 @@
         # resp.connection is None once the connection is back in the pool, so the
         # protocol, which records its end, is taken from the private attribute.
         self._conn: ClientConnection = resp._protocol
+        # The connection may be in use again before this is read.
+        self.reused_connection = self._conn.requests > 1
         self.framing = response_framing(resp.method, resp.status, resp.headers)
         self.received_bytes = 0
 
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -110,6 +110,11 @@
         """How the connection of the response ended, if it did."""
         return self._body.connection_end
 
+    @property
+    def reused_connection(self) -> bool:
+        """Whether an earlier request was sent on the connection."""
+        return self._body.reused_connection
+
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
