A connection with a foreign answer is never used again

Callers saw (raw targets): after a copy of an earlier answer was met on a kept connection, the next request was sent on the same connection while the real answer was outstanding, took that for its own and ended in 502, and so did the next one.

Cause: an answer whose body is empty, or arrived with its head, is back in the pool before its id is checked, and close() has no effect on it then.

Now an answer of another request ends its connection at once.

Test: "no request follows such an answer on its connection".

--- a/features/repeated_answers.feature
+++ b/features/repeated_answers.feature
@@ -26,3 +26,8 @@
     Then each of these routes relays a 400 without an id from a new connection
       | route                                       |
       | /once/, /any/, /stream/, /resumable-stream/ |
+
+  Scenario: a connection with an answer that belongs to no request is not used again
+    Then no request follows such an answer on its connection
+      | route                     | first            | repeated with     | body            |
+      | /any/, /resumable-stream/ | refusal, 421, 200 | its own id, no id | a length, empty |
--- a/features/steps/repeated_answers.py
+++ b/features/steps/repeated_answers.py
@@ -11,6 +11,7 @@
 
 # Time for bytes that are sent later to arrive before the next request.
 NEXT_REQUEST_S = 0.15
+RUN_S = 0.3
 REFUSED = 503
 STREAM_BODY = b"id: 1\ndata: first\n\n"
 
@@ -100,3 +101,25 @@
         received = await instance.send(route + "x", "r1")
     right = (received.status, received.body) == (400, b"bad")
     return "" if right else f"{route}: {received}"
+
+
+@then("no request follows such an answer on its connection")
+def check_connections(context):
+    names = ("route", "first", "repeated with", "body")
+    check([run_connections(*cell) for cell in cells(context.table, *names)])
+
+
+async def run_connections(route, kind, carries, body):
+    repeated = repeated_answer(kind, carries, body)
+    target = RepeatingTarget(
+        (first_answer(repeated),), repeated, "as the next arrives", RUN_S
+    )
+    async with EntryInstance([target]) as instance:
+        await instance.send(route + "x", "r1")
+        await instance.send(route + "x", "r2")
+        received = await instance.send(route + "x", "r3")
+    used = {request_id: number for number, request_id in target.connections}
+    right = used["r1"] == used["r2"] != used.get("r3")
+    right = right and received.body == body_of("r3", "stream" in route)
+    name = ", ".join((route, kind, carries, body))
+    return "" if right else f"{name}: {received}, {target.connections}"
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -37,6 +37,7 @@
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     BROKEN,
+    FOREIGN,
     TargetClient,
     TargetRequest,
     TargetResponse,
@@ -389,6 +390,10 @@
             ok = answer.status < 500
             self._crash_observer.answered(ctx, target, answer)
             return resp
+        except TargetError as exc:
+            if exc.reason == FOREIGN:
+                answer.disconnect()
+            raise
         finally:
             answer.close()
             state.health.record_result(target.name, ok, state.clock.now())
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -104,14 +104,18 @@
             self.end = ConnectionEnd.BROKEN
         super().connection_lost(exc)
 
+    def disconnect(self) -> None:
+        """End the connection at once, also while it is in the pool."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def _refuse(self, reason: str) -> None:
         """Fail the response that is being read, if any, and the connection."""
         exc = UnexpectedBytesError(reason)
         self.set_exception(exc)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(exc)
-        if self.transport is not None:
-            self.transport.abort()
+        self.disconnect()
 
 
 def client_connector(**kwargs: Any) -> aiohttp.TCPConnector:
--- a/src/marjoramstage/transport/response_body.py
+++ b/src/marjoramstage/transport/response_body.py
@@ -74,3 +74,8 @@
     async def read(self) -> bytes:
         """Return the whole body; raises the same errors as `iter_chunks`."""
         return b"".join([chunk async for chunk in self.iter_chunks()])
+
+    def disconnect(self) -> None:
+        """End the connection of the response, even if it was read to its end."""
+        self._resp.close()
+        self._conn.disconnect()
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -138,6 +138,10 @@
         """Close the connection, unless the body was read to its end."""
         self._resp.close()
 
+    def disconnect(self) -> None:
+        """Close the connection, even if the body was read to its end."""
+        self._body.disconnect()
+
 
 class TargetClient:
     """HTTP client for targets; owns its connection pools."""
