An error event is no part of a resumed stream

Cause: only the first event of each block was checked, and only if both ids were numbers.

Now, once events were relayed, each event of another target's rest needs an id that follows; else it and its block are not relayed and the attempt has failed ("failed", so that it is no crash). Comment blocks (keep-alives) are relayed: they are no events. A gap between ids is allowed, as the protocol page asks for increasing ids alone. The first answer, also to a caller that resumes itself, is relayed as before: it is the target's own answer, and no rule speaks against it.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -78,6 +78,28 @@
       | begins from the start          | sound  | from the start |
       | cannot know where to go on     | no ids | no ids         |
 
+  Scenario Outline: events that do not follow are no part of a resumed stream
+    Then a resumed stream with <rest> is <received>, also with a length or neither
+
+    Examples:
+      | rest                    | received                |
+      | an error                | cut after event 3       |
+      | an event, then an error | cut after event 3 or 4  |
+      | events, then an error   | cut after event 3 to 6  |
+      | an event twice          | cut after event 3 or 4  |
+      | an earlier event        | cut after event 3 or 4  |
+      | an id of letters        | cut after event 3       |
+      | keep-alives             | whole, with keep-alives |
+
+  Scenario Outline: what a target writes in its own first answer is relayed unchanged
+    Then a caller that has events 1 to 3 and resumes gets <rest> unchanged
+
+    Examples:
+      | rest                    |
+      | an error                |
+      | an event, then an error |
+      | keep-alives             |
+
   Scenario Outline: a stream is joined from targets of one software version alone
     Then a stream that breaks <breaks> with targets of versions <versions> is <received>
 
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -26,7 +26,7 @@
         after them; ``ended inside``, framed as complete there.
     content : str
         ``sound``; of a stream also ``no ids``, ``from the start`` even if it is to
-        go on after an event, or ``text`` in place of events.
+        go on after an event, ``text`` in place of events, or one of `RESTS`.
     """
 
     framing: str
@@ -128,10 +128,23 @@
 
 
 SOUND = AnswerScript("chunks", "complete")
+ERROR_EVENT = b"event: error\ndata: engine failed\n\n"
+KEEP_ALIVE = b": still working\n\n"
+RESTS = {
+    "an error": lambda rest: [ERROR_EVENT],
+    "an event, then an error": lambda rest: [rest[0], ERROR_EVENT],
+    "events, then an error": lambda rest: [*rest, ERROR_EVENT],
+    "an event twice": lambda rest: [rest[0], *rest],
+    "an earlier event": lambda rest: [rest[0], EVENT_BLOCKS[1]],
+    "an id of letters": lambda rest: [b"id: x\ndata: words\n\n"],
+    "keep-alives": lambda rest: [KEEP_ALIVE, rest[0], KEEP_ALIVE, *rest[1:]],
+}
 
 
 def event_blocks(script, after):
     """Return the events of a stream that is asked to go on after an event."""
+    if after and script.content in RESTS:
+        return RESTS[script.content](EVENT_BLOCKS[after:])
     if script.content == "no ids":
         return EVENT_BLOCKS_WITHOUT_IDS
     return EVENT_BLOCKS if script.content == "from the start" else EVENT_BLOCKS[after:]
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -11,6 +11,8 @@
     BODY_BLOCKS,
     EVENT_BLOCKS,
     EVENT_BLOCKS_WITHOUT_IDS,
+    FRAMINGS,
+    RESTS,
     AnswerScript,
     FramedTarget,
     Runs,
@@ -131,6 +133,45 @@
     check_problems(problems_of([run_cell(path, (before,), script, "truncated")]))
 
 
+@then("a resumed stream with {rest} is {received}, also with a length or neither")
+def check_rest(context, rest, received):
+    check_problems(problems_of(run_rest(name, rest, received) for name in FRAMINGS))
+
+
+async def run_rest(framing, rest, expected):
+    runs = Runs((BREAK, AnswerScript(framing, "complete", rest)))
+    targets = [FramedTarget(runs), FramedTarget(runs)]
+    async with EntryInstance(targets) as instance:
+        received = await instance.send("/resumable-stream/x")
+    return "" if is_rest(received, expected) else f"{framing} {rest}: {received}"
+
+
+def is_rest(received, expected):
+    """Whether a caller received whole events up to a stated one, and what end."""
+    if expected == "whole, with keep-alives":
+        first, rest = EVENT_BLOCKS[:3], RESTS["keep-alives"](EVENT_BLOCKS[3:])
+        return received.whole and received.body == b"".join(first + rest)
+    numbers = [int(word) for word in expected.split() if word.isdecimal()]
+    bodies = [b"".join(EVENT_BLOCKS[:n]) for n in range(numbers[0], numbers[-1] + 1)]
+    return not received.whole and received.status == 200 and received.body in bodies
+
+
+@then("a caller that has events 1 to 3 and resumes gets {rest} unchanged")
+def check_first_rest(context, rest):
+    check_problems(problems_of(run_first_rest(name, rest) for name in FRAMINGS))
+
+
+async def run_first_rest(framing, rest):
+    targets = [FramedTarget(Runs((AnswerScript(framing, "complete", rest),)))]
+    async with EntryInstance(targets, ("v1",), {"r0": "v1"}) as instance:
+        received = await instance.send(
+            "/resumable-stream/x", Last_Event_Id="3", Resumes="r0"
+        )
+    body = b"".join(RESTS[rest](EVENT_BLOCKS[3:]))
+    right = received.whole and received.body == body
+    return "" if right else f"{framing} {rest}: {received}"
+
+
 @then("a stream that breaks {breaks} with targets of versions {versions} is {received}")
 def check_versions(context, breaks, versions, received):
     software = tuple(versions.replace("?", "").split(", "))
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 from aiohttp import HttpVersion11, web
 
@@ -89,6 +89,21 @@
         )
 
 
+def _check_rest(events: Iterable[StreamEvent], last_id: str) -> None:
+    """Raise unless events may follow the one with ``last_id`` in a resumed stream."""
+    for event in events:
+        if event.is_comment:
+            continue
+        if not event.id or (event_number(last_id) is not None and event.number is None):
+            raise TargetError(
+                f"an event with the id {event.id!r} after event {last_id}",
+                Verdict.MAY_HAVE_RUN,
+                reason="failed",
+            )
+        _check_follows(event, last_id)
+        last_id = event.id
+
+
 def _is_stream(answer: TargetResponse) -> bool:
     content_type = answer.headers.get("Content-Type", "")
     return answer.status == 200 and content_type.startswith(EVENT_STREAM)
@@ -173,12 +188,16 @@
             ctx.resp = await self._start(ctx, answer)
             ctx.resumable = True
         resp = ctx.resp
+        is_rest = ctx.first_event_s is not None
         async for chunk in answer.iter_chunks():
             self._note_writing(ctx)
             events = self._split(splitter, chunk)
             if not events:
                 continue
-            _check_follows(events[0], ctx.last_event_id)
+            if is_rest:
+                _check_rest(events, ctx.last_event_id)
+            else:
+                _check_follows(events[0], ctx.last_event_id)
             await resp.write(b"".join(event.data for event in events))
             now_s = self._state.clock.now()
             if ctx.route.resumable and ctx.first_event_s is None:
--- a/src/marjoramstage/transport/event_stream.py
+++ b/src/marjoramstage/transport/event_stream.py
@@ -35,6 +35,12 @@
         """The id as a number; None if it is none."""
         return event_number(self.id)
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has nothing but comment lines, as a keep-alive has."""
+        lines = self.data.replace(b"\r", b"\n").split(b"\n")
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 def event_number(event_id: str) -> int | None:
     """Return the id of an event as a number; None if it is none."""
