--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -142,6 +142,21 @@
       | v1, v2   | another began it at v1 | it began       | 1   | 1      |
       | v2, v2   | another began it at v1 | it was refused | 0   | 2      |
 
+  Scenario Outline: a head that ends after <part> is no answer
+    Then on each route a head that ends after <part>, by close or reset, is lost
+
+    Examples:
+      | part                  |
+      | nothing               |
+      | the version           |
+      | the status            |
+      | the status line       |
+      | half of a name        |
+      | a whole header        |
+      | half of a value       |
+      | all but the length    |
+      | all but the last line |
+
   Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
     Then each of these answers to /stream/ over HTTP/1.0 is received as stated
       | framing                 | ends                                 | received  |
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -177,3 +177,55 @@
             await write_answer(writer, head, blocks, script)
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
+
+
+@dataclass
+class PartialHeadTarget:
+    """A target that ends its connection within the head of each answer.
+
+    Attributes
+    ----------
+    part : str
+        The last thing that it writes, one of `HEAD_PARTS`.
+    end : str
+        ``close`` or ``reset``.
+    """
+
+    part: str
+    end: str
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            _, _, headers = await read_request(reader)
+            head = HEAD % headers["request-id"].encode()
+            writer.write(head[: head.rindex(HEAD_PARTS[self.part])])
+            await writer.drain()
+            await end_connection(writer, self.end == "reset")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: text/event-stream\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+# What comes next in the head, and is not written.
+HEAD_PARTS = {
+    "nothing": b"HTTP",
+    "the version": b" 200",
+    "the status": b" OK",
+    "the status line": b"Request-Id",
+    "half of a name": b"quest-Id",
+    "a whole header": b"Content-Type",
+    "half of a value": b"event-stream",
+    "all but the length": b"0\r\n",
+    "all but the last line": b"\r\n",
+}
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.entry_caller import HOST, SERVICE, EntryInstance
+from features.entry_caller import HOST, ROUTES, SERVICE, EntryInstance
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
@@ -15,6 +15,7 @@
     RESTS,
     AnswerScript,
     FramedTarget,
+    PartialHeadTarget,
     Runs,
     write_answer,
 )
@@ -133,6 +134,19 @@
     check_problems(problems_of([run_cell(path, (before,), script, "truncated")]))
 
 
+@then("on each route a head that ends after {part}, by close or reset, is lost")
+def check_partial_head(context, part):
+    paths = [route.prefix for route in ROUTES]
+    cells = itertools.product(paths, ("close", "reset"))
+    check_problems(problems_of(run_partial_head(*cell, part) for cell in cells))
+
+
+async def run_partial_head(path, end, part):
+    async with EntryInstance([PartialHeadTarget(part, end)]) as instance:
+        received = await instance.send(path + "x")
+    return "" if received.status == 502 else f"{path} {part}, {end}: {received}"
+
+
 @then("a resumed stream with {rest} is {received}, also with a length or neither")
 def check_rest(context, rest, received):
     check_problems(problems_of(run_rest(name, rest, received) for name in FRAMINGS))
