A stream that breaks off after a keep-alive is resumed

Callers saw (our rows): a resumable stream with a comment after its last event was cut when its target broke off, although another target could continue.

Cause: the last block was recorded as the last event, comment or not; without an id it made the stream one that can't be resumed.

Now comments are relayed and not recorded.

Test: "a stream that breaks off after a keep-alive is resumed".

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -91,6 +91,9 @@
       | an id of letters        | cut after event 3       |
       | keep-alives             | whole, with keep-alives |
 
+  Scenario: a stream that breaks off after a keep-alive is resumed
+    Then a stream that breaks after event 3 and a keep-alive is whole
+
   Scenario Outline: what a target writes in its own first answer is relayed unchanged
     Then a caller that has events 1 to 3 and resumes gets <rest> unchanged
 
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -145,6 +145,8 @@
     """Return the events of a stream that is asked to go on after an event."""
     if after and script.content in RESTS:
         return RESTS[script.content](EVENT_BLOCKS[after:])
+    if script.content == "a keep-alive":
+        return [*EVENT_BLOCKS[:3], KEEP_ALIVE, *EVENT_BLOCKS[3:], KEEP_ALIVE]
     if script.content == "no ids":
         return EVENT_BLOCKS_WITHOUT_IDS
     return EVENT_BLOCKS if script.content == "from the start" else EVENT_BLOCKS[after:]
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -12,6 +12,7 @@
     EVENT_BLOCKS,
     EVENT_BLOCKS_WITHOUT_IDS,
     FRAMINGS,
+    KEEP_ALIVE,
     RESTS,
     AnswerScript,
     FramedTarget,
@@ -160,6 +161,21 @@
     return "" if is_rest(received, expected) else f"{framing} {rest}: {received}"
 
 
+@then("a stream that breaks after event 3 and a keep-alive is whole")
+def check_keep_alive(context):
+    check_problems(problems_of(run_keep_alive(name) for name in FRAMINGS))
+
+
+async def run_keep_alive(framing):
+    runs = Runs((AnswerScript(framing, "reset", "a keep-alive"),))
+    targets = [FramedTarget(runs), FramedTarget(runs)]
+    async with EntryInstance(targets) as instance:
+        received = await instance.send("/resumable-stream/x")
+    body = b"".join([*EVENT_BLOCKS[:3], KEEP_ALIVE, *EVENT_BLOCKS[3:]])
+    right = received.whole and received.body == body
+    return "" if right else f"{framing}: {received}"
+
+
 def is_rest(received, expected):
     """Whether a caller received whole events up to a stated one, and what end."""
     if expected == "whole, with keep-alives":
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -203,7 +203,9 @@
             if ctx.route.resumable and ctx.first_event_s is None:
                 origins = self._state.stream_origins
                 origins.record(ctx.stream_id, ctx.target_software, now_s)
-            ctx.record_event(events[-1], now_s)
+            last = next((e for e in reversed(events) if not e.is_comment), None)
+            if last is not None:
+                ctx.record_event(last, now_s)
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
