An empty rest does not end a resumed stream

Nothing marks the last event, so an empty rest is either the end or a failed target. Decided: the attempt has failed. A cut stream can be resumed by its caller, who then gets the empty answer as its target wrote it and loses one request; a false end can't be noticed (docs/design/streams.md).

A row of answer_framing.feature stated the opposite: "neither | complete, then reset | whole" of /resumable-stream/, which rested on the empty rest of the second target. It is replaced by a scenario as strict: the caller has exactly events 1 to 6, not framed as whole, and its own resume after 6 is whole and empty. The rows with a length or chunks, "complete, then reset", state whole as before.

Test: "an empty rest ends a stream only for a caller that resumes it", and "nothing" among the rests.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -46,7 +46,6 @@
       | framing                 | ends                                 | received |
       | length, chunks, neither | complete, reset, reset inside        | whole    |
       | length, chunks          | closed, complete, then reset         | whole    |
-      | neither                 | complete, then reset                 | whole    |
       | length, chunks          | closed inside                        | whole    |
 
   Scenario: a resumable stream that ends inside an event is resumed
@@ -83,6 +82,7 @@
 
     Examples:
       | rest                    | received                |
+      | nothing                 | cut after event 3       |
       | an error                | cut after event 3       |
       | an event, then an error | cut after event 3 or 4  |
       | events, then an error   | cut after event 3 to 6  |
@@ -91,6 +91,10 @@
       | an id of letters        | cut after event 3       |
       | keep-alives             | whole, with keep-alives |
 
+  Scenario: an empty rest ends a stream only for a caller that resumes it
+    Then a stream reset after event 6, without a length, is cut there
+    And the caller that resumes it gets an empty answer, framed as whole
+
   Scenario: a stream that breaks off after a keep-alive is resumed
     Then a stream that breaks after event 3 and a keep-alive is whole
 
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -131,6 +131,7 @@
 ERROR_EVENT = b"event: error\ndata: engine failed\n\n"
 KEEP_ALIVE = b": still working\n\n"
 RESTS = {
+    "nothing": lambda rest: [],
     "an error": lambda rest: [ERROR_EVENT],
     "an event, then an error": lambda rest: [rest[0], ERROR_EVENT],
     "events, then an error": lambda rest: [*rest, ERROR_EVENT],
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -176,6 +176,30 @@
     return "" if right else f"{framing}: {received}"
 
 
+@then("a stream reset after event 6, without a length, is cut there")
+def run_to_the_end(context):
+    runs = Runs((AnswerScript("neither", "complete, then reset"),))
+
+    async def run():
+        targets = [FramedTarget(runs), FramedTarget(runs)]
+        async with EntryInstance(targets) as instance:
+            cut = await instance.send("/resumable-stream/x", "r1")
+            context.resumed = await instance.send(
+                "/resumable-stream/x", "r2", Last_Event_Id="6", Resumes="r1"
+            )
+        right = is_rest(cut, "cut after event 6")
+        return "" if right else f"{cut}"
+
+    check_problems(problems_of([run()]))
+
+
+@then("the caller that resumes it gets an empty answer, framed as whole")
+def check_resumed_end(context):
+    received = context.resumed
+    assert (received.status, received.body) == (200, b""), received
+    assert received.whole, received
+
+
 def is_rest(received, expected):
     """Whether a caller received whole events up to a stated one, and what end."""
     if expected == "whole, with keep-alives":
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -189,6 +189,7 @@
             ctx.resumable = True
         resp = ctx.resp
         is_rest = ctx.first_event_s is not None
+        last_id = ctx.last_event_id
         async for chunk in answer.iter_chunks():
             self._note_writing(ctx)
             events = self._split(splitter, chunk)
@@ -209,6 +210,13 @@
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
+        if is_rest and ctx.last_event_id == last_id:
+            raise TargetError(
+                "no event in the rest of a stream",
+                Verdict.MAY_HAVE_RUN,
+                answer.status,
+                "failed",
+            )
         if splitter.incomplete:
             await resp.write(splitter.incomplete)
         await resp.write_eof()
