--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -82,6 +82,19 @@
 of orders it rests on, so that a second one has no effect | leases: a holder that \
 was suspended within its term; field_failures: a holder that was suspended; the \
 lease model |
+| an earlier refusal, written once more on a kept connection, counts for the next \
+request, which ran: not run (REFUSED), or run twice | it could if the copy had no id \
+(issue 42: 503, and an earlier 200 in the same way); mended: without the id an answer \
+on a reused connection proves nothing, and ends that connection. Not run twice: what \
+may not be repeated has a connection of its own | repeated_answers |
+| a stream broke off, and the error of the next target stands in it, or it ends as \
+complete (ORDER, MIXED) | it could with an error event without an id, and with an \
+empty rest (issue 42); mended: events that do not follow, and a rest without an event, \
+fail the attempt; passed before: any other answer that is no event stream | \
+answer_framing: events that do not follow are no part of a resumed stream; an empty \
+rest; a stream whose second part is not joined |
+| a head that ends in the middle, then a close or reset, becomes a 200 framed as whole \
+| no (passed before too): the caller gets 502 | answer_framing: a head that ends after |
 
 A booking whose service is killed or reset before, while or after it runs, with the
 caller pressing again at another instance (the complaint of the large deployment):
