--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -46,7 +46,6 @@
       | framing                 | ends                                 | received |
       | length, chunks, neither | complete, reset, reset inside        | whole    |
       | length, chunks          | closed, complete, then reset         | whole    |
-      | neither                 | complete, then reset                 | whole    |
       | length, chunks          | closed inside                        | whole    |
 
   Scenario: a resumable stream that ends inside an event is resumed
@@ -78,6 +77,36 @@
       | begins from the start          | sound  | from the start |
       | cannot know where to go on     | no ids | no ids         |
 
+  Scenario Outline: events that do not follow are no part of a resumed stream
+    Then a resumed stream with <rest> is <received>, also with a length or neither
+
+    Examples:
+      | rest                    | received                |
+      | nothing                 | cut after event 3       |
+      | an error                | cut after event 3       |
+      | an event, then an error | cut after event 3 or 4  |
+      | events, then an error   | cut after event 3 to 6  |
+      | an event twice          | cut after event 3 or 4  |
+      | an earlier event        | cut after event 3 or 4  |
+      | an id of letters        | cut after event 3       |
+      | keep-alives             | whole, with keep-alives |
+
+  Scenario: an empty rest ends a stream only for a caller that resumes it
+    Then a stream reset after event 6, without a length, is cut there
+    And the caller that resumes it gets an empty answer, framed as whole
+
+  Scenario: a stream that breaks off after a keep-alive is resumed
+    Then a stream that breaks after event 3 and a keep-alive is whole
+
+  Scenario Outline: what a target writes in its own first answer is relayed unchanged
+    Then a caller that has events 1 to 3 and resumes gets <rest> unchanged
+
+    Examples:
+      | rest                    |
+      | an error                |
+      | an event, then an error |
+      | keep-alives             |
+
   Scenario Outline: a stream is joined from targets of one software version alone
     Then a stream that breaks <breaks> with targets of versions <versions> is <received>
 
@@ -120,6 +149,21 @@
       | v1, v2   | another began it at v1 | it began       | 1   | 1      |
       | v2, v2   | another began it at v1 | it was refused | 0   | 2      |
 
+  Scenario Outline: a head that ends after <part> is no answer
+    Then on each route a head that ends after <part>, by close or reset, is lost
+
+    Examples:
+      | part                  |
+      | nothing               |
+      | the version           |
+      | the status            |
+      | the status line       |
+      | half of a name        |
+      | a whole header        |
+      | half of a value       |
+      | all but the length    |
+      | all but the last line |
+
   Scenario: a stream to a caller of HTTP/1.0, which knows no chunks
     Then each of these answers to /stream/ over HTTP/1.0 is received as stated
       | framing                 | ends                                 | received  |
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -26,7 +26,7 @@
         after them; ``ended inside``, framed as complete there.
     content : str
         ``sound``; of a stream also ``no ids``, ``from the start`` even if it is to
-        go on after an event, or ``text`` in place of events.
+        go on after an event, ``text`` in place of events, or one of `RESTS`.
     """
 
     framing: str
@@ -128,10 +128,26 @@
 
 
 SOUND = AnswerScript("chunks", "complete")
+ERROR_EVENT = b"event: error\ndata: engine failed\n\n"
+KEEP_ALIVE = b": still working\n\n"
+RESTS = {
+    "nothing": lambda rest: [],
+    "an error": lambda rest: [ERROR_EVENT],
+    "an event, then an error": lambda rest: [rest[0], ERROR_EVENT],
+    "events, then an error": lambda rest: [*rest, ERROR_EVENT],
+    "an event twice": lambda rest: [rest[0], *rest],
+    "an earlier event": lambda rest: [rest[0], EVENT_BLOCKS[1]],
+    "an id of letters": lambda rest: [b"id: x\ndata: words\n\n"],
+    "keep-alives": lambda rest: [KEEP_ALIVE, rest[0], KEEP_ALIVE, *rest[1:]],
+}
 
 
 def event_blocks(script, after):
     """Return the events of a stream that is asked to go on after an event."""
+    if after and script.content in RESTS:
+        return RESTS[script.content](EVENT_BLOCKS[after:])
+    if script.content == "a keep-alive":
+        return [*EVENT_BLOCKS[:3], KEEP_ALIVE, *EVENT_BLOCKS[3:], KEEP_ALIVE]
     if script.content == "no ids":
         return EVENT_BLOCKS_WITHOUT_IDS
     return EVENT_BLOCKS if script.content == "from the start" else EVENT_BLOCKS[after:]
@@ -164,3 +180,55 @@
             await write_answer(writer, head, blocks, script)
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
+
+
+@dataclass
+class PartialHeadTarget:
+    """A target that ends its connection within the head of each answer.
+
+    Attributes
+    ----------
+    part : str
+        The last thing that it writes, one of `HEAD_PARTS`.
+    end : str
+        ``close`` or ``reset``.
+    """
+
+    part: str
+    end: str
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            _, _, headers = await read_request(reader)
+            head = HEAD % headers["request-id"].encode()
+            writer.write(head[: head.rindex(HEAD_PARTS[self.part])])
+            await writer.drain()
+            await end_connection(writer, self.end == "reset")
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: text/event-stream\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+# What comes next in the head, and is not written.
+HEAD_PARTS = {
+    "nothing": b"HTTP",
+    "the version": b" 200",
+    "the status": b" OK",
+    "the status line": b"Request-Id",
+    "half of a name": b"quest-Id",
+    "a whole header": b"Content-Type",
+    "half of a value": b"event-stream",
+    "all but the length": b"0\r\n",
+    "all but the last line": b"\r\n",
+}
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -6,13 +6,17 @@
 
 from behave import given, then, when
 
-from features.entry_caller import HOST, SERVICE, EntryInstance
+from features.entry_caller import HOST, ROUTES, SERVICE, EntryInstance
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
     EVENT_BLOCKS_WITHOUT_IDS,
+    FRAMINGS,
+    KEEP_ALIVE,
+    RESTS,
     AnswerScript,
     FramedTarget,
+    PartialHeadTarget,
     Runs,
     write_answer,
 )
@@ -131,6 +135,97 @@
     check_problems(problems_of([run_cell(path, (before,), script, "truncated")]))
 
 
+@then("on each route a head that ends after {part}, by close or reset, is lost")
+def check_partial_head(context, part):
+    paths = [route.prefix for route in ROUTES]
+    cells = itertools.product(paths, ("close", "reset"))
+    check_problems(problems_of(run_partial_head(*cell, part) for cell in cells))
+
+
+async def run_partial_head(path, end, part):
+    async with EntryInstance([PartialHeadTarget(part, end)]) as instance:
+        received = await instance.send(path + "x")
+    return "" if received.status == 502 else f"{path} {part}, {end}: {received}"
+
+
+@then("a resumed stream with {rest} is {received}, also with a length or neither")
+def check_rest(context, rest, received):
+    check_problems(problems_of(run_rest(name, rest, received) for name in FRAMINGS))
+
+
+async def run_rest(framing, rest, expected):
+    runs = Runs((BREAK, AnswerScript(framing, "complete", rest)))
+    targets = [FramedTarget(runs), FramedTarget(runs)]
+    async with EntryInstance(targets) as instance:
+        received = await instance.send("/resumable-stream/x")
+    return "" if is_rest(received, expected) else f"{framing} {rest}: {received}"
+
+
+@then("a stream that breaks after event 3 and a keep-alive is whole")
+def check_keep_alive(context):
+    check_problems(problems_of(run_keep_alive(name) for name in FRAMINGS))
+
+
+async def run_keep_alive(framing):
+    runs = Runs((AnswerScript(framing, "reset", "a keep-alive"),))
+    targets = [FramedTarget(runs), FramedTarget(runs)]
+    async with EntryInstance(targets) as instance:
+        received = await instance.send("/resumable-stream/x")
+    body = b"".join([*EVENT_BLOCKS[:3], KEEP_ALIVE, *EVENT_BLOCKS[3:]])
+    right = received.whole and received.body == body
+    return "" if right else f"{framing}: {received}"
+
+
+@then("a stream reset after event 6, without a length, is cut there")
+def run_to_the_end(context):
+    runs = Runs((AnswerScript("neither", "complete, then reset"),))
+
+    async def run():
+        targets = [FramedTarget(runs), FramedTarget(runs)]
+        async with EntryInstance(targets) as instance:
+            cut = await instance.send("/resumable-stream/x", "r1")
+            context.resumed = await instance.send(
+                "/resumable-stream/x", "r2", Last_Event_Id="6", Resumes="r1"
+            )
+        right = is_rest(cut, "cut after event 6")
+        return "" if right else f"{cut}"
+
+    check_problems(problems_of([run()]))
+
+
+@then("the caller that resumes it gets an empty answer, framed as whole")
+def check_resumed_end(context):
+    received = context.resumed
+    assert (received.status, received.body) == (200, b""), received
+    assert received.whole, received
+
+
+def is_rest(received, expected):
+    """Whether a caller received whole events up to a stated one, and what end."""
+    if expected == "whole, with keep-alives":
+        first, rest = EVENT_BLOCKS[:3], RESTS["keep-alives"](EVENT_BLOCKS[3:])
+        return received.whole and received.body == b"".join(first + rest)
+    numbers = [int(word) for word in expected.split() if word.isdecimal()]
+    bodies = [b"".join(EVENT_BLOCKS[:n]) for n in range(numbers[0], numbers[-1] + 1)]
+    return not received.whole and received.status == 200 and received.body in bodies
+
+
+@then("a caller that has events 1 to 3 and resumes gets {rest} unchanged")
+def check_first_rest(context, rest):
+    check_problems(problems_of(run_first_rest(name, rest) for name in FRAMINGS))
+
+
+async def run_first_rest(framing, rest):
+    targets = [FramedTarget(Runs((AnswerScript(framing, "complete", rest),)))]
+    async with EntryInstance(targets, ("v1",), {"r0": "v1"}) as instance:
+        received = await instance.send(
+            "/resumable-stream/x", Last_Event_Id="3", Resumes="r0"
+        )
+    body = b"".join(RESTS[rest](EVENT_BLOCKS[3:]))
+    right = received.whole and received.body == body
+    return "" if right else f"{framing} {rest}: {received}"
+
+
 @then("a stream that breaks {breaks} with targets of versions {versions} is {received}")
 def check_versions(context, breaks, versions, received):
     software = tuple(versions.replace("?", "").split(", "))
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 from aiohttp import HttpVersion11, web
 
@@ -19,7 +19,7 @@
     StreamEvent,
     event_number,
 )
-from marjoramstage.transport.target_client import BROKEN, TargetResponse
+from marjoramstage.transport.target_client import BROKEN, FOREIGN, TargetResponse
 
 EVENT_STREAM = "text/event-stream"
 # Larger answers are relayed as they arrive.
@@ -44,7 +44,14 @@
             "the answer carries the id of another request",
             Verdict.MAY_HAVE_RUN,
             status,
-            "foreign",
+            FOREIGN,
+        )
+    if not answered_id and answer.reused_connection:
+        raise TargetError(
+            "the answer carries no id and may be that of an earlier request",
+            Verdict.MAY_HAVE_RUN,
+            status,
+            FOREIGN,
         )
     if platform.proves_not_run(status, headers):
         raise TargetError(
@@ -84,6 +91,21 @@
         )
 
 
+def _check_rest(events: Iterable[StreamEvent], last_id: str) -> None:
+    """Raise unless events may follow the one with ``last_id`` in a resumed stream."""
+    for event in events:
+        if event.is_comment:
+            continue
+        if not event.id or (event_number(last_id) is not None and event.number is None):
+            raise TargetError(
+                f"an event with the id {event.id!r} after event {last_id}",
+                Verdict.MAY_HAVE_RUN,
+                reason="failed",
+            )
+        _check_follows(event, last_id)
+        last_id = event.id
+
+
 def _is_stream(answer: TargetResponse) -> bool:
     content_type = answer.headers.get("Content-Type", "")
     return answer.status == 200 and content_type.startswith(EVENT_STREAM)
@@ -171,20 +193,34 @@
             ctx.resp = await self._start(ctx, answer)
             ctx.resumable = True
         resp = ctx.resp
+        is_rest = ctx.first_event_s is not None
+        last_id = ctx.last_event_id
         async for chunk in answer.iter_chunks():
             self._note_writing(ctx)
             events = self._split(splitter, chunk)
             if not events:
                 continue
-            _check_follows(events[0], ctx.last_event_id)
+            if is_rest:
+                _check_rest(events, ctx.last_event_id)
+            else:
+                _check_follows(events[0], ctx.last_event_id)
             await resp.write(b"".join(event.data for event in events))
             now_s = self._state.clock.now()
             if ctx.route.resumable:
                 self._keep_origin(ctx, now_s)
-            ctx.record_event(events[-1], now_s)
+            last = next((e for e in reversed(events) if not e.is_comment), None)
+            if last is not None:
+                ctx.record_event(last, now_s)
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
+        if is_rest and ctx.last_event_id == last_id:
+            raise TargetError(
+                "no event in the rest of a stream",
+                Verdict.MAY_HAVE_RUN,
+                answer.status,
+                "failed",
+            )
         if splitter.incomplete:
             await resp.write(splitter.incomplete)
         await resp.write_eof()
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -43,9 +43,17 @@
     when the connection ends, even when it was reset or closed by this side. It
     bounds single lines, but neither the number of interim responses nor the size
     of chunk lines, and it queues responses that nothing asked for.
+
+    Attributes
+    ----------
+    end : ConnectionEnd
+        How it ended, if it did.
+    requests : int
+        Number of requests that were sent on it.
     """
 
     end = ConnectionEnd.OPEN
+    requests = 0
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop=loop)
@@ -56,6 +64,7 @@
         """Prepare for the response to a request that is about to be sent."""
         self._meter.restart()
         self._answered = False
+        self.requests += 1
         super().set_response_params(**kwargs)
 
     def feed_data(self, data: tuple[RawResponseMessage, Any], size: int = 0) -> None:
@@ -95,14 +104,18 @@
             self.end = ConnectionEnd.BROKEN
         super().connection_lost(exc)
 
+    def disconnect(self) -> None:
+        """End the connection at once, also while it is in the pool."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def _refuse(self, reason: str) -> None:
         """Fail the response that is being read, if any, and the connection."""
         exc = UnexpectedBytesError(reason)
         self.set_exception(exc)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(exc)
-        if self.transport is not None:
-            self.transport.abort()
+        self.disconnect()
 
 
 def client_connector(**kwargs: Any) -> aiohttp.TCPConnector:
