Judge answers that only their connection ends by whether the target serves

Cause: CrashObserver took an answer that a crash ended between two events for a whole one. It counted for its parts if no other answer broke off within 0.2 s, and not at all otherwise. So a fatal request was missing from its crash, or acquitted the fatal part, and the parts of the others that were there looked guilty.

Fix: 0.2 s after such an answer, it went well if the target takes connections, or crashed 0.05 s or more after the end; if it is down it is reported as a request of the crash; if the target leaves it counts neither way.

The row "broke another off" of crash_observer asked for "neither" at a target that is down, which is the fault; it now asks for "against", and a row with the target up asks for "for".

Not measured: what the extra connection for each such answer costs at scale.

--- a/features/crash_observer.feature
+++ b/features/crash_observer.feature
@@ -18,7 +18,11 @@
       | a b c | breaks off before it began            | has started again     | neither for nor against any |
       | a b c | is whole, with a length               | is up                 | for a b |
       | a b c | is whole, ended by its connection     | is up                 | for a b |
-      | a b c | is whole, ended by its connection     | broke another off     | neither for nor against any |
+      | a b c | is whole, ended by its connection     | broke another off, is down | against a b |
+      | a b c | is whole, ended by its connection     | broke another off, is up | for a b |
+      | a b c | is whole, ended by its connection     | is down               | against a b |
+      | a b c | is whole, ended by its connection     | crashes 0.1 s later   | for a b |
+      | a b c | is whole, ended by its connection     | leaves                | neither for nor against any |
       | a b c | is a failure, with a length           | is up                 | neither for nor against any |
       | a b c | goes on 1.5 s after it began          | is up                 | for a b |
       | a b c | goes on 0.5 s after it began          | is up                 | neither for nor against any |
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -57,6 +57,21 @@
       | few requests, five fatal ones a second  | 20    |
       | fatal requests from the start           | 20    |
 
+  Scenario Outline: healthy requests are not refused for long, <load>, seeds 1 to <seeds>
+    Given streams of <load>
+    When the streams are played with seeds 1 to <seeds>
+    Then after the fifth crash and 3 s at most 3 fatal requests are sent
+    And from 6 s after the fifth crash at least half of those with the same first part begin
+    And no healthy request with the other first part is refused
+
+    Examples:
+      | load                                                     | seeds |
+      | fatal requests, ended by their connection                | 20    |
+      | fatal requests, 3 in 10 ended between two events         | 20    |
+      | fatal requests, all ended between two events             | 20    |
+      | fatal requests, with a length                            | 20    |
+      | crashes by chance, 3 in 10 ended between two events      | 20    |
+
   Scenario: what another instance found
     Given an instance that saw p go well at 5 s after a crash
     Then it takes over a quarantine of q, last crash at 4 s, which holds back q
--- a/features/steps/crash_observer.py
+++ b/features/steps/crash_observer.py
@@ -65,14 +65,14 @@
 
 async def play(context, answer, target):
     fleet, observer, req = context.state.fleet, context.observer, context.req
-    context.client.is_up = target == "is up"
+    context.client.is_up = target.endswith("is up")
     if target == "leaves":
         fleet.put(replace(context.target, leaving=True))
     if target == "is gone":
         fleet.remove("t1", True)
     if target == "has started again":
         fleet.put(replace(context.target, incarnation=2))
-    if target == "broke another off":
+    if target.startswith("broke another off"):
         observer.broke_off(make_request("x y", "r2"), context.target)
         context.against.clear()
     if answer in FRAMINGS:
@@ -89,6 +89,9 @@
             observer.writing(req)
         else:
             observer.broke_off(req, context.target)
+    if target == "crashes 0.1 s later":
+        await asyncio.sleep(0.1)
+        observer.broke_off(make_request("x y", "r2"), context.target)
     if target == "leaves a moment later":
         await asyncio.sleep(0.05)
         fleet.put(replace(context.target, leaving=True))
--- a/features/steps/part_quarantine.py
+++ b/features/steps/part_quarantine.py
@@ -5,12 +5,19 @@
 from behave import given, then, when
 
 from features.crash_simulation import CrashLoad, CrashSimulation
+from features.unframed_simulation import (
+    OTHER_FIRST,
+    SAME_FIRST,
+    UnframedLoad,
+    UnframedSimulation,
+)
 from marjoramstage.coordination.crash_evidence import CrashedRequest, TargetStart
 from marjoramstage.coordination.part_quarantine import (
     SETTLE_S,
     PartQuarantine,
     Quarantine,
 )
+from marjoramstage.transport.framing import Framing
 
 STABLE_S = 3.0
 SLACK_S = 0.01
@@ -29,6 +36,15 @@
     "few requests, five fatal ones a second": CrashLoad(rate=8.0, fatal_rate=5.0),
     "fatal requests from the start": CrashLoad(fatal_rate=2.0, fatal_from_s=0.0),
 }
+STREAMS = {
+    "fatal requests, ended by their connection": UnframedLoad(),
+    "fatal requests, with a length": UnframedLoad(framing=Framing.LENGTH),
+    "fatal requests, 3 in 10 ended between two events": UnframedLoad(between_share=0.3),
+    "fatal requests, all ended between two events": UnframedLoad(between_share=1.0),
+    "crashes by chance, 3 in 10 ended between two events": UnframedLoad(
+        is_fatal=False, crash_share=0.06, between_share=0.3, for_s=40.0
+    ),
+}
 
 
 def _read(text):
@@ -89,6 +105,56 @@
         context.plays.append((seed, simulation))
 
 
+@given("streams of {load}")
+def choose_streams(context, load):
+    context.load = STREAMS[load]
+
+
+@when("the streams are played with seeds 1 to {seeds:d}")
+def play_streams(context, seeds):
+    count = int(context.config.userdata.get("crash_seeds", seeds))
+    context.plays = []
+    for seed in range(1, count + 1):
+        simulation = UnframedSimulation(context.load, seed)
+        simulation.run()
+        context.plays.append((seed, simulation))
+
+
+def first_attempts(simulation, first):
+    return [attempt for attempt in simulation.firsts if attempt.first == first]
+
+
+@then(
+    "from 6 s after the fifth crash at least half of those with the same first part "
+    "begin"
+)
+def check_same_first(context):
+    failed = []
+    for seed, simulation in context.plays:
+        from_s = sorted(simulation.fatal_crashes_s)[4:5] or [0.0]
+        late = [
+            attempt
+            for attempt in first_attempts(simulation, SAME_FIRST)
+            if attempt.at_s > from_s[0] + 2 * STABLE_S
+        ]
+        begun = sum(not attempt.is_refused for attempt in late)
+        assert len(late) >= 20, (seed, len(late))
+        if begun < len(late) / 2:
+            failed.append((seed, begun, len(late)))
+    assert not failed, failed
+
+
+@then("no healthy request with the other first part is refused")
+def check_other_first(context):
+    failed = []
+    for seed, simulation in context.plays:
+        other = first_attempts(simulation, OTHER_FIRST)
+        refused = sum(attempt.is_refused for attempt in other)
+        if refused:
+            failed.append((seed, refused, len(other)))
+    assert not failed, failed
+
+
 @then("after the fifth crash and 3 s at most 3 fatal requests are sent")
 def check_fatal(context):
     for seed, simulation in context.plays:
--- a/src/marjoramstage/_entry/crash_observer.py
+++ b/src/marjoramstage/_entry/crash_observer.py
@@ -3,13 +3,14 @@
 An answer breaks off for many reasons: the target takes a connection for too many,
 leaves, or the network resets it. It counts as a crash only if the target, which no
 one says to leave, then accepts no connection. An answer on which the target has been
-writing for a while did not crash it.
+writing for a while did not crash it. One that only its connection ends is judged by
+whether its target still serves.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 
 from marjoramstage._entry.instance_state import InstanceState
@@ -23,6 +24,8 @@
 HARMLESS_AFTER_S = 1.0
 # A target that ends may accept connections for so long after it broke off answers.
 CONFIRM_DELAY_S = 0.1
+# A crash ends all answers of its target within this time, in seconds.
+SAME_END_S = 0.05
 # How long a crash stays known to the requests that notice it late, in seconds.
 KNOWN_CRASH_S = 1.5
 
@@ -35,6 +38,15 @@
     requests: list[CrashedRequest] = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class _UnframedEnd:
+    """An end of an answer that may be whole or cut between two events."""
+
+    req: CrashedRequest
+    began_s: float
+    ended_s: float
+
+
 class CrashObserver:
     """Observes how answers of targets end.
 
@@ -73,22 +85,18 @@
         """Note that a target has written a whole answer.
 
         One that only its connection ends may also be one that a crash cut between
-        two events, so it counts after a while.
+        two events, so it counts once it is known whether the target still serves.
         """
         if ctx.harmless or not ctx.shared_parts or answer.status >= 300:
             return
         if answer.framing is not Framing.CONNECTION:
             self._note_harmless(ctx)
             return
-        loop = asyncio.get_running_loop()
-        began_s = ctx.answer_began_s or self._state.clock.now()
-        loop.call_later(
-            2 * CONFIRM_DELAY_S,
-            self._note_unframed,
-            ctx.shared_parts,
-            began_s,
-            _start_of(target),
-        )
+        now_s = self._state.clock.now()
+        req = CrashedRequest(ctx.headers.request_id, ctx.shared_parts, ctx.sent_s)
+        began_s = now_s if ctx.answer_began_s is None else ctx.answer_began_s
+        end = _UnframedEnd(req, began_s, now_s)
+        self._start_task(self._confirm_end(end, target))
 
     def broke_off(self, ctx: RequestContext, target: FleetTarget) -> None:
         """Note that an answer broke off, or that its connection did before it."""
@@ -106,9 +114,7 @@
         found = self._breaks.get(start)
         if found is None:
             found = self._breaks[start] = _Break(now_s)
-            task = asyncio.create_task(self._confirm(start, target))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start_task(self._confirm(start, target))
         found.requests.append(req)
 
     def _wrote_long(self, ctx: RequestContext) -> bool:
@@ -122,11 +128,44 @@
         began_s = ctx.answer_began_s or self._state.clock.now()
         self.on_harmless(ctx.shared_parts, began_s)
 
-    def _note_unframed(
-        self, parts: tuple[str, ...], began_s: float, start: TargetStart
-    ) -> None:
-        if start not in self._breaks and start not in self._crashed_s:
-            self.on_harmless(parts, began_s)
+    def _start_task(self, coro: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _confirm_end(self, end: _UnframedEnd, target: FleetTarget) -> None:
+        """Report how an answer ended that only its connection ends."""
+        start = _start_of(target)
+        await asyncio.sleep(2 * CONFIRM_DELAY_S)
+        is_up = await self._target_client.accepts_connections(target.address)
+        crashed_s = self._known_crash_s(start)
+        if is_up or self._ended_before(end, crashed_s):
+            self.on_harmless(end.req.parts, end.began_s)
+            return
+        if not self._serves(target):
+            return
+        if start in self._breaks:
+            self._breaks[start].requests.append(end.req)
+            return
+        if crashed_s is None:
+            self._log_break(start, 1, is_up)
+            crashed_s = end.ended_s
+            self._note_crash(start, crashed_s)
+        self.on_crash(start, crashed_s, (end.req,))
+
+    def _known_crash_s(self, start: TargetStart) -> float | None:
+        """Return when a target crashed, or may have; None if nothing shows that."""
+        if start in self._breaks:
+            return self._breaks[start].at_s
+        return self._crashed_s.get(start)
+
+    def _ended_before(self, end: _UnframedEnd, crashed_s: float | None) -> bool:
+        """Whether an answer ended too long before a crash to be cut by it."""
+        return crashed_s is not None and crashed_s - end.ended_s >= SAME_END_S
+
+    def _note_crash(self, start: TargetStart, at_s: float) -> None:
+        self._forget_crashes()
+        self._crashed_s[start] = at_s
 
     def _serves(self, target: FleetTarget) -> bool:
         """Whether a target is listed and isn't known to leave."""
@@ -142,18 +181,20 @@
             is_up = await self._target_client.accepts_connections(target.address)
         finally:
             found = self._breaks.pop(start)
+        self._log_break(start, len(found.requests), is_up)
+        if is_up or not self._serves(target):
+            return
+        self._note_crash(start, found.at_s)
+        self.on_crash(start, found.at_s, found.requests)
+
+    def _log_break(self, start: TargetStart, requests: int, is_up: bool) -> None:
         self._state.events.event(
             "answers broke off",
             target=start.target,
             incarnation=start.incarnation,
-            requests=len(found.requests),
+            requests=requests,
             target_up=is_up,
         )
-        if is_up or not self._serves(target):
-            return
-        self._forget_crashes()
-        self._crashed_s[start] = found.at_s
-        self.on_crash(start, found.at_s, found.requests)
 
     def _forget_crashes(self) -> None:
         now_s = self._state.clock.now()
