Withdraw requests whose target leaves or pauses while their connection is opened

Cause: what a target says is applied when a target is chosen, not when the request is written; in between the connection is opened. Orders and reports alike.

Ruled out by reading only, no run: reused connections need no time to open, so the window is that of new ones; requests in the wait queue choose their target anew.

Now checked once more when the connection is there (CheckedRequest.send). A withdrawn request has the verdict NOT_RUN, reason "withdrawn"; its slot is released, the target counts neither as tried nor as unreachable, and the retry budget isn't charged. Reports of a target that leaves are still read.

Test features/connecting: 15 scenarios pass. On the code without the fix 14 of them fail: the target got 10 requests instead of 1, as many as it has room for ("ASSERT FAILED: 10"), and 51 orders or reports instead of 1 ("ASSERT FAILED: 51"). The 15th, reports of a target that leaves, passes on both and guards against withdrawing those.

Passed on this code: connecting, docs, target_notices, target_notices_path, answer_framing, entry_path, request_faults, crash_observer, stream_versions, dispatcher.

--- /dev/null
+++ b/features/connecting.feature
@@ -0,0 +1,44 @@
+Feature: Requests whose connection is being opened when their target wants no more
+  The instance runs in the test's process, with real sockets. Connections to one of
+  its targets stay in the making until that target has answered another request.
+
+  Scenario Outline: fifty requests to <path> while a target <notice>, another serves
+    Given a target t0 that <notice> in its first answer, and 50 requests to <path>
+    When t0 answers while connections to it are being opened, and another serves
+    Then t0 got 1 request, and each of the 50 was answered 200 by the other
+    And no slot of t0 is taken, it is reachable and no retry was charged for the 50
+
+    Examples:
+      | path                 | notice       |
+      | /once/x              | leaves       |
+      | /once/x              | pauses 3     |
+      | /any/x               | leaves       |
+      | /any/x               | pauses 3     |
+      | /stream/x            | leaves       |
+      | /stream/x            | pauses 3     |
+      | /resumable-stream/x  | leaves       |
+      | /resumable-stream/x  | pauses 3     |
+
+  Scenario Outline: fifty requests to <path> while their only target <notice>
+    Given a target t0 that <notice> in its first answer, and 50 requests to <path>
+    When t0 answers while connections to it are being opened, and no other serves
+    Then t0 got 1 request, and each of the 50 was refused for <least> s or longer
+    And no slot of t0 is taken, it is reachable and no retry was charged for the 50
+
+    Examples:
+      | path       | notice       | least |
+      | /once/x    | leaves       | 0.3   |
+      | /once/x    | pauses 3     | 2.5   |
+      | /stream/x  | pauses 3     | 2.5   |
+
+  Scenario Outline: fifty <calls> while a target <notice>
+    Given a target t0 that <notice> in its first answer, and 50 requests to <calls>
+    When t0 answers while connections to it are being opened, and no other serves
+    Then t0 got 1 request and <sent> of the 50 <calls>
+
+    Examples:
+      | calls   | notice   | sent |
+      | orders  | leaves   | none |
+      | orders  | pauses 3 | none |
+      | reports | leaves   | all  |
+      | reports | pauses 3 | none |
--- /dev/null
+++ b/features/slow_connect.py
@@ -0,0 +1,69 @@
+"""An event loop and a target whose connections are opened late, when a test says so."""
+
+import asyncio
+from contextlib import suppress
+
+from aiohttp import web
+
+
+class SlowConnectLoop(asyncio.SelectorEventLoop):
+    """Event loop in which connections to one port wait until ``gate`` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.slow_port = None
+        self.gate = asyncio.Event()
+        self.connecting = 0
+
+    async def sock_connect(self, sock, address):
+        """Connect a socket, once the gate is set if it is to the slow port."""
+        if address[1] == self.slow_port:
+            self.connecting += 1
+            await self.gate.wait()
+        return await super().sock_connect(sock, address)
+
+
+class GatedTarget:
+    """A target that counts requests; it answers the first one when it is let.
+
+    Parameters
+    ----------
+    status, headers
+        Of that first answer; all others are 200.
+    """
+
+    def __init__(self, status=200, headers=None):
+        self._status, self._headers = status, headers or {}
+        self.received = 0
+        self.may_answer = asyncio.Event()
+        self._server = web.Server(self._answer, access_log=None)
+        self._listener = None
+        self.port = None
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, "127.0.0.1", 0)
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self._listener.close()
+        with suppress(TimeoutError):
+            await self._server.shutdown(0.1)
+
+    async def _answer(self, req):
+        self.received += 1
+        await req.read()
+        if self.received > 1:
+            return self._reply(req, 200, {})
+        await self.may_answer.wait()
+        return self._reply(req, self._status, self._headers)
+
+    def _reply(self, req, status, headers):
+        if status == 200 and "stream" in req.path:
+            text, kind = "id: 1\ndata: x\n\n", "text/event-stream"
+            return web.Response(text=text, content_type=kind, headers=headers)
+        return web.Response(status=status, text="ok", headers=headers)
--- /dev/null
+++ b/features/steps/connecting.py
@@ -0,0 +1,118 @@
+"""Steps about requests whose connection is being opened when a target says no."""
+
+import asyncio
+import logging
+from unittest import mock
+
+from behave import given, then, when
+
+from features.entry_caller import SERVICE, EntryInstance
+from features.slow_connect import GatedTarget, SlowConnectLoop
+from marjoramstage._entry.target_control import TargetControl
+from marjoramstage.protocol.control import Order, OrderAnswer
+from marjoramstage.state.fleet import FleetTarget, Item
+from marjoramstage.transport.target_client import TargetClient
+
+SETTLE_S = 0.15
+ORDER = Order("t0", Item("m1"), True)
+NOTICES = {
+    "leaves": (200, {"Server-Leaving": "1"}),
+    "pauses 3": (503, {"Retry-After": "3", "Not-Run": "1"}),
+}
+
+
+@given("a target t0 that {notice} in its first answer, and {count:d} requests to {to}")
+def make_target(context, notice, count, to):
+    context.notice, context.count, context.to = notice, count, to
+
+
+@when("t0 answers while connections to it are being opened, and {others} serves")
+def answer_meanwhile(context, others):
+    loop = SlowConnectLoop()
+    asyncio.set_event_loop(loop)
+    logging.disable(logging.CRITICAL)
+    try:
+        loop.run_until_complete(run(context, loop, others == "another"))
+    finally:
+        logging.disable(logging.NOTSET)
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def run(context, loop, other_serves):
+    """Send one request, open the connections of more, then let it be answered."""
+    target, other = GatedTarget(*NOTICES[context.notice]), GatedTarget()
+    other.may_answer.set()
+    await other.start()
+    async with EntryInstance((target,)) as instance:
+        state = instance.state
+        client = TargetClient()
+        path = context.to if context.to.startswith("/") else "/any/x"
+        first = asyncio.create_task(instance.send(path, "first"))
+        await asyncio.sleep(SETTLE_S)
+        assert target.received == 1
+        if other_serves:
+            state.put_target(FleetTarget("t1", 1, SERVICE, other.address, "a", slots=8))
+        loop.slow_port = target.port
+        budget = state.retry_budget(SERVICE)
+        with mock.patch.object(budget, "spend", wraps=budget.spend) as spend:
+            tasks = begin(context, instance, TargetControl(state, client))
+            await asyncio.sleep(SETTLE_S)
+            assert loop.connecting > 2, loop.connecting
+            target.may_answer.set()
+            await asyncio.sleep(SETTLE_S)
+            loop.gate.set()
+            context.answers = await asyncio.gather(*tasks)
+            await first
+        await client.stop()
+        context.received = target.received
+        context.charged = spend.call_count
+        context.running = state.running_requests.running("t0")
+        context.reachable = state.health.is_reachable("t0", state.clock.now())
+    await other.stop()
+
+
+def begin(context, instance, control):
+    """Begin the requests or control calls; return their tasks."""
+    listed = instance.state.fleet.targets["t0"]
+    calls = {
+        "orders": lambda number: control.send_order(listed, ORDER),
+        "reports": lambda number: control.fetch_report(listed),
+    }
+    send = calls.get(context.to, lambda number: instance.send(context.to, f"r{number}"))
+    return [asyncio.create_task(send(number)) for number in range(context.count)]
+
+
+@then("t0 got 1 request, and each of the {count:d} was answered 200 by the other")
+def check_answered(context, count):
+    assert context.received == 1, context.received
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * count, statuses
+
+
+@then(
+    "t0 got 1 request, and each of the {count:d} was refused for {least:g} s or longer"
+)
+def check_refused(context, count, least):
+    assert context.received == 1, context.received
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [503] * count, statuses
+    back_s = min(float(a.headers["Retry-After"]) for a in context.answers)
+    assert back_s >= least, back_s
+
+
+@then(
+    "no slot of t0 is taken, it is reachable and no retry was charged for the {count:d}"
+)
+def check_uncharged(context, count):
+    assert context.running == 0, context.running
+    assert context.reachable
+    # The first request itself may be repeated after its refusal.
+    assert context.charged == (context.notice != "leaves"), context.charged
+
+
+@then("t0 got 1 request and {sent} of the {count:d} {calls}")
+def check_calls(context, sent, count, calls):
+    assert context.received == 1 + (count if sent == "all" else 0), context.received
+    if calls == "orders":
+        assert context.answers == [OrderAnswer.NOT_SENT] * count, context.answers
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -37,6 +37,8 @@
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     BROKEN,
+    UNREACHED,
+    WITHDRAWN,
     TargetClient,
     TargetRequest,
     TargetResponse,
@@ -273,7 +275,7 @@
         may_resume = ctx.route.resumable and ctx.resumable and may_retry
         if ctx.resp is not None and not may_resume:
             raise TruncatedAnswerError("the answer broke off")
-        reached_target = exc.reason != "unreached"
+        reached_target = exc.reason not in (UNREACHED, WITHDRAWN)
         if may_retry and now_s < ctx.deadline_s:
             # Only attempts that reached a target are charged to the retry budget.
             if not reached_target or self._state.retry_budget(ctx.service).spend(now_s):
@@ -403,9 +405,13 @@
             new_connection=ctx.route.run_policy is RunPolicy.AT_MOST_ONCE,
         )
         try:
-            answer = await self._target_client.send(call)
+            answer = await self._target_client.send(
+                call, may_send=lambda: self._state.takes_requests(target)
+            )
         except TargetError as exc:
             now_s = self._state.clock.now()
+            if exc.reason == WITHDRAWN:
+                raise
             if exc.verdict is Verdict.NOT_RUN:
                 self._state.health.record_unreachable(target.name, now_s)
             else:
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -216,6 +216,10 @@
             self.prefill_backlog.forget(name)
         self.events.event("target removed", target=name, settled=confirmed)
 
+    def takes_requests(self, target: FleetTarget) -> bool:
+        """Whether a target wants requests, as far as it said itself."""
+        return self.notices.takes_requests(target, self.clock.now())
+
     def pause_left_s(self, target: FleetTarget) -> float:
         """Return how much longer a target wants no requests of this instance."""
         return self.notices.pause_left_s(target, self.clock.now())
--- a/src/marjoramstage/_entry/target_control.py
+++ b/src/marjoramstage/_entry/target_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from result import Err
 
@@ -40,7 +41,13 @@
         )
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                reply = await self._call(target, call, MAX_REPORT_BYTES)
+                reply = await self._call(
+                    target,
+                    call,
+                    MAX_REPORT_BYTES,
+                    # A target that leaves is still asked what it holds.
+                    lambda: self._state.pause_left_s(target) <= 0,
+                )
         except (TargetError, TimeoutError) as exc:
             self._state.events.event(
                 "report request failed",
@@ -70,7 +77,12 @@
         )
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                reply = await self._call(target, call, MAX_ORDER_ANSWER_BYTES)
+                reply = await self._call(
+                    target,
+                    call,
+                    MAX_ORDER_ANSWER_BYTES,
+                    lambda: self._state.takes_requests(target),
+                )
         except TargetError as exc:
             not_run = exc.verdict is Verdict.NOT_RUN
             return OrderAnswer.NOT_SENT if not_run else OrderAnswer.UNKNOWN
@@ -79,9 +91,13 @@
         return platform.decode_order_answer(reply.status)
 
     async def _call(
-        self, target: FleetTarget, call: TargetRequest, max_bytes: int
+        self,
+        target: FleetTarget,
+        call: TargetRequest,
+        max_bytes: int,
+        may_send: Callable[[], bool],
     ) -> TargetReply:
-        reply = await self._target_client.fetch(call, max_bytes)
+        reply = await self._target_client.fetch(call, max_bytes, may_send)
         notice = platform.target_notice(reply.status, reply.headers)
         self._state.targets_out.record(target, notice, "")
         return reply
--- a/src/marjoramstage/coordination/target_notices.py
+++ b/src/marjoramstage/coordination/target_notices.py
@@ -98,6 +98,10 @@
         if leaving is not None and leaving.incarnation == UNKNOWN_INCARNATION:
             del self._leaving[name]
 
+    def takes_requests(self, target: FleetTarget, now_s: float) -> bool:
+        """Whether a target neither leaves nor pauses."""
+        return not self.is_leaving(target) and self.pause_left_s(target, now_s) <= 0
+
     def pause_left_s(self, target: FleetTarget, now_s: float) -> float:
         """Return how much longer a target wants no requests; 0 if it takes some."""
         until_s = self._pauses.get((target.name, target.incarnation), now_s)
--- a/src/marjoramstage/transport/send_once.py
+++ b/src/marjoramstage/transport/send_once.py
@@ -1,7 +1,9 @@
-"""Prevents aiohttp from sending a request twice."""
+"""Prevents aiohttp from sending a request twice, or when it may no longer be sent."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import aiohttp
 
 
@@ -14,6 +16,34 @@
     """
 
 
+class WithdrawnError(Exception):
+    """The request was not written: its target may no longer get it."""
+
+
+class CheckedRequest(aiohttp.ClientRequest):
+    """A request that is checked once more when its connection is open.
+
+    Attributes
+    ----------
+    may_send : callable
+        Whether the request may still be written.
+    """
+
+    may_send: Callable[[], bool] = staticmethod(lambda: True)
+
+    async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
+        """Write the request.
+
+        Raises
+        ------
+        WithdrawnError
+            It may no longer be sent; nothing was written.
+        """
+        if not self.may_send():
+            raise WithdrawnError
+        return await super().send(conn)
+
+
 async def send_once(
     req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import aiohttp
@@ -20,13 +20,19 @@
 from marjoramstage.transport.framing import Framing
 from marjoramstage.transport.overhead import MAX_BODY_BYTES
 from marjoramstage.transport.response_body import ResponseBody
-from marjoramstage.transport.send_once import ConnectionLostError, send_once
+from marjoramstage.transport.send_once import (
+    CheckedRequest,
+    ConnectionLostError,
+    WithdrawnError,
+    send_once,
+)
 from marjoramstage.transport.sockets import create_client_socket
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_TIMEOUT_S = 4.0
 MAX_HEADER_BYTES = 32_768
 UNREACHED = "unreached"
+WITHDRAWN = "withdrawn"
 BROKEN = "broken"
 FOREIGN = "foreign"
 
@@ -73,6 +79,11 @@
     body: bytes
 
 
+def always() -> bool:
+    """Let every request be sent."""
+    return True
+
+
 class TargetResponse:
     """The response of a target: status and headers, then its body."""
 
@@ -157,7 +168,12 @@
         writer.close()
         return True
 
-    async def fetch(self, request: TargetRequest, max_bytes: int) -> TargetReply:
+    async def fetch(
+        self,
+        request: TargetRequest,
+        max_bytes: int,
+        may_send: Callable[[], bool] = always,
+    ) -> TargetReply:
         """Send a control call; return its response with the whole body.
 
         Raises
@@ -165,7 +181,7 @@
         TargetError
             As for `send`, or the body was truncated or larger than ``max_bytes``.
         """
-        answer = await self.send(request, max_bytes)
+        answer = await self.send(request, max_bytes, may_send)
         try:
             body = b"".join([chunk async for chunk in answer.iter_chunks()])
         finally:
@@ -173,7 +189,10 @@
         return TargetReply(answer.status, answer.headers, body)
 
     async def send(
-        self, request: TargetRequest, max_bytes: int = MAX_BODY_BYTES
+        self,
+        request: TargetRequest,
+        max_bytes: int = MAX_BODY_BYTES,
+        may_send: Callable[[], bool] = always,
     ) -> TargetResponse:
         """Send a request; return once the response headers have arrived.
 
@@ -181,6 +200,9 @@
         ----------
         max_bytes : int
             Size above which the body of the response is refused.
+        may_send : callable
+            Whether the request may still be sent; called when the connection is
+            open, just before the request is written.
 
         Raises
         ------
@@ -197,8 +219,12 @@
                 headers=request.headers,
                 data=request.body or None,
                 allow_redirects=False,
-                middlewares=(send_once,),
+                middlewares=(_check_with(may_send), send_once),
             )
+        except WithdrawnError as exc:
+            raise TargetError(
+                "withdrawn before it was sent", Verdict.NOT_RUN, None, WITHDRAWN
+            ) from exc
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise TargetError(
                 f"could not connect: {exc}", Verdict.NOT_RUN, None, UNREACHED
@@ -213,6 +239,18 @@
         return TargetResponse(resp, max_bytes)
 
 
+def _check_with(may_send: Callable[[], bool]) -> aiohttp.ClientMiddlewareType:
+    """Return a client middleware that has a request checked by a function."""
+
+    async def check(
+        req: CheckedRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        req.may_send = may_send
+        return await handler(req)
+
+    return check
+
+
 def _session(force_close: bool) -> aiohttp.ClientSession:
     kwargs = {} if force_close else {"keepalive_timeout": KEEPALIVE_TIMEOUT_S}
     connector = client_connector(
@@ -223,6 +261,7 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        request_class=CheckedRequest,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
