Spread callers that are refused for lack of retry budget during a pause

What callers saw: a request that a target turned away with 503 and Retry-After, and for which there was no retry budget, was refused until exactly the end of the pause, so that all such callers came back together. Those refused by the wait policy were spread.

Cause: CallerHandler passed the end of the pause on as it was; WaitPolicy alone adds the spread. Both use WaitPolicy.retry_after_pause_s now.

Ruled out: nothing else was examined. The spread itself (a quarter of the pause, at least 0.5 s) is unchanged.

Test: features/connecting, "callers refused for lack of retry budget in a pause do not come back at once". 80 requests, pause of 4 s, at most 30 may be due within 0.1 s (8 on average if spread evenly over 1 s).

--- a/features/connecting.feature
+++ b/features/connecting.feature
@@ -31,6 +31,10 @@
       | /once/x    | pauses 3     | 2.5   |
       | /stream/x  | pauses 3     | 2.5   |
 
+  Scenario: callers refused for lack of retry budget in a pause do not come back at once
+    When a target turns 80 requests away together for 4 s and there is no retry budget
+    Then they are refused for 3.9 to 5.0 s, at most 30 of them within 0.1 s
+
   Scenario Outline: fifty <calls> while a target <notice>
     Given a target t0 that <notice> in its first answer, and 50 requests to <calls>
     When t0 answers while connections to it are being opened, and no other serves
--- a/features/slow_connect.py
+++ b/features/slow_connect.py
@@ -24,16 +24,19 @@
 
 
 class GatedTarget:
-    """A target that counts requests; it answers the first one when it is let.
+    """A target that counts requests; it answers the first ones when it is let.
 
     Parameters
     ----------
     status, headers
-        Of that first answer; all others are 200.
+        Of those first answers; all others are 200.
+    gated : int
+        Number of the first answers.
     """
 
-    def __init__(self, status=200, headers=None):
+    def __init__(self, status=200, headers=None, gated=1):
         self._status, self._headers = status, headers or {}
+        self._gated = gated
         self.received = 0
         self.may_answer = asyncio.Event()
         self._server = web.Server(self._answer, access_log=None)
@@ -57,7 +60,7 @@
     async def _answer(self, req):
         self.received += 1
         await req.read()
-        if self.received > 1:
+        if self.received > self._gated:
             return self._reply(req, 200, {})
         await self.may_answer.wait()
         return self._reply(req, self._status, self._headers)
--- a/features/steps/connecting.py
+++ b/features/steps/connecting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from unittest import mock
 
 from behave import given, then, when
@@ -14,6 +15,9 @@
 from marjoramstage.transport.target_client import TargetClient
 
 SETTLE_S = 0.15
+POLL_S = 0.01
+TIMEOUT_S = 5.0
+NO_BUDGET = b"not run, no budget for a repeat\n"
 ORDER = Order("t0", Item("m1"), True)
 NOTICES = {
     "leaves": (200, {"Server-Leaving": "1"}),
@@ -116,3 +120,43 @@
     assert context.received == 1 + (count if sent == "all" else 0), context.received
     if calls == "orders":
         assert context.answers == [OrderAnswer.NOT_SENT] * count, context.answers
+
+
+@when(
+    "a target turns {count:d} requests away together for {pause:g} s "
+    "and there is no retry budget"
+)
+def turn_away(context, count, pause):
+    context.retries_s = asyncio.run(turned_away(count, pause))
+
+
+async def turned_away(count, pause_s):
+    """Return when the callers of refused requests may retry, sorted, in seconds."""
+    headers = {"Retry-After": str(pause_s), "Not-Run": "1"}
+    target = GatedTarget(503, headers, gated=count)
+    async with EntryInstance((target,)) as instance:
+        state = instance.state
+        state.put_target(replace(state.fleet.targets["t0"], slots=count))
+        with mock.patch.object(
+            state.retry_budget(SERVICE), "spend", return_value=False
+        ):
+            requests = (instance.send("/once/x", f"r{n}") for n in range(count))
+            tasks = [asyncio.create_task(request) for request in requests]
+            async with asyncio.timeout(TIMEOUT_S):
+                while target.received < count:  # noqa: ASYNC110
+                    await asyncio.sleep(POLL_S)
+            target.may_answer.set()
+            answers = await asyncio.gather(*tasks)
+    assert {answer.body for answer in answers} == {NO_BUDGET}
+    return sorted(float(answer.headers["Retry-After"]) for answer in answers)
+
+
+@then(
+    "they are refused for {least:g} to {most:g} s, "
+    "at most {crowd:d} of them within 0.1 s"
+)
+def check_spread(context, least, most, crowd):
+    times_s = context.retries_s
+    assert least <= times_s[0] and times_s[-1] <= most, (times_s[0], times_s[-1])
+    crowds = [sum(at <= x < at + 0.1 for x in times_s) for at in times_s]
+    assert max(crowds) <= crowd, max(crowds)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -285,10 +285,17 @@
             raise TruncatedAnswerError("no budget to go on")
         if ctx.possible_runs:
             raise RefusalError(502, "the target's answer was lost")
-        pause_s = self._state.shortest_pause_s(ctx.criteria) or 0.0
-        retry_s = max(NO_BUDGET_RETRY_AFTER_S, pause_s)
+        retry_s = self._no_budget_retry_s(ctx)
         raise RefusalError(503, "not run, no budget for a repeat", retry_s)
 
+    def _no_budget_retry_s(self, ctx: RequestContext) -> float:
+        """Return when a caller may retry that is refused for lack of retry budget."""
+        pause_s = self._state.shortest_pause_s(ctx.criteria)
+        if pause_s is None:
+            return NO_BUDGET_RETRY_AFTER_S
+        retry_s = self._wait_policy.retry_after_pause_s(pause_s)
+        return max(NO_BUDGET_RETRY_AFTER_S, retry_s)
+
     async def _acquire_target(self, ctx: RequestContext) -> FleetTarget:
         """Occupy a slot at a target, waiting for one if need be."""
         state = self._state
--- a/src/marjoramstage/coordination/wait_policy.py
+++ b/src/marjoramstage/coordination/wait_policy.py
@@ -186,14 +186,19 @@
             return WaitDecision(True, retry_after_s=eta_s + limits.response_start_s)
         return WaitDecision(False, limits.recheck_s)
 
+    def retry_after_pause_s(self, pause_s: float) -> float:
+        """Return when a caller may retry at targets that pause; spreads callers."""
+        limits = self._limits
+        spread_s = max(limits.min_pause_spread_s, limits.pause_spread * pause_s)
+        return pause_s + self._rng.random() * spread_s
+
     def _during_pause(self, pause_s: float, remaining_s: float) -> WaitDecision:
         """Refuse a request until targets take some again, or wait if that is soon."""
         limits = self._limits
         in_time = pause_s + limits.response_start_s <= remaining_s
         if pause_s <= limits.pause_wait_s and in_time:
             return WaitDecision(False, min(pause_s, limits.recheck_s))
-        spread_s = max(limits.min_pause_spread_s, limits.pause_spread * pause_s)
-        return WaitDecision(True, retry_after_s=pause_s + self._rng.random() * spread_s)
+        return WaitDecision(True, retry_after_s=self.retry_after_pause_s(pause_s))
 
     def _wait_at_most(
         self, max_wait_s: float, waited_s: float, remaining_s: float, retry_s: float
