Test that a leaving notice in an interim response or a trailer has no effect

No fault was found: the rows pass on the code as it was, so they weren't seen to fail. The row with the same header in the head of the answer shows that the test can tell: there the target is out and the second of two requests isn't answered.

--- a/features/steps/target_notices.py
+++ b/features/steps/target_notices.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from multidict import CIMultiDict
 
+from features.entry_caller import EntryInstance
 from features.model_check import find_violation
 from features.notice_machine import NoticeMachine, make_state, make_target
 from features.simulated_targets import FakeTarget, TargetSimulation, spec
@@ -52,6 +53,57 @@
     assert list(platform.answer_headers(told)) == ["Stamp"]
 
 
+PARTS = {
+    "the head": b"HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 2\r\n\r\nok",
+    "an interim response": b"HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "a trailer": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\nServer-Leaving: 1\r\n\r\n",
+}
+
+
+class RawTarget:
+    """A target that gives the same bytes as its answer to each request."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.address = ""
+
+    async def start(self):
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._listener.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        self._listener.close()
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"abc")
+        writer.write(self._answer)
+        await reader.read()
+        writer.close()
+
+
+@when("a target answers {count:d} requests and says in {part} that it leaves")
+def answer_raw(context, count, part):
+    context.statuses, context.out = asyncio.run(send_to_raw(count, PARTS[part]))
+
+
+async def send_to_raw(count, answer):
+    """Send requests; return their statuses and the number of targets out."""
+    async with EntryInstance((RawTarget(answer),)) as instance:
+        paths = [f"/once/{number}" for number in range(count)]
+        answers = [await instance.send(path) for path in paths]
+        out = sum(instance.state.targets_out.counts().values())
+    return [answer.status for answer in answers], out
+
+
+@then("{answered:d} of them were answered 200, and {out:d} target is out")
+def check_raw(context, answered, out):
+    assert context.statuses.count(200) == answered, context.statuses
+    assert context.out == out, context.out
+
+
 # Choice of targets
 
 
--- a/features/target_notices.feature
+++ b/features/target_notices.feature
@@ -38,6 +38,16 @@
       | 429    | Retry-After: 5                         | says nothing       |
       | 500    | Retry-After: 5                         | says nothing       |
 
+  Scenario Outline: a target that says in <part> of an answer that it leaves
+    When a target answers 2 requests and says in <part> that it leaves
+    Then <answered> of them were answered 200, and <out> target is out
+
+    Examples:
+      | part                 | answered | out |
+      | the head             | 1        | 1   |
+      | an interim response  | 2        | 0   |
+      | a trailer            | 2        | 0   |
+
   Scenario: the caller of a target that leaves is not told
     Then of Server-Leaving and Stamp in an answer a caller gets only Stamp
 
