--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -38,6 +38,8 @@
 from marjoramstage.transport.target_client import (
     BROKEN,
     FOREIGN,
+    UNREACHED,
+    WITHDRAWN,
     TargetClient,
     TargetRequest,
     TargetResponse,
@@ -274,7 +276,7 @@
         may_resume = ctx.route.resumable and ctx.resumable and may_retry
         if ctx.resp is not None and not may_resume:
             raise TruncatedAnswerError("the answer broke off")
-        reached_target = exc.reason != "unreached"
+        reached_target = exc.reason not in (UNREACHED, WITHDRAWN)
         if may_retry and now_s < ctx.deadline_s:
             # Only attempts that reached a target are charged to the retry budget.
             if not reached_target or self._state.retry_budget(ctx.service).spend(now_s):
@@ -284,10 +286,17 @@
             raise TruncatedAnswerError("no budget to go on")
         if ctx.possible_runs:
             raise RefusalError(502, "the target's answer was lost")
-        pause_s = self._state.shortest_pause_s(ctx.criteria) or 0.0
-        retry_s = max(NO_BUDGET_RETRY_AFTER_S, pause_s)
+        retry_s = self._no_budget_retry_s(ctx)
         raise RefusalError(503, "not run, no budget for a repeat", retry_s)
 
+    def _no_budget_retry_s(self, ctx: RequestContext) -> float:
+        """Return when a caller may retry that is refused for lack of retry budget."""
+        pause_s = self._state.shortest_pause_s(ctx.criteria)
+        if pause_s is None:
+            return NO_BUDGET_RETRY_AFTER_S
+        retry_s = self._wait_policy.retry_after_pause_s(pause_s)
+        return max(NO_BUDGET_RETRY_AFTER_S, retry_s)
+
     async def _acquire_target(self, ctx: RequestContext) -> FleetTarget:
         """Occupy a slot at a target, waiting for one if need be."""
         state = self._state
@@ -408,9 +417,13 @@
             new_connection=ctx.route.run_policy is RunPolicy.AT_MOST_ONCE,
         )
         try:
-            answer = await self._target_client.send(call)
+            answer = await self._target_client.send(
+                call, may_send=lambda: self._state.takes_requests(target)
+            )
         except TargetError as exc:
             now_s = self._state.clock.now()
+            if exc.reason == WITHDRAWN:
+                raise
             if exc.verdict is Verdict.NOT_RUN:
                 self._state.health.record_unreachable(target.name, now_s)
             else:
