--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -55,7 +55,7 @@
 
     is_loaded = True
 
-    async def reload(self):
+    async def reload(self, since_s):
         """Read nothing new."""
 
 
