--- a/src/marjoramstage/coordination/crash_evidence.py
+++ b/src/marjoramstage/coordination/crash_evidence.py
@@ -73,10 +73,6 @@
         """Whether a request that has all these parts was there."""
         return any(parts <= set(req.parts) for req in self.requests)
 
-    def requests_with(self, part: str) -> list[CrashedRequest]:
-        """Return the requests that have a part."""
-        return [req for req in self.requests if part in req.parts]
-
 
 @dataclass(frozen=True)
 class Suspicion:
--- a/src/marjoramstage/coordination/part_quarantine.py
+++ b/src/marjoramstage/coordination/part_quarantine.py
@@ -122,9 +122,10 @@
             self._crashes.sort(key=lambda c: c.at_s)
             del self._crashes[:-MAX_CRASHES]
         known = {req.request_id for req in crash.requests}
-        crash.requests += [req for req in requests if req.request_id not in known]
-        del crash.requests[MAX_REQUESTS_PER_CRASH:]
-        for req in crash.requests:
+        new = [req for req in requests if req.request_id not in known]
+        new = new[: MAX_REQUESTS_PER_CRASH - len(crash.requests)]
+        crash.requests += new
+        for req in new:
             self._crashed_parts.update(req.parts)
 
     def record_harmless(self, parts: Iterable[str], began_s: float) -> list[str]:
@@ -247,16 +248,12 @@
 
     def _lift_explained(self, quarantine: Quarantine) -> None:
         """End the quarantines whose crashes another one explains, and more of them."""
-        due = [
-            crash.start
-            for crash in self._crashes
-            if crash.has_request_with(quarantine.parts)
-        ]
+        due = {crash.start for crash in _under(quarantine, self._crashes)}
         for other in list(self._quarantines):
             if other is quarantine or other.parts & quarantine.parts:
                 continue
-            theirs = {c.start for c in self._crashes if c.has_request_with(other.parts)}
-            if theirs and theirs < set(due):
+            theirs = {crash.start for crash in _under(other, self._crashes)}
+            if theirs and theirs < due:
                 self._quarantines.remove(other)
 
     def _settled(self, now_s: float) -> list[Crash]:
@@ -267,11 +264,7 @@
         """Prolong the quarantines under which another target crashed."""
         crashes = self._settled(now_s)
         for index, quarantine in enumerate(self._quarantines):
-            times_s = [
-                crash.at_s
-                for crash in crashes
-                if crash.has_request_with(quarantine.parts)
-            ]
+            times_s = [crash.at_s for crash in _under(quarantine, crashes)]
             crashed_s = max(times_s, default=NEVER_S)
             if crashed_s > quarantine.crashed_s:
                 self._quarantines[index] = replace(quarantine, crashed_s=crashed_s)
@@ -295,7 +288,7 @@
         for quarantine in refuted:
             self._drop_part(quarantine, part)
         return bool(refuted) or any(
-            before_s <= crash.at_s < began_s and crash.requests_with(part)
+            before_s <= crash.at_s < began_s and crash.has_request_with({part})
             for crash in self._crashes
         )
 
@@ -315,3 +308,8 @@
         }
         for quarantine in self._quarantines:
             self._crashed_parts |= quarantine.parts
+
+
+def _under(quarantine: Quarantine, crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the crashes under requests that a quarantine covers."""
+    return [crash for crash in crashes if crash.has_request_with(quarantine.parts)]
