--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -71,6 +71,7 @@
       | fatal requests, all ended between two events             | 20    |
       | fatal requests, with a length                            | 20    |
       | crashes by chance, 3 in 10 ended between two events      | 20    |
+      | crashes by chance, 3 in 10 ended between two events      | 130   |
 
   Scenario: what another instance found
     Given an instance that saw p go well at 5 s after a crash
