Mend what the review of the resumed streams found

Now an event has to come. - A stream was refused for good once one read had found nothing, also if the read had failed or the stream was stored after it; and a read under way counted as done, so the second of two callers was refused at once. Test: origin_store, four new scenarios, all fail on (none and none; v1 and none; none and none; v1 recorded) and pass now.

--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -59,7 +59,23 @@
       | case             | count | for | stream | version | reads |
       | one request      | 1     | 1   | s9     | v1      | 1     |
       | many at once     | 50    | 0.5 | s9     | v1      | 1     |
-      | never stored     | 50    | 5   | s8     | none    | 1     |
+      | never stored     | 50    | 5   | s8     | none    | 2     |
+
+  Scenario Outline: a stream that could not be found at first is resumed later, <case>
+    Given a store with the records chat: v1 v2
+    When an instance starts that sees targets of v1 v2
+    And <case>, and s9 is stored as begun at v1 by another <later> s later
+    Then attempts to resume s9 <first> s and <second> s later find <found>
+
+    Examples:
+      | case                      | later | first | second | found       |
+      | the store is away for 1 s | 0     | 0.05  | 2      | none and v1 |
+      | a read takes 0.3 s        | 0     | 0.05  | 0.07   | v1 and v1   |
+      | nothing else happens      | 0.2   | 0.01  | 1.5    | none and v1 |
+
+  Scenario: keep-alives alone make no version the one that began a stream
+    Given an instance that relays keep-alives alone
+    Then the version that began the stream is not known
 
   Scenario Outline: the version of a stream is known until 30 s after its last event, <case>
     Given an instance that relays a stream of <lasts> s with an event each <interval> s
--- a/features/steps/long_streams.py
+++ b/features/steps/long_streams.py
@@ -88,6 +88,32 @@
     context.relay = relay.relay(make_request(), Answer(lasts, each))
 
 
+class KeepAlives(Answer):
+    """Answer of a target that never writes an event."""
+
+    async def iter_chunks(self):
+        for _ in range(3):
+            yield b": still working\n\n"
+            await asyncio.sleep(self.interval_s)
+
+
+@given("an instance that relays keep-alives alone")
+def start_keep_alives(context):
+    start_stream(context, 3.0, 1.0)
+    context.relay.close()
+    log = SimpleNamespace(answer_ended=lambda *args: None)
+    observer = SimpleNamespace(writing=lambda ctx: None)
+    relay = AnswerRelay(context.state, log, observer)
+    context.relay = relay.relay(make_request(), KeepAlives(3.0, 1.0))
+
+
+@then("the version that began the stream is not known")
+def check_unknown(context):
+    context.loop.run_until_complete(context.relay)
+    assert known(context) == "", known(context)
+    assert context.state.stream_origins.begun_since(0.0) == ()
+
+
 def known(context):
     return context.state.stream_origins.find(STREAM, context.loop.time())
 
--- a/features/steps/origin_store.py
+++ b/features/steps/origin_store.py
@@ -28,9 +28,13 @@
     writes = 0
     reads = 0
 
+    list_s = 0.0
+
     async def list(self, kind):
         self.reads += 1
-        return await super().list(kind)
+        found = await super().list(kind)
+        await asyncio.sleep(self.list_s)
+        return found
 
     async def update(self, obj):
         known = self.objects.get((obj.kind, obj.name))
@@ -170,6 +174,39 @@
     context.found = context.loop.run_until_complete(find_all())
 
 
+@when("{what}, and s9 is stored as begun at v1 by another {later:g} s later")
+def store_late(context, what, later):
+    if what == "the store is away for 1 s":
+        context.store.down = True
+        context.loop.call_later(1.0, setattr, context.store, "down", False)
+    if what == "a read takes 0.3 s":
+        context.store.list_s = 0.3
+    record = OriginRecord({"chat": ("v1", "v2")}, {"v1": (digest("s9"),)})
+    obj = replace(platform.encode_origins("i9", record), version="1")
+    key = obj.kind, obj.name
+    context.loop.call_later(later, context.store.objects.__setitem__, key, obj)
+
+
+@then("attempts to resume s9 {first:g} s and {second:g} s later find {found}")
+def check_attempts(context, first, second, found):
+    async def ask(request_id):
+        return ""
+
+    async def find(at_s):
+        await asyncio.sleep(at_s)
+        headers = SimpleNamespace(resumes="s9")
+        arrived_s = context.loop.time()
+        ctx = SimpleNamespace(headers=headers, service="chat", arrived_s=arrived_s)
+        return (await versions.find(ctx))[0] or "none"
+
+    async def find_both():
+        return await asyncio.gather(find(first), find(second))
+
+    versions = StreamVersions(context.state, context.origins, ask)
+    results = context.loop.run_until_complete(find_both())
+    assert results == found.split(" and "), results
+
+
 @then('each is resumed at "{version}" within {limit_s:g} s, with {reads:d} reads')
 def check_resumed(context, version, limit_s, reads):
     expected = "" if version == "none" else version
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -206,11 +206,12 @@
                 _check_follows(events[0], ctx.last_event_id)
             await resp.write(b"".join(event.data for event in events))
             now_s = self._state.clock.now()
+            last = next((e for e in reversed(events) if not e.is_comment), None)
+            if last is None:
+                continue
             if ctx.route.resumable:
                 self._keep_origin(ctx, now_s)
-            last = next((e for e in reversed(events) if not e.is_comment), None)
-            if last is not None:
-                ctx.record_event(last, now_s)
+            ctx.record_event(last, now_s)
         problem = splitter.truncation(answer.framing)
         if problem:
             raise TargetError(problem, Verdict.MAY_HAVE_RUN, answer.status, BROKEN)
--- a/src/marjoramstage/_entry/begun_stream_store.py
+++ b/src/marjoramstage/_entry/begun_stream_store.py
@@ -63,8 +63,8 @@
         """Write and remove slices until cancelled."""
         while True:
             await self._wait_for_reports()
-            for changed in self._slices.changed():
-                await self._write(changed)
+            written = [await self._write(found) for found in self._slices.changed()]
+            self._failing = not all(written)
             for expired in self._slices.expired(self._state.clock.now()):
                 await self._remove(expired)
             instances = max(1, self._state.instance_count)
@@ -80,20 +80,20 @@
             return
         self._reported.clear()
 
-    async def _write(self, changed: BegunSlice) -> None:
-        """Write a slice; after a failure it is written again."""
+    async def _write(self, changed: BegunSlice) -> bool:
+        """Write a slice; return whether it is stored. Otherwise it is tried again."""
         changed.changed = False
         written = await self._put(changed)
-        self._failing = isinstance(written, Err)
         if isinstance(written, Ok):
             changed.stored = True
             changed.version = written.ok_value.version
-            return
+            return True
         changed.changed = True
         self._reported.set()
         self._state.events.event(
             "begun streams not written", reason=written.err_value.message
         )
+        return False
 
     async def _put(self, changed: BegunSlice) -> Result[PlatformObject, PlatformError]:
         """Write an object that no other instance writes, whatever its version."""
--- a/src/marjoramstage/_entry/origin_store.py
+++ b/src/marjoramstage/_entry/origin_store.py
@@ -53,9 +53,11 @@
         self._written_s = 0.0
         self._exists = False
         self._read_began_s = -RELOAD_INTERVAL_S
+        # When the last read that succeeded began.
+        self._known_s = -RELOAD_INTERVAL_S
         self._cleaned_s = state.clock.now()
         self._silent: set[str] = set()
-        self._reading: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[bool] | None = None
         self.is_loaded = False
 
     async def run(self) -> None:
@@ -66,7 +68,7 @@
                 WRITE_INTERVAL_PER_INSTANCE_S * self._state.instance_count,
             )
             if not self.is_loaded:
-                self.is_loaded = await self._read()
+                self.is_loaded = await self._read_with_others()
             elif self._state.targets_listed:
                 await self._write()
                 await self._clean_up()
@@ -80,22 +82,28 @@
     async def reload(self, since_s: float) -> None:
         """Read what other instances have stored, unless that began since a time.
 
-        Waits for the next read, as reads have a shortest interval.
+        Waits for a read under way and for the next, as reads have a shortest
+        interval. Returns if the store can't be read.
         """
-        while self._read_began_s < since_s:
-            if self._reading is None or self._reading.done():
-                self._reading = asyncio.create_task(self._read_next())
-            await asyncio.shield(self._reading)
+        while self._known_s < since_s:
+            if not await self._read_with_others():
+                return
 
-    async def _read_next(self) -> None:
+    async def _read_with_others(self) -> bool:
+        """Read, together with all who want to; return whether it could be read."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read_next())
+        return await asyncio.shield(self._reading)
+
+    async def _read_next(self) -> bool:
         """Read once the interval since the last read is over."""
         next_s = self._read_began_s + RELOAD_INTERVAL_S
         await asyncio.sleep(max(0.0, next_s - self._state.clock.now()))
-        await self._read()
+        return await self._read()
 
     async def _read(self) -> bool:
         """Take over all records; return whether they could be read."""
-        self._read_began_s = self._state.clock.now()
+        began_s = self._read_began_s = self._state.clock.now()
         found = await self._store.list(platform.STREAM_ORIGINS)
         if isinstance(found, Err):
             self._state.events.event(
@@ -103,6 +111,7 @@
             )
             return False
         state = self._state
+        self._known_s = began_s
         now_s = state.clock.now()
         is_first = not self.is_loaded
         for obj in found.ok_value.objects:
--- a/src/marjoramstage/_entry/stream_versions.py
+++ b/src/marjoramstage/_entry/stream_versions.py
@@ -12,6 +12,8 @@
 
 # Streams that an instance remembers callers to have resumed, the newest ones.
 MAX_RESUMED_STREAMS = 4096
+# A stream is stored within this time of its first event, in seconds.
+STORED_WITHIN_S = 0.3
 
 
 class StoredOrigins(Protocol):
@@ -62,19 +64,22 @@
         if told:
             return told, OriginSource.TOLD
         if resumes:
-            await self._stored.reload(self._first_attempt_s(ctx))
+            await self._stored.reload(self._stored_by_s(ctx))
         stored = self._own(resumes)
         if stored:
             return stored, OriginSource.STORED
         sole = self._sole(ctx.service)
         return sole, OriginSource.SOLE if sole else OriginSource.UNKNOWN
 
-    def _first_attempt_s(self, ctx: RequestContext) -> float:
-        """Return when a stream was first resumed here; it isn't stored after that."""
+    def _stored_by_s(self, ctx: RequestContext) -> float:
+        """Return when a stream that a request resumes is stored at the latest.
+
+        It began before it was first resumed.
+        """
         first_s = self._first_resumed_s.setdefault(ctx.headers.resumes, ctx.arrived_s)
         while len(self._first_resumed_s) > MAX_RESUMED_STREAMS:
             self._first_resumed_s.popitem(last=False)
-        return first_s
+        return min(ctx.arrived_s, first_s + STORED_WITHIN_S)
 
     def _own(self, resumes: str) -> str:
         state = self._state
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -190,7 +190,8 @@
     def resume_eta_s(self, needed: ItemVersion, now_s: float) -> float | None:
         """Return the same for streams that one version of targets has to resume."""
         target_states = self._usable_targets(needed.software)
-        queue_eta_s = self._resume_etas_s.get(needed.base)
+        blocked_s = self._queue_etas_s.get(needed.item.base)
+        queue_eta_s = self._resume_etas_s.get(needed.base, blocked_s)
         return self._time_to_load_s(needed.item, target_states, queue_eta_s, now_s)
 
     def _time_to_load_s(
@@ -240,12 +241,15 @@
         if any(s.holds(item) or s.is_loading(item) for s in target_states):
             return
         candidates = self._may_load(item, target_states, now_s)
+        planned = [s for s in target_states if self._plans(s, item)]
+        if planned:
+            # No other target can be sooner.
+            candidates = [s for s in candidates if self._is_ready_for(s, item)]
         found = self._cheapest_target(candidates, item, RESUME_VALUE, demand, now_s)
         if found is None:
             return
         delay_s = self._time_to_serve_s(found[0], item, found[1], demand, now_s)
         self._resume_etas_s[needed] = delay_s
-        planned = [s for s in target_states if self._plans(s, item)]
         if not self._is_idle(found[0]):
             return
         if planned and not self._is_sooner(delay_s, planned[0], item, demand, now_s):
@@ -258,6 +262,12 @@
         """Whether a target is to load a model next."""
         return self._planned.get(target_state.target.name) == item
 
+    def _is_ready_for(self, target_state: TargetState, item: Item) -> bool:
+        """Whether a target can begin to load a model that it has cached."""
+        return self._is_idle(target_state) and target_state.has_weights_cached(
+            item.model
+        )
+
     def _is_sooner(
         self,
         delay_s: float,
@@ -559,7 +569,9 @@
         valued = []
         for found in target_state.models():
             held = target_state.items[found]
-            if held.state is not ItemState.HELD or self._is_kept(found, item, demand):
+            if held.state is not ItemState.HELD:
+                continue
+            if self._is_kept(found, target_state, item, demand):
                 continue
             if now_s - held.since_s < MIN_RESIDENCY_S:
                 continue
@@ -581,7 +593,13 @@
                 return tuple(chosen)
         return None
 
-    def _is_kept(self, held: Item, item: Item, demand: DemandSnapshot) -> bool:
+    def _is_kept(
+        self,
+        held: Item,
+        target_state: TargetState,
+        item: Item,
+        demand: DemandSnapshot,
+    ) -> bool:
         """Whether a model is kept instead of ``item``, as requests wait for it.
 
         Streams to be resumed have a claim to a replica that fewer requests wait for,
@@ -590,7 +608,7 @@
         waiting = demand.waiting.get(held, 0)
         if not waiting or not demand.is_resumed(item):
             return waiting > 0
-        if demand.is_resumed(held):
+        if ItemVersion(held, target_state.target.software) in demand.resumed_models:
             return True
         others = self._index.ready[held.model] - 1
         return others < 1 and waiting >= demand.resumed_count(item)
