Log and count the limits that targets name

Lines and metrics could not tell whether an instance was told of a limit, or how many first attempts, repeats and control calls it sent to such a target. Added: the line 'target limit' when what a target names changes, the gauge marjoramstage_limited_targets and the counter marjoramstage_limited_target_requests by kind.

--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -12,6 +12,7 @@
 from marjoramstage._entry.answer_relay import AnswerRelay, check_answer
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.limited_targets import SendKind
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.request_context import (
     NOT_RUN_STATUSES,
@@ -416,6 +417,8 @@
             body=ctx.body,
             new_connection=ctx.route.run_policy is RunPolicy.AT_MOST_ONCE,
         )
+        kind = SendKind.REPEAT if ctx.tried else SendKind.FIRST
+        self._state.limited_targets.note_sent(target, kind)
         try:
             answer = await self._target_client.send(
                 call, may_send=lambda: self._state.takes_requests(target)
@@ -434,10 +437,19 @@
 
         ctx.attempts += 1
         ctx.tried.append(target.name)
-        notice = platform.target_notice(answer.status, answer.headers)
-        self._state.targets_out.record(target, notice, ctx.headers.request_id)
+        self._heed_notices(ctx, target, answer)
         return answer
 
+    def _heed_notices(
+        self, ctx: RequestContext, target: FleetTarget, answer: TargetResponse
+    ) -> None:
+        """Heed what a target says of itself in the head of an answer."""
+        request_id = ctx.headers.request_id
+        notice = platform.target_notice(answer.status, answer.headers)
+        self._state.targets_out.record(target, notice, request_id)
+        limit = platform.limit_notice(answer.status, answer.headers)
+        self._state.limited_targets.record(target, limit, ctx.sent_s, request_id)
+
     def _target_headers(
         self, ctx: RequestContext, target: FleetTarget
     ) -> CIMultiDict[str]:
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.limited_targets import LimitedTargets
 from marjoramstage._entry.targets_out import TargetsOut
 from marjoramstage.clock import Clock
 from marjoramstage.coordination.demand_rates import DemandRates
@@ -19,6 +20,7 @@
     ServableItems,
     TargetCriteria,
 )
+from marjoramstage.coordination.named_limits import NamedLimits
 from marjoramstage.coordination.part_quarantine import PartQuarantine
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.request_sizes import RequestSizes
@@ -52,6 +54,10 @@
         What targets said of themselves in their answers.
     targets_out : TargetsOut
         Takes note of it.
+    limits : NamedLimits
+        Limits on the rate of requests that targets named in their answers.
+    limited_targets : LimitedTargets
+        Takes note of them.
     stopping : bool
         Shutdown has begun.
     stopping_s : float
@@ -89,6 +95,8 @@
         self.targets_out = TargetsOut(
             self.fleet, self.notices, clock, events, self.schedule_assignment
         )
+        self.limits = NamedLimits()
+        self.limited_targets = LimitedTargets(self.fleet, self.limits, clock, events)
         self.prefill_backlog = PrefillBacklog()
         self.demand = DemandRates()
         self.peers: tuple[str, ...] = ()
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -74,6 +74,18 @@
             ("cause",),
             registry=self.registry,
         )
+        self.limited_targets = Gauge(
+            "marjoramstage_limited_targets",
+            "Targets that named a limit on the rate of requests.",
+            registry=self.registry,
+        )
+        self.limited_target_requests = Counter(
+            "marjoramstage_limited_target_requests",
+            "What was sent to such targets: first attempts of requests, repeats, "
+            "control calls.",
+            ("kind",),
+            registry=self.registry,
+        )
         self.target_crashes = Counter(
             "marjoramstage_target_crashes",
             "Crashes of targets that broke off requests of this instance.",
--- a/src/marjoramstage/_entry/target_control.py
+++ b/src/marjoramstage/_entry/target_control.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.limited_targets import SendKind
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.state.fleet import FleetTarget, TargetReport
@@ -97,7 +99,13 @@
         max_bytes: int,
         may_send: Callable[[], bool],
     ) -> TargetReply:
+        sent_s = self._state.clock.now()
+        self._state.limited_targets.note_sent(target, SendKind.CONTROL)
         reply = await self._target_client.fetch(call, max_bytes, may_send)
         notice = platform.target_notice(reply.status, reply.headers)
         self._state.targets_out.record(target, notice, "")
+        limit = platform.limit_notice(reply.status, reply.headers)
+        # That a target names its limit to callers alone doesn't lift it.
+        limit = replace(limit, lifts=False)
+        self._state.limited_targets.record(target, limit, sent_s, "")
         return reply
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -16,6 +16,7 @@
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.limited_targets import SendKind
 from marjoramstage._entry.load_monitor import LoadMonitor
 from marjoramstage._entry.origin_store import OriginStore
 from marjoramstage._entry.peer_link import PeerLink
@@ -140,6 +141,7 @@
         self._peer_link.set_store_relay(relay)
         self._state.store_progress = relay.progress
         self._state.targets_out.on_out = self._on_target_out
+        self._state.limited_targets.on_sent = self._on_sent_to_limited
         await self._listen(loop)
         await self._peer_link.start()
         routes = watch_routes(store, self._state, relay)
@@ -173,6 +175,10 @@
         """Count a target that says that it wants no requests."""
         self._metrics.target_notices.labels(cause.value).inc()
 
+    def _on_sent_to_limited(self, kind: SendKind) -> None:
+        """Count what is sent to a target that has named a limit."""
+        self._metrics.limited_target_requests.labels(kind.value).inc()
+
     async def _run_task(self, coro) -> None:
         """Run a background task; log an exception that ends it."""
         try:
@@ -232,6 +238,7 @@
             self._metrics.waiting.set(len(self._state.wait_queue))
             for cause, count in self._state.targets_out.counts().items():
                 self._metrics.targets_out.labels(cause.value).set(count)
+            self._metrics.limited_targets.set(self._state.limited_targets.count())
             self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
             return web.Response(
                 body=self._metrics.exposition(), content_type="text/plain"
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -8,7 +8,7 @@
 
 from multidict import CIMultiDict, MultiMapping
 
-from marjoramstage.state.fleet import Item, TargetNotice
+from marjoramstage.state.fleet import Item, LimitNotice, TargetNotice
 from marjoramstage.state.routes import MAX_URGENCY
 
 REQUEST_ID = "Request-Id"
@@ -24,6 +24,7 @@
 STAMP = "Stamp"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
+LIMIT = "Server-Limit"
 
 MS = 0.001
 
@@ -126,6 +127,19 @@
     return TargetNotice(leaving, max(pauses_s, default=0.0))
 
 
+def limit_notice(status: int, headers: MultiMapping[str]) -> LimitNotice:
+    """Return what a target says in an answer of the rate of requests that it takes.
+
+    Invalid values are ignored; the lowest of several applies. A failure may be
+    answered by a part of the target that knows nothing of its limit, so only an
+    answer below 400 without the header lifts one.
+    """
+    values = headers.getall(LIMIT, ())
+    limits = [limit for text in values if (limit := _parse_limit(text)) is not None]
+    lifts = not values and status < 400
+    return LimitNotice(min(limits, default=None), lifts)
+
+
 def caller_headers(headers: Mapping[str, str]) -> CallerHeaders:
     """Parse the headers of a caller; invalid values are ignored."""
     prompt, output = _parse_tokens(headers.get("Tokens", ""))
@@ -219,6 +233,15 @@
     return min(max(0.0, pause_s), MAX_PAUSE_S) if math.isfinite(pause_s) else 0.0
 
 
+def _parse_limit(text: str) -> float | None:
+    """Return requests a second; None for what is no finite number of them."""
+    try:
+        per_s = float(text)
+    except ValueError:
+        return None
+    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+
+
 def _parse_item(text: str) -> Item | None:
     model, _, adapter = text.partition("/")
     return Item(model, adapter) if model else None
--- a/src/marjoramstage/state/fleet.py
+++ b/src/marjoramstage/state/fleet.py
@@ -131,6 +131,23 @@
     pause_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class LimitNotice:
+    """What the headers of an answer say of the rate of requests that a target takes.
+
+    Attributes
+    ----------
+    per_s : float or None
+        Requests a second that it takes from all instances together; None if it
+        names no valid limit.
+    lifts : bool
+        It served the request and named no limit, so none applies any more.
+    """
+
+    per_s: float | None = None
+    lifts: bool = False
+
+
 @dataclass
 class Fleet:
     """The targets that are known now.
