--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -187,6 +187,8 @@
     leaving_only: str = ""
     retry_after: str = ""
     arrivals: list = field(default_factory=list)
+    arrival_ids: list = field(default_factory=list)
+    limit: str = ""
 
     def spec(self, state="ready"):
         found = {
@@ -212,6 +214,7 @@
             return await self._order(req)
         self.arrivals.append(time.monotonic())
         request_id = req.headers.get("Request-Id", "")
+        self.arrival_ids.append(request_id)
         refusal = {"Not-Run": "1", "Request-Id": request_id}
         if self.retry_after:
             headers = {**refusal, "Retry-After": self.retry_after}
@@ -235,7 +238,10 @@
     def _notices(self, kind):
         """Return what the target says of itself in an answer of this kind."""
         told = self.leaving and self.leaving_only in ("", kind)
-        return {"Server-Leaving": "1"} if told else {}
+        notices = {"Server-Leaving": "1"} if told else {}
+        if self.limit and kind != "report":
+            notices["Server-Limit"] = self.limit
+        return notices
 
     async def _answer(self, req, body, headers):
         if self.fault == "error":
