Share the limit that a target names among all instances by permits

Cause: no instance read the limit, and nothing in the product bounds a rate over all instances. Class: a bound on a sum that each part would have to keep. Why this works: each request to such a target takes a permit; the holder of the lease issues them at 0.9 of the limit, and a permit expires, so neither bursts nor idle instances add up.

--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -278,6 +278,8 @@
         if ctx.resp is not None and not may_resume:
             raise TruncatedAnswerError("the answer broke off")
         reached_target = exc.reason not in (UNREACHED, WITHDRAWN)
+        if not reached_target:
+            self._state.permits.give_back(target, now_s)
         if may_retry and now_s < ctx.deadline_s:
             # Only attempts that reached a target are charged to the retry budget.
             if not reached_target or self._state.retry_budget(ctx.service).spend(now_s):
@@ -301,11 +303,14 @@
     async def _acquire_target(self, ctx: RequestContext) -> FleetTarget:
         """Occupy a slot at a target, waiting for one if need be."""
         state = self._state
+        state.note_wanted(ctx.criteria)
         target = state.acquire_slot(ctx.criteria)
         if target is not None:
             return target
-        waiter = state.wait_queue.add(ctx.criteria, ctx.route.rank, ctx.deadline_s)
         joined_s = state.clock.now()
+        waiter = state.wait_queue.add(
+            ctx.criteria, ctx.route.rank, ctx.deadline_s, joined_s
+        )
         state.on_request_queued()
         state.schedule_assignment()
         try:
@@ -319,7 +324,7 @@
         """Wait until the queue assigns a target or the wait policy gives up."""
         while True:
             self._check_quarantine(ctx)
-            decision, reason = self._wait_decision(ctx)
+            decision, reason = self._wait_decision(ctx, waiter)
             if decision.refuse:
                 if reason is NoTargetReason.NOT_HELD:
                     self._state.expect_retry(ctx.criteria, decision.retry_after_s)
@@ -330,7 +335,7 @@
                 return waiter.fut.result()
 
     def _wait_decision(
-        self, ctx: RequestContext
+        self, ctx: RequestContext, waiter: Waiter
     ) -> tuple[WaitDecision, NoTargetReason]:
         state = self._state
         now_s = state.clock.now()
@@ -348,8 +353,10 @@
         )
         if ctx.resp is not None:
             remaining_s = ctx.deadline_s - now_s
+        rate_limited = reason is NoTargetReason.RATE_LIMITED
+        turn_s = state.turn_s(waiter) if rate_limited else None
         decision = self._wait_policy.decide(
-            reason, waited_s, remaining_s, eta_s, pause_s
+            reason, waited_s, remaining_s, eta_s, pause_s, turn_s
         )
         return decision, reason
 
@@ -375,7 +382,10 @@
         targets = state.fleet.of_service(ctx.service)
         any_listed = any(not target.leaving for target in targets)
         any_eligible = any_listed and bool(state.eligible(ctx.criteria))
-        return no_target_reason(ctx.criteria, any_listed, any_eligible, any_paused)
+        rate_limited = any_eligible and state.is_rate_limited(ctx.criteria)
+        return no_target_reason(
+            ctx.criteria, any_listed, any_eligible, any_paused, rate_limited
+        )
 
     def _no_target_error(
         self, ctx: RequestContext, reason: str, retry_after_s: float
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -23,13 +23,19 @@
 from marjoramstage.coordination.named_limits import NamedLimits
 from marjoramstage.coordination.part_quarantine import PartQuarantine
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
+from marjoramstage.coordination.request_permits import RequestPermits
 from marjoramstage.coordination.request_sizes import RequestSizes
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
 from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.target_notices import TargetNotices
-from marjoramstage.coordination.wait_queue import WaitQueue
-from marjoramstage.protocol.peers import FleetView, HeldItems, StoreProgress
+from marjoramstage.coordination.wait_queue import Waiter, WaitingGroup, WaitQueue
+from marjoramstage.protocol.peers import (
+    FleetView,
+    HeldItems,
+    PermitsIssued,
+    StoreProgress,
+)
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item, ItemVersion
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
@@ -56,6 +62,8 @@
         Takes note of it.
     limits : NamedLimits
         Limits on the rate of requests that targets named in their answers.
+    permits : RequestPermits
+        Permits to send requests to such targets.
     limited_targets : LimitedTargets
         Takes note of them.
     stopping : bool
@@ -96,7 +104,15 @@
             self.fleet, self.notices, clock, events, self.schedule_assignment
         )
         self.limits = NamedLimits()
-        self.limited_targets = LimitedTargets(self.fleet, self.limits, clock, events)
+        self.permits = RequestPermits(self.limits, random.Random(), clock.now())
+        self.limited_targets = LimitedTargets(
+            self.fleet,
+            self.limits,
+            self.permits,
+            clock,
+            events,
+            self._on_limits_changed,
+        )
         self.prefill_backlog = PrefillBacklog()
         self.demand = DemandRates()
         self.peers: tuple[str, ...] = ()
@@ -123,6 +139,7 @@
             self.prefill_backlog,
             random.Random(),
             self.notices,
+            self.permits,
         )
         self.wait_queue = WaitQueue(self.acquire_slot)
         self._assignment_timer: asyncio.TimerHandle | None = None
@@ -139,6 +156,7 @@
         target = self._dispatcher.choose(criteria, targets, now_s)
         if target is None:
             return None
+        self.permits.use(target, now_s)
         self.running_requests.begin(target.name, criteria.item)
         if criteria.item is not None:
             self.prefill_backlog.record_sent(target.name, criteria.tokens, now_s)
@@ -155,6 +173,42 @@
         targets = self.fleet.of_service(criteria.service)
         return self._dispatcher.eligible(criteria, targets, self.clock.now())
 
+    def note_wanted(self, criteria: TargetCriteria) -> None:
+        """Record that a request arrived, for the limits of the targets it can use."""
+        if self.limits.any_named():
+            self.limited_targets.want(self.eligible(criteria))
+
+    def is_rate_limited(self, criteria: TargetCriteria) -> bool:
+        """Whether all targets that can serve a request have named a limit."""
+        if not self.limits.any_named():
+            return False
+        targets = self.eligible(criteria)
+        return all(self.limits.per_s(target) is not None for target in targets)
+
+    def turn_s(self, waiter: Waiter) -> float:
+        """Return the expected time until limited targets take a waiting request."""
+        ahead, waiting = self.wait_queue.position(waiter)
+        targets = self.eligible(waiter.criteria)
+        waited_s = self.clock.now() - waiter.joined_s
+        return self.limited_targets.turn_s(targets, ahead, waiting, waited_s)
+
+    def waiting_by_limited_target(self) -> dict[str, WaitingGroup]:
+        """Return the queued requests that each target with a limit could serve."""
+        found: dict[str, WaitingGroup] = {}
+        if not self.limits.any_named():
+            return found
+        for criteria, group in self.wait_queue.by_need().items():
+            for target in self.eligible(criteria):
+                if self.limits.per_s(target) is not None:
+                    total = found.setdefault(target.name, WaitingGroup())
+                    total.add(group.count, group.oldest_s)
+        return found
+
+    def _on_limits_changed(self) -> None:
+        """Send what a limit held back, and report soon what has changed."""
+        self.schedule_assignment()
+        self.on_request_queued()
+
     def schedule_assignment(self) -> None:
         """Schedule the next assignment of targets to queued requests."""
         if self._assignment_timer is None and len(self.wait_queue):
@@ -230,6 +284,8 @@
         if confirmed:
             self.notices.forget_unnumbered(name)
             self.health.forget(name)
+            self.limits.forget(name)
+            self.permits.forget(name)
             self.prefill_backlog.forget(name)
         self.events.event("target removed", target=name, settled=confirmed)
 
@@ -301,11 +357,19 @@
         self._origins_kept_until_s = self.clock.now() + kept_s
         for retry_budget in self._budgets.values():
             retry_budget.instances = self.instance_count
+        self.permits.instances = self.instance_count
+        self.limited_targets.apply_view(view.limited, self.waiting_by_limited_target())
         own_report = view.reported.get(self.settings.name, 0)
         self.running_requests.set_running(running, own_report)
         self._load_etas = (self.clock.now(), view.coming_ms)
         self.schedule_assignment()
 
+    def apply_permits(self, issued: PermitsIssued) -> None:
+        """Add permits from the holder of the placement lease, not from an earlier."""
+        if issued.fence >= self._last_view[1]:
+            self.limited_targets.apply_permits(issued.permits)
+            self.schedule_assignment()
+
     def _apply_held(self, entries: Iterable[HeldItems]) -> dict[str, int]:
         """Note what targets hold; return the requests that run at each."""
         running = {}
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -22,6 +22,7 @@
     PartsHarmless,
     PartsQuarantined,
     PeerMessage,
+    PermitsIssued,
     PromptsSent,
     StoreChanges,
     StreamOriginAsked,
@@ -103,12 +104,12 @@
             except TimeoutError:
                 continue
 
-    def send_view(self, address: str, view: FleetView) -> None:
-        """Send a view to an instance, or apply it if that is this one."""
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send a message to an instance, or receive it if that is this one."""
         if address == self._address:
-            self._receive(view)
+            self._receive(message)
         else:
-            self._client.send(address, view)
+            self._client.send(address, message)
 
     def send_store_changes(self, message: StoreChanges) -> None:
         """Send changes to all instances that report to this one.
@@ -208,6 +209,7 @@
             pressing_rates=state.demand.latency_critical.per_thousand_s(now_s),
             resuming={f"{service} {needed}": n for (service, needed), n in resuming},
             begun=self._begun_streams(now_s),
+            limited=state.limited_targets.report(state.waiting_by_limited_target()),
         )
 
     def _begun_streams(self, now_s: float) -> tuple[BegunStreams, ...]:
@@ -252,5 +254,7 @@
             case TargetCrashed() | PartsHarmless() | PartsQuarantined():
                 if self._quarantine_sync is not None:
                     self._quarantine_sync.receive(message)
+            case PermitsIssued():
+                self._state.apply_permits(message)
             case PromptsSent():
                 self._state.record_remote_prompts(message.tokens)
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -12,6 +12,7 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.permit_sender import PermitSender
 from marjoramstage._entry.target_control import TargetControl
 from marjoramstage._entry.view_sender import ViewSender
 from marjoramstage.clock import seconds_since_boot
@@ -33,7 +34,12 @@
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
 from marjoramstage.protocol.objects import Platform, PlatformFault, PlatformObject
-from marjoramstage.protocol.peers import BegunStreams, EntryReport, FleetView
+from marjoramstage.protocol.peers import (
+    BegunStreams,
+    EntryReport,
+    FleetView,
+    PermitsIssued,
+)
 from marjoramstage.state.fleet import FleetTarget
 from marjoramstage.state.routes import Service
 from marjoramstage.state.store_era import StoreEra
@@ -69,8 +75,8 @@
 
     Parameters
     ----------
-    send_view : callable
-        Sends a view to the instance at an address.
+    send : callable
+        Sends a message to the instance at an address.
     era : StoreEra
         Of ``store``.
 
@@ -88,7 +94,7 @@
         store: Platform,
         target_client: TargetClient,
         address: str,
-        send_view: Callable[[str, FleetView], None],
+        send: Callable[[str, FleetView | PermitsIssued], None],
         era: StoreEra,
     ):
         self._state = state
@@ -116,8 +122,14 @@
         self._reports = InstanceReports()
         self._peer_liveness = PeerLiveness()
         self._isolated = False
+        self._permits = PermitSender(state, identity, send)
         self.views = ViewSender(
-            state, identity, self._reports, self._planners, send_view
+            state,
+            identity,
+            self._reports,
+            self._planners,
+            send,
+            self._permits.count_waiting,
         )
         self._next_summary_s = 0.0
         self._view_received_s = -VIEW_TTL_S
@@ -210,6 +222,7 @@
         now_s = seconds_since_boot()
         if not self._reports.add(report, now_s):
             return
+        self._permits.receive_report(report)
         if report.instance != self._state.settings.name:
             self._peer_liveness.heard(report.instance, now_s)
 
@@ -292,6 +305,7 @@
         wait_s = bounds.lease_s if fence > 1 and not bounds.checks_fence else 0.0
         self._orders_start_s = now_s + wait_s
         self._planners.clear()
+        self._permits.start()
         self._state.events.event("lease acquired", fence=fence, orders_in_s=wait_s)
 
     def _stop_orders(self) -> None:
@@ -365,6 +379,7 @@
                 self._spawn(self._execute_order(planner, order))
         if changed:
             self.views.request()
+        self._permits.issue(self._fence)
         self.views.send_if_due(now_s, self._fence, self._unrenewed_until_s > 0)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
@@ -393,6 +408,9 @@
             for state in planner.target_states.values()
             if self._state.pause_left_s(state.target) > 0
         )
+        planner.limited = frozenset(
+            name for name, _ in self._state.limited_targets.limits()
+        )
         return planner
 
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -12,6 +12,7 @@
     parse_resuming_key,
 )
 from marjoramstage.coordination.placement_planner import PlacementPlanner
+from marjoramstage.coordination.request_permits import TargetKey
 from marjoramstage.coordination.view_pacing import ViewPacer
 from marjoramstage.protocol.peers import FleetView, HeldItems, encode
 
@@ -33,6 +34,8 @@
         Planner of each service, by name.
     send : callable
         Sends a view to the instance at an address.
+    count_waiting : callable
+        Returns how many requests of all instances wait for a target with a limit.
     """
 
     def __init__(
@@ -42,12 +45,14 @@
         reports: InstanceReports,
         planners: Mapping[str, PlacementPlanner],
         send: Callable[[str, FleetView], None],
+        count_waiting: Callable[[TargetKey], int],
     ):
         self._state = state
         self._identity = identity
         self._reports = reports
         self._planners = planners
         self._send = send
+        self._count_waiting = count_waiting
         self._pacer = ViewPacer(state.settings.link_bytes_per_s)
         self._sequence = 0
         self._sent_items: dict[str, tuple[int, tuple[str, ...]]] = {}
@@ -89,6 +94,7 @@
             self._reports.sequences if few else {},
             self._state.store_progress(),
             keeps_origins=self._state.keeps_origins(),
+            limited=self._state.limited_targets.view(self._count_waiting),
         )
         self._send_to_all(view, recipients, now_s)
 
--- a/src/marjoramstage/coordination/adapter_planner.py
+++ b/src/marjoramstage/coordination/adapter_planner.py
@@ -42,6 +42,7 @@
         self,
         usable: Sequence[TargetState],
         free: Sequence[TargetState],
+        limited: frozenset[str],
         demand: DemandSnapshot,
         now_s: float,
     ) -> list[Order]:
@@ -53,13 +54,16 @@
             Targets that can serve requests.
         free : sequence of TargetState
             Those of them that no load of a model is planned for.
+        limited : frozenset of str
+            Names of those that serve too few requests for what waits.
         """
-        orders = self._loads(usable, free, demand, now_s)
+        serving = [s for s in usable if s.target.name not in limited]
+        orders = self._loads(serving, free, demand, now_s)
         return orders + self._spare_slots(free, demand, now_s)
 
     def _loads(
         self,
-        usable: Sequence[TargetState],
+        serving: Sequence[TargetState],
         free: Sequence[TargetState],
         demand: DemandSnapshot,
         now_s: float,
@@ -68,11 +72,16 @@
         for item, software in _wanted_adapters(demand):
             if any(
                 s.holds(item) or s.is_loading(item)
-                for s in usable
+                for s in serving
                 if software in (None, s.target.software)
             ):
                 continue
-            fitting = [s for s in free if software in (None, s.target.software)]
+            fitting = [
+                s
+                for s in free
+                if software in (None, s.target.software)
+                and not (s.holds(item) or s.is_loading(item))
+            ]
             order = self._load(item, fitting, demand, now_s)
             if order is not None:
                 orders.append(order)
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, replace
 
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
+from marjoramstage.coordination.request_permits import RequestPermits
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.target_notices import TargetNotices
 from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
@@ -27,6 +28,9 @@
 MAX_KEPT_REPORTS = 32
 # Random cost that keeps instances from all choosing the same target.
 COST_JITTER = 0.03
+# Gain of a target that named a limit and now admits a request: of equal targets it is
+# chosen, as its permit would expire.
+PERMIT_GAIN = COST_JITTER
 # Requests that a target may queue beyond its slots, as a share of the slots.
 MAX_QUEUED_SHARE = 0.25
 
@@ -179,6 +183,8 @@
         Data centre of this instance.
     notices : TargetNotices
         What targets said of themselves to this instance.
+    permits : RequestPermits, optional
+        Permits for targets that named a limit on the rate of requests.
     """
 
     def __init__(
@@ -190,6 +196,7 @@
         prefill_backlog: PrefillBacklog,
         rng: random.Random,
         notices: TargetNotices | None = None,
+        permits: RequestPermits | None = None,
     ):
         self._data_centre = data_centre
         self._servable_items = servable_items
@@ -198,6 +205,7 @@
         self._prefill_backlog = prefill_backlog
         self._rng = rng
         self._notices = notices or TargetNotices()
+        self._permits = permits
 
     def eligible(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
@@ -254,6 +262,8 @@
                 target.name, criteria.tokens, criteria.pause_s, now_s
             ):
                 continue
+            if self._permits is not None and not self._permits.admits(target, now_s):
+                continue
             cost = self._cost(target, running, now_s)
             if best is None or cost < best[0]:
                 best = (cost, target)
@@ -282,5 +292,7 @@
         if target.data_centre != self._data_centre:
             cost += REMOTE_DATA_CENTRE_COST
         cost += FAILURE_COST * self._health.failure_rate(target.name, now_s)
+        if self._permits is not None and self._permits.is_needed(target):
+            cost -= PERMIT_GAIN
         cost += PREFILL_COST_PER_S * self._prefill_backlog.backlog_s(target.name, now_s)
         return cost
--- a/src/marjoramstage/coordination/named_limits.py
+++ b/src/marjoramstage/coordination/named_limits.py
@@ -13,6 +13,12 @@
 # Targets whose limits are kept, the newest ones.
 MAX_TARGETS = 16_384
 
+# That a limit ended is told to other instances for this long, in seconds.
+TELL_ENDED_S = 10.0
+# Word of another instance that a limit ended counts as so much older, in seconds: a
+# limit that this instance was told about meanwhile may be newer.
+TOLD_END_MARGIN_S = 0.3
+
 
 @dataclass(frozen=True)
 class LimitWord:
@@ -50,6 +56,24 @@
             return False
         return self.learn(target.name, target.incarnation, LimitWord(None, now_s))
 
+    def learn_told(
+        self, name: str, incarnation: int, per_s: float | None, at_s: float
+    ) -> bool:
+        """Keep what another instance tells if it is newer; return whether it is news.
+
+        Parameters
+        ----------
+        per_s : float or None
+            None if the limit has ended.
+        at_s : float
+            When that instance learnt it.
+        """
+        if per_s is None:
+            if (name, incarnation) not in self._words:
+                return False
+            at_s -= TOLD_END_MARGIN_S
+        return self.learn(name, incarnation, LimitWord(per_s, at_s))
+
     def learn(self, name: str, incarnation: int, word: LimitWord) -> bool:
         """Keep what is newer than known; return whether the limit changed."""
         key = name, incarnation
@@ -62,6 +86,24 @@
             del self._words[next(iter(self._words))]
         return word.per_s != (known.per_s if known is not None else None)
 
+    def any_named(self) -> bool:
+        """Whether a target named a limit, which may have ended since."""
+        return bool(self._words)
+
+    def word_to_tell(self, target: FleetTarget, now_s: float) -> LimitWord | None:
+        """Return what other instances should know of a target; None if nothing."""
+        word = self._words.get((target.name, target.incarnation))
+        if word is None:
+            return None
+        if word.per_s is None and now_s - word.at_s > TELL_ENDED_S:
+            return None
+        return word
+
+    def forget(self, name: str) -> None:
+        """Forget a target that is gone."""
+        for key in [key for key in self._words if key[0] == name]:
+            del self._words[key]
+
     def per_s(self, target: FleetTarget) -> float | None:
         """Return the limit of a target in requests a second; None if it has none."""
         if not self._words:
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -95,6 +95,9 @@
         Requests that a target can run at once.
     paused : frozenset of str
         Targets that take no orders for now; they keep what they hold.
+    limited : frozenset of str
+        Targets that named a limit on the rate of requests. Models that requests wait
+        for are loaded at others.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.spec = spec
         self.usable_slots = spec.slots
         self.paused: frozenset[str] = frozenset()
+        self.limited: frozenset[str] = frozenset()
         self._first_report_s = first_report_s
         self.target_states: dict[str, TargetState] = {}
         self._values = ReplicaValues(spec)
@@ -180,16 +184,18 @@
                 orders.append(order)
         usable = self._usable_targets()
         free = [state for state in usable if self._takes_orders(state)]
-        return orders + self._adapters.plan_orders(usable, free, demand, now_s)
+        limited = self._limited_among(usable)
+        return orders + self._adapters.plan_orders(usable, free, limited, demand, now_s)
 
     def eta_s(self, item: Item, now_s: float) -> float | None:
         """Return the expected time until an item is loaded; None if unknown."""
         queue_eta_s = self._queue_etas_s.get(item.base)
-        return self._time_to_load_s(item, self._usable_targets(), queue_eta_s, now_s)
+        target_states = self._unlimited(self._usable_targets())
+        return self._time_to_load_s(item, target_states, queue_eta_s, now_s)
 
     def resume_eta_s(self, needed: ItemVersion, now_s: float) -> float | None:
         """Return the same for streams that one version of targets has to resume."""
-        target_states = self._usable_targets(needed.software)
+        target_states = self._unlimited(self._usable_targets(needed.software))
         blocked_s = self._queue_etas_s.get(needed.item.base)
         queue_eta_s = self._resume_etas_s.get(needed.base, blocked_s)
         return self._time_to_load_s(needed.item, target_states, queue_eta_s, now_s)
@@ -237,7 +243,8 @@
     def _plan_resumed_load(
         self, needed: ItemVersion, demand: DemandSnapshot, now_s: float
     ) -> None:
-        item, target_states = needed.item, self._usable_targets(needed.software)
+        item = needed.item
+        target_states = self._unlimited(self._usable_targets(needed.software))
         if any(s.holds(item) or s.is_loading(item) for s in target_states):
             return
         candidates = self._may_load(item, target_states, now_s)
@@ -326,7 +333,9 @@
             self._plan_load(item, *found, demand, now_s)
 
     def _rebuild_index(self, demand: DemandSnapshot) -> None:
-        self._index = ReplicaIndex(self._usable_targets(), self._planned, demand)
+        usable = self._usable_targets()
+        limited = self._limited_among(usable)
+        self._index = ReplicaIndex(usable, self._planned, demand, limited)
 
     def _queue_eta_s(self, ahead: int) -> float:
         """Return when a model that no target can load now is likely to be loaded.
@@ -380,8 +389,35 @@
             and (s.target.name, s.target.incarnation) not in self._leaving
         ]
 
+    def _limited_among(self, target_states: Sequence[TargetState]) -> frozenset[str]:
+        """Return the names of targets with a limit, unless all of them have one."""
+        names = {target_state.target.name for target_state in target_states}
+        return frozenset() if names <= self.limited else self.limited & names
+
+    def _unlimited(self, target_states: list[TargetState]) -> list[TargetState]:
+        """Return the targets without a limit, or all if each has one."""
+        if not self.limited:
+            return target_states
+        limited = self._limited_among(target_states)
+        return [s for s in target_states if s.target.name not in limited]
+
     def _choose_target(
         self, item: Item, demand: DemandSnapshot, now_s: float
+    ) -> tuple[TargetState, tuple[Item, ...]] | BlockReason:
+        """Return the target for a load, without a limit if one of these has room."""
+        orderable = [s for s in self._index.usable if s.target.name not in self.paused]
+        unlimited = self._unlimited(orderable)
+        found = self._choose_among(unlimited, item, demand, now_s)
+        if found is BlockReason.NO_ROOM and len(unlimited) < len(orderable):
+            return self._choose_among(orderable, item, demand, now_s)
+        return found
+
+    def _choose_among(
+        self,
+        target_states: list[TargetState],
+        item: Item,
+        demand: DemandSnapshot,
+        now_s: float,
     ) -> tuple[TargetState, tuple[Item, ...]] | BlockReason:
         """Return the target with the lowest cost, if it can start a load now.
 
@@ -395,9 +431,6 @@
             The target and the models to evict there; or why there is none.
         """
         gain = self._extra_replica_value(item, demand, now_s)
-        target_states = [
-            s for s in self._index.usable if s.target.name not in self.paused
-        ]
         cached = [
             s
             for s in target_states
--- a/src/marjoramstage/coordination/replica_index.py
+++ b/src/marjoramstage/coordination/replica_index.py
@@ -24,6 +24,8 @@
         Targets that can be sent orders and requests.
     planned : Mapping
         Models that targets are to load next, by name of the target.
+    limited : frozenset of str
+        Targets that serve too few requests for their replicas to count as ready.
 
     Attributes
     ----------
@@ -40,6 +42,7 @@
         usable: Sequence[TargetState],
         planned: Mapping[str, Item],
         demand: DemandSnapshot,
+        limited: frozenset[str] = frozenset(),
     ):
         self.usable = usable
         self.ready: Counter[str] = Counter()
@@ -51,7 +54,8 @@
                     continue
                 if not demand.is_latency_critical(item):
                     self.deferrable += 1
-                if held.state is ItemState.HELD:
+                is_limited = target_state.target.name in limited
+                if held.state is ItemState.HELD and not is_limited:
                     self.ready[item.model] += 1
                 is_planned = planned.get(target_state.target.name) == item
                 if held.state is ItemState.LOADING and not is_planned:
--- a/src/marjoramstage/coordination/wait_policy.py
+++ b/src/marjoramstage/coordination/wait_policy.py
@@ -41,6 +41,15 @@
         Retry time given to callers when all targets stay full.
     min_retry_s : float
         Shortest retry time given to callers.
+    limit_wait_share : float
+        Share of the caller's waiting time within which its turn at limited targets
+        has to come for a request to wait.
+    limit_settle_s : float
+        How long that holds. One that has waited for longer may take up to
+        ``full_wait_share``, as estimates vary.
+    limit_spread : float
+        Callers that are refused because of a limit come back spread over this share
+        of the time that their turn is away.
     pause_wait_s : float
         A pause of targets that ends within this time is waited for.
     pause_spread : float
@@ -59,6 +68,9 @@
     no_target_s: float = 0.4
     full_retry_s: float = 0.7
     min_retry_s: float = 0.05
+    limit_wait_share: float = 0.25
+    limit_settle_s: float = 0.3
+    limit_spread: float = 1.0
     pause_wait_s: float = 0.3
     pause_spread: float = 0.25
     min_pause_spread_s: float = 0.5
@@ -75,6 +87,7 @@
     NO_TARGET = "no target"
     TRIED_ALL = "every target tried"
     PAUSED = "targets asked for a pause"
+    RATE_LIMITED = "targets named a limit"
     STOPPING = "stopping"
 
 
@@ -83,6 +96,7 @@
     any_listed: bool,
     any_eligible: bool,
     any_paused: bool = False,
+    rate_limited: bool = False,
 ) -> NoTargetReason:
     """Return why a request has no target.
 
@@ -93,11 +107,13 @@
         them can serve the request once it has room.
     any_paused : bool
         Whether one of them could, had it not asked for a pause.
+    rate_limited : bool
+        Whether each that can serve it has named a limit which is used up for now.
     """
     if not any_listed:
         return NoTargetReason.NO_TARGET
     if any_eligible:
-        return NoTargetReason.FULL
+        return NoTargetReason.RATE_LIMITED if rate_limited else NoTargetReason.FULL
     if any_paused:
         return NoTargetReason.PAUSED
     if criteria.item is not None:
@@ -146,6 +162,7 @@
         remaining_s: float,
         eta_s: float | None = None,
         pause_s: float | None = None,
+        turn_s: float | None = None,
     ) -> WaitDecision:
         """Decide whether a request waits or is refused.
 
@@ -159,11 +176,17 @@
         pause_s : float or None
             Time until the first target that asked for a pause takes requests
             again; None if none did.
+        turn_s : float or None
+            Expected time until a target that named a limit takes the request; None if
+            that isn't what it waits for.
         """
         limits = self._limits
         first_again = pause_s is not None and (eta_s is None or eta_s > pause_s)
         if reason is NoTargetReason.PAUSED and first_again:
             return self._during_pause(pause_s, remaining_s)
+        if reason is NoTargetReason.RATE_LIMITED and turn_s is not None:
+            soonest_s = turn_s if eta_s is None else min(turn_s, eta_s)
+            return self._for_turn(soonest_s, waited_s, remaining_s)
         if reason is NoTargetReason.TRIED_ALL:
             return WaitDecision(True, retry_after_s=limits.no_target_s)
         if reason is NoTargetReason.NO_TARGET:
@@ -200,6 +223,20 @@
             return WaitDecision(False, min(pause_s, limits.recheck_s))
         return WaitDecision(True, retry_after_s=self.retry_after_pause_s(pause_s))
 
+    def _for_turn(
+        self, turn_s: float, waited_s: float, remaining_s: float
+    ) -> WaitDecision:
+        """Refuse a request whose turn at limited targets is far away."""
+        limits = self._limits
+        total_s = waited_s + remaining_s
+        max_turn_s = total_s * limits.limit_wait_share
+        if waited_s > limits.limit_settle_s:
+            max_turn_s = total_s * limits.full_wait_share - waited_s
+        if turn_s <= max_turn_s:
+            return WaitDecision(False, limits.recheck_s)
+        spread_s = self._rng.random() * limits.limit_spread * turn_s
+        return WaitDecision(True, retry_after_s=turn_s + spread_s)
+
     def _wait_at_most(
         self, max_wait_s: float, waited_s: float, remaining_s: float, retry_s: float
     ) -> WaitDecision:
--- a/src/marjoramstage/coordination/wait_queue.py
+++ b/src/marjoramstage/coordination/wait_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -11,6 +12,30 @@
 from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 
 
+def _need(criteria: TargetCriteria) -> TargetCriteria:
+    """Return what of a request's criteria decides which targets can serve it."""
+    return TargetCriteria(criteria.service, criteria.item, software=criteria.software)
+
+
+@dataclass
+class WaitingGroup:
+    """Waiting requests that could use the same targets.
+
+    Attributes
+    ----------
+    oldest_s : float
+        When the first of them joined.
+    """
+
+    count: int = 0
+    oldest_s: float = math.inf
+
+    def add(self, count: int, oldest_s: float) -> None:
+        """Add waiting requests of which the first joined at ``oldest_s``."""
+        self.count += count
+        self.oldest_s = min(self.oldest_s, oldest_s)
+
+
 @dataclass(order=True)
 class Waiter:
     """A waiting request; waiters sort by rank, then by deadline.
@@ -19,6 +44,8 @@
     ----------
     number : int
         Order of arrival, for equal deadlines.
+    joined_s : float
+        When it began to wait.
     fut : asyncio.Future
         Resolves to the target that was assigned.
     used : bool
@@ -28,6 +55,7 @@
     rank: int
     deadline_s: float
     number: int
+    joined_s: float = field(compare=False)
     criteria: TargetCriteria = field(compare=False)
     fut: asyncio.Future[FleetTarget] = field(compare=False)
     used: bool = field(compare=False, default=False)
@@ -51,11 +79,13 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def add(self, criteria: TargetCriteria, rank: int, deadline_s: float) -> Waiter:
+    def add(
+        self, criteria: TargetCriteria, rank: int, deadline_s: float, now_s: float = 0.0
+    ) -> Waiter:
         """Add a request to the queue."""
         self._number += 1
         fut = asyncio.get_running_loop().create_future()
-        waiter = Waiter(rank, deadline_s, self._number, criteria, fut)
+        waiter = Waiter(rank, deadline_s, self._number, now_s, criteria, fut)
         self._waiters.append(waiter)
         return waiter
 
@@ -84,6 +114,23 @@
                 found[waiter.criteria.service, needed] += 1
         return found
 
+    def by_need(self) -> dict[TargetCriteria, WaitingGroup]:
+        """Return the waiting requests in groups that could use the same targets.
+
+        The criteria of a group are the service, the item and the version.
+        """
+        groups: dict[TargetCriteria, WaitingGroup] = {}
+        for waiter in self._waiters:
+            group = groups.setdefault(_need(waiter.criteria), WaitingGroup())
+            group.add(1, waiter.joined_s)
+        return groups
+
+    def position(self, waiter: Waiter) -> tuple[int, int]:
+        """Return how many requests with the same needs come before one, and in all."""
+        need = _need(waiter.criteria)
+        same = [w for w in self._waiters if _need(w.criteria) == need]
+        return sum(other < waiter for other in same), len(same)
+
     def assign_targets(self) -> None:
         """Assign targets to as many waiting requests as possible."""
         if not self._waiters:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -101,7 +101,7 @@
             store,
             self._target_client,
             address,
-            self._peer_link.send_view,
+            self._peer_link.send,
             era,
         )
         self._peer_link.set_controller(self._controller)
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -31,6 +31,9 @@
 # The longest pause that a target can ask for, in seconds.
 MAX_PAUSE_S = 3600.0
 
+# The highest limit that a target can name, in requests a second.
+MAX_LIMIT_PER_S = 1_000_000.0
+
 # Hop-by-hop headers, and others that concern a single connection; not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -49,7 +52,7 @@
 )
 
 # Headers of a target's answer that are meant for this system, not for its callers.
-_TARGET_NOTICE_HEADERS = frozenset((LEAVING.lower(),))
+_TARGET_NOTICE_HEADERS = frozenset((LEAVING.lower(), LIMIT.lower()))
 
 # Headers that only this system may send to a target; dropped if a caller sends them.
 _RESERVED_HEADERS = frozenset(
@@ -239,7 +242,9 @@
         per_s = float(text)
     except ValueError:
         return None
-    return per_s if math.isfinite(per_s) and per_s >= 0 else None
+    if not math.isfinite(per_s) or per_s < 0:
+        return None
+    return min(per_s, MAX_LIMIT_PER_S)
 
 
 def _parse_item(text: str) -> Item | None:
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -275,6 +275,65 @@
     ]
 
 
+class LimitedTarget(TPayload):
+    """Struct ``LimitedTarget`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "target", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.I64, "limit_per_1000_s", False),
+        4: (TType.BOOL, "ended", False),
+        5: (TType.I64, "age_ms", False),
+        6: (TType.I64, "waiting", False),
+        7: (TType.I64, "wanted", False),
+        8: (TType.I64, "used", False),
+        9: (TType.I64, "expired", False),
+        10: (TType.I64, "oldest_ms", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("target", None),
+        ("incarnation", None),
+        ("limit_per_1000_s", None),
+        ("ended", None),
+        ("age_ms", None),
+        ("waiting", None),
+        ("wanted", None),
+        ("used", None),
+        ("expired", None),
+        ("oldest_ms", None),
+    ]
+
+
+class TargetPermits(TPayload):
+    """Struct ``TargetPermits`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "target", False),
+        2: (TType.I64, "incarnation", False),
+        3: (TType.I64, "count", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("target", None),
+        ("incarnation", None),
+        ("count", None),
+    ]
+
+
+class PermitsIssued(TPayload):
+    """Struct ``PermitsIssued`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "holder", False),
+        2: (TType.I64, "fence", False),
+        3: (TType.LIST, "permits", (TType.STRUCT, TargetPermits), False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("holder", None),
+        ("fence", None),
+        ("permits", None),
+    ]
+
+
 class EntryReport(TPayload):
     """Struct ``EntryReport`` of the IDL."""
 
@@ -292,6 +351,7 @@
         11: (TType.LIST, "leaving", (TType.STRUCT, LeavingTarget), False),
         12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
         13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
+        14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -307,6 +367,7 @@
         ("leaving", None),
         ("resuming", None),
         ("begun", None),
+        ("limited", None),
     ]
 
 
@@ -383,6 +444,7 @@
         10: (TType.LIST, "store", (TType.STRUCT, StoreProgress), False),
         11: (TType.BOOL, "partial", False),
         13: (TType.BOOL, "keeps_origins", False),
+        14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
     }
     default_spec = [  # noqa: RUF012
         ("holder", None),
@@ -397,6 +459,7 @@
         ("store", None),
         ("partial", None),
         ("keeps_origins", None),
+        ("limited", None),
     ]
 
 
@@ -528,6 +591,7 @@
         14: (TType.STRUCT, "target_crashed", TargetCrashed, False),
         15: (TType.STRUCT, "parts_harmless", PartsHarmless, False),
         16: (TType.STRUCT, "parts_quarantined", PartsQuarantined, False),
+        17: (TType.STRUCT, "permits_issued", PermitsIssued, False),
     }
     default_spec = [  # noqa: RUF012
         ("hello", None),
@@ -546,4 +610,5 @@
         ("target_crashed", None),
         ("parts_harmless", None),
         ("parts_quarantined", None),
+        ("permits_issued", None),
     ]
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -249,6 +249,63 @@
     digests: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class LimitedTarget:
+    """What the sender knows of a target that names or named a limit.
+
+    Attributes
+    ----------
+    limit_per_1000_s : int
+        Requests that it takes in a thousand seconds from all instances together.
+    ended : bool
+        It names a limit no more.
+    age_ms : int
+        Time since the answer that said so, in milliseconds.
+    waiting : int
+        Requests that wait for it: of the sender in a report, of all in a view.
+    oldest_ms : int
+        How long the oldest of the sender's waiting requests has waited, in
+        milliseconds.
+    wanted, used, expired : int
+        Since the sender's last report: requests that it could have served, and
+        permits that were used or not used in time.
+    """
+
+    target: str
+    incarnation: int
+    limit_per_1000_s: int = 0
+    ended: bool = False
+    age_ms: int = 0
+    waiting: int = 0
+    wanted: int = 0
+    used: int = 0
+    expired: int = 0
+    oldest_ms: int = 0
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Return requests a second; None if the limit has ended."""
+        return None if self.ended else self.limit_per_1000_s * 0.001
+
+
+@dataclass(frozen=True)
+class TargetPermits:
+    """Permits for requests to one target; each is for one request."""
+
+    target: str
+    incarnation: int
+    count: int
+
+
+@dataclass(frozen=True)
+class PermitsIssued:
+    """Permits that the holder of the placement lease issues to the receiver."""
+
+    holder: str
+    fence: int
+    permits: tuple[TargetPermits, ...] = ()
+
+
 @dataclass(frozen=True)
 class EntryReport:
     """Report of an instance to the holder of the placement lease.
@@ -274,6 +331,8 @@
         the target's program, joined by spaces.
     begun : tuple of BegunStreams
         Streams that the sender relayed recently, while several versions run.
+    limited : tuple of LimitedTarget
+        Targets that name a limit or did so recently.
     """
 
     instance: str
@@ -289,6 +348,7 @@
     leaving: tuple[LeavingTarget, ...] = ()
     resuming: Mapping[str, int] = field(default_factory=dict)
     begun: tuple[BegunStreams, ...] = ()
+    limited: tuple[LimitedTarget, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -384,6 +444,8 @@
         it lists: what they hold has changed since the view before.
     keeps_origins : bool
         Whether the sender stores the streams that reports name.
+    limited : tuple of LimitedTarget
+        Targets that name a limit or did so recently.
     """
 
     holder: str
@@ -398,6 +460,7 @@
     store: tuple[StoreProgress, ...] = ()
     partial: bool = False
     keeps_origins: bool = False
+    limited: tuple[LimitedTarget, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -529,6 +592,7 @@
     | TargetCrashed
     | PartsHarmless
     | PartsQuarantined
+    | PermitsIssued
 )
 
 _MESSAGES = {
@@ -548,6 +612,7 @@
     "target_crashed": TargetCrashed,
     "parts_harmless": PartsHarmless,
     "parts_quarantined": PartsQuarantined,
+    "permits_issued": PermitsIssued,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(_peers_structs, _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -115,6 +115,31 @@
   2: optional list<string> digests
 }
 
+struct LimitedTarget {
+  1: optional string target
+  2: optional i64 incarnation
+  3: optional i64 limit_per_1000_s
+  4: optional bool ended
+  5: optional i64 age_ms
+  6: optional i64 waiting
+  7: optional i64 wanted
+  8: optional i64 used
+  9: optional i64 expired
+  10: optional i64 oldest_ms
+}
+
+struct TargetPermits {
+  1: optional string target
+  2: optional i64 incarnation
+  3: optional i64 count
+}
+
+struct PermitsIssued {
+  1: optional string holder
+  2: optional i64 fence
+  3: optional list<TargetPermits> permits
+}
+
 struct EntryReport {
   1: optional string instance
   2: optional string address
@@ -129,6 +154,7 @@
   11: optional list<LeavingTarget> leaving
   12: optional map<string, i64> resuming
   13: optional list<BegunStreams> begun
+  14: optional list<LimitedTarget> limited
 }
 
 struct HeldItems {
@@ -168,6 +194,7 @@
   10: optional list<StoreProgress> store
   11: optional bool partial
   13: optional bool keeps_origins
+  14: optional list<LimitedTarget> limited
 }
 
 struct PromptsSent {
@@ -230,4 +257,5 @@
   14: optional TargetCrashed target_crashed
   15: optional PartsHarmless parts_harmless
   16: optional PartsQuarantined parts_quarantined
+  17: optional PermitsIssued permits_issued
 }
