--- a/features/steps/target_limits.py
+++ b/features/steps/target_limits.py
@@ -184,15 +184,23 @@
         FakeTarget("b", context.spec),
     ]
     context.planner = PlacementPlanner(context.spec, LoadRateLimiter(2.0, 5.0, 1.1))
-    context.planner.limited = limited
+    context.planner.limits = dict.fromkeys(limited, 1.0)
 
 
 @when("requests wait for m1 and are planned for")
 def plan(context):
+    _plan(context, 5, 2.0)
+
+
+@when("few requests for m1 are planned for")
+def plan_few(context):
+    _plan(context, 1, 0.5)
+
+
+def _plan(context, waiting, per_s):
     simulation = TargetSimulation(context.engines)
-    demand = DemandSnapshot(
-        {Item("m1"): 5}, {}, {Item("m1"): 2.0}, {Item("m1"): 2.0}, {Item("m1"): 2.0}
-    )
+    rates = {Item("m1"): per_s}
+    demand = DemandSnapshot({Item("m1"): waiting}, {}, rates, rates, rates)
     simulation.run(context.planner, lambda now_s: demand, 6.0)
 
 
--- a/features/target_limits.feature
+++ b/features/target_limits.feature
@@ -88,6 +88,11 @@
     When requests wait for m1 and are planned for
     Then m1 is loaded at b
 
+  Scenario: a rare model at a limited target stays there
+    Given engines a and b, a alone with m1 and limited
+    When few requests for m1 are planned for
+    Then nothing is loaded
+
   Scenario: if all engines are limited, nothing is loaded for that reason
     Given engines a and b, both limited, a with m1
     When requests wait for m1 and are planned for
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -408,9 +408,10 @@
             for state in planner.target_states.values()
             if self._state.pause_left_s(state.target) > 0
         )
-        planner.limited = frozenset(
-            name for name, _ in self._state.limited_targets.limits()
-        )
+        planner.limits = {
+            name: per_s
+            for (name, _), per_s in self._state.limited_targets.limits().items()
+        }
         return planner
 
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
--- a/src/marjoramstage/coordination/adapter_planner.py
+++ b/src/marjoramstage/coordination/adapter_planner.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
+from marjoramstage.coordination.limited_replicas import LimitedReplicas
 from marjoramstage.coordination.target_state import ItemState, TargetState
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import Item
@@ -42,7 +43,7 @@
         self,
         usable: Sequence[TargetState],
         free: Sequence[TargetState],
-        limited: frozenset[str],
+        limited: LimitedReplicas,
         demand: DemandSnapshot,
         now_s: float,
     ) -> list[Order]:
@@ -54,17 +55,17 @@
             Targets that can serve requests.
         free : sequence of TargetState
             Those of them that no load of a model is planned for.
-        limited : frozenset of str
-            Names of those that serve too few requests for what waits.
+        limited : LimitedReplicas
+            Tells which of them serve too few requests for what waits.
         """
-        serving = [s for s in usable if s.target.name not in limited]
-        orders = self._loads(serving, free, demand, now_s)
+        orders = self._loads(usable, free, limited, demand, now_s)
         return orders + self._spare_slots(free, demand, now_s)
 
     def _loads(
         self,
-        serving: Sequence[TargetState],
+        usable: Sequence[TargetState],
         free: Sequence[TargetState],
+        limited: LimitedReplicas,
         demand: DemandSnapshot,
         now_s: float,
     ) -> list[Order]:
@@ -72,8 +73,8 @@
         for item, software in _wanted_adapters(demand):
             if any(
                 s.holds(item) or s.is_loading(item)
-                for s in serving
-                if software in (None, s.target.software)
+                for s in usable
+                if software in (None, s.target.software) and limited.serves(s, item)
             ):
                 continue
             fitting = [
--- a/src/marjoramstage/coordination/permit_issuer.py
+++ b/src/marjoramstage/coordination/permit_issuer.py
@@ -27,6 +27,11 @@
 BASE_UNUSED = 3.0
 MAX_UNUSED_S = 1.5
 
+# Permits that are kept for requests which wait, and not issued for expected ones: those
+# of so many seconds, and at most so many.
+RESERVED_S = 1.0
+MAX_RESERVED = 2.0
+
 # A permit that no report accounts for counts as unused for this long, in seconds.
 UNREPORTED_S = 2 * PERMIT_TTL_S
 
@@ -37,6 +42,11 @@
 DEMAND_AVERAGE_S = 1.0
 
 
+def _rate(per_s: float) -> float:
+    """Return how many permits a second are issued at a limit."""
+    return ISSUED_SHARE * max(per_s, MIN_LIMIT_PER_S)
+
+
 @dataclass
 class _Demand:
     """Requests of one instance for one target.
@@ -106,7 +116,7 @@
 
     def advance(self, per_s: float, now_s: float) -> None:
         """Add the tokens since the last call, unless many permits are unused."""
-        rate = ISSUED_SHARE * max(per_s, MIN_LIMIT_PER_S)
+        rate = _rate(per_s)
         self.tokens += rate * max(0.0, now_s - self.updated_s)
         self.updated_s = now_s
         for name, demand in list(self.demand.items()):
@@ -173,11 +183,14 @@
         issued: dict[str, Counter[TargetKey]] = {}
         for key, bucket in self._buckets.items():
             bucket.advance(limits[key], now_s)
-            for instance in self._issue_for(bucket, now_s):
+            reserved = min(MAX_RESERVED, RESERVED_S * _rate(limits[key]))
+            for instance in self._issue_for(bucket, reserved, now_s):
                 issued.setdefault(instance, Counter())[key] += 1
         return issued
 
-    def _issue_for(self, bucket: _Bucket, now_s: float) -> Iterable[str]:
+    def _issue_for(
+        self, bucket: _Bucket, reserved: float, now_s: float
+    ) -> Iterable[str]:
         """Yield an instance for each permit of a target that can be issued.
 
         The one whose request has waited for longest comes first. If none waits,
@@ -190,7 +203,9 @@
                 for name, demand in bucket.demand.items()
                 if now_s - demand.heard_s <= DEMAND_TTL_S
             }
-            instance = _longest_waiting(live, now_s) or self._draw(live, now_s)
+            instance = _longest_waiting(live, now_s)
+            if instance is None and bucket.tokens >= 1.0 + reserved:
+                instance = self._draw(live, now_s)
             if instance is None:
                 return
             bucket.tokens -= 1.0
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -14,6 +14,7 @@
 from marjoramstage.coordination.adapter_planner import AdapterPlanner
 from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
+from marjoramstage.coordination.limited_replicas import LimitedReplicas
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.replica_index import ReplicaIndex
 from marjoramstage.coordination.replica_values import RESUME_VALUE, ReplicaValues
@@ -95,9 +96,9 @@
         Requests that a target can run at once.
     paused : frozenset of str
         Targets that take no orders for now; they keep what they hold.
-    limited : frozenset of str
-        Targets that named a limit on the rate of requests. Models that requests wait
-        for are loaded at others.
+    limits : Mapping
+        Requests a second that targets take, for those that named a limit, by name.
+        Busy models are loaded at others.
     """
 
     def __init__(
@@ -109,7 +110,7 @@
         self.spec = spec
         self.usable_slots = spec.slots
         self.paused: frozenset[str] = frozenset()
-        self.limited: frozenset[str] = frozenset()
+        self.limits: Mapping[str, float] = {}
         self._first_report_s = first_report_s
         self.target_states: dict[str, TargetState] = {}
         self._values = ReplicaValues(spec)
@@ -121,7 +122,8 @@
         self._adapters = AdapterPlanner(spec)
         self._unreachable: frozenset[str] = frozenset()
         self._leaving: frozenset[tuple[str, int]] = frozenset()
-        self._index = ReplicaIndex((), {}, DemandSnapshot())
+        self._limited = LimitedReplicas({}, (), DemandSnapshot())
+        self._index = ReplicaIndex((), {}, DemandSnapshot(), self._limited)
         loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
         self._fetch_interval_s = 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
         self._next_fetch_s = 0.0
@@ -184,18 +186,20 @@
                 orders.append(order)
         usable = self._usable_targets()
         free = [state for state in usable if self._takes_orders(state)]
-        limited = self._limited_among(usable)
-        return orders + self._adapters.plan_orders(usable, free, limited, demand, now_s)
+        return orders + self._adapters.plan_orders(
+            usable, free, self._limited, demand, now_s
+        )
 
     def eta_s(self, item: Item, now_s: float) -> float | None:
         """Return the expected time until an item is loaded; None if unknown."""
         queue_eta_s = self._queue_etas_s.get(item.base)
-        target_states = self._unlimited(self._usable_targets())
+        target_states = self._serving(item, self._usable_targets())
         return self._time_to_load_s(item, target_states, queue_eta_s, now_s)
 
     def resume_eta_s(self, needed: ItemVersion, now_s: float) -> float | None:
         """Return the same for streams that one version of targets has to resume."""
-        target_states = self._unlimited(self._usable_targets(needed.software))
+        target_states = self._usable_targets(needed.software)
+        target_states = self._serving(needed.item, target_states)
         blocked_s = self._queue_etas_s.get(needed.item.base)
         queue_eta_s = self._resume_etas_s.get(needed.base, blocked_s)
         return self._time_to_load_s(needed.item, target_states, queue_eta_s, now_s)
@@ -244,7 +248,7 @@
         self, needed: ItemVersion, demand: DemandSnapshot, now_s: float
     ) -> None:
         item = needed.item
-        target_states = self._unlimited(self._usable_targets(needed.software))
+        target_states = self._serving(item, self._usable_targets(needed.software))
         if any(s.holds(item) or s.is_loading(item) for s in target_states):
             return
         candidates = self._may_load(item, target_states, now_s)
@@ -334,8 +338,8 @@
 
     def _rebuild_index(self, demand: DemandSnapshot) -> None:
         usable = self._usable_targets()
-        limited = self._limited_among(usable)
-        self._index = ReplicaIndex(usable, self._planned, demand, limited)
+        self._limited = LimitedReplicas(self.limits, usable, demand)
+        self._index = ReplicaIndex(usable, self._planned, demand, self._limited)
 
     def _queue_eta_s(self, ahead: int) -> float:
         """Return when a model that no target can load now is likely to be loaded.
@@ -389,26 +393,29 @@
             and (s.target.name, s.target.incarnation) not in self._leaving
         ]
 
-    def _limited_among(self, target_states: Sequence[TargetState]) -> frozenset[str]:
-        """Return the names of targets with a limit, unless all of them have one."""
-        names = {target_state.target.name for target_state in target_states}
-        return frozenset() if names <= self.limited else self.limited & names
+    def _serving(
+        self, item: Item, target_states: list[TargetState]
+    ) -> list[TargetState]:
+        """Return the targets that serve the demand for a model, or could if loaded.
 
-    def _unlimited(self, target_states: list[TargetState]) -> list[TargetState]:
-        """Return the targets without a limit, or all if each has one."""
-        if not self.limited:
-            return target_states
-        limited = self._limited_among(target_states)
-        return [s for s in target_states if s.target.name not in limited]
+        If all are limited and serve too little, they are returned all the same.
+        """
+        found = [
+            s
+            for s in target_states
+            if self._limited.serves(s, item)
+            and (item.base in s.items or self._limited.has_room_for(s, item))
+        ]
+        return found or target_states
 
     def _choose_target(
         self, item: Item, demand: DemandSnapshot, now_s: float
     ) -> tuple[TargetState, tuple[Item, ...]] | BlockReason:
-        """Return the target for a load, without a limit if one of these has room."""
+        """Return the target for a load, if one can serve the model and has room."""
         orderable = [s for s in self._index.usable if s.target.name not in self.paused]
-        unlimited = self._unlimited(orderable)
-        found = self._choose_among(unlimited, item, demand, now_s)
-        if found is BlockReason.NO_ROOM and len(unlimited) < len(orderable):
+        serving = self._serving(item, orderable)
+        found = self._choose_among(serving, item, demand, now_s)
+        if found is BlockReason.NO_ROOM and len(serving) < len(orderable):
             return self._choose_among(orderable, item, demand, now_s)
         return found
 
--- a/src/marjoramstage/coordination/replica_index.py
+++ b/src/marjoramstage/coordination/replica_index.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
+from marjoramstage.coordination.limited_replicas import LimitedReplicas
 from marjoramstage.coordination.target_state import ItemState, TargetState
 from marjoramstage.state.fleet import Item
 
@@ -24,8 +25,8 @@
         Targets that can be sent orders and requests.
     planned : Mapping
         Models that targets are to load next, by name of the target.
-    limited : frozenset of str
-        Targets that serve too few requests for their replicas to count as ready.
+    limited : LimitedReplicas
+        Tells which replicas serve too few requests to count as ready.
 
     Attributes
     ----------
@@ -42,7 +43,7 @@
         usable: Sequence[TargetState],
         planned: Mapping[str, Item],
         demand: DemandSnapshot,
-        limited: frozenset[str] = frozenset(),
+        limited: LimitedReplicas,
     ):
         self.usable = usable
         self.ready: Counter[str] = Counter()
@@ -54,8 +55,7 @@
                     continue
                 if not demand.is_latency_critical(item):
                     self.deferrable += 1
-                is_limited = target_state.target.name in limited
-                if held.state is ItemState.HELD and not is_limited:
+                if held.state is ItemState.HELD and limited.serves(target_state, item):
                     self.ready[item.model] += 1
                 is_planned = planned.get(target_state.target.name) == item
                 if held.state is ItemState.LOADING and not is_planned:
