An odd entry among the targets spoils only itself

An instance that starts while the list holds an entry of 4,000 levels, or a number of 5,000 digits, was never ready: the parser refuses the whole answer (RecursionError ended the watch, ValueError counted as an unreachable store). Found beside it: with slots of 400 digits every request at instances that run got 500, and 400 digits of remaining time ended the watch (OverflowError). Class: one writer's value decides over what all others wrote.

--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -73,6 +73,7 @@
         self.events = []
         self.revision = 1
         self.offline = False
+        self.raw = {}
         self._changed = asyncio.Condition()
 
     async def put(self, kind, name, spec):
@@ -129,7 +130,7 @@
         if "watch" in req.query:
             return await self._watch(kind, int(req.query["watch"]))
         items = [obj for (k, _), obj in sorted(self.objects.items()) if k == kind]
-        return web.json_response(
+        return self._json(
             {"items": items, "more": False, "store_revision": self.revision}
         )
 
@@ -144,7 +145,14 @@
                 await asyncio.wait_for(self._changed.wait_for(found), WATCH_S)
             except TimeoutError:
                 pass
-        return web.json_response({"events": found(), "store_revision": self.revision})
+        return self._json({"events": found(), "store_revision": self.revision})
+
+    def _json(self, data):
+        """Answer with data; texts that are keys of ``raw`` become what these hold."""
+        text = json.dumps(data)
+        for key, raw in self.raw.items():
+            text = text.replace(json.dumps(key), raw)
+        return web.Response(text=text, content_type="application/json")
 
     def _store(self, kind, name, spec):
         self.revision += 1
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -13,6 +13,7 @@
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.store_relay import StoreRelay
+from marjoramstage.exceptions import Verdict
 from marjoramstage.protocol.objects import (
     Kind,
     Platform,
@@ -37,6 +38,8 @@
 PUBLISH_WAIT_S = 0.3
 # After an outage of the store, its list counts as complete after this time.
 RECOVERY_SETTLE_S = 2.2
+# Characters of an exception that are logged.
+MAX_REASON = 200
 
 
 class ObjectWatcher:
@@ -101,7 +104,7 @@
             if remaining_s > 0:
                 await asyncio.sleep(remaining_s)
                 continue
-            error = await self._sync_once()
+            error = await self._try_sync()
             if error is None:
                 publishing = self._relay.may_publish()
                 await asyncio.sleep(
@@ -184,6 +187,19 @@
 
     # Calls to the store
 
+    async def _try_sync(self) -> PlatformError | None:
+        """Ask the store; a fault of this program doesn't end the watch."""
+        try:
+            return await self._sync_once()
+        except Exception as exc:
+            # What was read is not known to be applied, so all is read again.
+            self._version = None
+            self._state.events.event(
+                "watch failed", kind=self.kind.plural, reason=repr(exc)[:MAX_REASON]
+            )
+            fault, verdict = PlatformFault.UNAVAILABLE, Verdict.NOT_RUN
+            return PlatformError(fault, verdict, "answer not applied")
+
     async def _sync_once(self) -> PlatformError | None:
         if self._version is None or self._changing:
             return await self._list()
--- a/src/marjoramstage/platform/_config.py
+++ b/src/marjoramstage/platform/_config.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
+from marjoramstage.platform import _json
 from marjoramstage.state.routes import (
     CallerLimits,
     EngineSpec,
@@ -27,13 +27,15 @@
     Routes to unknown services are left out; the others are kept.
     """
     try:
-        data = json.loads(spec) if isinstance(spec, str | bytes) else spec
+        if isinstance(spec, str):
+            spec = spec.encode()
+        data = _json.loads(spec) if isinstance(spec, bytes) else spec
         services = {item["name"]: _service(item) for item in data["services"]}
         routes = [_route(item) for item in data["routes"]]
         known = [r for r in routes if all(s.service in services for s in r.split)]
         limits = _limits(data.get("limits") or {})
         return Ok(RouteTable(int(data["version"]), tuple(known), services, limits))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
 
 
--- a/src/marjoramstage/platform/_orders.py
+++ b/src/marjoramstage/platform/_orders.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from marjoramstage.platform import _json
 from marjoramstage.platform._targets import decode_items
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.state.fleet import Item, TargetReport
@@ -44,7 +45,7 @@
 def decode_report(body: bytes) -> Result[TargetReport, str]:
     """Return the report of a target, or why it cannot be decoded."""
     try:
-        data = json.loads(body)
+        data = _json.loads(body)
         report = TargetReport(
             order_count=int(data["seq"]),
             busy=bool(data["busy"]),
@@ -55,7 +56,7 @@
             in_memory=_at_hand(data, "in_memory"),
             on_disk=_at_hand(data, "on_disk"),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
     return Ok(report)
 
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
 from urllib.parse import quote
@@ -12,6 +11,7 @@
 from result import Err, Ok, Result
 
 from marjoramstage.exceptions import Verdict
+from marjoramstage.platform import _json
 from marjoramstage.protocol.objects import (
     Kind,
     ObjectList,
@@ -213,7 +213,7 @@
                         return Err(error)
                 if resp.status >= 300:
                     return Err(_refusal(method, resp.status, payload))
-                return Ok(json.loads(payload) if payload else None)
+                return Ok(_json.loads(payload) if payload else None)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             return Err(_unavailable(Verdict.NOT_RUN, exc))
         except (BodyTooLargeError, UnexpectedBytesError) as exc:
--- a/src/marjoramstage/platform/_targets.py
+++ b/src/marjoramstage/platform/_targets.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
+from marjoramstage.platform import _json
 from marjoramstage.state.fleet import FleetTarget, Item
 
 MS = 0.001
 STATES = ("ready", "draining")
 MAX_SOFTWARE_CHARS = 128
+# The largest number that an entry may have; all up to it are exact as floats.
+MAX_NUMBER = 2**53
 
 
 def decode_target(name: str, spec: Any) -> Result[FleetTarget, str]:
     """Return the target that an object describes, or why it is invalid."""
     try:
-        data = json.loads(spec) if isinstance(spec, str | bytes) else spec
+        if isinstance(spec, str):
+            spec = spec.encode()
+        data = _json.loads(spec) if isinstance(spec, bytes) else spec
         return Ok(_target(name, data))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
@@ -41,7 +45,7 @@
         data_centre=_text(zone),
         slots=max(1, _integer(data["slots"])),
         leaving=state == "draining",
-        leaves_in_s=float(remaining_ms) * MS if remaining_ms is not None else None,
+        leaves_in_s=_number(remaining_ms) * MS if remaining_ms is not None else None,
         # ``seq`` counts the orders that the target has accepted.
         order_count=_integer(data.get("seq") or 0),
         items=decode_items(models) if models is not None else None,
@@ -77,4 +81,14 @@
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"integer expected, got {value!r:.40}")
+    if abs(value) > MAX_NUMBER:
+        raise ValueError("integer out of range")
     return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"number expected, got {value!r:.40}")
+    if not abs(value) <= MAX_NUMBER:
+        raise ValueError("number out of range")
+    return float(value)
