Callers refused for a limit count as expected retries; permits among the peers' messages

A model whose only target is limited has to be loaded elsewhere, also when its callers were refused.

--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -28,12 +28,14 @@
     HeldItems,
     Hello,
     LeavingTarget,
+    LimitedTarget,
     Load,
     MemberEntry,
     MemberState,
     NamedDocument,
     PartsHarmless,
     PartsQuarantined,
+    PermitsIssued,
     PromptsSent,
     QuarantinedParts,
     Rumour,
@@ -41,6 +43,7 @@
     StreamOriginAsked,
     StreamOriginTold,
     TargetCrashed,
+    TargetPermits,
     decode,
     encode,
 )
@@ -273,6 +276,7 @@
         ("t2",),
         resuming={"s m v1": 3},
         begun=(BegunStreams("v1", ("0123456789ab", "cd")), BegunStreams("v2")),
+        limited=(LimitedTarget("t", 7, 2500, False, 40, 3, 4, 2, 1, 900),),
     ),
     FleetView(
         "i2/x",
@@ -292,6 +296,7 @@
     PartsHarmless({"aa": 1500}),
     PartsQuarantined((QuarantinedParts(("aa", "bb"), 900),), "127.0.0.1:7380"),
     StoreChanges("servers", 3, 41, 57, False, b"\x00\xff"),
+    PermitsIssued("i2/x", 4, (TargetPermits("t", 7, 2),)),
 )
 
 
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -56,6 +56,9 @@
 # Requests may wait for a model that is loaded within this time of a stop.
 STOPPING_MAX_WAIT_S = 1.0
 
+# Callers refused for these come back for a model that could be loaded meanwhile.
+RETRIED_REASONS = (NoTargetReason.NOT_HELD, NoTargetReason.RATE_LIMITED)
+
 QUARANTINED = "part of the prompt crashes targets"
 
 # Part of the latency goal for which a prompt may be held back to pace prefill.
@@ -326,7 +329,7 @@
             self._check_quarantine(ctx)
             decision, reason = self._wait_decision(ctx, waiter)
             if decision.refuse:
-                if reason is NoTargetReason.NOT_HELD:
+                if reason in RETRIED_REASONS:
                     self._state.expect_retry(ctx.criteria, decision.retry_after_s)
                 raise self._no_target_error(ctx, reason.value, decision.retry_after_s)
             await asyncio.wait((waiter.fut,), timeout=decision.wait_s)
--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -127,6 +127,10 @@
 | a stream that is taken up goes on at the version that began it or not at all, after \
 all instances were killed too, and goes on if that version is there | stream_versions; \
 answer_framing: a caller takes a stream up |
+| a target that names a limit gets in no 4 s more than one and a half times that and 5 \
+requests, from all instances together; it is still used, and callers whom others can \
+serve are | target_limits_path; target_limits: played loads |
+| an entry among the targets that no parser takes spoils only itself | odd_entries |
 | each model that is asked for has its turn | planner_fleet: no model that is asked \
 for is starved; load_simulation: rare models of a fleet |
 """
