Requests that outlast a planned stop get a final answer

Cause: the end of the process cancels what is still served, and a cancelled request closes its connection. Now such a request gets 502 0.6 s before the end (503 if it was sent to no target); a stream that has begun is cut, as before. grace_period: failed before ('Remote end closed connection without response'), passed three times after; entry_path, request_faults, docs: 24 passed. No request was told 'not run' that had reached a target.

--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -17,6 +17,7 @@
 EVENTS = 5
 RUN_S = 0.05
 STALL_S = 0.2
+HANG_S = 30.0
 
 
 class LoopThread:
@@ -254,6 +255,8 @@
     async def _answer(self, req, body, headers):
         if self.fault == "error":
             return web.Response(status=500, body=b"broken", headers=headers)
+        if self.fault == "hang":
+            await asyncio.sleep(HANG_S)
         if self.fault == "foreign":
             headers["Request-Id"] = "another"
         if self.fault == "reset-while":
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -59,6 +59,7 @@
 # Callers refused for these come back for a model that could be loaded meanwhile.
 RETRIED_REASONS = (NoTargetReason.NOT_HELD, NoTargetReason.RATE_LIMITED)
 
+GRACE_OVER = "stopped before the answer"
 QUARANTINED = "part of the prompt crashes targets"
 
 # Part of the latency goal for which a prompt may be held back to pace prefill.
@@ -83,7 +84,9 @@
         self._crash_observer = crash_observer
         self._relay = AnswerRelay(state, self._log, crash_observer)
         self._wait_policy = WaitPolicy()
-        self._busy_conns: set[object] = set()
+        # Tasks of the requests that are being served, by connection.
+        self._busy_conns: dict[object, asyncio.Task] = {}
+        self._grace_is_over = False
 
     @property
     def in_flight(self) -> int:
@@ -94,11 +97,20 @@
         """Whether a request on this connection is being served."""
         return conn in self._busy_conns
 
+    def end_all(self) -> None:
+        """Give each request that is still served its final answer.
+
+        A stream that has begun is cut, and its caller sees that it isn't complete.
+        """
+        self._grace_is_over = True
+        for task in list(self._busy_conns.values()):
+            task.cancel()
+
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Serve one request; cancelled when the caller disconnects."""
         arrived_s = self._state.clock.now()
         conn = req.protocol
-        self._busy_conns.add(conn)
+        self._busy_conns[conn] = asyncio.current_task()
         ctx: RequestContext | None = None
         outcome = "cancelled"
         try:
@@ -113,8 +125,14 @@
         except TruncatedAnswerError as exc:
             outcome = exc.reason
             resp = self._abort(req, ctx)
+        except asyncio.CancelledError:
+            if not self._grace_is_over or (ctx is not None and ctx.resp is not None):
+                raise
+            asyncio.current_task().uncancel()
+            outcome = GRACE_OVER
+            resp = self._refusal(self._grace_over_error(ctx))
         finally:
-            self._busy_conns.discard(conn)
+            self._busy_conns.pop(conn, None)
             self._log.request_ended(req, ctx, arrived_s, outcome)
         if self._state.stopping and not resp.prepared:
             resp.force_close()
@@ -478,6 +496,11 @@
     def _remaining_s(self, ctx: RequestContext) -> float:
         return max(0.001, ctx.deadline_s - self._state.clock.now())
 
+    def _grace_over_error(self, ctx: RequestContext | None) -> RefusalError:
+        if ctx is None or not ctx.sent_s:
+            return RefusalError(503, GRACE_OVER, STOPPING_RETRY_AFTER_S)
+        return RefusalError(502, GRACE_OVER)
+
     def _refusal(self, exc: RefusalError) -> web.Response:
         headers = {}
         if exc.status in NOT_RUN_STATUSES:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -47,6 +47,8 @@
 LISTEN_AFTER_STOP_S = 2.6
 # The process ends this long before its grace period does.
 SHUTDOWN_MARGIN_S = 0.6
+# Time to write the answers of requests that are still served then.
+FINAL_ANSWERS_S = 0.1
 KEEPALIVE_TIMEOUT_S = 75.0
 SETTINGS_CHECK_INTERVAL_S = 2.0
 MAX_HEAD_BYTES = 32_768
@@ -303,6 +305,9 @@
                 if self._handler.in_flight == 0:
                     break
             await asyncio.sleep(0.05)
+        if self._handler.in_flight:
+            self._handler.end_all()
+            await asyncio.sleep(FINAL_ANSWERS_S)
         self._events.event("stopped", in_flight=self._handler.in_flight)
         for task in self._tasks:
             task.cancel()
