An instance out of step doesn't take the only version that it knows for the only one

A test shows it: an instance that hears from no other resumed a stream that it had not begun (failed before, 200; 503 with a time to return now). It relies on a sole version only while the store confirmed its list within 1 s, or it hears from the holder of the lease, or holds it and hears the others.

--- a/features/answer_framing.feature
+++ b/features/answer_framing.feature
@@ -136,6 +136,8 @@
       | names no request, of two versions     | v1, v2   | another began it at v1      | no request | 503 with a time to return |
       | its version is gone                   | v2, v2   | another began it at v1      | r0         | 503 with a time to return |
       | its version was there until now       | v2, v2   | v1 was there until now      | r0         | 503 with a time to return |
+      | this instance hears from no other     | v1, v1   | this instance is cut off    | r0         | 503 with a time to return |
+      | cut off, and it began it              | v1, v1   | this instance began it at v1 and is cut off | r0 | events 4 to 6 of any |
       | no version is known                   | ?, ?     | nobody knows where it began | r0         | 503 with a time to return |
 
   Scenario Outline: the end of a resumed stream can be told from its line and the counts
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -273,6 +273,12 @@
     now_s = state.clock.now()
     if known == "this instance began it at v2":
         state.stream_origins.record("r0", "v2", now_s)
+    if known == "this instance began it at v1 and is cut off":
+        state.stream_origins.record("r0", "v1", now_s)
+        state.is_in_step = lambda: False
+    if known == "this instance is cut off":
+        state.software.learn({SERVICE: ("v1",)}, now_s)
+        state.is_in_step = lambda: False
     if known == "v1 alone was stored":
         state.software.learn({SERVICE: ("v1",)}, now_s)
     if known == "that v2 began it was stored":
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -80,6 +80,8 @@
         Called when a prompt is sent to a target.
     on_stream_begun : callable
         Called when the first event of a stream was relayed.
+    is_in_step : callable
+        Returns whether this instance is likely to know the targets that others know.
     store_progress : callable
         Returns how much is known of the platform's store.
     keeps_origins : callable
@@ -121,6 +123,7 @@
         self.store_progress: Callable[[], tuple[StoreProgress, ...]] = lambda: ()
         self.on_stream_begun: Callable[[], None] = lambda: None
         self.keeps_origins: Callable[[], bool] = lambda: False
+        self.is_in_step: Callable[[], bool] = lambda: True
         self._origins_kept_until_s = 0.0
         self.stream_origins = StreamOrigins()
         self.software = SoftwareHistory(clock.now())
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -128,6 +128,13 @@
             and self._state.clock.now() >= self.reconnected_s + RECOVERY_SETTLE_S
         )
 
+    def is_fresh(self, max_age_s: float) -> bool:
+        """Whether the store confirmed so recently that nothing has changed."""
+        now_s = self._relay.now_s()
+        published = now_s < self._fresh_until_s
+        confirmed = self._version is not None and now_s - self._confirmed_s <= max_age_s
+        return published or confirmed
+
     def on_store_restored(self, era: int) -> None:
         """List the objects again; what is missing may still be written again."""
         self._version = None
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -59,6 +59,8 @@
 MAX_STEP_GAP_S = 1.0
 # A holder counts as alive for this time after its last view.
 VIEW_TTL_S = 0.7
+# An instance that heard from no other for this long may not know what they know.
+IN_STEP_S = 1.0
 CLOCK_MARGIN_S = 0.4
 STAGGER_S = 0.3
 # Part of the lease term that others wait before they take the lease, where
@@ -133,6 +135,7 @@
         )
         self._next_summary_s = 0.0
         self._view_received_s = -VIEW_TTL_S
+        self._heard_holder_s = -IN_STEP_S
         self._orders_start_s = 0.0
         self._tasks: set[asyncio.Task] = set()
         self._polled_targets: set[str] = set()
@@ -226,8 +229,20 @@
         if report.instance != self._state.settings.name:
             self._peer_liveness.heard(report.instance, now_s)
 
+    def is_in_step(self) -> bool:
+        """Whether this instance hears from the holder, or holds and hears the others.
+
+        What the others know of the targets is then known here too, even while the
+        store is away.
+        """
+        now_s = seconds_since_boot()
+        if now_s - self._heard_holder_s <= IN_STEP_S:
+            return True
+        return self.may_send_orders and not self._peer_liveness.is_isolated(now_s)
+
     def receive_view(self, view: FleetView) -> None:
         """Note that another instance holds the lease, or that it ended."""
+        self._heard_holder_s = seconds_since_boot()
         if view.fence > self._fence:
             self._on_displaced("received a view with a higher fencing number")
         if view.ended:
--- a/src/marjoramstage/_entry/stream_versions.py
+++ b/src/marjoramstage/_entry/stream_versions.py
@@ -86,8 +86,13 @@
         return state.stream_origins.find(resumes, state.clock.now())
 
     def _sole(self, service: str) -> str:
-        """Return the only version of late; empty if one that is gone may be missing."""
+        """Return the only version of late; empty if another one may be missing.
+
+        One may be that is gone, or that joined while this instance was cut off.
+        """
         state = self._state
+        if not state.is_in_step():
+            return ""
         is_complete = state.software.is_complete(service, state.clock.now())
         if not (self._stored.is_loaded and is_complete):
             return ""
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -20,7 +20,10 @@
 from marjoramstage._entry.load_monitor import LoadMonitor
 from marjoramstage._entry.origin_store import OriginStore
 from marjoramstage._entry.peer_link import PeerLink
-from marjoramstage._entry.placement_controller import PlacementController
+from marjoramstage._entry.placement_controller import (
+    IN_STEP_S,
+    PlacementController,
+)
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.quarantine_store import QuarantineStore
 from marjoramstage._entry.quarantine_sync import QuarantineSync
@@ -148,6 +151,9 @@
         await self._peer_link.start()
         routes = watch_routes(store, self._state, relay)
         targets = watch_targets(store, self._state, relay)
+        self._state.is_in_step = lambda: (
+            targets.is_fresh(IN_STEP_S) or self._controller.is_in_step()
+        )
         for watcher in (routes, targets):
             era.on_rise(watcher.on_store_restored)
         load_monitor = LoadMonitor(
