One decoder for texts of objects, limits formed once a step, dead code out

Found in reading the whole change once more; behaviour stays. LimitedReplicas.is_limited had no caller. The routes and the targets decoded a text or bytes each with the same three lines: _json.loads takes both now. The limits of all targets were formed anew for each service and once more for the permits in each 20 ms step of the holder: once a step now. The targets that can serve a waiting request were formed twice to name the reason of its wait: once now. has_room_for is has_capacity_for.

--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -402,10 +402,10 @@
         state = self._state
         targets = state.fleet.of_service(ctx.service)
         any_listed = any(not target.leaving for target in targets)
-        any_eligible = any_listed and bool(state.eligible(ctx.criteria))
-        rate_limited = any_eligible and state.is_rate_limited(ctx.criteria)
+        eligible = state.eligible(ctx.criteria) if any_listed else []
+        rate_limited = state.limits.all_named(eligible)
         return no_target_reason(
-            ctx.criteria, any_listed, any_eligible, any_paused, rate_limited
+            ctx.criteria, any_listed, bool(eligible), any_paused, rate_limited
         )
 
     def _no_target_error(
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -181,13 +181,6 @@
         if self.limits.any_named():
             self.limited_targets.want(self.eligible(criteria))
 
-    def is_rate_limited(self, criteria: TargetCriteria) -> bool:
-        """Whether all targets that can serve a request have named a limit."""
-        if not self.limits.any_named():
-            return False
-        targets = self.eligible(criteria)
-        return all(self.limits.per_s(target) is not None for target in targets)
-
     def turn_s(self, waiter: Waiter) -> float:
         """Return the expected time until limited targets take a waiting request."""
         ahead, waiting = self.wait_queue.position(waiter)
--- a/src/marjoramstage/_entry/permit_sender.py
+++ b/src/marjoramstage/_entry/permit_sender.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage.coordination.permit_issuer import PermitIssuer
@@ -63,9 +63,14 @@
         """Return how many requests of all instances wait for a target."""
         return self._issuer.waiting(key)
 
-    def issue(self, fence: int) -> None:
-        """Send the permits that can be issued now."""
-        limits = self._state.limited_targets.limits()
+    def issue(self, fence: int, limits: Mapping[TargetKey, float]) -> None:
+        """Send the permits that can be issued now.
+
+        Parameters
+        ----------
+        limits : Mapping
+            Requests a second that each limited target takes.
+        """
         now_s = self._state.clock.now()
         for instance, permits in self._issuer.issue(limits, now_s).items():
             self._issued.update(permits)
@@ -76,7 +81,7 @@
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
             self._log_summary(limits)
 
-    def _log_summary(self, limits: dict[TargetKey, float]) -> None:
+    def _log_summary(self, limits: Mapping[TargetKey, float]) -> None:
         """Log the limits, what was issued since the last line, and what waits."""
         targets = {
             key[0]: {
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -381,11 +381,14 @@
         if table is None or not self._state.targets_listed:
             return
         demand = self._reports.demand(table.services, now_s)
+        limits = self._state.limited_targets.limits()
+        limits_by_name = {name: per_s for (name, _), per_s in limits.items()}
         changed = False
         for service in table.services.values():
             if service.engine is None:
                 continue
             planner = self._planner(service, now_s)
+            planner.limits = limits_by_name
             self._poll_targets(planner, now_s)
             if now_s < self._orders_start_s:
                 continue
@@ -394,7 +397,7 @@
                 self._spawn(self._execute_order(planner, order))
         if changed:
             self.views.request()
-        self._permits.issue(self._fence)
+        self._permits.issue(self._fence, limits)
         self.views.send_if_due(now_s, self._fence, self._unrenewed_until_s > 0)
         if now_s >= self._next_summary_s:
             self._next_summary_s = now_s + SUMMARY_INTERVAL_S
@@ -423,10 +426,6 @@
             for state in planner.target_states.values()
             if self._state.pause_left_s(state.target) > 0
         )
-        planner.limits = {
-            name: per_s
-            for (name, _), per_s in self._state.limited_targets.limits().items()
-        }
         return planner
 
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
--- a/src/marjoramstage/bench/proofs.py
+++ b/src/marjoramstage/bench/proofs.py
@@ -131,6 +131,10 @@
 requests, from all instances together; it is still used, and callers whom others can \
 serve are | target_limits_path; target_limits: played loads |
 | an entry among the targets that no parser takes spoils only itself | odd_entries |
+| a request that outlasts the grace of a planned stop gets a final answer | \
+grace_period |
+| an instance that hears from no other resumes no stream that it did not begin | \
+answer_framing: a caller takes a stream up |
 | each model that is asked for has its turn | planner_fleet: no model that is asked \
 for is starved; load_simulation: rare models of a fleet |
 """
--- a/src/marjoramstage/coordination/limited_replicas.py
+++ b/src/marjoramstage/coordination/limited_replicas.py
@@ -49,15 +49,11 @@
                 self._left_per_s[name] = USABLE_SHARE * limits[name]
                 self._share_out(target_state, elsewhere)
 
-    def is_limited(self, target_state: TargetState) -> bool:
-        """Whether a target counts as limited."""
-        return target_state.target.name in self._left_per_s
-
     def serves(self, target_state: TargetState, item: Item) -> bool:
         """Whether a target's replica of a model, or of its base, serves its demand."""
         return (target_state.target.name, item.model) not in self._too_busy
 
-    def has_room_for(self, target_state: TargetState, item: Item) -> bool:
+    def has_capacity_for(self, target_state: TargetState, item: Item) -> bool:
         """Whether a target without the model could serve the demand for it."""
         left_per_s = self._left_per_s.get(target_state.target.name)
         return left_per_s is None or self._demand.rate(item.base) <= left_per_s
--- a/src/marjoramstage/coordination/named_limits.py
+++ b/src/marjoramstage/coordination/named_limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from marjoramstage.state.fleet import FleetTarget
@@ -90,6 +91,10 @@
         """Whether a target named a limit, which may have ended since."""
         return bool(self._words)
 
+    def all_named(self, targets: Iterable[FleetTarget]) -> bool:
+        """Whether each of some targets has a limit."""
+        return all(self.per_s(target) is not None for target in targets)
+
     def word_to_tell(self, target: FleetTarget, now_s: float) -> LimitWord | None:
         """Return what other instances should know of a target; None if nothing."""
         word = self._words.get((target.name, target.incarnation))
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -404,7 +404,7 @@
             s
             for s in target_states
             if self._limited.serves(s, item)
-            and (item.base in s.items or self._limited.has_room_for(s, item))
+            and (item.base in s.items or self._limited.has_capacity_for(s, item))
         ]
         return found or target_states
 
--- a/src/marjoramstage/platform/_config.py
+++ b/src/marjoramstage/platform/_config.py
@@ -27,9 +27,7 @@
     Routes to unknown services are left out; the others are kept.
     """
     try:
-        if isinstance(spec, str):
-            spec = spec.encode()
-        data = _json.loads(spec) if isinstance(spec, bytes) else spec
+        data = _json.loads(spec) if isinstance(spec, str | bytes) else spec
         services = {item["name"]: _service(item) for item in data["services"]}
         routes = [_route(item) for item in data["routes"]]
         known = [r for r in routes if all(s.service in services for s in r.split)]
--- a/src/marjoramstage/platform/_json.py
+++ b/src/marjoramstage/platform/_json.py
@@ -18,7 +18,7 @@
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]|[\]}]', re.DOTALL)
 
 
-def loads(payload: bytes) -> Any:
+def loads(payload: str | bytes) -> Any:
     """Decode a document.
 
     Raises
@@ -26,6 +26,8 @@
     ValueError
         It is no JSON.
     """
+    if isinstance(payload, str):
+        payload = payload.encode()
     try:
         return json.loads(payload)
     except (ValueError, RecursionError):
--- a/src/marjoramstage/platform/_targets.py
+++ b/src/marjoramstage/platform/_targets.py
@@ -19,9 +19,7 @@
 def decode_target(name: str, spec: Any) -> Result[FleetTarget, str]:
     """Return the target that an object describes, or why it is invalid."""
     try:
-        if isinstance(spec, str):
-            spec = spec.encode()
-        data = _json.loads(spec) if isinstance(spec, bytes) else spec
+        data = _json.loads(spec) if isinstance(spec, str | bytes) else spec
         return Ok(_target(name, data))
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
