--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -53,8 +53,8 @@
 class Record:
     """Lines of what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder: Path):
-        self._path = folder / "record.txt"
+    def __init__(self, path: Path):
+        self._path = path
         self._lines: list[str] = []
         self._began_s = time.monotonic()
 
@@ -712,7 +712,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case, folder: Path, limit_s: float = 110.0) -> None:
+def run_case(case, trouble: bool, path: Path, limit_s: float = 110.0) -> None:
     """Run a case and exit with its outcome.
 
     Parameters
@@ -720,9 +720,12 @@
     case : callable
         Coroutine that gets a record and whether to disrupt, and returns whether the
         rule held.
+    trouble : bool
+        Whether to disrupt.
+    path : Path
+        Of the record that is written.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(path)
     record.say(f"disruption: {'yes' if trouble else 'no'}")
 
     async def bounded() -> bool:
