Tests that start programs run two at a time

Cause: beside other load, five test processes at once let tests on the real clock fail (odd_entries, crashing_parts, binary: 5 of 1127 in a run that took 667 s). Ruled out: longer waits in the tests. Conclusion: features tagged @processes share two test processes, the others three.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Bad input gets a clear error
   Every error names its file, line and path, or a status, a code and a verdict;
   the process keeps serving.
--- a/features/binary.feature
+++ b/features/binary.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: One binary, one process
   ./dev binary builds a single file. It unpacks into one memory-backed
   directory and writes nowhere else.
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: A part of prompts that ends each engine that answers it
   The instances are separate processes, the engines are stand-ins. Every 0.2 s callers
   send a request that has the fatal part, whatever its other parts, at any instance, and
--- a/features/customers.feature
+++ b/features/customers.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Customers are isolated from each other
   A customer cannot reach what another one paid for, claimed or received.
 
--- a/features/demo.feature
+++ b/features/demo.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: The demo works as printed
   Each curl command that the demo prints is run unchanged.
 
--- a/features/drain.feature
+++ b/features/drain.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: A planned stop interrupts no request in flight
 
   Scenario: rolling replacement of all instances under a steady request stream
--- a/features/end_to_end.feature
+++ b/features/end_to_end.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: End-to-end requests through separate processes
   Callers can reach targets through any instance of the data centre.
 
--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Bytes without end are bounded wherever they are read
   An instance is a process of its own; its peers send as fast as they can until
   their connection is closed. 300 MB is the memory of a machine, 80 MB what is
--- a/features/entry_path.feature
+++ b/features/entry_path.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Requests run through instances on the users' platform
   The instances are separate processes; the object store, engines and services are
   stand-ins.
--- a/features/field_failures.feature
+++ b/features/field_failures.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Failures that operators of similar systems saw
   The instances are separate processes; the object store, engines and services are
   stand-ins. docs/PROOFS.md lists which scenario stands for which failure.
--- a/features/grace_period.feature
+++ b/features/grace_period.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Requests that last longer than a planned stop
   A stop in calm, with 8 s of grace. Separate processes and stand-ins.
 
--- a/features/observing.feature
+++ b/features/observing.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Logs, state dump and metrics of an instance
   They cover every request and contain no secret.
 
--- a/features/origin_store.feature
+++ b/features/origin_store.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: What instances store of versions and streams
   An instance that starts relies on the version that it sees only if it knows which
   ones were there before.
--- a/features/partitions.feature
+++ b/features/partitions.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Network partitions of data centres and instances
   The generation in force is kept; missed generations arrive after healing.
 
--- a/features/releases_commands.feature
+++ b/features/releases_commands.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Operators manage the inventory from a command line or a CI job
 
   Scenario: commands against two running instances of two data centres
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: The platform's store comes back from a copy
   What was written since the copy is lost, and revisions are given out again. Each
   answer names the era of the store, which then rises by one.
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Streams are taken up at the version that began them, after a restart too
   Two instances relay four streams each, which break off as instances are killed after
   the third event. Callers take them up once the instances are back. What engines of two
--- a/features/target_limits_path.feature
+++ b/features/target_limits_path.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Targets that name a limit on the rate of requests, on the whole path
   The instances are separate processes, the targets are stand-ins. From 2 s on some
   targets name in each answer how many requests a second they take from all instances
--- a/features/target_notices_path.feature
+++ b/features/target_notices_path.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Targets that leave or ask for a pause, on the whole path
   The instances are separate processes; the object store, engines and services are
   stand-ins that say in their answers that they leave or want a pause.
--- a/features/tls.feature
+++ b/features/tls.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Callers and operators over HTTPS
   With a certificate and a key in the settings both HTTP ports serve HTTPS.
 
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Usage records
   Each request that ran is counted once, however often its record is written.
 
