--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from marjoramstage.state.customers import CustomerTable
+
 MAX_URGENCY = 9
 # Callers of streams wait at least this long for an event.
 MIN_FIRST_EVENT_TIMEOUT_S = 2.0
@@ -54,6 +56,8 @@
         seconds; 0 if any will do.
     rank : int
         Urgency; 0 is the most urgent.
+    public : bool
+        Requests need no customer's key.
     """
 
     name: str
@@ -68,6 +72,7 @@
     latency_goal_s: float = 1.0
     event_gap_goal_s: float = 0.0
     rank: int = 0
+    public: bool = False
 
     @property
     def first_event_timeout_s(self) -> float:
@@ -164,6 +169,9 @@
     ----------
     version : int
         Versions increase; a table never replaces one of a higher version.
+    customers : CustomerTable or None
+        Whose keys give access to routes that aren't public; None if no keys are
+        required.
     """
 
     def __init__(
@@ -172,8 +180,10 @@
         routes: tuple[Route, ...],
         services: Mapping[str, Service],
         limits: CallerLimits,
+        customers: CustomerTable | None = None,
     ):
         self.version = version
+        self.customers = customers
         self.services = services
         self.limits = limits
         self.routes = routes
