Requests need a customer's key where the configuration has tenants

The key is checked before the body is read and before any queue, again before each attempt, while the request waits, and when its bytes are about to be written. Targets get the customer's name and never the key. Urgency follows the customer's priority, then the route's.

The holder of the lease relays the configuration to all instances, so keys would have been in messages between them. Not to relay it was ruled out, as instances that the store turns away learn of removed keys in this way only. Instead the watcher keeps and sends a configuration whose keys are replaced by salted digests.

--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -12,6 +12,7 @@
 from marjoramstage._entry.answer_relay import AnswerRelay, check_answer
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.key_check import KeyCheck, route_of
 from marjoramstage._entry.limited_targets import SendKind
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.request_context import (
@@ -83,6 +84,8 @@
         self._log = RequestLog(state, metrics)
         self._crash_observer = crash_observer
         self._relay = AnswerRelay(state, self._log, crash_observer)
+        self._key_check = KeyCheck(lambda: state.table, state.events)
+        self._key_check.on_refused = metrics.observe_key_refusal
         self._wait_policy = WaitPolicy()
         # Tasks of the requests that are being served, by connection.
         self._busy_conns: dict[object, asyncio.Task] = {}
@@ -145,14 +148,14 @@
         state = self._state
         if state.closed:
             raise RefusalError(503, "stopping", STOPPING_RETRY_AFTER_S)
-        if state.table is None:
+        table = state.table
+        if table is None:
             raise RefusalError(503, "no routes yet", NOT_READY_RETRY_AFTER_S)
-        path = req.message.path
-        host = req.headers.get("Host", "").partition(":")[0].lower()
-        route = state.table.match(host, path.partition("?")[0])
+        route = route_of(req, table)
         if route is None:
             raise RefusalError(404, "no route")
         headers = platform.caller_headers(req.headers)
+        customer = self._key_check.admit(table, route, headers)
         if not headers.request_id:
             raise RefusalError(400, "no request id")
         if req.headers.get("Expect", "").lower() == "100-continue":
@@ -163,7 +166,7 @@
         deadline_s = arrived_s + min(wait_s, route.timeout_s)
         body = await self._read_body(req, deadline_s)
         service = route.service_for(headers.request_id)
-        spec = state.table.services.get(service)
+        spec = table.services.get(service)
         item = headers.item if spec is not None and spec.engine is not None else None
         if item is not None and item.model not in spec.engine.models:
             raise RefusalError(404, "no such model")
@@ -174,6 +177,7 @@
             )
             state.demand.note(f"{service} {item.model}", latency_critical, arrived_s)
             state.record_size(service, headers.prompt_tokens + headers.output_tokens)
+        rank = table.ranks.rank(route.rank, customer)
         ctx = RequestContext(
             req=req,
             route=route,
@@ -183,6 +187,10 @@
             arrived_s=arrived_s,
             deadline_s=deadline_s,
             criteria=self._criteria(service, item, route, headers, arrived_s),
+            customer=customer,
+            rank=rank,
+            urgency=table.ranks.urgency(rank),
+            checked_table=table,
         )
         ctx.last_event_id = headers.last_event_id
         return ctx
@@ -247,9 +255,11 @@
     async def _run_attempts(self, ctx: RequestContext) -> web.StreamResponse:
         """Send a request to targets until one gives an answer to relay."""
         while True:
+            self._key_check.check_again(ctx)
             self._check_quarantine(ctx)
             target = await self._acquire_target(ctx)
             try:
+                self._key_check.check_again(ctx)
                 self._check_quarantine(ctx)
                 async with asyncio.timeout(self._remaining_s(ctx)):
                     return await self._attempt(ctx, target)
@@ -329,9 +339,7 @@
         if target is not None:
             return target
         joined_s = state.clock.now()
-        waiter = state.wait_queue.add(
-            ctx.criteria, ctx.route.rank, ctx.deadline_s, joined_s
-        )
+        waiter = state.wait_queue.add(ctx.criteria, ctx.rank, ctx.deadline_s, joined_s)
         state.on_request_queued()
         state.schedule_assignment()
         try:
@@ -344,6 +352,7 @@
     async def _wait_for_slot(self, ctx: RequestContext, waiter: Waiter) -> FleetTarget:
         """Wait until the queue assigns a target or the wait policy gives up."""
         while True:
+            self._key_check.check_again(ctx)
             self._check_quarantine(ctx)
             decision, reason = self._wait_decision(ctx, waiter)
             if decision.refuse:
@@ -452,7 +461,7 @@
         self._state.limited_targets.note_sent(target, kind)
         try:
             answer = await self._target_client.send(
-                call, may_send=lambda: self._state.takes_requests(target)
+                call, may_send=lambda: self._may_send(ctx, target)
             )
         except TargetError as exc:
             now_s = self._state.clock.now()
@@ -471,6 +480,10 @@
         self._heed_notices(ctx, target, answer)
         return answer
 
+    def _may_send(self, ctx: RequestContext, target: FleetTarget) -> bool:
+        """Whether a request may be written to a connection that is up."""
+        return self._state.takes_requests(target) and self._key_check.still_holds(ctx)
+
     def _heed_notices(
         self, ctx: RequestContext, target: FleetTarget, answer: TargetResponse
     ) -> None:
@@ -489,8 +502,10 @@
             ctx.req.headers.get("Connection", ""),
             target.name,
             self._remaining_s(ctx),
-            ctx.route.rank if ctx.criteria.item is not None else None,
+            ctx.urgency if ctx.criteria.item is not None else None,
             ctx.last_event_id,
+            ctx.customer,
+            ctx.checked_table.customers is not None,
         )
 
     def _remaining_s(self, ctx: RequestContext) -> float:
@@ -506,6 +521,8 @@
         if exc.status in NOT_RUN_STATUSES:
             after_s = max(exc.retry_after_s or 0.0, DEFAULT_LIMITS.min_retry_s)
             headers["Retry-After"] = f"{after_s:.2f}"
+        if exc.status == 401:
+            headers["WWW-Authenticate"] = "Bearer"
         return web.Response(status=exc.status, text=exc.reason + "\n", headers=headers)
 
     def _abort(
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -36,11 +36,14 @@
     PermitsIssued,
     StoreProgress,
 )
+from marjoramstage.state.customers import CustomerProblem
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item, ItemVersion
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
 
 ASSIGNMENT_DELAY_S = 0.01
+# Customers that were left out, in one log line.
+PROBLEMS_PER_LINE = 100
 # A retry is expected for this long after the time that its caller was told.
 RETRY_SLACK_S = 0.3
 # A holder that stores the origins of streams counts as such after its last view.
@@ -242,15 +245,35 @@
         if self.table is not None and table.version <= self.table.version:
             return
         before = self.table.version if self.table else None
+        known = set(self._problems())
         self.table = table
         self.events.event(
             "routes accepted",
             version=table.version,
             before=before,
             routes=len(table.routes),
+            customers=len(table.customers.by_name)
+            if table.customers is not None
+            else None,
         )
+        self._log_problems([p for p in self._problems() if p not in known])
         self.schedule_assignment()
 
+    def _problems(self) -> tuple[CustomerProblem, ...]:
+        """Return which customers of the routes in force were left out."""
+        customers = self.table.customers if self.table is not None else None
+        return customers.problems if customers is not None else ()
+
+    def _log_problems(self, problems: list[CustomerProblem]) -> None:
+        """Log which customers were left out; in few lines, as all may be invalid."""
+        for begin in range(0, len(problems), PROBLEMS_PER_LINE):
+            part = problems[begin : begin + PROBLEMS_PER_LINE]
+            self.events.summary(
+                "customers left out",
+                version=self.table.version,
+                left_out=[f"{problem.name}: {problem.reason}" for problem in part],
+            )
+
     def put_target(self, target: FleetTarget) -> None:
         """Add or update a target."""
         before = self.fleet.targets.get(target.name)
--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -62,6 +62,9 @@
     matters : callable
         Whether the other instances need to know of a change, from the object
         before and after it.
+    conceal : callable
+        Returns an object of the store without what is secret in it. The watcher
+        keeps and sends only such objects.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         relay: StoreRelay | None = None,
         newest_only: bool = False,
         matters: Callable[[PlatformObject, PlatformObject], bool] | None = None,
+        conceal: Callable[[PlatformObject], PlatformObject] = lambda obj: obj,
     ):
         self.kind = kind
         self.disconnected = False
@@ -88,6 +92,7 @@
         self._on_list = on_list
         self._relay = relay or StoreRelay(StoreEra(), state.events)
         self._matters = matters or (lambda before, after: True)
+        self._conceal = conceal
         self._objects: dict[str, PlatformObject] = {}
         self._version: str | None = None
         # Revision of the last change that matters; None if it is not known.
@@ -218,10 +223,11 @@
         if isinstance(listing, Err):
             return listing.err_value
         self._mark_connected()
-        version, objects = listing.ok_value.version, listing.ok_value.objects
+        version = listing.ok_value.version
         if self._is_outdated(version):
             return None
         self._confirmed_s = asked_s
+        objects = tuple(self._conceal(obj) for obj in listing.ok_value.objects)
         before, self._objects = self._objects, {obj.name: obj for obj in objects}
         self._on_list(objects)
         self._changing = self._newest_only and before != self._objects
@@ -255,7 +261,7 @@
                 self._remove(event.obj.name)
                 changed = True
             elif event.type is WatchType.MODIFIED:
-                self._put(event.obj)
+                self._put(self._conceal(event.obj))
                 self._changing = self._newest_only
                 changed = True
         return changed
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -5,9 +5,14 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from marjoramstage._entry.key_check import KeyRefusal
+from marjoramstage.state.customers import Customer
 from marjoramstage.state.routes import Route
 
 LOOP_DELAY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+# Customers with series of their own; those that come later share one.
+MAX_CUSTOMERS = 64
+OTHER_CUSTOMERS = "other"
 REQUEST_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
 
 
@@ -25,6 +30,19 @@
             ("rank", "outcome"),
             registry=self.registry,
         )
+        self.customer_requests = Counter(
+            "marjoramstage_customer_requests",
+            "Requests of customers that ended, by whether an answer was relayed whole.",
+            ("customer", "answered"),
+            registry=self.registry,
+        )
+        self.key_refusals = Counter(
+            "marjoramstage_key_refusals",
+            "Requests refused because of their key, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self._customers: set[str] = set()
         self.request_seconds = Histogram(
             "marjoramstage_request_seconds",
             "Time from a request to its end.",
@@ -120,6 +138,22 @@
         self.requests.labels(rank, outcome).inc()
         self.request_seconds.labels(rank).observe(took_s)
 
+    def observe_customer(self, customer: Customer | None, answered: bool) -> None:
+        """Count a finished request of a customer."""
+        if customer is None:
+            return
+        name = customer.name
+        if name not in self._customers:
+            if len(self._customers) < MAX_CUSTOMERS:
+                self._customers.add(name)
+            else:
+                name = OTHER_CUSTOMERS
+        self.customer_requests.labels(name, "yes" if answered else "no").inc()
+
+    def observe_key_refusal(self, cause: KeyRefusal) -> None:
+        """Count a request that was refused because of its key."""
+        self.key_refusals.labels(cause.value).inc()
+
     def exposition(self) -> bytes:
         """Return all series in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -8,7 +8,8 @@
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.platform import CallerHeaders
-from marjoramstage.state.routes import Route
+from marjoramstage.state.customers import Customer
+from marjoramstage.state.routes import Route, RouteTable
 from marjoramstage.transport.event_stream import StreamEvent
 
 # An answer with one of these statuses promises that the request did not run.
@@ -51,6 +52,13 @@
         When the last attempt's target began to write the body of its answer.
     harmless : bool
         That target is known not to have crashed under it.
+    customer : Customer or None
+        Whose request it is.
+    rank, urgency : int
+        Its place among requests of other customers and routes, and what engines are
+        told of it; 0 is the most urgent.
+    checked_table : RouteTable or None
+        The routes under which its key was checked last.
     """
 
     req: web.BaseRequest
@@ -76,6 +84,10 @@
     answer_began_s: float | None = None
     harmless: bool = False
     origin_kept_s: float | None = None
+    customer: Customer | None = None
+    rank: int = 0
+    urgency: int = 0
+    checked_table: RouteTable | None = None
 
     @property
     def resumes_stream(self) -> bool:
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -127,6 +127,8 @@
         """Record the end of a request."""
         took_s = self._state.clock.now() - arrived_s
         self._metrics.observe_request(ctx.route if ctx else None, outcome, took_s)
+        customer = ctx.customer if ctx is not None else None
+        self._metrics.observe_customer(customer, outcome == ANSWERED)
         if ctx is not None and ctx.route.resumable:
             self._resumable_stream_ended(ctx, outcome, took_s)
         first_event_s = took_s
@@ -135,6 +137,7 @@
         fields = {
             "request": platform.request_id_of(req.headers),
             "route": ctx.route.name if ctx else None,
+            "customer": customer.name if customer is not None else None,
             "item": str(ctx.criteria.item) if ctx and ctx.criteria.item else None,
             "tried": ctx.tried if ctx else [],
             "outcome": outcome,
--- a/src/marjoramstage/_entry/store_watchers.py
+++ b/src/marjoramstage/_entry/store_watchers.py
@@ -12,6 +12,7 @@
 from marjoramstage._entry.object_watcher import ObjectWatcher
 from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage.protocol.objects import Platform, PlatformObject
+from marjoramstage.state.customers import CustomerTable
 from marjoramstage.state.fleet import FleetTarget
 
 # How often it is checked whether missing targets can be dropped.
@@ -22,14 +23,21 @@
     store: Platform, state: InstanceState, relay: StoreRelay | None = None
 ) -> ObjectWatcher:
     """Return the watcher of the operator's configuration."""
+    sealer = platform.ConfigSealer()
+    customers: CustomerTable | None = None
+
+    def seal(obj: PlatformObject) -> PlatformObject:
+        return replace(obj, spec=sealer.seal(obj.spec))
 
     def on_put(obj: PlatformObject) -> None:
+        nonlocal customers
         if obj.name != platform.CONFIG_NAME:
             return
-        table = platform.decode_table(obj.spec)
+        table = platform.decode_table(obj.spec, customers)
         if isinstance(table, Err):
             state.events.event("invalid routes ignored", reason=table.err_value)
             return
+        customers = table.ok_value.customers
         state.apply_routes(table.ok_value)
 
     def on_list(objects: tuple[PlatformObject, ...]) -> None:
@@ -48,6 +56,7 @@
         on_list,
         relay,
         newest_only=True,
+        conceal=seal,
     )
 
 
--- a/src/marjoramstage/platform/__init__.py
+++ b/src/marjoramstage/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from marjoramstage.platform._config import decode_table
+from marjoramstage.platform._customers import ConfigSealer
 from marjoramstage.platform._headers import (
     CallerHeaders,
     answer_headers,
@@ -50,6 +51,7 @@
     "STREAM_ORIGINS",
     "TARGETS",
     "CallerHeaders",
+    "ConfigSealer",
     "ObjectStore",
     "answer_headers",
     "caller_headers",
--- a/src/marjoramstage/platform/_config.py
+++ b/src/marjoramstage/platform/_config.py
@@ -7,6 +7,8 @@
 from result import Err, Ok, Result
 
 from marjoramstage.platform import _json
+from marjoramstage.platform._customers import SALT, ConfigSealer, decode_customers
+from marjoramstage.state.customers import CustomerTable
 from marjoramstage.state.routes import (
     CallerLimits,
     EngineSpec,
@@ -21,10 +23,20 @@
 MS = 0.001
 
 
-def decode_table(spec: Any) -> Result[RouteTable, str]:
+def decode_table(
+    spec: Any, previous: CustomerTable | None = None
+) -> Result[RouteTable, str]:
     """Return the route table of a configuration, or why it cannot be decoded.
 
-    Routes to unknown services are left out; the others are kept.
+    Routes to unknown services and invalid customers are left out; the others are
+    kept.
+
+    Parameters
+    ----------
+    spec : object
+        As it is in the store, or as a `ConfigSealer` returned it.
+    previous : CustomerTable, optional
+        The customers of the version before.
     """
     try:
         data = _json.loads(spec) if isinstance(spec, str | bytes) else spec
@@ -32,7 +44,11 @@
         routes = [_route(item) for item in data["routes"]]
         known = [r for r in routes if all(s.service in services for s in r.split)]
         limits = _limits(data.get("limits") or {})
-        return Ok(RouteTable(int(data["version"]), tuple(known), services, limits))
+        sealed = data if SALT in data else ConfigSealer().seal(data)
+        customers = decode_customers(sealed, previous)
+        return Ok(
+            RouteTable(int(data["version"]), tuple(known), services, limits, customers)
+        )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         return Err(f"{type(exc).__name__}: {exc}")
 
@@ -56,6 +72,8 @@
         latency_goal_s=float(data.get("target_latency_ms") or 1_000) * MS,
         event_gap_goal_s=float(data.get("gap_aim_ms") or 0) * MS,
         rank=int(data.get("priority") or 0),
+        # Any other value is a mistake, and opens nothing.
+        public=data.get("public") is True,
     )
 
 
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from multidict import CIMultiDict, MultiMapping
 
+from marjoramstage.state.customers import Customer
 from marjoramstage.state.fleet import Item, LimitNotice, TargetNotice
-from marjoramstage.state.routes import MAX_URGENCY
+from marjoramstage.state.request_ranks import MAX_URGENCY
 
 REQUEST_ID = "Request-Id"
 DEADLINE = "Deadline-Ms"
@@ -19,6 +20,10 @@
 LAST_EVENT = "Last-Event-Id"
 RESUMES = "Resumes"
 PROMPT_PREFIX = "Prompt-Prefix"
+AUTHORIZATION = "Authorization"
+AUTH_SCHEME = "bearer"
+CUSTOMER = "Tenant"
+TOKENS = "Tokens"
 MAX_ID_CHARS = 128
 MAX_PARTS = 256
 STAMP = "Stamp"
@@ -70,6 +75,11 @@
 )
 
 
+# Headers that tell a target whose request it is; from this system alone once keys
+# are required.
+_CUSTOMER_HEADERS = frozenset((AUTHORIZATION.lower(), CUSTOMER.lower()))
+
+
 @dataclass(frozen=True)
 class CallerHeaders:
     """Headers of a caller that this system uses, parsed.
@@ -82,6 +92,8 @@
         Requested model or adapter.
     prompt_tokens, output_tokens : int
         Size of the prompt and limit on the tokens of the answer.
+    states_tokens : bool
+        Whether the caller told both of them.
     parts : tuple of str
         Identities of the prompt's parts, in order.
     last_event_id : str
@@ -89,6 +101,10 @@
     resumes : str
         Id of the request that got the first event of that stream; empty if the
         caller names none.
+    key : str
+        Key of a customer; empty if there is none, or more than one.
+    key_headers : int
+        How many headers may hold a key.
     """
 
     request_id: str
@@ -99,6 +115,9 @@
     parts: tuple[str, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    states_tokens: bool = False
+    key: str = field(default="", repr=False)
+    key_headers: int = 0
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -143,9 +162,11 @@
     return LimitNotice(min(limits, default=None), lifts)
 
 
-def caller_headers(headers: Mapping[str, str]) -> CallerHeaders:
+def caller_headers(headers: MultiMapping[str]) -> CallerHeaders:
     """Parse the headers of a caller; invalid values are ignored."""
-    prompt, output = _parse_tokens(headers.get("Tokens", ""))
+    tokens = headers.get(TOKENS, "")
+    keys = headers.getall(AUTHORIZATION, ())
+    prompt, output = _parse_tokens(tokens)
     return CallerHeaders(
         request_id=headers.get(REQUEST_ID, ""),
         timeout_s=_parse_timeout(headers.get(DEADLINE)),
@@ -155,6 +176,9 @@
         parts=_parse_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT, ""),
         resumes=headers.get(RESUMES, "")[:MAX_ID_CHARS],
+        states_tokens=_states_tokens(tokens),
+        key=_parse_key(keys),
+        key_headers=len(keys),
     )
 
 
@@ -165,6 +189,8 @@
     remaining_s: float | None,
     rank: int | None,
     last_event_id: str = "",
+    customer: Customer | None = None,
+    keys_required: bool = False,
 ) -> CIMultiDict[str]:
     """Return the headers to send to a target.
 
@@ -180,12 +206,19 @@
         Urgency, for engines.
     last_event_id : str
         Id of the event after which a stream is resumed.
+    customer : Customer or None
+        Whose request it is.
+    keys_required : bool
+        The configuration has customers: what the caller sent of its key and name is
+        dropped.
     """
     drop = (
         _HOP_BY_HOP_HEADERS
         | _RESERVED_HEADERS
         | {name.strip().lower() for name in connection.split(",")}
     )
+    if keys_required or customer is not None:
+        drop |= _CUSTOMER_HEADERS
     kept: CIMultiDict[str] = CIMultiDict()
     for name, value in headers:
         if name.lower() not in drop:
@@ -197,6 +230,8 @@
         kept[URGENCY] = str(min(max(rank, 0), MAX_URGENCY))
     if last_event_id:
         kept[LAST_EVENT] = last_event_id
+    if customer is not None:
+        kept[CUSTOMER] = customer.name
     return kept
 
 
@@ -260,6 +295,20 @@
         return 0, 0
 
 
+def _states_tokens(text: str) -> bool:
+    """Whether both numbers of tokens are given, and neither is negative."""
+    numbers = [part.strip() for part in text.split(",")]
+    return len(numbers) == 2 and all(n.isascii() and n.isdigit() for n in numbers)
+
+
+def _parse_key(values: Sequence[str]) -> str:
+    """Return the key of a customer; empty unless there is exactly one."""
+    if len(values) != 1:
+        return ""
+    scheme, _, key = values[0].partition(" ")
+    return key.strip(" ") if scheme.lower() == AUTH_SCHEME else ""
+
+
 def _parse_parts(text: str) -> tuple[str, ...]:
     """Return the identities of a prompt's parts; they are hexadecimal numbers."""
     parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
--- a/src/marjoramstage/protocol/objects.py
+++ b/src/marjoramstage/protocol/objects.py
@@ -50,12 +50,13 @@
     version : str
         Resource version; empty for an object not yet written.
     spec : Mapping
-        Fields that are specific to the kind.
+        Fields that are specific to the kind; not in the text form, as some are
+        secret.
     """
 
     kind: Kind
     name: str
-    spec: Mapping[str, Any]
+    spec: Mapping[str, Any] = field(repr=False)
     version: str = ""
     labels: Mapping[str, str] = field(default_factory=dict)
 
--- a/src/marjoramstage/state/customers.py
+++ b/src/marjoramstage/state/customers.py
@@ -6,21 +6,22 @@
 import hashlib
 import os
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 DIGEST_BYTES = 16
+SALT_BYTES = 32
 # Charged for requests that state no tokens, if the configuration names no number.
 DEFAULT_PLAIN_TOKENS = 200.0
 
-# Makes digests useless outside of this process.
-_DIGEST_KEY = os.urandom(hashlib.blake2b.MAX_KEY_SIZE)
+# Digests made with it mean nothing to those who don't know it.
+PROCESS_SALT = os.urandom(SALT_BYTES)
 
 
-def digest_key(key: str) -> bytes:
+def digest_key(key: str, salt: bytes = PROCESS_SALT) -> bytes:
     """Return the digest by which a key is found."""
     encoded = key.encode("utf-8", "surrogateescape")
-    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES, key=_DIGEST_KEY).digest()
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES, key=salt).digest()
 
 
 class QuotaUnit(enum.Enum):
@@ -90,7 +91,7 @@
     Attributes
     ----------
     name : str
-        Name of the customer, or its position in the list if it has no valid one.
+        Name of the customer, or its place in the list if it has no valid one.
     """
 
     name: str
@@ -103,30 +104,20 @@
 
     Attributes
     ----------
-    label : str
-        Name for log lines.
+    name : str
+        Empty if it has no valid one.
     customer : Customer or None
         None if the entry is invalid.
-    keys : tuple of str
-        Its valid keys, also of an invalid customer.
-    reasons : tuple of str
+    digests : frozenset of bytes
+        Of its keys, also if the entry is invalid.
+    faults : tuple of str
         What is wrong with the entry.
     """
 
-    label: str
-    customer: Customer | None
-    keys: tuple[str, ...] = field(repr=False)
-    reasons: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class _Entry:
-    """What a table keeps of a customer's entry: digests in place of its keys."""
-
-    label: str
+    name: str
     customer: Customer | None
     digests: frozenset[bytes] = field(repr=False)
-    reasons: tuple[str, ...]
+    faults: tuple[str, ...] = ()
 
 
 class CustomerTable:
@@ -135,94 +126,88 @@
     A name that is listed twice stands for no customer, and a key that is listed by
     two customers for neither of them.
 
+    Parameters
+    ----------
+    items : iterable of object
+        The customers as written in the configuration.
+    read : callable
+        Returns the customer that an item describes; called for the items that
+        ``previous`` doesn't have.
+    salt : bytes
+        With which the keys were digested.
+    previous : CustomerTable or None
+        A table that may have some of the customers.
+
     Attributes
     ----------
     by_name : mapping of str to Customer
         The valid customers.
     problems : tuple of CustomerProblem
         What was left out.
-    digested : int
-        Keys that were digested for this table; the others were known before.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        items: Iterable[object],
+        read: Callable[[object], CustomerSpec],
+        salt: bytes = PROCESS_SALT,
+        previous: CustomerTable | None = None,
+    ):
+        self._salt = salt
+        # By a hash of the item as written, so that the item needn't be kept.
+        self._specs: dict[int, CustomerSpec] = {}
+        known = previous._specs if previous and previous._salt == salt else {}
+        specs = []
+        for item in items:
+            fingerprint = fingerprint_of(item)
+            spec = known.get(fingerprint) or read(item)
+            self._specs[fingerprint] = spec
+            specs.append(spec)
         self.by_name: dict[str, Customer] = {}
-        self.problems: tuple[CustomerProblem, ...] = ()
-        self.digested = 0
         self._by_digest: dict[bytes, Customer] = {}
-        # By a hash of the entry as it was written, so that keys needn't be kept.
-        self._entries: dict[int, _Entry] = {}
+        self.problems = tuple(self._index(specs))
 
     def __repr__(self) -> str:
         return f"CustomerTable({len(self.by_name)} customers)"
 
-    @classmethod
-    def build(
-        cls,
-        items: Iterable[object],
-        parse: Callable[[int, object], CustomerSpec],
-        previous: CustomerTable | None = None,
-    ) -> CustomerTable:
-        """Return the table of a list of customers.
-
-        Parameters
-        ----------
-        items : iterable of object
-            The customers as written.
-        parse : callable
-            Returns the customer of a position and item; called for those that
-            ``previous`` doesn't have.
-        previous : CustomerTable or None
-            A table that may have some of them.
-        """
-        table = cls()
-        known = previous._entries if previous is not None else {}
-        for position, item in enumerate(items):
-            # Python's hash of a text has a random key in each process.
-            fingerprint = hash((position, repr(item)))
-            entry = known.get(fingerprint)
-            if entry is None:
-                entry = table._digest(parse(position, item))
-            table._entries[fingerprint] = entry
-        table._index()
-        return table
-
     def find(self, key: str) -> Customer | None:
         """Return the customer that holds a key."""
-        return self._by_digest.get(digest_key(key))
-
-    def _digest(self, spec: CustomerSpec) -> _Entry:
-        self.digested += len(spec.keys)
-        digests = frozenset(digest_key(key) for key in spec.keys)
-        return _Entry(spec.label, spec.customer, digests, spec.reasons)
-
-    def _index(self) -> None:
-        entries = self._entries.values()
-        names = Counter(e.customer.name for e in entries if e.customer is not None)
-        shared = _shared_digests(entries)
-        problems: list[CustomerProblem] = []
-        for entry in entries:
-            problems += [CustomerProblem(entry.label, why) for why in entry.reasons]
-            if not shared.isdisjoint(entry.digests):
-                reason = "a key is listed for another customer too"
-                problems.append(CustomerProblem(entry.label, reason))
-            customer = entry.customer
-            if customer is None:
+        return self._by_digest.get(digest_key(key, self._salt))
+
+    def _index(self, specs: list[CustomerSpec]) -> Iterator[CustomerProblem]:
+        """Fill the table; yield what was left out."""
+        names = Counter(spec.name for spec in specs)
+        shared = _shared_digests(specs)
+        for place, spec in enumerate(specs, start=1):
+            label = spec.name or f"customer {place} of the list"
+            for fault in spec.faults:
+                yield CustomerProblem(label, fault)
+            if not shared.isdisjoint(spec.digests):
+                yield CustomerProblem(label, "a key is listed for another one too")
+            if spec.customer is None:
                 continue
-            if names[customer.name] > 1:
-                problems.append(CustomerProblem(entry.label, "name is listed twice"))
+            if names[spec.name] > 1:
+                yield CustomerProblem(label, "the name is listed twice")
                 continue
-            self.by_name[customer.name] = customer
-            for digest in entry.digests - shared:
-                self._by_digest[digest] = customer
-        self.problems = tuple(problems)
+            self.by_name[spec.name] = spec.customer
+            for digest in spec.digests - shared:
+                self._by_digest[digest] = spec.customer
+
+
+def fingerprint_of(item: object) -> int:
+    """Return a number that tells an entry of a configuration from all others.
+
+    Python's hash of a text has a random key in each process, so that it doesn't
+    help to guess what the entry holds.
+    """
+    return hash(repr(item))
 
 
-def _shared_digests(entries: Iterable[_Entry]) -> set[bytes]:
-    """Return the digests that more than one entry has."""
+def _shared_digests(specs: Iterable[CustomerSpec]) -> set[bytes]:
+    """Return the digests that more than one customer has."""
     seen: set[bytes] = set()
     shared: set[bytes] = set()
-    for entry in entries:
-        shared |= seen & entry.digests
-        seen |= entry.digests
+    for spec in specs:
+        shared |= seen & spec.digests
+        seen |= spec.digests
     return shared
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from marjoramstage.state.customers import CustomerTable
+from marjoramstage.state.request_ranks import RequestRanks
 
-MAX_URGENCY = 9
 # Callers of streams wait at least this long for an event.
 MIN_FIRST_EVENT_TIMEOUT_S = 2.0
 # A swap is an unload and a load; together they take as long as this many loads.
@@ -172,6 +172,11 @@
     customers : CustomerTable or None
         Whose keys give access to routes that aren't public; None if no keys are
         required.
+
+    Attributes
+    ----------
+    ranks : RequestRanks
+        Order of the requests of these routes and customers.
     """
 
     def __init__(
@@ -184,6 +189,8 @@
     ):
         self.version = version
         self.customers = customers
+        holders = customers.by_name.values() if customers is not None else ()
+        self.ranks = RequestRanks((route.rank for route in routes), holders)
         self.services = services
         self.limits = limits
         self.routes = routes
