Instances that know of a newer configuration than theirs refuse requests

A restarted instance could read an older version from a restored store and accept a removed key; one that the store turns away could lack a relayed change. Reports and views now carry the newest version known to be in force (only with customers). An instance that lacks it answers 503, at once if it has just started, else after half of config_ms.

aiohttp logged and answered the head of a request that it can't parse, with up to 100 bytes of the key: found by the search in the logs of processes after a key of 64 KB. Only the kind of fault is logged now; the answer is 400 as before.

--- a/features/customer_requests.feature
+++ b/features/customer_requests.feature
@@ -30,5 +30,19 @@
     Then each instance refuses it within 2 s and knows the other keys
     And no message between them contains a key
 
+  Scenario Outline: an instance whose version is <older> than that of the others
+    Then it <does> when it has had <older> version for <time> s and <before>
+
+    Examples:
+      | older         | before                  | time | does    |
+      | an older      | was in step before      | 0.9  | serves  |
+      | an older      | was in step before      | 1.1  | refuses |
+      | an older      | has just started        | 0    | refuses |
+      | the same      | has just started        | 2    | serves  |
+      | a later       | has just started        | 2    | serves  |
+
+  Scenario: an instance that was started with an older version
+    Then it answers 503 until it has the version of the others, never 401
+
   Scenario: labels by customer are bounded
     Then 200 customers get 65 series at most
--- a/features/steps/customer_requests.py
+++ b/features/steps/customer_requests.py
@@ -8,12 +8,18 @@
 
 from behave import given, then, when
 
-from features.keyed_instance import KEYS, KeyedInstance, KeyedTarget
+from features.keyed_instance import (
+    KEYS,
+    KeyedInstance,
+    KeyedTarget,
+    routes_with,
+)
 from features.relayed_store import LoopClock, RelayNet
 from features.virtual_asyncio import run_virtual
 from marjoramstage import platform
 from marjoramstage._entry.prometheus_metrics import MAX_CUSTOMERS, PrometheusMetrics
-from marjoramstage.protocol.peers import StoreChanges, decode
+from marjoramstage.coordination.config_versions import ConfigVersions
+from marjoramstage.protocol.peers import FleetView, StoreChanges, decode
 from marjoramstage.state.customers import Customer
 
 # Requests that fill the slots of a target and those that it may queue.
@@ -243,6 +249,38 @@
     assert changes
 
 
+@then("it {does} when it has had {older} version for {time_s:g} s and {before}")
+def check_outdated(context, does, older, time_s, before):
+    versions = ConfigVersions()
+    own = {"an older": 5, "the same": 6, "a later": 7}[older]
+    versions.applied(own, has_customers=True)
+    if before == "was in step before":
+        versions.told(own, 0.0)
+    versions.told(6, 10.0)
+    assert versions.is_outdated(10.0 + time_s, 1.0) == (does == "refuses")
+    versions.applied(max(own, 6), has_customers=True)
+    assert not versions.is_outdated(20.0, 1.0)
+
+
+@then("it answers 503 until it has the version of the others, never 401")
+def check_started_outdated(context):
+    async def run():
+        async with KeyedInstance([KeyedTarget()]) as instance:
+            version = instance.state.table.version
+            instance.state.apply_view(FleetView("i2", 1, 1, 2, config_version=9))
+            found = [
+                (await instance.send("/any/x", Authorization=key)).status
+                for key in (BEARER, "Bearer KEY-none")
+            ]
+            table = routes_with(CHANGES["removed"], 9)
+            instance.state.apply_routes(table)
+            assert version < 9
+            found.append((await instance.send("/any/x", Authorization=BEARER)).status)
+            return found
+
+    assert asyncio.run(run()) == [503, 503, 401]
+
+
 @then("{count:d} customers get {most:d} series at most")
 def check_labels(context, count, most):
     assert most == MAX_CUSTOMERS + 1
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -84,7 +84,9 @@
         self._log = RequestLog(state, metrics)
         self._crash_observer = crash_observer
         self._relay = AnswerRelay(state, self._log, crash_observer)
-        self._key_check = KeyCheck(lambda: state.table, state.events)
+        self._key_check = KeyCheck(
+            lambda: state.table, state.config_is_outdated, state.events
+        )
         self._key_check.on_refused = metrics.observe_key_refusal
         self._wait_policy = WaitPolicy()
         # Tasks of the requests that are being served, by connection.
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -12,6 +12,7 @@
 from marjoramstage._entry.limited_targets import LimitedTargets
 from marjoramstage._entry.targets_out import TargetsOut
 from marjoramstage.clock import Clock
+from marjoramstage.coordination.config_versions import ConfigVersions
 from marjoramstage.coordination.demand_rates import DemandRates
 from marjoramstage.coordination.dispatcher import (
     Dispatcher,
@@ -42,6 +43,9 @@
 from marjoramstage.state.routes import RouteTable
 
 ASSIGNMENT_DELAY_S = 0.01
+# Part of the users' bound on new versions of the routes for which an instance may lack
+# a version that others have. The rest is for the first of them to learn of it.
+MAX_BEHIND_SHARE = 0.5
 # Customers that were left out, in one log line.
 PROBLEMS_PER_LINE = 100
 # A retry is expected for this long after the time that its caller was told.
@@ -96,6 +100,7 @@
         self.clock = clock
         self.events = events
         self.table: RouteTable | None = None
+        self.config_versions = ConfigVersions()
         self.fleet = Fleet()
         self.targets_listed = False
         self.stopping = False
@@ -247,18 +252,27 @@
         before = self.table.version if self.table else None
         known = set(self._problems())
         self.table = table
+        has_customers = table.customers is not None
+        self.config_versions.applied(table.version, has_customers)
         self.events.event(
             "routes accepted",
             version=table.version,
             before=before,
             routes=len(table.routes),
-            customers=len(table.customers.by_name)
-            if table.customers is not None
-            else None,
+            customers=len(table.customers.by_name) if has_customers else None,
         )
         self._log_problems([p for p in self._problems() if p not in known])
         self.schedule_assignment()
 
+    def note_config_version(self, version: int) -> None:
+        """Note a version of the routes that is in force at another instance."""
+        self.config_versions.told(version, self.clock.now())
+
+    def config_is_outdated(self) -> bool:
+        """Whether others have had a newer version of the routes for too long."""
+        max_behind_s = MAX_BEHIND_SHARE * self.settings.bounds.config_s
+        return self.config_versions.is_outdated(self.clock.now(), max_behind_s)
+
     def _problems(self) -> tuple[CustomerProblem, ...]:
         """Return which customers of the routes in force were left out."""
         customers = self.table.customers if self.table is not None else None
@@ -370,6 +384,7 @@
         if view.partial:
             self.schedule_assignment()
             return
+        self.note_config_version(view.config_version)
         self.instance_count = max(1, view.instances)
         self.peers = view.peers
         kept_s = ORIGINS_KEPT_S if view.keeps_origins and not view.ended else 0.0
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -210,6 +210,7 @@
             resuming={f"{service} {needed}": n for (service, needed), n in resuming},
             begun=self._begun_streams(now_s),
             limited=state.limited_targets.report(state.waiting_by_limited_target()),
+            config_version=state.config_versions.newest,
         )
 
     def _begun_streams(self, now_s: float) -> tuple[BegunStreams, ...]:
@@ -234,6 +235,7 @@
     def _receive(self, message: PeerMessage) -> None:
         match message:
             case EntryReport():
+                self._state.note_config_version(message.config_version)
                 if self._controller is not None:
                     self._controller.receive_report(message)
             case FleetView():
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -95,6 +95,7 @@
             self._state.store_progress(),
             keeps_origins=self._state.keeps_origins(),
             limited=self._state.limited_targets.view(self._count_waiting),
+            config_version=self._state.config_versions.newest,
         )
         self._send_to_all(view, recipients, now_s)
 
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -352,6 +352,7 @@
         12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
         13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        17: (TType.I64, "config_version", False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -368,6 +369,7 @@
         ("resuming", None),
         ("begun", None),
         ("limited", None),
+        ("config_version", None),
     ]
 
 
@@ -445,6 +447,7 @@
         11: (TType.BOOL, "partial", False),
         13: (TType.BOOL, "keeps_origins", False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        17: (TType.I64, "config_version", False),
     }
     default_spec = [  # noqa: RUF012
         ("holder", None),
@@ -460,6 +463,7 @@
         ("partial", None),
         ("keeps_origins", None),
         ("limited", None),
+        ("config_version", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -333,6 +333,9 @@
         Streams that the sender relayed recently, while several versions run.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    config_version : int
+        Newest version of a configuration with customers that is known to be in
+        force anywhere; 0 if none.
     """
 
     instance: str
@@ -349,6 +352,7 @@
     resuming: Mapping[str, int] = field(default_factory=dict)
     begun: tuple[BegunStreams, ...] = ()
     limited: tuple[LimitedTarget, ...] = ()
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
@@ -446,6 +450,8 @@
         Whether the sender stores the streams that reports name.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    config_version : int
+        As in reports.
     """
 
     holder: str
@@ -461,6 +467,7 @@
     partial: bool = False
     keeps_origins: bool = False
     limited: tuple[LimitedTarget, ...] = ()
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -155,6 +155,7 @@
   12: optional map<string, i64> resuming
   13: optional list<BegunStreams> begun
   14: optional list<LimitedTarget> limited
+  17: optional i64 config_version
 }
 
 struct HeldItems {
@@ -195,6 +196,7 @@
   11: optional bool partial
   13: optional bool keeps_origins
   14: optional list<LimitedTarget> limited
+  17: optional i64 config_version
 }
 
 struct PromptsSent {
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp import StreamReader, web
+from aiohttp.http_exceptions import BadHttpMethod
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstage.transport.overhead import (
@@ -63,9 +66,38 @@
         self.close()
 
 
+class _CallerConnection(ServerConnection):
+    """A connection of a caller; nothing that the caller sent is logged.
+
+    aiohttp logs and answers the part of a head that it could not read, which may
+    hold a key.
+    """
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be parsed, or whose handler failed."""
+        if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            return super().handle_error(request, status, exc, message)
+        cause = type(exc).__name__
+        # As in aiohttp: what scanners send is no reason for a line.
+        is_scan = self._request_count == 1 and isinstance(exc, BadHttpMethod)
+        level = logging.DEBUG if is_scan else logging.WARNING
+        self.logger.log(level, "invalid request from %s: %s", request.remote, cause)
+        if request.writer.output_size > 0:
+            raise ConnectionError("an error came up after the response had started")
+        resp = web.Response(status=status, text=f"invalid request: {cause}\n")
+        resp.force_close()
+        return resp
+
+
 class BoundedServer(web.Server):
     """A server whose connections are `ServerConnection`."""
 
     def __call__(self) -> RequestHandler:
         """Return the connection for a socket that was accepted; called by asyncio."""
-        return ServerConnection(self, loop=self._loop, **self._kwargs)
+        return _CallerConnection(self, loop=self._loop, **self._kwargs)
