--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -12,6 +12,7 @@
 from marjoramstage._entry.limited_targets import LimitedTargets
 from marjoramstage._entry.targets_out import TargetsOut
 from marjoramstage.clock import Clock
+from marjoramstage.coordination.config_versions import ConfigVersions
 from marjoramstage.coordination.demand_rates import DemandRates
 from marjoramstage.coordination.dispatcher import (
     Dispatcher,
@@ -36,11 +37,17 @@
     PermitsIssued,
     StoreProgress,
 )
+from marjoramstage.state.customers import CustomerProblem
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item, ItemVersion
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.routes import RouteTable
 
 ASSIGNMENT_DELAY_S = 0.01
+# Part of the users' bound on new versions of the routes for which an instance may lack
+# a version that others have. The rest is for the first of them to learn of it.
+MAX_BEHIND_SHARE = 0.5
+# Customers that were left out, in one log line.
+PROBLEMS_PER_LINE = 100
 # A retry is expected for this long after the time that its caller was told.
 RETRY_SLACK_S = 0.3
 # A holder that stores the origins of streams counts as such after its last view.
@@ -93,6 +100,7 @@
         self.clock = clock
         self.events = events
         self.table: RouteTable | None = None
+        self.config_versions = ConfigVersions()
         self.fleet = Fleet()
         self.targets_listed = False
         self.stopping = False
@@ -242,15 +250,44 @@
         if self.table is not None and table.version <= self.table.version:
             return
         before = self.table.version if self.table else None
+        known = set(self._problems())
         self.table = table
+        has_customers = table.customers is not None
+        self.config_versions.applied(table.version, has_customers)
         self.events.event(
             "routes accepted",
             version=table.version,
             before=before,
             routes=len(table.routes),
+            customers=len(table.customers.by_name) if has_customers else None,
         )
+        self._log_problems([p for p in self._problems() if p not in known])
         self.schedule_assignment()
 
+    def note_config_version(self, version: int) -> None:
+        """Note a version of the routes that is in force at another instance."""
+        self.config_versions.told(version, self.clock.now())
+
+    def config_is_outdated(self) -> bool:
+        """Whether others have had a newer version of the routes for too long."""
+        max_behind_s = MAX_BEHIND_SHARE * self.settings.bounds.config_s
+        return self.config_versions.is_outdated(self.clock.now(), max_behind_s)
+
+    def _problems(self) -> tuple[CustomerProblem, ...]:
+        """Return which customers of the routes in force were left out."""
+        customers = self.table.customers if self.table is not None else None
+        return customers.problems if customers is not None else ()
+
+    def _log_problems(self, problems: list[CustomerProblem]) -> None:
+        """Log which customers were left out; in few lines, as all may be invalid."""
+        for begin in range(0, len(problems), PROBLEMS_PER_LINE):
+            part = problems[begin : begin + PROBLEMS_PER_LINE]
+            self.events.summary(
+                "customers left out",
+                version=self.table.version,
+                left_out=[f"{problem.name}: {problem.reason}" for problem in part],
+            )
+
     def put_target(self, target: FleetTarget) -> None:
         """Add or update a target."""
         before = self.fleet.targets.get(target.name)
@@ -347,6 +384,7 @@
         if view.partial:
             self.schedule_assignment()
             return
+        self.note_config_version(view.config_version)
         self.instance_count = max(1, view.instances)
         self.peers = view.peers
         kept_s = ORIGINS_KEPT_S if view.keeps_origins and not view.ended else 0.0
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -7,7 +7,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-MAX_URGENCY = 9
+from marjoramstage.state.customers import CustomerTable
+from marjoramstage.state.request_ranks import RequestRanks
+
 # Callers of streams wait at least this long for an event.
 MIN_FIRST_EVENT_TIMEOUT_S = 2.0
 # A swap is an unload and a load; together they take as long as this many loads.
@@ -54,6 +56,8 @@
         seconds; 0 if any will do.
     rank : int
         Urgency; 0 is the most urgent.
+    public : bool
+        Requests need no customer's key.
     """
 
     name: str
@@ -68,6 +72,7 @@
     latency_goal_s: float = 1.0
     event_gap_goal_s: float = 0.0
     rank: int = 0
+    public: bool = False
 
     @property
     def first_event_timeout_s(self) -> float:
@@ -164,6 +169,14 @@
     ----------
     version : int
         Versions increase; a table never replaces one of a higher version.
+    customers : CustomerTable or None
+        Whose keys give access to routes that aren't public; None if no keys are
+        required.
+
+    Attributes
+    ----------
+    ranks : RequestRanks
+        Order of the requests of these routes and customers.
     """
 
     def __init__(
@@ -172,8 +185,12 @@
         routes: tuple[Route, ...],
         services: Mapping[str, Service],
         limits: CallerLimits,
+        customers: CustomerTable | None = None,
     ):
         self.version = version
+        self.customers = customers
+        holders = customers.by_name.values() if customers is not None else ()
+        self.ranks = RequestRanks((route.rank for route in routes), holders)
         self.services = services
         self.limits = limits
         self.routes = routes
