A rate without a burst counts by itself

Cause: such a customer was left out, so that all of its requests got 401. Ruled out: a burst that is made up. The row of the table now expects that the customer keeps its key; the bound is then the rate alone.

--- a/features/customer_keys.feature
+++ b/features/customer_keys.feature
@@ -26,7 +26,7 @@
       | plain_tokens "many"            | nobody | bad      |
       | unit "k2"                      | nobody | bad      |
       | unit []                        | nobody | bad      |
-      | burst null                     | nobody | bad      |
+      | burst null                     | bad    | nothing  |
       | priority -1                    | nobody | bad      |
       | priority 0.5                   | nobody | bad      |
       | rate_per_s 0                   | bad    | nothing  |
--- a/src/marjoramstage/platform/_customers.py
+++ b/src/marjoramstage/platform/_customers.py
@@ -170,8 +170,6 @@
     plain_tokens = _number(item, "plain_tokens", DEFAULT_PLAIN_TOKENS)
     if rate_per_s == 0:
         return None
-    if burst == 0:
-        raise ValueError("there is a rate without a burst")
     return Quota(unit, rate_per_s, burst, plain_tokens)
 
 
--- a/src/marjoramstage/state/customers.py
+++ b/src/marjoramstage/state/customers.py
@@ -40,7 +40,7 @@
     rate_per_s : float
         Units per second; above 0.
     burst : float
-        Units that may be used at once on top of the rate; above 0.
+        Units that may be used at once on top of the rate; 0 if the rate alone counts.
     plain_tokens : float
         Tokens charged for a request that states none.
     """
