Lists of the store: no entry blinds the others, nothing is lost between pages

Cause: a text that is not UTF-8 failed the whole answer in both tries of _json.loads, so that every list and watch with it was "unavailable". A list had the version of its last page, so that a change of an earlier page in between came neither in the list nor in the watch. An empty page with `more` ended a list as complete. An exception of one entry while it was applied began the list anew for ever.

Now values that can't be read become null, entries without a name are left out and logged, and one that the program fails to apply costs itself. A list has the version of its first page; the watch after it skips what later pages have shown already.

Found beside it: what a publisher relays was the difference between two states. An instance that knew a state in between (a target removed and back within one answer or list) missed it for good. Each event counts now, and each object of a list whose revision differs.

Ruled out: the version of the last page with a second read of the first pages, as changes between those two reads are lost in the same way.

--- a/src/marjoramstage/_entry/object_watcher.py
+++ b/src/marjoramstage/_entry/object_watcher.py
@@ -162,9 +162,12 @@
         if not message.certain:
             self.reconnected_s = self._state.clock.now()
         for obj in changes.written:
-            self._put(obj)
+            if not self._is_known(obj):
+                self._put(obj)
         for name in changes.removed:
-            self._remove(name)
+            known = self._objects.get(name)
+            if known is None or _revision_of(known) <= message.revision:
+                self._remove(name)
         self._version = str(message.revision)
         self._changed = message.revision
         self._changing = False
@@ -225,7 +228,9 @@
         before, self._objects = self._objects, {obj.name: obj for obj in objects}
         self._on_list(objects)
         self._changing = self._newest_only and before != self._objects
-        self._advance(version, before)
+        # What an object was meanwhile isn't known, nor whether that matters.
+        touched = {n for n, obj in self._objects.items() if before.get(n) != obj}
+        self._advance(version, touched | (before.keys() - self._objects.keys()))
         return None
 
     async def _watch(self, version: str) -> PlatformError | None:
@@ -239,49 +244,62 @@
         self._mark_connected()
         if not events or self._is_outdated(events[-1].version):
             return None
-        before = dict(self._objects)
-        changed = self._apply(events)
+        touched = self._apply(events)
         # Nothing tells when during the wait a change was noticed.
-        waited_s = wait_s if wait_s is not None and not changed else 0.0
+        unchanged = all(event.type is WatchType.BOOKMARK for event in events)
+        waited_s = wait_s if wait_s is not None and unchanged else 0.0
         self._confirmed_s = min(self._relay.now_s(), asked_s + waited_s)
-        self._advance(events[-1].version, before)
+        self._advance(events[-1].version, touched)
         return None
 
-    def _apply(self, events: list[WatchEvent]) -> bool:
-        """Apply the events of a watch; return whether there are any changes."""
-        changed = False
+    def _apply(self, events: list[WatchEvent]) -> set[str]:
+        """Apply the events of a watch; return the names of those that matter.
+
+        Each event counts, not just the difference that they make together: another
+        instance may know the objects as they were in between. After a list, events
+        may repeat what its later pages have shown; those count too.
+        """
+        touched = set()
         for event in events:
+            if event.type is WatchType.BOOKMARK:
+                continue
+            name, obj = event.obj.name, event.obj
+            known = self._objects.get(name)
             if event.type is WatchType.DELETED:
-                self._remove(event.obj.name)
-                changed = True
-            elif event.type is WatchType.MODIFIED:
-                self._put(event.obj)
-                self._changing = self._newest_only
-                changed = True
-        return changed
-
-    def _changes_that_matter(self, before: dict[str, PlatformObject]) -> ChangedObjects:
-        """Return how the objects differ from before, for the other instances."""
-        now = self._objects
-        written = tuple(
-            obj
-            for name, obj in now.items()
-            if name not in before
-            or (obj != before[name] and self._matters(before[name], obj))
-        )
-        removed = tuple(name for name in before if name not in now)
-        return ChangedObjects(written, removed)
-
-    def _advance(self, version: str, before: dict[str, PlatformObject]) -> None:
+                touched.add(name)
+                # It may have been written again after that.
+                if known is not None and not self._is_older(obj, known):
+                    self._remove(name)
+                continue
+            self._changing = self._newest_only
+            if known is None or self._is_known(obj) or self._matters(known, obj):
+                touched.add(name)
+            if not self._is_known(obj):
+                self._put(obj)
+        return touched
+
+    def _is_older(self, obj: PlatformObject, known: PlatformObject) -> bool:
+        return 0 <= _revision_of(obj) < _revision_of(known)
+
+    def _is_known(self, obj: PlatformObject) -> bool:
+        """Whether this or a later state of an object is known."""
+        known = self._objects.get(obj.name)
+        return known is not None and 0 <= _revision_of(obj) <= _revision_of(known)
+
+    def _advance(self, version: str, touched: set[str]) -> None:
         """Move on to a version of the store, and publish what changed."""
         revision = int(version)
         self._version = version
         if self._changed is None:
             self._changed = revision
             return
-        changes = self._changes_that_matter(before)
-        if not changes.written and not changes.removed:
+        if not touched:
             return
+        names = sorted(touched)
+        changes = ChangedObjects(
+            tuple(self._objects[name] for name in names if name in self._objects),
+            tuple(name for name in names if name not in self._objects),
+        )
         since, self._changed = self._changed, revision
         certain = self.is_authoritative()
         self._relay.publish(self.kind, since, revision, certain, changes)
@@ -323,3 +341,8 @@
             self.disconnected = False
             self.reconnected_s = self._state.clock.now()
             self._state.events.event("platform reachable again", kind=self.kind.plural)
+
+
+def _revision_of(obj: PlatformObject) -> int:
+    """Return the revision at which an object was written; -1 if it can't be read."""
+    return int(obj.version) if obj.version.isdecimal() else -1
--- a/src/marjoramstage/_entry/quarantine_store.py
+++ b/src/marjoramstage/_entry/quarantine_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Mapping
 
 from result import Err
 
@@ -78,7 +79,7 @@
 
 def _decode(obj: PlatformObject) -> frozenset[str]:
     """Return the parts that an object names; none if it is invalid."""
-    parts = (obj.spec or {}).get("parts")
+    parts = obj.spec.get("parts") if isinstance(obj.spec, Mapping) else None
     if not isinstance(parts, list) or not all(isinstance(p, str) for p in parts):
         return frozenset()
     return frozenset(parts)
--- a/src/marjoramstage/_entry/store_watchers.py
+++ b/src/marjoramstage/_entry/store_watchers.py
@@ -16,6 +16,8 @@
 
 # How often it is checked whether missing targets can be dropped.
 MISSING_CHECK_INTERVAL_S = 0.3
+# Characters of an exception that are logged.
+MAX_REASON = 200
 
 
 def watch_routes(
@@ -24,6 +26,12 @@
     """Return the watcher of the operator's configuration."""
 
     def on_put(obj: PlatformObject) -> None:
+        try:
+            apply(obj)
+        except Exception as exc:
+            _log_not_applied(state, obj, exc)
+
+    def apply(obj: PlatformObject) -> None:
         if obj.name != platform.CONFIG_NAME:
             return
         table = platform.decode_table(obj.spec)
@@ -57,6 +65,14 @@
     """Return the watcher of the objects with which targets register."""
 
     def on_put(obj: PlatformObject) -> None:
+        try:
+            apply(obj)
+        except Exception as exc:
+            # A fault of this program costs the one entry; it names no target.
+            _log_not_applied(state, obj, exc)
+            on_remove(obj.name)
+
+    def apply(obj: PlatformObject) -> None:
         target = platform.decode_target(obj.name, obj.spec)
         if isinstance(target, Err):
             state.events.event(
@@ -91,9 +107,22 @@
     return watcher
 
 
+def _log_not_applied(state: InstanceState, obj: PlatformObject, exc: Exception) -> None:
+    state.events.event(
+        "entry not applied",
+        kind=obj.kind.plural,
+        object=obj.name,
+        reason=repr(exc)[:MAX_REASON],
+    )
+
+
 def _is_other_target(before: PlatformObject, after: PlatformObject) -> bool:
     """Whether more has changed than what a target holds, which views carry."""
-    return _without_items(before) != _without_items(after)
+    try:
+        return _without_items(before) != _without_items(after)
+    except Exception:
+        # Logged when the entry is applied.
+        return True
 
 
 def _without_items(obj: PlatformObject) -> FleetTarget | str:
--- a/src/marjoramstage/platform/_json.py
+++ b/src/marjoramstage/platform/_json.py
@@ -1,7 +1,8 @@
 """Reads JSON in which single values may be more than a parser takes.
 
-Any writer of the store may leave an entry that is nested too deeply or has a number of
-too many digits. Such a value becomes null, so that the rest of an answer can be read.
+Any writer of the store may leave an entry that is nested too deeply, has a number of
+too many digits, or a text that is not UTF-8. Such a value becomes null, so that the
+rest of an answer can be read.
 """
 
 from __future__ import annotations
@@ -16,6 +17,11 @@
 MAX_DIGITS = 40
 
 _TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]|[\]}]', re.DOTALL)
+# An escaped half of a surrogate pair; a text with a single one can't be encoded.
+_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")
+
+# Not strict: control characters may stand in texts as they are.
+_DECODER = json.JSONDecoder(strict=False)
 
 
 def loads(payload: str | bytes) -> Any:
@@ -27,17 +33,48 @@
         It is no JSON.
     """
     if isinstance(payload, str):
-        payload = payload.encode()
+        payload = payload.encode(errors="surrogatepass")
+    if _SURROGATE.search(payload):
+        return _loads_odd(payload)
     try:
-        return json.loads(payload)
+        return _DECODER.decode(payload.decode())
     except (ValueError, RecursionError):
-        return json.loads(_flatten(payload), parse_int=_parse_int)
+        return _loads_odd(payload)
+
+
+def _loads_odd(payload: bytes) -> Any:
+    """Decode a document that has values which a parser doesn't take."""
+    text = _flatten(payload).decode(errors="surrogateescape")
+    return _without_odd_texts(json.loads(text, strict=False, parse_int=_parse_int))
 
 
 def _parse_int(text: str) -> int | None:
     return int(text) if len(text) <= MAX_DIGITS else None
 
 
+def _without_odd_texts(value: Any) -> Any:
+    """Replace texts that can't be encoded by null; leave out members named by one."""
+    if isinstance(value, str):
+        return value if _is_encodable(value) else None
+    if isinstance(value, list):
+        return [_without_odd_texts(item) for item in value]
+    if isinstance(value, dict):
+        return {
+            name: _without_odd_texts(item)
+            for name, item in value.items()
+            if _is_encodable(name)
+        }
+    return value
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _flatten(payload: bytes) -> bytes:
     """Replace the arrays and objects that are nested too deeply by null."""
     kept, depth, begin = [], 0, 0
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
@@ -11,6 +12,7 @@
 from result import Err, Ok, Result
 
 from marjoramstage.exceptions import Verdict
+from marjoramstage.logs import component_logger
 from marjoramstage.platform import _json
 from marjoramstage.protocol.objects import (
     Kind,
@@ -41,6 +43,9 @@
 
 STORE_ERA = "Store-Era"
 MAX_ERA_DIGITS = 9
+# Names of entries that can't be read in a log line, and characters of each.
+MAX_LOGGED_NAMES = 5
+MAX_LOGGED_CHARS = 80
 RESTORED = "the store was restored meanwhile"
 
 CONFIG = Kind("", "", "config", "config")
@@ -49,6 +54,8 @@
 STREAM_ORIGINS = Kind("", "", "marjoramstage-stream-origins", "stream-origins")
 QUARANTINES = Kind("", "", "marjoramstage-quarantines", "quarantine")
 
+log = component_logger("store")
+
 _CALL_ERRORS = (
     aiohttp.ClientError,
     ConnectionLostError,
@@ -69,9 +76,31 @@
 _NO_EFFECT_STATUSES = frozenset((400, 404, 409, 410, 413, 429, 503))
 
 
+@dataclass(frozen=True)
+class _Page:
+    """One page of a list.
+
+    Attributes
+    ----------
+    objects : tuple of PlatformObject
+        Those whose names can be read.
+    more : bool
+        Objects of later names follow.
+    revision : str
+        The store's when it made the page.
+    """
+
+    objects: tuple[PlatformObject, ...]
+    more: bool
+    revision: str
+
+
 class ObjectStore:
     """The object store at one address; implements `Platform`.
 
+    An entry whose revision can't be read has an empty version, and no spec: its kind
+    takes it as invalid. One whose name can't be read is left out and logged.
+
     Parameters
     ----------
     session : aiohttp.ClientSession
@@ -104,24 +133,29 @@
     async def list(
         self, kind: Kind, labels: Mapping[str, str] | None = None
     ) -> Result[ObjectList, PlatformError]:
-        """Read all objects of a kind, page by page; ``labels`` are ignored."""
+        """Read all objects of a kind, page by page; ``labels`` are ignored.
+
+        The list has the version of its first page: a watch from there on brings what
+        is written while later pages are read. Their objects may be newer than that.
+        """
         objects: list[PlatformObject] = []
-        after: str | None = None
-        first_era = None
+        after, version, first_era = "", "", None
         while True:
-            params = {"after": after} if after else {}
-            found = await self._call("GET", self._url(kind), params)
-            page = _decode(found, lambda data: _decode_page(kind, data))
-            if isinstance(page, Err):
-                return page
-            items, more, revision = page.ok_value
+            found = await self._call("GET", self._url(kind), _page_params(after))
+            decoded = _decode(found, lambda data: _decode_page(kind, data))
+            if isinstance(decoded, Err):
+                return decoded
+            page = decoded.ok_value
             if first_era not in (None, self._era.current):
                 return Err(_earlier_era(Verdict.NOT_RUN))
             first_era = self._era.current
-            objects += items
-            if not more or not items:
-                return Ok(ObjectList(tuple(objects), revision))
-            after = items[-1].name
+            version = version or page.revision
+            objects += page.objects
+            if not page.more:
+                return Ok(ObjectList(tuple(objects), version))
+            if not page.objects or page.objects[-1].name == after:
+                return Err(_unreadable_page(kind, after))
+            after = page.objects[-1].name
 
     async def create(
         self, obj: PlatformObject
@@ -285,23 +319,70 @@
     return PlatformObject(kind, meta["name"], data.get("spec"), str(meta["rev"]))
 
 
-def _decode_page(
-    kind: Kind, data: dict[str, Any]
-) -> tuple[list[PlatformObject], bool, str]:
-    items = [_decode_object(kind, item) for item in data["items"]]
-    return items, bool(data.get("more")), str(data["store_revision"])
+def _decode_entry(kind: Kind, data: Any) -> PlatformObject | None:
+    """Return an entry among others; None if not even its name can be read."""
+    meta = data.get("meta") if isinstance(data, dict) else None
+    name = meta.get("name") if isinstance(meta, dict) else None
+    if not isinstance(name, str) or not name:
+        return None
+    rev = meta.get("rev")
+    if isinstance(rev, bool) or not isinstance(rev, int):
+        return PlatformObject(kind, name, None)
+    return PlatformObject(kind, name, data.get("spec"), str(rev))
+
+
+def _page_params(after: str) -> dict[str, str]:
+    return {"after": after} if after else {}
+
+
+def _decode_page(kind: Kind, data: dict[str, Any]) -> _Page:
+    entries = [_decode_entry(kind, item) for item in data["items"]]
+    objects = tuple(obj for obj in entries if obj is not None)
+    _log_unreadable(kind, entries)
+    return _Page(objects, bool(data.get("more")), _revision(data))
 
 
 def _decode_events(kind: Kind, data: dict[str, Any]) -> list[WatchEvent]:
-    revision = str(data["store_revision"])
-    events = []
+    revision = _revision(data)
+    events, entries = [], []
     for item in data["events"]:
-        obj = _decode_object(kind, item["object"])
+        item = item if isinstance(item, dict) else {}
+        obj = _decode_entry(kind, item.get("object"))
+        entries.append(obj)
+        if obj is None:
+            continue
         type_ = WatchType.DELETED if item.get("deleted") else WatchType.MODIFIED
         events.append(WatchEvent(type_, revision, obj))
+    _log_unreadable(kind, entries)
     return [*events, WatchEvent(WatchType.BOOKMARK, revision)]
 
 
+def _revision(data: dict[str, Any]) -> str:
+    return str(int(data["store_revision"]))
+
+
+def _log_unreadable(kind: Kind, entries: list[PlatformObject | None]) -> None:
+    """Log the entries of an answer that can't be read."""
+    unreadable = [obj for obj in entries if obj is None or not obj.version]
+    if not unreadable:
+        return
+    names = ["" if obj is None else obj.name[:MAX_LOGGED_CHARS] for obj in unreadable]
+    log.warning(
+        "unreadable entries",
+        extra={
+            "kind": kind.plural,
+            "count": len(unreadable),
+            "names": names[:MAX_LOGGED_NAMES],
+        },
+    )
+
+
+def _unreadable_page(kind: Kind, after: str) -> PlatformError:
+    """Return the error for a page after which the list can't be continued."""
+    text = f"no later name in a page of {kind.plural} after {after!r}"
+    return PlatformError(PlatformFault.UNAVAILABLE, Verdict.NOT_RUN, text)
+
+
 def _encode_object(obj: PlatformObject) -> dict[str, Any]:
     meta: dict[str, Any] = {"name": obj.name, "finalizers": []}
     if obj.version:
