Versions reach what is built from them; background tasks are restarted

InstanceState.on_table tells each version that comes into force to what keeps something of one. A planner and its parts share one CurrentEngineSpec, which replace_spec brings up to date, with the limiter of loads. What a target holds counts with the larger of the size at its load and the present one; an order that no longer fits is not sent. Limiters outlive planners, so that a service that is dropped and added again does not load over its rate. Retry budgets, sizes and demand rates of dropped services and models are forgotten.

BackgroundTasks runs all tasks of an instance: a failure is logged with its place, counted in marjoramstage_task_failures, and the task starts again after 0.2 s, doubling to 5 s. When memory runs out the process ends with exit code 1. A fault in a call about the lease counts as a failed call, and a timer that fails is counted.

A new holder's views name at least the instances that the former holder named (16 if unknown) for 5 s, until all have found it. Bodies pass with their Content-Encoding untouched. The entry command takes note of SIGHUP before argparse is imported, and reloads the settings once it runs.

Ruled out: passing the table to each planner in every step, as its parts keep the spec by themselves; making planners anew with each version, as they would lose what is known of targets and ask all for reports.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,9 +1,10 @@
 """Run the command line from the sources of this checkout."""
 
+import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+# `pathlib` is slow to import, and a SIGHUP ends the process until `cli` has begun.
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "../src"))
 
 from marjoramstage.cli import main
 
--- a/src/marjoramstage/_commands/entry.py
+++ b/src/marjoramstage/_commands/entry.py
@@ -5,7 +5,6 @@
 import argparse
 import os
 
-from marjoramstage._commands import exits
 from marjoramstage.exceptions import ConfigError
 
 
@@ -23,5 +22,4 @@
     if not path:
         problem = f"--node-file or {platform.SETTINGS_VARIABLE} is needed"
         raise ConfigError((problem,))
-    entry.run(path)
-    return exits.OK
+    return entry.run(path)
--- a/src/marjoramstage/_entry/crash_observer.py
+++ b/src/marjoramstage/_entry/crash_observer.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from marjoramstage._entry.instance_state import InstanceState
@@ -64,7 +64,6 @@
         self._target_client = target_client
         self._breaks: dict[TargetStart, _Break] = {}
         self._crashed_s: dict[TargetStart, float] = {}
-        self._tasks: set[asyncio.Task] = set()
         self.on_crash: Callable[
             [TargetStart, float, Iterable[CrashedRequest]], None
         ] = lambda start, at_s, requests: None
@@ -96,7 +95,7 @@
         req = CrashedRequest(ctx.headers.request_id, ctx.shared_parts, ctx.sent_s)
         began_s = now_s if ctx.answer_began_s is None else ctx.answer_began_s
         end = _UnframedEnd(req, began_s, now_s)
-        self._start_task(self._confirm_end(end, target))
+        self._state.background.start("crash check", self._confirm_end, end, target)
 
     def broke_off(self, ctx: RequestContext, target: FleetTarget) -> None:
         """Note that an answer broke off, or that its connection did before it."""
@@ -114,7 +113,7 @@
         found = self._breaks.get(start)
         if found is None:
             found = self._breaks[start] = _Break(now_s)
-            self._start_task(self._confirm(start, target))
+            self._state.background.start("crash check", self._confirm, start, target)
         found.requests.append(req)
 
     def _wrote_long(self, ctx: RequestContext) -> bool:
@@ -128,11 +127,6 @@
         began_s = ctx.answer_began_s or self._state.clock.now()
         self.on_harmless(ctx.shared_parts, began_s)
 
-    def _start_task(self, coro: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _confirm_end(self, end: _UnframedEnd, target: FleetTarget) -> None:
         """Report how an answer ended that only its connection ends."""
         start = _start_of(target)
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
+from marjoramstage._entry.background_tasks import BackgroundTasks
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.limited_targets import LimitedTargets
 from marjoramstage._entry.targets_out import TargetsOut
@@ -52,6 +53,8 @@
 
     Attributes
     ----------
+    background : BackgroundTasks
+        Runs background tasks and restarts those that fail.
     table : RouteTable or None
         The routes in force; None until the first version is known.
     targets_listed : bool
@@ -92,7 +95,9 @@
         self.settings = settings
         self.clock = clock
         self.events = events
+        self.background = BackgroundTasks(clock, events)
         self.table: RouteTable | None = None
+        self._table_listeners: list[Callable[[RouteTable], None]] = []
         self.fleet = Fleet()
         self.targets_listed = False
         self.stopping = False
@@ -237,6 +242,14 @@
             return slots
         return sizes.usable_slots(slots, spec.engine.context_tokens)
 
+    def on_table(self, func: Callable[[RouteTable], None]) -> None:
+        """Call ``func`` with each version of the routes that comes into force.
+
+        Whatever keeps something that it built from a version is told here, and
+        brings it up to date. All else reads ``table`` each time.
+        """
+        self._table_listeners.append(func)
+
     def apply_routes(self, table: RouteTable) -> None:
         """Put a version of the routes into force; ignore an older one."""
         if self.table is not None and table.version <= self.table.version:
@@ -249,8 +262,34 @@
             before=before,
             routes=len(table.routes),
         )
+        self._forget_dropped(table)
+        for func in self._table_listeners:
+            try:
+                func(table)
+            except Exception as exc:
+                self.background.note_failure("routes accepted", exc)
         self.schedule_assignment()
 
+    def _forget_dropped(self, table: RouteTable) -> None:
+        """Forget what was learned of services and models that a version drops.
+
+        A retry budget stays while retries count in it: the service may come back.
+        """
+        now_s = self.clock.now()
+        for name in [name for name in self._budgets if name not in table.services]:
+            if self._budgets[name].is_idle(now_s):
+                del self._budgets[name]
+        for name in [name for name in self._request_sizes if not table.engine(name)]:
+            del self._request_sizes[name]
+        self.demand.retain(
+            {
+                f"{service.name} {model}"
+                for service in table.services.values()
+                if service.engine is not None
+                for model in service.engine.models
+            }
+        )
+
     def put_target(self, target: FleetTarget) -> None:
         """Add or update a target."""
         before = self.fleet.targets.get(target.name)
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -5,7 +5,7 @@
 import asyncio
 import uuid
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import replace
 
 from result import Err, Ok
@@ -30,6 +30,7 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.peer_liveness import PeerLiveness
 from marjoramstage.coordination.placement_planner import PlacementPlanner
+from marjoramstage.coordination.target_state import TargetState
 from marjoramstage.coordination.view_pacing import takeover_rank
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.protocol.leases import LeaseHeld, LeaseLost
@@ -40,8 +41,7 @@
     FleetView,
     PermitsIssued,
 )
-from marjoramstage.state.fleet import FleetTarget
-from marjoramstage.state.routes import Service
+from marjoramstage.state.routes import RouteTable, Service
 from marjoramstage.state.store_era import StoreEra
 from marjoramstage.transport.target_client import TargetClient
 
@@ -121,6 +121,9 @@
             zlib.crc32(identity.encode()), state.settings.link_bytes_per_s
         )
         self._planners: dict[str, PlacementPlanner] = {}
+        # Kept longer than the planners: the loads count whoever planned them.
+        self._load_limiters: dict[str, LoadRateLimiter] = {}
+        state.on_table(self._on_table)
         self._reports = InstanceReports()
         self._peer_liveness = PeerLiveness()
         self._isolated = False
@@ -183,6 +186,8 @@
 
     async def run(self) -> None:
         """Acquire and renew the lease, and send orders, until cancelled."""
+        # After a failure what a planner knows may be incomplete; it starts anew.
+        self._planners.clear()
         while True:
             now_s = seconds_since_boot()
             self._note_step(now_s)
@@ -276,9 +281,11 @@
         for effect in effects:
             match effect:
                 case ReadLease():
-                    self._spawn(self._read_lease())
+                    self._spawn("lease call", self._call_store, self._read_lease)
                 case WriteLease(record):
-                    self._spawn(self._write_lease(record))
+                    self._spawn(
+                        "lease call", self._call_store, self._write_lease, record
+                    )
                 case LeaseHeld(fence=fence):
                     self._on_lease_held(fence)
                 case LeaseLost():
@@ -320,6 +327,7 @@
         wait_s = bounds.lease_s if fence > 1 and not bounds.checks_fence else 0.0
         self._orders_start_s = now_s + wait_s
         self._planners.clear()
+        self.views.begin(now_s)
         self._permits.start()
         self._state.events.event("lease acquired", fence=fence, orders_in_s=wait_s)
 
@@ -340,6 +348,16 @@
         """Send a view now; without a valid lease it says that another may take it."""
         self.views.send(now_s, self._fence, ended or self._unrenewed_until_s > 0)
 
+    async def _call_store(
+        self, call: Callable[..., Coroutine[None, None, None]], *args: LeaseRecord
+    ) -> None:
+        """Make a call about the lease; a fault of this program counts as failed."""
+        try:
+            await call(*args)
+        except Exception:
+            self._apply_effects(self.elector.on_failed(seconds_since_boot()))
+            raise
+
     async def _read_lease(self) -> None:
         found = await self._store.get(platform.LEASES, LEASE_NAME)
         now_s = seconds_since_boot()
@@ -394,7 +412,7 @@
                 continue
             for order in planner.plan_orders(demand[service.name], now_s):
                 changed = True
-                self._spawn(self._execute_order(planner, order))
+                self._spawn("order", self._execute_order, planner, order)
         if changed:
             self.views.request()
         self._permits.issue(self._fence, limits)
@@ -406,15 +424,7 @@
     def _planner(self, service: Service, now_s: float) -> PlacementPlanner:
         planner = self._planners.get(service.name)
         if planner is None:
-            bounds = self._state.settings.bounds
-            load_limiter = LoadRateLimiter(
-                service.engine.loads_per_s, bounds.load_window_s, bounds.load_headroom
-            )
-            is_first_holder = self._fence <= 1
-            first_report_s = (
-                now_s if is_first_holder else now_s + TAKEOVER_REPORT_DELAY_S
-            )
-            planner = PlacementPlanner(service.engine, load_limiter, first_report_s)
+            planner = self._new_planner(service, now_s)
             self._planners[service.name] = planner
         planner.usable_slots = self._state.usable_slots(
             service.name, service.engine.slots
@@ -428,6 +438,36 @@
         )
         return planner
 
+    def _new_planner(self, service: Service, now_s: float) -> PlacementPlanner:
+        """Return a planner; targets report the orders of one before it with a delay."""
+        limiter = self._load_limiters.get(service.name)
+        is_first = self._fence <= 1 and limiter is None
+        if limiter is None:
+            bounds = self._state.settings.bounds
+            limiter = LoadRateLimiter(
+                service.engine.loads_per_s, bounds.load_window_s, bounds.load_headroom
+            )
+            self._load_limiters[service.name] = limiter
+        limiter.replace_rate(service.engine.loads_per_s)
+        first_report_s = now_s if is_first else now_s + TAKEOVER_REPORT_DELAY_S
+        return PlacementPlanner(service.engine, limiter, first_report_s)
+
+    def _on_table(self, table: RouteTable) -> None:
+        """Bring the planners up to a new version; end those of dropped services."""
+        for name, planner in list(self._planners.items()):
+            engine = table.engine(name)
+            # One that fails here is not kept: the next step makes another.
+            del self._planners[name]
+            if engine is None:
+                self._state.events.event("placement ended", service=name)
+                continue
+            planner.replace_spec(engine)
+            self._planners[name] = planner
+        now_s = seconds_since_boot()
+        for name, limiter in list(self._load_limiters.items()):
+            if table.engine(name) is None and limiter.is_idle(now_s):
+                del self._load_limiters[name]
+
     def _poll_targets(self, planner: PlacementPlanner, now_s: float) -> None:
         for target_state in planner.target_states.values():
             name = target_state.target.name
@@ -436,13 +476,17 @@
             if name in self._polled_targets or not target_state.needs_report(now_s):
                 continue
             self._polled_targets.add(name)
-            self._spawn(self._poll_target(planner, target_state.target))
+            self._spawn("target report", self._poll_target, planner, target_state)
 
     async def _poll_target(
-        self, planner: PlacementPlanner, target: FleetTarget
+        self, planner: PlacementPlanner, polled: TargetState
     ) -> None:
+        target = polled.target
         try:
             report = await self._target_control.fetch_report(target)
+        except Exception:
+            polled.record_missing_report(seconds_since_boot())
+            raise
         finally:
             self._polled_targets.discard(target.name)
         now_s = seconds_since_boot()
@@ -458,7 +502,7 @@
         known = target_state.known
         resend = target_state.record_report(report, now_s)
         if resend is not None and self.may_send_orders:
-            self._spawn(self._execute_order(planner, resend))
+            self._spawn("order", self._execute_order, planner, resend)
         if not known or target_state.pending is None:
             self.views.request()
 
@@ -468,7 +512,9 @@
         target_state = planner.target_states.get(order.target)
         if target is None or target_state is None:
             return
-        paused = self._state.pause_left_s(target) > 0
+        # The configuration may have changed since the order was planned.
+        too_large = order.load and target_state.free_mb() < 0
+        paused = too_large or self._state.pause_left_s(target) > 0
         if paused or not self.may_send_orders or self._rejected_fence == self._fence:
             target_state.record_answer(OrderAnswer.NOT_SENT, seconds_since_boot())
             return
@@ -521,15 +567,15 @@
                 blocked=blocked,
             )
 
-    def _spawn(self, coro) -> None:
-        task = asyncio.create_task(coro)
+    def _spawn(
+        self,
+        name: str,
+        run: Callable[..., Coroutine[None, None, None]],
+        *args: LeaseRecord | PlacementPlanner | TargetState | Order,
+    ) -> None:
+        task = self._state.background.start(name, run, *args)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._state.events.event("task failed", reason=repr(task.exception()))
+        task.add_done_callback(self._tasks.discard)
 
 
 def _decode_lease(obj: PlatformObject) -> LeaseRecord:
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -107,6 +107,13 @@
             registry=self.registry,
         )
 
+        self.task_failures = Counter(
+            "marjoramstage_task_failures",
+            "Background tasks that failed, by task; most are started again.",
+            ("task",),
+            registry=self.registry,
+        )
+
         self.loop_delay_seconds = Histogram(
             "marjoramstage_loop_delay_seconds",
             "How late timers of the event loop fire.",
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage.coordination.instance_count import InstanceCount
 from marjoramstage.coordination.instance_reports import (
     InstanceReports,
     parse_key,
@@ -54,9 +55,14 @@
         self._send = send
         self._count_waiting = count_waiting
         self._pacer = ViewPacer(state.settings.link_bytes_per_s)
+        self._instances = InstanceCount()
         self._sequence = 0
         self._sent_items: dict[str, tuple[int, tuple[str, ...]]] = {}
 
+    def begin(self, now_s: float) -> None:
+        """Begin with a new lease: not all instances report to this one yet."""
+        self._instances.begin(self._state.instance_count, now_s)
+
     def request(self) -> None:
         """Ask for a view to be sent as soon as the link allows."""
         self._pacer.request()
@@ -86,7 +92,7 @@
             self._identity,
             fence,
             self._next_sequence(),
-            len(recipients),
+            self._instances.count(len(recipients), now_s),
             self._held_items(),
             self._coming_ms(now_s),
             ended,
--- a/src/marjoramstage/coordination/adapter_planner.py
+++ b/src/marjoramstage/coordination/adapter_planner.py
@@ -71,6 +71,8 @@
     ) -> list[Order]:
         orders = []
         for item, software in _wanted_adapters(demand):
+            if item.model not in self._spec.models:
+                continue
             if any(
                 s.holds(item) or s.is_loading(item)
                 for s in usable
--- a/src/marjoramstage/coordination/demand_rates.py
+++ b/src/marjoramstage/coordination/demand_rates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 
 FAST_HALF_LIFE_S = 1.2
 SLOW_HALF_LIFE_S = 12.0
@@ -40,6 +41,11 @@
             key: max(1, round(self.rate(key, now_s) * RATE_SCALE)) for key in self._sums
         }
 
+    def retain(self, keys: Collection[str]) -> None:
+        """Forget all keys but these."""
+        for key in [key for key in self._sums if key not in keys]:
+            del self._sums[key], self._at_s[key]
+
     def _sum(self, key: str, now_s: float) -> float:
         found = self._sums.get(key)
         if found is None:
@@ -64,3 +70,8 @@
         self.slow.add(key, now_s)
         if latency_critical:
             self.latency_critical.add(key, now_s)
+
+    def retain(self, keys: Collection[str]) -> None:
+        """Forget all keys but these."""
+        for rates in (self.fast, self.slow, self.latency_critical):
+            rates.retain(keys)
--- a/src/marjoramstage/coordination/load_rate_limiter.py
+++ b/src/marjoramstage/coordination/load_rate_limiter.py
@@ -23,8 +23,20 @@
 
     def __init__(self, per_s: float, window_s: float, rate_factor: float):
         self._window_s = window_s
-        self._max_loads = max(1, int(per_s * window_s * rate_factor) + BURST_LOADS)
+        self._rate_factor = rate_factor
         self._started_at_s: deque[float] = deque()
+        self.replace_rate(per_s)
+
+    def replace_rate(self, per_s: float) -> None:
+        """Limit to another rate; loads in the window count as before."""
+        loads = int(per_s * self._window_s * self._rate_factor)
+        self._max_loads = max(1, loads + BURST_LOADS)
+
+    def is_idle(self, now_s: float) -> bool:
+        """Whether no load has started within the window."""
+        return not self._started_at_s or (
+            now_s - self._started_at_s[-1] > self._window_s
+        )
 
     def allows(self, now_s: float) -> bool:
         """Whether one more load may start now."""
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -13,6 +13,7 @@
 
 from marjoramstage.coordination.adapter_planner import AdapterPlanner
 from marjoramstage.coordination.blocked_models import BlockedModels, BlockReason
+from marjoramstage.coordination.current_engine_spec import CurrentEngineSpec
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.limited_replicas import LimitedReplicas
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
@@ -77,6 +78,12 @@
     return SINGLE_REQUEST_DRAIN_S * (1.0 + math.log(runs)) if runs else 0.0
 
 
+def _fetch_interval_s(spec: EngineSpec) -> float:
+    """Return the time between two fetches of models without sustained demand."""
+    loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
+    return 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
+
+
 class PlacementPlanner:
     """Plans the orders for all targets of one service.
 
@@ -107,6 +114,7 @@
         load_limiter: LoadRateLimiter,
         first_report_s: float = 0.0,
     ):
+        spec = CurrentEngineSpec(spec)
         self.spec = spec
         self.usable_slots = spec.slots
         self.paused: frozenset[str] = frozenset()
@@ -124,8 +132,7 @@
         self._leaving: frozenset[tuple[str, int]] = frozenset()
         self._limited = LimitedReplicas({}, (), DemandSnapshot())
         self._index = ReplicaIndex((), {}, DemandSnapshot(), self._limited)
-        loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
-        self._fetch_interval_s = 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
+        self._fetch_interval_s = _fetch_interval_s(spec)
         self._next_fetch_s = 0.0
         self._next_plan_s = 0.0
 
@@ -161,6 +168,23 @@
             else:
                 target_state.target = target
 
+    def replace_spec(self, spec: EngineSpec) -> None:
+        """Plan by a newer version of the configuration from now on.
+
+        All parts share ``self.spec``. What targets hold keeps the size that it was
+        loaded with, if the newer version states a smaller one or none.
+        """
+        if spec == self.spec.version:
+            return
+        for target_state in self.target_states.values():
+            target_state.keep_sizes()
+        self.spec.replace(spec)
+        self._load_limiter.replace_rate(spec.loads_per_s)
+        self._fetch_interval_s = _fetch_interval_s(spec)
+        for name, item in list(self._planned.items()):
+            if item.model not in spec.models:
+                self._drop_plan(self.target_states[name])
+
     def plan_orders(self, demand: DemandSnapshot, now_s: float) -> list[Order]:
         """Return the orders to send now, already recorded as pending."""
         for target_state in self.target_states.values():
@@ -667,6 +691,8 @@
         sustained demand take turns in the memory of deferrable ones for it; if
         there are none, an overdue fetch may displace any idle model.
         """
+        if victim.model not in self.spec.models:
+            return True
         if not demand.is_latency_critical(victim) or demand.is_active(item):
             return True
         if demand.is_resumed(item):
--- a/src/marjoramstage/coordination/replica_values.py
+++ b/src/marjoramstage/coordination/replica_values.py
@@ -149,6 +149,9 @@
         self, item: Item, demand: DemandSnapshot, replicas: int, target: str
     ) -> float:
         """Return the value of a target's replica: what its eviction would cost."""
+        if item.model not in self._spec.models:
+            # A version of the configuration has dropped it: no request comes for it.
+            return 0.0
         rate = demand.rate(item)
         running_value = RUNNING_VALUE * demand.running_for_model_at(target, item.model)
         if replicas <= 1:
--- a/src/marjoramstage/coordination/retry_budget.py
+++ b/src/marjoramstage/coordination/retry_budget.py
@@ -67,6 +67,11 @@
         self._retries.append(now_s)
         return True
 
+    def is_idle(self, now_s: float) -> bool:
+        """Whether nothing counts in the window, as in a new budget."""
+        self._expire(now_s)
+        return not self._requests and not self._retries
+
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
             while times and now_s - times[0] > self._window_s:
--- a/src/marjoramstage/coordination/target_state.py
+++ b/src/marjoramstage/coordination/target_state.py
@@ -23,6 +23,8 @@
 # For this time after an order was accepted, a report may still predate it.
 MAX_REPORT_AGE_S = 1.0
 UNLOAD_S = 0.7
+# Assumed of a model that the configuration has no longer, while its load is pending.
+UNKNOWN_LOAD_S = 1.0
 # Start of the state of items that were loaded before the first report.
 LONG_AGO_S = -math.inf
 
@@ -105,6 +107,8 @@
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self._last_order_s = 0.0
+        # Sizes in MB of what was held when the configuration changed.
+        self._kept_mb: dict[Item, float] = {}
 
     # Items
 
@@ -131,11 +135,20 @@
         return [item for item in self.items if item.adapter]
 
     def memory_mb(self, item: Item) -> float:
-        """Return the memory that an item needs; all of it if it is unknown."""
+        """Return the memory that an item needs; all of it if it is unknown.
+
+        What is held takes up the size of its load, or the present one if larger.
+        """
+        kept_mb = self._kept_mb.get(item) if item in self.items else None
         model = self.spec.models.get(item.model)
         if model is None:
-            return self.spec.memory_mb
-        return model.adapter_mb if item.adapter else model.memory_mb
+            return self.spec.memory_mb if kept_mb is None else kept_mb
+        size_mb = model.adapter_mb if item.adapter else model.memory_mb
+        return size_mb if kept_mb is None else max(size_mb, kept_mb)
+
+    def keep_sizes(self) -> None:
+        """Note the sizes of what is held, before a newer version states others."""
+        self._kept_mb = {item: self.memory_mb(item) for item in self.items}
 
     def free_mb(self) -> float:
         """Return the memory that is not taken up by any item."""
@@ -155,7 +168,9 @@
         """Return the expected load time of an item, in seconds."""
         if item.adapter:
             return ADAPTER_LOAD_S
-        model = self.spec.models[item.model]
+        model = self.spec.models.get(item.model)
+        if model is None:
+            return UNKNOWN_LOAD_S
         if item.model in self.in_memory:
             return model.memory_load_s
         return model.disk_load_s if item.model in self.on_disk else model.load_s
@@ -198,6 +213,7 @@
     def record_order(self, order: Order, now_s: float) -> None:
         """Record an order before it is sent; it may take effect from then on."""
         if order.load:
+            self._kept_mb.pop(order.item, None)
             self.items[order.item] = HeldItem(ItemState.LOADING, now_s, now_s)
         else:
             held = self.items[order.item]
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -10,7 +10,8 @@
 import aiohttp
 from aiohttp import web
 
-from marjoramstage import logs, platform
+from marjoramstage import early_hangup, logs, platform
+from marjoramstage._commands import exits
 from marjoramstage._entry.begun_stream_store import BegunStreamStore
 from marjoramstage._entry.caller_handler import CallerHandler
 from marjoramstage._entry.crash_observer import CrashObserver
@@ -78,14 +79,15 @@
         self._state = InstanceState(settings, clock, self._events)
         self._metrics = PrometheusMetrics()
         self._stop_requested = asyncio.Event()
-        self._tasks: list[asyncio.Task] = []
+        self._failed = False
         self._servers: list[asyncio.Server] = []
 
-    async def run(self) -> None:
-        """Serve until a signal asks for a shutdown."""
+    async def run(self) -> int:
+        """Serve until a signal asks for a shutdown; return the exit code."""
         await self._start()
         await self._stop_requested.wait()
         await self._shut_down()
+        return exits.FAILED if self._failed else exits.OK
 
     async def _start(self) -> None:
         settings = self._state.settings
@@ -93,6 +95,12 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        if early_hangup.was_received():
+            self._reload_settings()
+        background = self._state.background
+        background.on_failure = self._on_task_failed
+        background.on_fatal = self._on_fatal
+        loop.set_exception_handler(background.on_loop_error)
         self._target_client = TargetClient()
         connector = client_connector(socket_factory=create_client_socket)
         self._session = aiohttp.ClientSession(connector=connector)
@@ -159,19 +167,19 @@
         load_monitor = LoadMonitor(
             self._state.clock, self._events, self._metrics, self._peer_link.counters
         )
-        for coro in (
-            routes.run(),
-            targets.run(),
-            drop_missing_targets(targets, self._state),
-            self._controller.run(),
-            self._peer_link.run(),
-            quarantines.run(),
-            origins.run(),
-            begun.run(),
-            self._watch_settings(),
-            load_monitor.run(),
+        for name, run in (
+            ("routes", routes.run),
+            ("targets", targets.run),
+            ("missing targets", lambda: drop_missing_targets(targets, self._state)),
+            ("placement", self._controller.run),
+            ("peer link", self._peer_link.run),
+            ("quarantines", quarantines.run),
+            ("stream origins", origins.run),
+            ("begun streams", begun.run),
+            ("settings", self._watch_settings),
+            ("load monitor", load_monitor.run),
         ):
-            self._tasks.append(asyncio.create_task(self._run_task(coro)))
+            background.keep(name, run)
         self._events.event("started", data_centre=settings.data_centre)
 
     def _on_store_restored(self, era: int) -> None:
@@ -187,13 +195,14 @@
         """Count what is sent to a target that has named a limit."""
         self._metrics.limited_target_requests.labels(kind.value).inc()
 
-    async def _run_task(self, coro) -> None:
-        """Run a background task; log an exception that ends it."""
-        try:
-            await coro
-        except Exception as exc:
-            self._events.event("background task failed", reason=repr(exc))
-            raise
+    def _on_task_failed(self, name: str) -> None:
+        """Count a background task that failed."""
+        self._metrics.task_failures.labels(name).inc()
+
+    def _on_fatal(self) -> None:
+        """Shut down, as the process can't go on; the platform starts it again."""
+        self._failed = True
+        self._stop_requested.set()
 
     async def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
         settings = self._state.settings
@@ -315,8 +324,7 @@
             self._handler.end_all()
             await asyncio.sleep(FINAL_ANSWERS_S)
         self._events.event("stopped", in_flight=self._handler.in_flight)
-        for task in self._tasks:
-            task.cancel()
+        self._state.background.stop()
         for server in self._servers:
             server.close()
         await self._caller_server.shutdown(0.1)
@@ -330,9 +338,8 @@
     settings = platform.load_node_settings(path)
     logs.configure_stdout("info", settings.name)
     gc.freeze()
-    asyncio.run(_run(settings, path))
-    return 0
+    return asyncio.run(_run(settings, path))
 
 
-async def _run(settings: NodeSettings, path: str) -> None:
-    await EntryServer(settings, path).run()
+async def _run(settings: NodeSettings, path: str) -> int:
+    return await EntryServer(settings, path).run()
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -184,6 +184,11 @@
             found.sort(key=lambda route: -len(route.prefix))
         self._by_host = by_host
 
+    def engine(self, service: str) -> EngineSpec | None:
+        """Return the capacity of an engine service; None if it is none."""
+        found = self.services.get(service)
+        return None if found is None else found.engine
+
     def resumable_services(self) -> list[str]:
         """Return the services of routes whose streams may be taken up, sorted."""
         routes = (route for route in self.routes if route.resumable)
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -68,4 +68,6 @@
 
     def __call__(self) -> RequestHandler:
         """Return the connection for a socket that was accepted; called by asyncio."""
-        return ServerConnection(self, loop=self._loop, **self._kwargs)
+        # Bodies go on as they are, with the header that names their encoding.
+        kwargs = {**self._kwargs, "auto_decompress": False}
+        return ServerConnection(self, loop=self._loop, **kwargs)
