--- a/features/steps/store_lists.py
+++ b/features/steps/store_lists.py
@@ -11,11 +11,20 @@
 from features.notice_machine import make_state
 from features.paged_store import PagedStore, served
 from features.relayed_store import RelayNet
-from features.virtual_asyncio import run_virtual
+from features.virtual_asyncio import VirtualTimeLoop, run_virtual
 from marjoramstage import platform
+from marjoramstage._entry.store_relay import StoreRelay
 from marjoramstage._entry.store_watchers import drop_missing_targets, watch_targets
 from marjoramstage.platform._store import ObjectStore
-from marjoramstage.protocol.objects import PlatformError, PlatformFault
+from marjoramstage.protocol.objects import (
+    ObjectList,
+    PlatformError,
+    PlatformFault,
+    PlatformObject,
+    WatchEvent,
+    WatchType,
+)
+from marjoramstage.protocol.store_changes import decode_changes
 from marjoramstage.state.store_era import StoreEra
 from marjoramstage.transport.client_connection import client_session
 
@@ -383,3 +392,49 @@
 def check_unavailable(context):
     assert isinstance(context.result, Err), context.result
     assert context.result.err_value.fault is PlatformFault.UNAVAILABLE
+
+
+# What others are told after a list
+
+
+class ListedStore:
+    """A list whose later page is newer than its first one, and a watch after it."""
+
+    def __init__(self):
+        self.obj = PlatformObject(platform.TARGETS, "t1", spec(), "12")
+
+    async def list(self, kind, labels=None):
+        return Ok(ObjectList((self.obj,), "10"))
+
+    async def watch(self, kind, version, labels=None, wait_s=None):
+        assert version == "10", version
+        gone = PlatformObject(platform.TARGETS, "t2", spec(), "11")
+        yield Ok(WatchEvent(WatchType.DELETED, "14", gone))
+        yield Ok(WatchEvent(WatchType.MODIFIED, "14", self.obj))
+        yield Ok(WatchEvent(WatchType.BOOKMARK, "14"))
+
+
+@given("a watcher that tells others, and a list of revision 10 with t1 of revision 12")
+def make_telling_watcher(context):
+    context.loop, context.sent = VirtualTimeLoop(), []
+    state = make_state(context.loop)
+    relay = StoreRelay(StoreEra(), state.events, 1.0, lambda: True, context.sent.append)
+    context.watcher = watch_targets(ListedStore(), state, relay)
+
+
+@when("its watch from there repeats t1, and that t2 was removed")
+def watch_once(context):
+    async def run():
+        for _ in range(2):
+            assert await context.watcher._sync_once() is None
+
+    context.loop.run_until_complete(run())
+
+
+@then("it tells others both, as changes after revision 10")
+def check_told(context):
+    (message,) = context.sent
+    assert (message.since, message.revision) == (10, 14), message
+    changes = decode_changes(platform.TARGETS, message.content).ok_value
+    assert [obj.name for obj in changes.written] == ["t1"], changes
+    assert changes.removed == ("t2",), changes
--- a/features/store_lists.feature
+++ b/features/store_lists.feature
@@ -55,3 +55,8 @@
     Given a store with 12 targets, in pages of 5
     When all names of page 2 are not UTF-8 and the targets are listed
     Then the list is unavailable
+
+  Scenario: what a list has shown early is told again at its revision
+    Given a watcher that tells others, and a list of revision 10 with t1 of revision 12
+    When its watch from there repeats t1, and that t2 was removed
+    Then it tells others both, as changes after revision 10
