Odd texts cost a third of the time; a version that lowers adapter places is tested

Cause: one escaped pair of surrogates (an emoji) or one bad byte sent a whole answer through the scan for nesting: 46 ms of 235 KB, where a plain answer takes 4.2 ms.

--- a/features/config_changes.feature
+++ b/features/config_changes.feature
@@ -7,7 +7,7 @@
     And each target has 220 GB, and models of 70 GB: m1 to m6, of which m6 isn't held
     When a version <change>, and requests wait for <wanted>
     Then <loaded> are loaded within 12 s
-    And no target is ordered over its memory, by the sizes of its loads and of the version
+    And no target is ordered over its places, or its memory by any size since the load
 
     Examples:
       | change                                    | wanted     | loaded  |
@@ -16,6 +16,7 @@
       | lets the models of a take 110 GB          | a m6       | a m6    |
       | lets the models of a take 105 GB, then 70 | a m6       | a m6    |
       | drops m1 to m3 from a                     | a m6       | a m6    |
+      | lets the targets of a hold 1 adapter      | a m1/x, m1/y | a m1/x |
       | drops m6 of a, which is being loaded      | a m6       | nothing |
       | drops b                                   | a m6       | a m6    |
       | drops b and adds it again                 | b m6       | b m6    |
--- a/features/planned_engines.py
+++ b/features/planned_engines.py
@@ -20,9 +20,9 @@
 LOAD_S = 0.5
 
 
-def engine(names, size_mb=70.0):
+def engine(names, size_mb=70.0, adapter_slots=2):
     models = {n: ModelSpec(n, size_mb, LOAD_S, 0.1, 0.1) for n in names}
-    return EngineSpec(8, MEMORY_MB, 2, 4.0, models)
+    return EngineSpec(8, MEMORY_MB, adapter_slots, 4.0, models)
 
 
 def models(*numbers):
@@ -57,7 +57,7 @@
     def size_mb(self, service, item):
         spec = self.state.table.engine(service)
         model = spec.models.get(item.model) if spec else None
-        return model.memory_mb if model else 0.0
+        return model.memory_mb if model and not item.adapter else 0.0
 
     def add(self, name, service, held):
         items = {Item(model) for model in held}
@@ -82,6 +82,8 @@
         used_mb = sum(
             max(mb, self.size_mb(service, item)) for item, mb in sizes.items()
         )
-        if used_mb > MEMORY_MB:
+        adapters = sum(1 for item in sizes if item.adapter)
+        slots = self.state.table.engine(service).adapter_slots
+        if used_mb > MEMORY_MB or adapters > slots:
             self.over.append((target.name, dict(sizes)))
         return OrderAnswer.ACCEPTED
--- a/features/steps/config_changes.py
+++ b/features/steps/config_changes.py
@@ -35,6 +35,9 @@
     "drops m6 of a, which is being loaded": [
         BEFORE | {"a": engine(models(*range(1, 6)))}
     ],
+    "lets the targets of a hold 1 adapter": [
+        BEFORE | {"a": engine(models(*range(1, 7)), adapter_slots=1)}
+    ],
     "drops b": [{"a": BEFORE["a"]}],
     "drops b and adds it again": [{"a": BEFORE["a"]}, BEFORE],
     "gives b no models, then others": [
@@ -103,9 +106,7 @@
         assert not context.engines.loaded, context.engines.loaded
 
 
-@then(
-    "no target is ordered over its memory, by the sizes of its loads and of the version"
-)
+@then("no target is ordered over its places, or its memory by any size since the load")
 def check_memory(context):
     assert not context.engines.over, context.engines.over
 
--- a/src/marjoramstage/platform/_json.py
+++ b/src/marjoramstage/platform/_json.py
@@ -34,16 +34,19 @@
     """
     if isinstance(payload, str):
         payload = payload.encode(errors="surrogatepass")
-    if _SURROGATE.search(payload):
-        return _loads_odd(payload)
     try:
-        return _DECODER.decode(payload.decode())
+        text, odd = payload.decode(), _SURROGATE.search(payload) is not None
+    except UnicodeDecodeError:
+        text, odd = payload.decode(errors="surrogateescape"), True
+    try:
+        found = _DECODER.decode(text)
+        return _without_odd_texts(found) if odd else found
     except (ValueError, RecursionError):
         return _loads_odd(payload)
 
 
 def _loads_odd(payload: bytes) -> Any:
-    """Decode a document that has values which a parser doesn't take."""
+    """Decode a document that has values which a parser doesn't take; slower."""
     text = _flatten(payload).decode(errors="surrogateescape")
     return _without_odd_texts(json.loads(text, strict=False, parse_int=_parse_int))
 
