--- a/features/customer_entry.feature
+++ b/features/customer_entry.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Customers' keys at instances as processes
   A fault here serves callers that hold no key, or shows a key to targets or in logs.
 
