One byte budget for what an instance holds for clients; connections stay below the descriptors

Cause: bodies, answers, heads and connections had limits of their own and none in common, so a crowd of legal clients took 234 to 397 MB on a machine of 160.

Done: ByteBudget decides who is read, waits or ends; large bodies are put together in place and sent in pieces; answers are read ahead of slow callers within the budget; idle connections close when descriptors run short; the C library returns large buffers.

Ruled out: accounting without reserving (all bodies of a crowd begin, none ends); aiohttp's read(), which holds a body two to four times; the transport's own pause for answers, which can't be ended when the budget has room again.

--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from marjoramstage._entry.caller_handler import CallerHandler
+from marjoramstage._entry.client_holdings import ClientHoldings
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
@@ -114,6 +115,7 @@
             self.metrics,
             StreamVersions(self.state, KnownOrigins(), self._tell_origin),
             CrashObserver(self.state, self._client),
+            ClientHoldings(settings, clock),
         )
         self._server = BoundedServer(
             handler.handle, handler_cancellation=True, access_log=None
--- a/features/steps/long_streams.py
+++ b/features/steps/long_streams.py
@@ -58,6 +58,13 @@
         pass
 
 
+class Writer:
+    """Writes for a caller that reads whatever is written."""
+
+    async def write(self, resp, data):
+        await resp.write(data)
+
+
 def make_request():
     headers = SimpleNamespace(request_id=STREAM, resumes="", parts=())
     ctx = RequestContext(
@@ -71,6 +78,7 @@
         criteria=TargetCriteria("chat"),
     )
     ctx.resp = Response()
+    ctx.answer_writer = Writer()
     ctx.begin_attempt("v1", 0.0)
     return ctx
 
@@ -83,7 +91,7 @@
     context.state.stream_origins = CountingOrigins()
     log = SimpleNamespace(answer_ended=lambda *args: None)
     observer = SimpleNamespace(writing=lambda ctx: None)
-    relay = AnswerRelay(context.state, log, observer)
+    relay = AnswerRelay(context.state, log, observer, SimpleNamespace())
     context.lasts_s = lasts
     context.relay = relay.relay(make_request(), Answer(lasts, each))
 
@@ -103,7 +111,7 @@
     context.relay.close()
     log = SimpleNamespace(answer_ended=lambda *args: None)
     observer = SimpleNamespace(writing=lambda ctx: None)
-    relay = AnswerRelay(context.state, log, observer)
+    relay = AnswerRelay(context.state, log, observer, SimpleNamespace())
     context.relay = relay.relay(make_request(), KeepAlives(3.0, 1.0))
 
 
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -13,6 +13,8 @@
 from marjoramstage._entry.request_log import RequestLog
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.state.routes import RunPolicy
+from marjoramstage.transport.answer_buffers import AnswerBuffers
+from marjoramstage.transport.byte_budget import SMALL_BYTES, Holding
 from marjoramstage.transport.event_stream import (
     EventSplitter,
     EventTooLongError,
@@ -24,6 +26,8 @@
 EVENT_STREAM = "text/event-stream"
 # Larger answers are relayed as they arrive.
 MAX_BUFFERED_BYTES = 262_144
+# Such an answer, as it is read and as it is written.
+HELD_BYTES = 2 * MAX_BUFFERED_BYTES
 MAX_STREAM_EVENTS = 100_000
 # While a stream runs, its origin is recorded again after this time.
 ORIGIN_KEPT_INTERVAL_S = 5.0
@@ -115,8 +119,13 @@
     """Relays answers of targets to callers."""
 
     def __init__(
-        self, state: InstanceState, log: RequestLog, crash_observer: CrashObserver
+        self,
+        state: InstanceState,
+        log: RequestLog,
+        crash_observer: CrashObserver,
+        answers: AnswerBuffers,
     ):
+        self._answers = answers
         self._state = state
         self._log = log
         self._crash_observer = crash_observer
@@ -153,17 +162,36 @@
     ) -> web.StreamResponse:
         """Relay an answer that is read to its end first, unless it is large."""
         buffered = bytearray()
+        holding: Holding | None = None
         chunks = answer.iter_chunks()
-        async for chunk in chunks:
-            self._note_writing(ctx)
-            buffered += chunk
-            if len(buffered) > MAX_BUFFERED_BYTES:
-                return await self._relay_large(ctx, answer, bytes(buffered), chunks)
+        try:
+            async for chunk in chunks:
+                self._note_writing(ctx)
+                buffered += chunk
+                if len(buffered) <= SMALL_BYTES:
+                    continue
+                if holding is None:
+                    holding = self._answers.hold(HELD_BYTES)
+                if holding is None or len(buffered) > MAX_BUFFERED_BYTES:
+                    ctx.resp = await self._start(ctx, answer)
+                    ctx.answer_writer.adopt(holding)
+                    holding = None
+                    return await self._relay_large(ctx, buffered, chunks)
+            resp = self._whole_response(answer, bytes(buffered))
+            if holding is not None and ctx.req.transport is not None:
+                self._answers.leave(holding, ctx.req.transport)
+                holding = None
+            return resp
+        finally:
+            if holding is not None:
+                self._answers.give_back(holding)
+
+    def _whole_response(self, answer: TargetResponse, body: bytes) -> web.Response:
         headers = platform.answer_headers(answer.headers)
         resp = web.Response(
             status=answer.status,
             reason=answer.reason,
-            body=bytes(buffered),
+            body=body,
             headers=headers,
         )
         if "Content-Type" not in headers:
@@ -173,15 +201,16 @@
     async def _relay_large(
         self,
         ctx: RequestContext,
-        answer: TargetResponse,
-        first: bytes,
+        first: bytearray,
         rest: AsyncIterator[bytes],
     ) -> web.StreamResponse:
         """Relay an answer as it arrives; it can't be repeated from here on."""
-        resp = ctx.resp = await self._start(ctx, answer)
-        await resp.write(first)
+        resp, writer = ctx.resp, ctx.answer_writer
+        await writer.write(resp, bytes(first))
+        # The caller's connection holds them from here on.
+        first.clear()
         async for chunk in rest:
-            await resp.write(chunk)
+            await writer.write(resp, chunk)
         await resp.write_eof()
         return resp
 
@@ -192,7 +221,7 @@
         if ctx.resp is None:
             ctx.resp = await self._start(ctx, answer)
             ctx.resumable = True
-        resp = ctx.resp
+        resp, writer = ctx.resp, ctx.answer_writer
         is_rest = ctx.first_event_s is not None
         last_id = ctx.last_event_id
         async for chunk in answer.iter_chunks():
@@ -204,7 +233,7 @@
                 _check_rest(events, ctx.last_event_id)
             else:
                 _check_follows(events[0], ctx.last_event_id)
-            await resp.write(b"".join(event.data for event in events))
+            await writer.write(resp, b"".join(event.data for event in events))
             now_s = self._state.clock.now()
             last = next((e for e in reversed(events) if not e.is_comment), None)
             if last is None:
@@ -264,5 +293,8 @@
             resp.force_close()
         if self._state.stopping:
             resp.force_close()
+        if ctx.req.transport is None:
+            raise ConnectionResetError("the caller is gone")
+        ctx.answer_writer = self._answers.open(ctx.req.transport)
         await resp.prepare(ctx.req)
         return resp
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -10,6 +10,7 @@
 
 from marjoramstage import platform
 from marjoramstage._entry.answer_relay import AnswerRelay, check_answer
+from marjoramstage._entry.client_holdings import ClientHoldings
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.limited_targets import SendKind
@@ -35,6 +36,8 @@
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Route, RunPolicy
+from marjoramstage.transport.byte_budget import RETRY_AFTER_S
+from marjoramstage.transport.request_body import BodyTooLargeError, NoMemoryError
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     BROKEN,
@@ -76,13 +79,16 @@
         metrics: PrometheusMetrics,
         stream_versions: StreamVersions,
         crash_observer: CrashObserver,
+        holdings: ClientHoldings,
     ):
         self._state = state
         self._target_client = target_client
         self._stream_versions = stream_versions
         self._log = RequestLog(state, metrics)
+        self._metrics = metrics
+        self._holdings = holdings
         self._crash_observer = crash_observer
-        self._relay = AnswerRelay(state, self._log, crash_observer)
+        self._relay = AnswerRelay(state, self._log, crash_observer, holdings.answers)
         self._wait_policy = WaitPolicy()
         # Tasks of the requests that are being served, by connection.
         self._busy_conns: dict[object, asyncio.Task] = {}
@@ -113,6 +119,7 @@
         self._busy_conns[conn] = asyncio.current_task()
         ctx: RequestContext | None = None
         outcome = "cancelled"
+        self._holdings.connections.serving += 1
         try:
             ctx = await self._build_context(req, arrived_s)
             if ctx.resumes_stream:
@@ -133,11 +140,19 @@
             resp = self._refusal(self._grace_over_error(ctx))
         finally:
             self._busy_conns.pop(conn, None)
+            self._release_holdings(conn, ctx)
             self._log.request_ended(req, ctx, arrived_s, outcome)
         if self._state.stopping and not resp.prepared:
             resp.force_close()
         return resp
 
+    def _release_holdings(self, conn: object, ctx: RequestContext | None) -> None:
+        """Give back what was held for a request; an unsent answer stays accounted."""
+        self._holdings.connections.serving -= 1
+        self._holdings.release(conn)
+        if ctx is not None and ctx.answer_writer is not None:
+            self._holdings.answers.end(ctx.answer_writer)
+
     async def _build_context(
         self, req: web.BaseRequest, arrived_s: float
     ) -> RequestContext:
@@ -155,6 +170,8 @@
         headers = platform.caller_headers(req.headers)
         if not headers.request_id:
             raise RefusalError(400, "no request id")
+        if not self._holdings.has_descriptors():
+            raise self._resource_error("no descriptors")
         if req.headers.get("Expect", "").lower() == "100-continue":
             await req.writer.write(CONTINUE_RESPONSE)
         wait_s = (
@@ -187,19 +204,30 @@
         ctx.last_event_id = headers.last_event_id
         return ctx
 
-    async def _read_body(self, req: web.BaseRequest, deadline_s: float) -> bytes:
+    def _resource_error(self, cause: str) -> RefusalError:
+        """Count and return the refusal of a request that was not sent."""
+        self._metrics.resource_refusals.labels(cause).inc()
+        return RefusalError(503, cause, RETRY_AFTER_S)
+
+    async def _read_body(
+        self, req: web.BaseRequest, deadline_s: float
+    ) -> bytes | bytearray:
         """Return the body of a request.
 
         Raises
         ------
         RefusalError
-            It is too large, badly framed or late.
+            It is too large, badly framed or late, or there is no memory for it.
         """
+        table = self._state.table
+        max_bytes = table.limits.body_bytes if table is not None else 0
+        timeout_s = deadline_s - self._state.clock.now()
         try:
-            async with asyncio.timeout(deadline_s - self._state.clock.now()):
-                return await req.read()
-        except web.HTTPRequestEntityTooLarge:
+            return await self._holdings.read_body(req, max_bytes, timeout_s)
+        except BodyTooLargeError:
             raise RefusalError(413, "body too large") from None
+        except NoMemoryError as exc:
+            raise self._resource_error(exc.cause) from None
         except TimeoutError:
             raise RefusalError(408, "body not read in time") from None
         except (
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -106,6 +106,44 @@
             "1 while this instance gives orders.",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "marjoramstage_held_bytes",
+            "Bytes held for clients, by kind.",
+            ("kind",),
+            registry=self.registry,
+        )
+        self.budget_bytes = Gauge(
+            "marjoramstage_budget_bytes",
+            "Bytes that may be held for clients.",
+            registry=self.registry,
+        )
+        self.budget_waiting = Gauge(
+            "marjoramstage_budget_waiting",
+            "Bodies that are not read because the byte budget is used up.",
+            registry=self.registry,
+        )
+        self.evictions = Counter(
+            "marjoramstage_evictions",
+            "Bodies refused and callers closed for the byte budget, by cause.",
+            ("kind", "cause"),
+            registry=self.registry,
+        )
+        self.resource_refusals = Counter(
+            "marjoramstage_resource_refusals",
+            "Requests refused for lack of memory or descriptors, by cause.",
+            ("cause",),
+            registry=self.registry,
+        )
+        self.caller_connections = Gauge(
+            "marjoramstage_caller_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        self.connections_closed = Counter(
+            "marjoramstage_connections_closed",
+            "Connections of callers closed because descriptors ran short.",
+            registry=self.registry,
+        )
 
         self.loop_delay_seconds = Histogram(
             "marjoramstage_loop_delay_seconds",
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -9,6 +9,7 @@
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.routes import Route
+from marjoramstage.transport.answer_buffers import AnswerWriter
 from marjoramstage.transport.event_stream import StreamEvent
 
 # An answer with one of these statuses promises that the request did not run.
@@ -49,6 +50,8 @@
         When the last attempt was begun.
     answer_began_s : float or None
         When the last attempt's target began to write the body of its answer.
+    answer_writer : AnswerWriter or None
+        Writes the answer, once its head has been sent.
     harmless : bool
         That target is known not to have crashed under it.
     """
@@ -57,7 +60,7 @@
     route: Route
     service: str
     headers: CallerHeaders
-    body: bytes
+    body: bytes | bytearray
     arrived_s: float
     deadline_s: float
     criteria: TargetCriteria
@@ -75,6 +78,7 @@
     sent_s: float = 0.0
     answer_began_s: float | None = None
     harmless: bool = False
+    answer_writer: AnswerWriter | None = None
     origin_kept_s: float | None = None
 
     @property
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -13,6 +13,7 @@
 from marjoramstage import logs, platform
 from marjoramstage._entry.begun_stream_store import BegunStreamStore
 from marjoramstage._entry.caller_handler import CallerHandler
+from marjoramstage._entry.client_holdings import ClientHoldings
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.instance_state import InstanceState
@@ -27,6 +28,7 @@
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.quarantine_store import QuarantineStore
 from marjoramstage._entry.quarantine_sync import QuarantineSync
+from marjoramstage._entry.resource_monitor import ResourceMonitor
 from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage._entry.store_watchers import (
     drop_missing_targets,
@@ -36,13 +38,14 @@
 from marjoramstage._entry.stream_versions import StreamVersions
 from marjoramstage._entry.targets_out import OutCause
 from marjoramstage.addresses import split_address
+from marjoramstage.allocator import return_large_buffers
 from marjoramstage.clock import SystemClock
 from marjoramstage.exceptions import ConfigError
 from marjoramstage.state.node_settings import NodeSettings
 from marjoramstage.state.store_era import StoreEra
 from marjoramstage.transport.client_connection import client_connector
 from marjoramstage.transport.server_connection import BoundedServer
-from marjoramstage.transport.sockets import create_client_socket
+from marjoramstage.transport.sockets import create_client_socket, listening_socket
 from marjoramstage.transport.target_client import TargetClient
 
 # Callers may still connect for this long after the stop signal, while the readiness
@@ -56,6 +59,8 @@
 SETTINGS_CHECK_INTERVAL_S = 2.0
 MAX_HEAD_BYTES = 32_768
 BACKLOG = 1024
+# Connections accepted before the first of them is counted.
+ACCEPTED_AT_ONCE = 16
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 
@@ -77,6 +82,7 @@
         self._events = EventLog(logs.component_logger("entry"), clock)
         self._state = InstanceState(settings, clock, self._events)
         self._metrics = PrometheusMetrics()
+        self._holdings = ClientHoldings(settings, clock)
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
@@ -93,7 +99,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        self._target_client = TargetClient()
+        self._target_client = TargetClient(self._holdings.connections)
         connector = client_connector(socket_factory=create_client_socket)
         self._session = aiohttp.ClientSession(connector=connector)
         era = StoreEra()
@@ -119,7 +125,12 @@
         )
         crash_observer = CrashObserver(self._state, self._target_client)
         self._handler = CallerHandler(
-            self._state, self._target_client, self._metrics, versions, crash_observer
+            self._state,
+            self._target_client,
+            self._metrics,
+            versions,
+            crash_observer,
+            self._holdings,
         )
         stored_quarantines = QuarantineStore(self._state, store)
         quarantines = QuarantineSync(
@@ -159,6 +170,9 @@
         load_monitor = LoadMonitor(
             self._state.clock, self._events, self._metrics, self._peer_link.counters
         )
+        self._resources = ResourceMonitor(
+            self._holdings, self._state.clock, self._events, self._metrics
+        )
         for coro in (
             routes.run(),
             targets.run(),
@@ -170,6 +184,7 @@
             begun.run(),
             self._watch_settings(),
             load_monitor.run(),
+            self._resources.run(),
         ):
             self._tasks.append(asyncio.create_task(self._run_task(coro)))
         self._events.event("started", data_centre=settings.data_centre)
@@ -205,12 +220,17 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             access_log=None,
+            limit=self._holdings.connections,
+            budget=self._holdings.budget,
         )
         self._probe_server = BoundedServer(self._handle_probe, access_log=None)
         host, port = split_address(settings.callers_address)
+        sock = listening_socket(host, port)
         self._caller_listener = await loop.create_server(
-            self._caller_server, host, port, backlog=BACKLOG
+            self._caller_server, sock=sock, backlog=ACCEPTED_AT_ONCE
         )
+        # asyncio accepts as many connections at once as it is told to queue.
+        sock.listen(BACKLOG)
         host, port = split_address(settings.ready_address)
         self._servers.append(await loop.create_server(self._probe_server, host, port))
         await self._listen_metrics(loop)
@@ -243,6 +263,7 @@
 
     async def _handle_probe(self, req: web.BaseRequest) -> web.Response:
         if req.path == METRICS_PATH:
+            self._resources.update_gauges()
             self._metrics.waiting.set(len(self._state.wait_queue))
             for cause, count in self._state.targets_out.counts().items():
                 self._metrics.targets_out.labels(cause.value).set(count)
@@ -263,6 +284,7 @@
             self._events.event("settings reload failed", reason=str(exc))
             return
         self._state.settings = settings
+        self._holdings.apply(settings)
         self._events.event("settings reloaded", path=self._settings_path)
 
     async def _watch_settings(self) -> None:
@@ -308,7 +330,8 @@
             elapsed_s = state.clock.now() - began_s
             if elapsed_s >= LISTEN_AFTER_STOP_S:
                 self._close_callers()
-                if self._handler.in_flight == 0:
+                unsent = self._holdings.answers.left_over
+                if self._handler.in_flight == 0 and not unsent:
                     break
             await asyncio.sleep(0.05)
         if self._handler.in_flight:
@@ -329,6 +352,7 @@
     """Run an instance with a settings file; return the exit code."""
     settings = platform.load_node_settings(path)
     logs.configure_stdout("info", settings.name)
+    return_large_buffers()
     gc.freeze()
     asyncio.run(_run(settings, path))
     return 0
--- a/src/marjoramstage/platform/_settings.py
+++ b/src/marjoramstage/platform/_settings.py
@@ -8,6 +8,8 @@
 from marjoramstage.exceptions import ConfigError
 from marjoramstage.state.node_settings import (
     DEFAULT_LINK_BYTES_PER_S,
+    DEFAULT_MAX_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
     NodeBounds,
     NodeSettings,
 )
@@ -15,6 +17,7 @@
 SETTINGS_VARIABLE = "MARJORAMSTAGE_NODE_FILE"
 MS = 0.001
 BYTES_PER_S_PER_MBPS = 125_000.0
+BYTES_PER_MB = 1_000_000
 
 _REQUIRED = (
     "node_name",
@@ -71,10 +74,17 @@
         peer_ports=peer_ports,
         first_start=fields.get("bootstrap") == "true",
         link_bytes_per_s=_link_bytes_per_s(fields),
+        memory_bytes=_memory_bytes(fields),
+        max_descriptors=int(fields.get("limits.max_fds") or DEFAULT_MAX_DESCRIPTORS),
         bounds=_bounds(fields),
     )
 
 
+def _memory_bytes(fields: Mapping[str, str]) -> int:
+    text = fields.get("limits.memory_mb")
+    return int(float(text) * BYTES_PER_MB) if text else DEFAULT_MEMORY_BYTES
+
+
 def _link_bytes_per_s(fields: Mapping[str, str]) -> float:
     text = fields.get("limits.link_mbps")
     return float(text) * BYTES_PER_S_PER_MBPS if text else DEFAULT_LINK_BYTES_PER_S
--- a/src/marjoramstage/state/node_settings.py
+++ b/src/marjoramstage/state/node_settings.py
@@ -7,6 +7,10 @@
 # A machine whose settings state no speed counts as one with 1,000 Mbit/s.
 DEFAULT_LINK_BYTES_PER_S = 125_000_000.0
 
+# Generous, for machines whose settings state neither.
+DEFAULT_MEMORY_BYTES = 2_000_000_000
+DEFAULT_MAX_DESCRIPTORS = 65_536
+
 
 @dataclass(frozen=True)
 class NodeBounds:
@@ -58,6 +62,10 @@
         The whole system starts for the first time.
     link_bytes_per_s : float
         Speed of the machine's network link.
+    memory_bytes : int
+        Memory of the machine; the process stays below it.
+    max_descriptors : int
+        Descriptors that the process may have open, files included.
     peer_ports : tuple of int
         Ports reserved for connections between instances.
     """
@@ -71,4 +79,6 @@
     peer_ports: tuple[int, ...]
     first_start: bool = False
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     bounds: NodeBounds = NodeBounds()
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -11,6 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
+from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
 
 
@@ -55,10 +56,13 @@
     end = ConnectionEnd.OPEN
     requests = 0
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limit: ConnectionLimit | None = None
+    ):
         super().__init__(loop=loop)
         self._meter = OverheadMeter()
         self._answered = False
+        self._limit = limit
 
     def set_response_params(self, **kwargs: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
@@ -77,6 +81,8 @@
         """Set up a connection that was made."""
         super().connection_made(transport)
         limit_receive_size(transport)
+        if self._limit is not None:
+            self._limit.outgoing += 1
 
     def data_received(self, data: bytes) -> None:
         """Pass on received bytes unless there are too many."""
@@ -102,6 +108,8 @@
         """Record an end that the peer did not announce."""
         if exc is not None or self.end is ConnectionEnd.OPEN:
             self.end = ConnectionEnd.BROKEN
+        if self._limit is not None:
+            self._limit.outgoing -= 1
         super().connection_lost(exc)
 
     def disconnect(self) -> None:
@@ -118,18 +126,23 @@
         self.disconnect()
 
 
-def client_connector(**kwargs: Any) -> aiohttp.TCPConnector:
+def client_connector(
+    limit: ConnectionLimit | None = None, **kwargs: Any
+) -> aiohttp.TCPConnector:
     """Return a connector of `ClientConnection`, with no limit on their number.
 
     Parameters
     ----------
+    limit : ConnectionLimit, optional
+        Counts the connections.
     kwargs
         Further arguments of `aiohttp.TCPConnector`.
     """
     loop = asyncio.get_running_loop()
+    # aiohttp's own limit makes requests wait; callers' connections close instead.
     connector = aiohttp.TCPConnector(limit=0, **kwargs)
     # aiohttp has no option for the protocol class of its connections.
-    connector._factory = lambda: ClientConnection(loop=loop)
+    connector._factory = lambda: ClientConnection(loop, limit)
     return connector
 
 
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -8,12 +8,25 @@
 from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
+from marjoramstage.transport.byte_budget import (
+    FIRST_BYTES,
+    ByteBudget,
+    EvictionCause,
+    Holding,
+    HoldingKind,
+)
+from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.overhead import (
     MAX_BODY_BYTES,
+    READ_AHEAD_BYTES,
     OverheadMeter,
     limit_receive_size,
 )
 
+# What a connection may send of a head, or ahead of the answer to its last request,
+# without being accounted for: a few heads of 1 to 2 KB.
+FREE_AHEAD_BYTES = 8_192
+
 
 class ServerConnection(RequestHandler):
     """Ends connections over which bytes without end come.
@@ -22,8 +35,18 @@
     rest of a body that was refused for some seconds, however much comes.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any):
+    def __init__(
+        self,
+        *args: Any,
+        limit: ConnectionLimit | None = None,
+        budget: ByteBudget | None = None,
+        **kwargs: Any,
+    ):
         super().__init__(*args, **kwargs)
+        self._limit = limit
+        self._budget = budget
+        self._ahead_bytes = 0
+        self._ahead_holding: Holding | None = None
         self._meter = OverheadMeter()
         self._newest_body: StreamReader | None = None
 
@@ -31,16 +54,44 @@
         """Set up a connection that was made."""
         super().connection_made(transport)
         limit_receive_size(transport)
+        if self._limit is not None:
+            self._limit.add(self)
+            self._limit.close_idle()
+            if self._limit.exceeded:
+                self._limit.closed += 1
+                self.force_close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Clean up a connection that ended."""
+        if self._limit is not None:
+            self._limit.remove(self)
+        self._release_ahead()
+        super().connection_lost(exc)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or served."""
+        return self._current_request is None and not self._messages
 
     def data_received(self, data: bytes) -> None:
         """Pass on received bytes unless there are too many."""
         requests_before = self._request_count
+        was_idle = self.is_idle
+        body = self._newest_body
+        reads_body = body is not None and not body.is_eof()
         self._meter.add(len(data))
         super().data_received(data)
         if self._request_count != requests_before:
             self._fail_unfinished_body()
             self._newest_body = self._messages[-1][1]
             self._meter.restart()
+            if self._limit is not None:
+                self._limit.touch(self)
+        if self._budget is not None:
+            if was_idle and self._request_count != requests_before:
+                self._release_ahead()
+            elif not reads_body:
+                self._hold_ahead(len(data))
         # While reading is paused, bytes of a body may not be parsed yet.
         if self._reading_paused or self._buffer_paused:
             return
@@ -49,6 +100,35 @@
         if self._meter.exceeded(body_bytes) or body_bytes > MAX_BODY_BYTES:
             self.force_close()
 
+    def _hold_ahead(self, size: int) -> None:
+        """Account for bytes of a head that isn't complete, or of later requests."""
+        self._ahead_bytes += size
+        if self._ahead_bytes <= FREE_AHEAD_BYTES:
+            return
+        now_s = self._loop.time()
+        holding = self._ahead_holding
+        if holding is None:
+            holding = self._ahead_holding = self._budget.open(
+                HoldingKind.HEAD, FIRST_BYTES, now_s, self._evict
+            )
+        elif self._ahead_bytes > holding.bytes and not self._budget.try_grow(
+            holding, FIRST_BYTES
+        ):
+            holding = None
+        if holding is None:
+            self.force_close()
+            return
+        holding.progress_s = now_s
+
+    def _release_ahead(self) -> None:
+        self._ahead_bytes = 0
+        if self._ahead_holding is not None:
+            self._budget.close(self._ahead_holding)
+            self._ahead_holding = None
+
+    def _evict(self, cause: EvictionCause) -> None:
+        self.force_close()
+
     def _fail_unfinished_body(self) -> None:
         """Fail a body in which the peer's bytes stopped being HTTP.
 
@@ -64,8 +144,33 @@
 
 
 class BoundedServer(web.Server):
-    """A server whose connections are `ServerConnection`."""
+    """A server whose connections are `ServerConnection`.
+
+    Parameters
+    ----------
+    limit : ConnectionLimit, optional
+        Bounds the number of connections.
+    budget : ByteBudget, optional
+        Bounds what is read ahead of the handler of requests.
+    """
+
+    def __init__(
+        self,
+        *args: Any,
+        limit: ConnectionLimit | None = None,
+        budget: ByteBudget | None = None,
+        **kwargs: Any,
+    ):
+        super().__init__(*args, read_bufsize=READ_AHEAD_BYTES, **kwargs)
+        self._limit = limit
+        self._budget = budget
 
     def __call__(self) -> RequestHandler:
         """Return the connection for a socket that was accepted; called by asyncio."""
-        return ServerConnection(self, loop=self._loop, **self._kwargs)
+        return ServerConnection(
+            self,
+            loop=self._loop,
+            limit=self._limit,
+            budget=self._budget,
+            **self._kwargs,
+        )
--- a/src/marjoramstage/transport/sockets.py
+++ b/src/marjoramstage/transport/sockets.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 
+from marjoramstage.transport.overhead import RECEIVE_BUFFER_BYTES
+
 USER_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -26,6 +28,22 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a bound socket; the kernel holds little for its connections."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def create_client_socket(addr_info) -> socket.socket:
     """Create a socket for an aiohttp connector (its ``socket_factory``)."""
     family, type_, proto, _, _ = addr_info
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
@@ -17,8 +18,14 @@
 from marjoramstage.addresses import split_address
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
+from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.framing import Framing
-from marjoramstage.transport.overhead import MAX_BODY_BYTES
+from marjoramstage.transport.overhead import (
+    MAX_BODY_BYTES,
+    READ_AHEAD_BYTES,
+    RECEIVE_BUFFER_BYTES,
+)
+from marjoramstage.transport.request_body import sent_body
 from marjoramstage.transport.response_body import ResponseBody
 from marjoramstage.transport.send_once import (
     CheckedRequest,
@@ -66,7 +73,7 @@
     method: str
     path: str
     headers: CIMultiDict[str]
-    body: bytes
+    body: bytes | bytearray
     new_connection: bool = False
 
 
@@ -155,11 +162,17 @@
 
 
 class TargetClient:
-    """HTTP client for targets; owns its connection pools."""
+    """HTTP client for targets; owns its connection pools.
 
-    def __init__(self):
-        self._pooled = _session(force_close=False)
-        self._fresh = _session(force_close=True)
+    Parameters
+    ----------
+    limit : ConnectionLimit, optional
+        Counts the connections to targets.
+    """
+
+    def __init__(self, limit: ConnectionLimit | None = None):
+        self._pooled = _session(False, limit)
+        self._fresh = _session(True, limit)
 
     async def stop(self) -> None:
         """Close every connection."""
@@ -226,7 +239,7 @@
                 request.method,
                 url,
                 headers=request.headers,
-                data=request.body or None,
+                data=sent_body(request.body),
                 allow_redirects=False,
                 middlewares=(_check_with(may_send), send_once),
             )
@@ -260,18 +273,27 @@
     return check
 
 
-def _session(force_close: bool) -> aiohttp.ClientSession:
+def _create_socket(addr_info) -> socket.socket:
+    """Create a socket whose kernel buffer holds little of what isn't read."""
+    sock = create_client_socket(addr_info)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return sock
+
+
+def _session(force_close: bool, limit: ConnectionLimit | None) -> aiohttp.ClientSession:
     kwargs = {} if force_close else {"keepalive_timeout": KEEPALIVE_TIMEOUT_S}
     connector = client_connector(
         force_close=force_close,
         use_dns_cache=False,
-        socket_factory=create_client_socket,
+        limit=limit,
+        socket_factory=_create_socket,
         **kwargs,
     )
     return aiohttp.ClientSession(
         connector=connector,
         request_class=CheckedRequest,
         auto_decompress=False,
+        read_bufsize=READ_AHEAD_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
