Engine targets are chosen by the work of requests and of targets

Cause: an engine target was chosen by its number of running requests and the prompts it has yet to read, so requests that look alike counted alike, and a prompt whose first parts a target has cached went to any target.

For requests that state Tokens, to engines whose configuration states kv_capacity, the cost now is the occupied slots or context memory, the decode time left, and the time to read what of the prompt and of those before isn't cached there. Output and speeds are learnt (bounded). Instances prefer the same target for a first part without a message. PromptsSent carries decode time.

--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -28,10 +28,13 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.placement_planner import PlacementPlanner
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
+from marjoramstage.coordination.request_cost import RequestWork
 from marjoramstage.coordination.request_sizes import RequestSizes
+from marjoramstage.coordination.target_backlog import TargetBacklog
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.wait_policy import NoTargetReason, WaitPolicy
 from marjoramstage.state.fleet import Item
+from marjoramstage.state.prompts import PromptPart
 from marjoramstage.state.routes import EngineSpec
 
 WARM_UP_S = 2.0
@@ -42,7 +45,15 @@
 
 @dataclass
 class Traffic:
-    """A class of requests with its rate, latency goals, value and sizes."""
+    """A class of requests with its rate, latency goals, value and sizes.
+
+    Attributes
+    ----------
+    prefixes : tuple of int
+        Tokens of the leading parts that prompts share; the first ones are most usual.
+    hint_spread : float
+        Spread of the callers' hints of the length of answers.
+    """
 
     name: str
     per_s: float
@@ -57,6 +68,8 @@
     models: tuple
     adapter_share: float = 0.0
     busy: int = 0
+    prefixes: tuple = ()
+    hint_spread: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -108,6 +121,8 @@
     outcome: str = ""
     software: str | None = None
     engines_left: int = 0
+    parts: tuple = ()
+    work: RequestWork | None = None
 
     @property
     def until_s(self):
@@ -128,6 +143,7 @@
         self.rates, self.wait_policy = DemandRates(), WaitPolicy()
         self.request_sizes = RequestSizes()
         self.wait_queue, self.expected_retries = [], []
+        self.backlog = TargetBacklog()
         self.dispatcher = Dispatcher(
             data_centre,
             self.servable_items,
@@ -135,6 +151,7 @@
             self.health,
             self.prefill_backlog,
             simulation.rng,
+            backlog=self.backlog,
         )
         self.assignment_scheduled = False
 
@@ -152,6 +169,7 @@
             pause_s=req.traffic.pause_s,
             pacing_deadline_s=now_s + PACING_FRACTION * req.traffic.latency_goal_s,
             software=req.software,
+            work=req.work,
         )
         if self.try_dispatch(req):
             return
@@ -172,11 +190,19 @@
         else:
             return False
         self.running_requests.begin(target.name, req.item)
-        self.prefill_backlog.record_sent(target.name, req.prompt, now_s)
+        self._record_sent(req, target, now_s)
         self.simulation.schedule_announcement(self)
         req.target = target.name
         return True
 
+    def _record_sent(self, req, target, now_s):
+        tokens = req.prompt
+        if req.work is not None:
+            before_s = self.prefill_backlog.backlog_s(target.name, now_s)
+            estimate = self.backlog.record_sent(target, req.work, before_s, now_s)
+            tokens = estimate.uncached_tokens
+        self.prefill_backlog.record_sent(target.name, tokens, now_s)
+
     def schedule_assignment(self):
         if self.assignment_scheduled or not self.wait_queue:
             return
@@ -216,6 +242,13 @@
 
     def ended(self, req):
         self.running_requests.end(req.target, req.item)
+        if req.work is None:
+            return
+        if req.outcome in ("in time", "late"):
+            events = math.ceil(req.tokens / self.simulation.speed.tokens_per_event)
+            first_s = req.created_s + req.first_s
+            self.backlog.observe(req.target, req.work, events, first_s, req.last_s)
+        self.backlog.record_ended(req.target, req.work)
 
     def awaited(self):
         """Return the criteria of waiting requests and of retries that are to come."""
@@ -252,6 +285,7 @@
     view_interval_s: float = 0.1
     announces_prompts: bool = True
     versions: tuple = ("",)
+    states_work: bool = False
 
     def __post_init__(self):
         self.rng, self.loop = random.Random(self.seed), VirtualLoop()
@@ -370,11 +404,35 @@
             instance,
         )
         req.arrived_s = now_s
+        if traffic.prefixes:
+            self._state_work(req)
         req.on_event = lambda ended: self._event(req, ended)
         self.requests.append(req)
         self.members[instance].arrive(req)
         self.loop.at(req.until_s, self._deadline, req)
 
+    def _state_work(self, req):
+        """Add shared parts to a prompt, and what its caller states of its work."""
+        traffic = req.traffic
+        weights = [1 / (n + 1) for n in range(len(traffic.prefixes))]
+        number = self.rng.choices(range(len(weights)), weights)[0]
+        size = traffic.prefixes[number]
+        req.parts = ((f"{traffic.name}{number}", size),)
+        req.prompt += size
+        hint = int(req.tokens * self.rng.lognormvariate(0, traffic.hint_spread))
+        if self.states_work:
+            req.work = RequestWork(
+                SERVICE,
+                req.item,
+                req.prompt,
+                traffic.events[2] * self.speed.tokens_per_event,
+                max(1, hint),
+                traffic.name,
+                parts=tuple(PromptPart(*part) for part in req.parts),
+                capacity_tokens=self.spec.context_tokens,
+                relative_speed=self.spec.relative_speed(req.item.model),
+            )
+
     def _event(self, req, ended):
         now_s = self.loop.now_s
         if req.first_s is None:
@@ -436,9 +494,11 @@
         announced = member.prefill_backlog.take_unannounced()
         if not announced:
             return
+        work_ms = member.backlog.take_unannounced()
         for other in self.members:
             if other is not member:
                 other.prefill_backlog.record_remote(announced, self.loop.now_s)
+                other.backlog.record_remote(work_ms, self.loop.now_s)
 
     # Planner
 
@@ -521,6 +581,7 @@
             member.running_requests.set_running(
                 {t: totals[t] - local[t] for t in totals}
             )
+            member.backlog.learn(now_s)
             for name, target_state in self.planner.target_states.items():
                 if target_state.known:
                     held = frozenset(target_state.servable_items())
--- a/features/simulated_engine.py
+++ b/features/simulated_engine.py
@@ -35,6 +35,10 @@
         Tokens in each event of a stream.
     context_tokens : int
         Tokens of running requests that fit in the memory for context.
+    cached_tokens : int
+        Tokens of leading parts of prompts that are kept after they were read.
+    slowness : tuple
+        Pairs of a model and the factor by which its requests take longer.
     """
 
     step_s: float = 0.00547
@@ -45,6 +49,8 @@
     chunk_tokens: int = 2048
     tokens_per_event: int = 5
     context_tokens: int = 155_174
+    cached_tokens: int = 0
+    slowness: tuple = ()
 
 
 @dataclass(frozen=True)
@@ -91,6 +97,8 @@
         self.past_reports = deque(maxlen=KEPT_REPORTS)
         self.store_loads = 0
         self.overcommitted = False
+        self.prefixes, self.slowness = {}, dict(speed.slowness)
+        self.read_tokens, self.running_time_s = 0, 0.0
 
     def listing(self):
         return FleetTarget(
@@ -127,28 +135,51 @@
             self.queue.remove(best)
             used += best.prompt + best.tokens
             self.running.append(best)
+            self._use_cached(best)
         if not self.running:
             self.stepping = False
             return
         took_s, done = self._work()
         self.loop.after(took_s, self._stepped, done)
 
+    def _use_cached(self, req):
+        """Skip the leading parts of a prompt that are kept, and keep all of them."""
+        if not self.speed.cached_tokens:
+            return
+        key, tokens, is_kept = str(req.item), 0, True
+        for part, size in req.parts:
+            key, tokens = f"{key} {part}", tokens + size
+            is_kept = is_kept and key in self.prefixes
+            if is_kept:
+                req.prefilled = tokens
+            self.prefixes.pop(key, None)
+            self.prefixes[key] = size
+        while sum(self.prefixes.values()) > self.speed.cached_tokens:
+            del self.prefixes[next(iter(self.prefixes))]
+
+    def _slow(self, req):
+        return self.slowness.get(req.item.model, 1.0)
+
     def _work(self):
         speed, left = self.speed, self.speed.chunk_tokens
-        took_s = speed.step_s + speed.slot_s * len(self.running)
+        slowest = max(self._slow(req) for req in self.running)
+        took_s = speed.step_s * slowest + speed.slot_s * len(self.running)
         done = []
         for req in self.running:
             if req.prefilled < req.prompt:
                 piece = min(left, req.prompt - req.prefilled)
                 left -= piece
-                took_s += piece * speed.read_s + speed.pair_s * piece * (
-                    req.prefilled + piece / 2
+                self.read_tokens += piece
+                took_s += self._slow(req) * (
+                    piece * speed.read_s
+                    + speed.pair_s * piece * (req.prefilled + piece / 2)
                 )
                 req.prefilled += piece
                 if req.prefilled < req.prompt:
                     continue
             took_s += speed.context_s * (req.prompt + req.generated)
             done.append(req)
+        self.running_time_s += took_s * len(self.running)
         return took_s, done
 
     def _stepped(self, done):
--- a/src/marjoramstage/_entry/answer_relay.py
+++ b/src/marjoramstage/_entry/answer_relay.py
@@ -225,8 +225,19 @@
         if splitter.incomplete:
             await resp.write(splitter.incomplete)
         await resp.write_eof()
+        if not is_rest and not ctx.headers.last_event_id:
+            self._learn_cost(ctx, splitter.count)
         return resp
 
+    def _learn_cost(self, ctx: RequestContext, events: int) -> None:
+        """Learn from a stream that ran from its start to its end at one target."""
+        if ctx.criteria.work is None or ctx.first_event_s is None:
+            return
+        first_s = ctx.arrived_s + ctx.first_event_s
+        self._state.backlog.observe(
+            ctx.tried[-1], ctx.criteria.work, events, first_s, ctx.last_event_s
+        )
+
     def _keep_origin(self, ctx: RequestContext, now_s: float) -> None:
         """Record the version of a stream, again now and then while it runs."""
         origins = self._state.stream_origins
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -20,9 +20,14 @@
     RequestContext,
     TruncatedAnswerError,
 )
+from marjoramstage._entry.request_criteria import (
+    NO_MODEL,
+    NO_ROUTE,
+    criteria_for,
+    requested_item,
+)
 from marjoramstage._entry.request_log import ANSWERED, RequestLog
 from marjoramstage._entry.stream_versions import StreamVersions
-from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.coordination.wait_policy import (
     DEFAULT_LIMITS,
     NoTargetReason,
@@ -32,9 +37,8 @@
 )
 from marjoramstage.coordination.wait_queue import Waiter
 from marjoramstage.exceptions import TargetError, Verdict
-from marjoramstage.platform import CallerHeaders
-from marjoramstage.state.fleet import FleetTarget, Item
-from marjoramstage.state.routes import Route, RunPolicy
+from marjoramstage.state.fleet import FleetTarget
+from marjoramstage.state.routes import RunPolicy
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     BROKEN,
@@ -62,9 +66,6 @@
 GRACE_OVER = "stopped before the answer"
 QUARANTINED = "part of the prompt crashes targets"
 
-# Part of the latency goal for which a prompt may be held back to pace prefill.
-PACING_FRACTION = 1.0
-
 
 class CallerHandler:
     """Handler of callers' requests."""
@@ -151,7 +152,7 @@
         host = req.headers.get("Host", "").partition(":")[0].lower()
         route = state.table.match(host, path.partition("?")[0])
         if route is None:
-            raise RefusalError(404, "no route")
+            raise RefusalError(404, NO_ROUTE)
         headers = platform.caller_headers(req.headers)
         if not headers.request_id:
             raise RefusalError(400, "no request id")
@@ -163,13 +164,14 @@
         deadline_s = arrived_s + min(wait_s, route.timeout_s)
         body = await self._read_body(req, deadline_s)
         service = route.service_for(headers.request_id)
-        spec = state.table.services.get(service)
-        item = headers.item if spec is not None and spec.engine is not None else None
-        if item is not None and item.model not in spec.engine.models:
-            raise RefusalError(404, "no such model")
+        table = state.table
+        item = requested_item(table, service, headers)
+        if item is not None and not table.has_model(service, item.model):
+            raise RefusalError(404, NO_MODEL)
         state.retry_budget(service).earn(state.clock.now())
         if item is not None:
-            latency_critical = spec.engine.is_latency_critical(
+            engine = table.services[service].engine
+            latency_critical = engine.is_latency_critical(
                 item.model, route.latency_goal_s
             )
             state.demand.note(f"{service} {item.model}", latency_critical, arrived_s)
@@ -182,7 +184,7 @@
             body=body,
             arrived_s=arrived_s,
             deadline_s=deadline_s,
-            criteria=self._criteria(service, item, route, headers, arrived_s),
+            criteria=criteria_for(table, route, service, headers, arrived_s),
         )
         ctx.last_event_id = headers.last_event_id
         return ctx
@@ -210,24 +212,6 @@
         ) as exc:
             raise RefusalError(400, f"body not read: {type(exc).__name__}") from exc
 
-    def _criteria(
-        self,
-        service: str,
-        item: Item | None,
-        route: Route,
-        headers: CallerHeaders,
-        arrived_s: float,
-    ) -> TargetCriteria:
-        if item is None:
-            return TargetCriteria(service)
-        return TargetCriteria(
-            service,
-            item,
-            tokens=headers.prompt_tokens,
-            pause_s=route.event_gap_goal_s,
-            pacing_deadline_s=arrived_s + PACING_FRACTION * route.latency_goal_s,
-        )
-
     async def _choose_software(self, ctx: RequestContext) -> None:
         """Restrict a resumed stream to the version that began it.
 
@@ -249,6 +233,9 @@
         while True:
             self._check_quarantine(ctx)
             target = await self._acquire_target(ctx)
+            if ctx.criteria.work is not None:
+                backlog = self._state.backlog
+                ctx.estimate = backlog.sent_estimate(target.name, ctx.criteria.work)
             try:
                 self._check_quarantine(ctx)
                 async with asyncio.timeout(self._remaining_s(ctx)):
--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -27,6 +27,8 @@
 from marjoramstage.coordination.request_sizes import RequestSizes
 from marjoramstage.coordination.retry_budget import SharedRetryBudget
 from marjoramstage.coordination.stream_origins import SoftwareHistory, StreamOrigins
+from marjoramstage.coordination.target_assessment import Assessment
+from marjoramstage.coordination.target_backlog import TargetBacklog
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.target_notices import TargetNotices
 from marjoramstage.coordination.wait_queue import Waiter, WaitingGroup, WaitQueue
@@ -34,6 +36,7 @@
     FleetView,
     HeldItems,
     PermitsIssued,
+    PromptsSent,
     StoreProgress,
 )
 from marjoramstage.state.fleet import Fleet, FleetTarget, Item, ItemVersion
@@ -116,6 +119,7 @@
             self._on_limits_changed,
         )
         self.prefill_backlog = PrefillBacklog()
+        self.backlog = TargetBacklog()
         self.demand = DemandRates()
         self.peers: tuple[str, ...] = ()
         self.on_request_queued: Callable[[], None] = lambda: None
@@ -143,6 +147,7 @@
             random.Random(),
             self.notices,
             self.permits,
+            self.backlog,
         )
         self.wait_queue = WaitQueue(self.acquire_slot)
         self._assignment_timer: asyncio.TimerHandle | None = None
@@ -162,13 +167,31 @@
         self.permits.use(target, now_s)
         self.running_requests.begin(target.name, criteria.item)
         if criteria.item is not None:
-            self.prefill_backlog.record_sent(target.name, criteria.tokens, now_s)
-            self.on_prompt_sent()
+            self._record_prompt(target, criteria, now_s)
         return target
 
+    def _record_prompt(
+        self, target: FleetTarget, criteria: TargetCriteria, now_s: float
+    ) -> None:
+        """Record what a target has to do for a request, and tell the others."""
+        tokens = criteria.tokens
+        if criteria.work is not None:
+            before_s = self.prefill_backlog.backlog_s(target.name, now_s)
+            estimate = self.backlog.record_sent(target, criteria.work, before_s, now_s)
+            tokens = estimate.uncached_tokens
+        self.prefill_backlog.record_sent(target.name, tokens, now_s)
+        self.on_prompt_sent()
+
+    def assess(self, criteria: TargetCriteria) -> list[Assessment]:
+        """Return how each target of a service looks for a request now."""
+        targets = self.fleet.of_service(criteria.service)
+        return self._dispatcher.assess(criteria, targets, self.clock.now())
+
     def release_slot(self, target: FleetTarget, criteria: TargetCriteria) -> None:
         """Release a slot at a target."""
         self.running_requests.end(target.name, criteria.item)
+        if criteria.work is not None:
+            self.backlog.record_ended(target.name, criteria.work)
         self.schedule_assignment()
 
     def eligible(self, criteria: TargetCriteria) -> list[FleetTarget]:
@@ -260,6 +283,8 @@
         target = self.targets_out.apply(target)
         if before is not None and before.software != target.software:
             self.software.record(before.service, before.software, self.clock.now())
+        if before is not None and before.incarnation != target.incarnation:
+            self.backlog.forget(target.name)
         self.fleet.put(target)
         if before is None or before.leaving != target.leaving:
             self.events.event(
@@ -283,6 +308,7 @@
             self.limits.forget(name)
             self.permits.forget(name)
             self.prefill_backlog.forget(name)
+            self.backlog.forget(name)
         self.events.event("target removed", target=name, settled=confirmed)
 
     def takes_requests(self, target: FleetTarget) -> bool:
@@ -357,6 +383,7 @@
         self.limited_targets.apply_view(view.limited, self.waiting_by_limited_target())
         own_report = view.reported.get(self.settings.name, 0)
         self.running_requests.set_running(running, own_report)
+        self.backlog.learn(self.clock.now())
         self._load_etas = (self.clock.now(), view.coming_ms)
         self.schedule_assignment()
 
@@ -375,10 +402,13 @@
             running[held.target] = held.running
         return running
 
-    def record_remote_prompts(self, tokens: Mapping[str, int]) -> None:
+    def record_remote_prompts(self, sent: PromptsSent) -> None:
         """Record the prompts that another instance sent to known targets."""
-        known = {t: n for t, n in tokens.items() if t in self.fleet.targets}
-        self.prefill_backlog.record_remote(known, self.clock.now())
+        now_s, targets = self.clock.now(), self.fleet.targets
+        known = {t: n for t, n in sent.tokens.items() if t in targets}
+        self.prefill_backlog.record_remote(known, now_s)
+        work_ms = {t: n for t, n in sent.work_ms.items() if t in targets}
+        self.backlog.record_remote(work_ms, now_s)
 
     def eta_s(self, criteria: TargetCriteria) -> float | None:
         """Return the expected time until an item is held; None if unknown."""
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -168,7 +168,9 @@
         self._prompt_timer = None
         state = self._state
         message = PromptsSent(
-            state.settings.name, state.prefill_backlog.take_unannounced()
+            state.settings.name,
+            state.prefill_backlog.take_unannounced(),
+            state.backlog.take_unannounced(),
         )
         self.send_to_others(state.peers, message)
 
@@ -257,4 +259,4 @@
             case PermitsIssued():
                 self._state.apply_permits(message)
             case PromptsSent():
-                self._state.record_remote_prompts(message.tokens)
+                self._state.record_remote_prompts(message)
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.coordination.request_cost import WorkEstimate
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.routes import Route
 from marjoramstage.transport.event_stream import StreamEvent
@@ -51,6 +52,8 @@
         When the last attempt's target began to write the body of its answer.
     harmless : bool
         That target is known not to have crashed under it.
+    estimate : WorkEstimate or None
+        Its likely work there, if known.
     """
 
     req: web.BaseRequest
@@ -76,6 +79,7 @@
     answer_began_s: float | None = None
     harmless: bool = False
     origin_kept_s: float | None = None
+    estimate: WorkEstimate | None = None
 
     @property
     def resumes_stream(self) -> bool:
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -142,6 +142,7 @@
             "waited_ms": round(ctx.waited_s * 1000, 1) if ctx else None,
             "first_ms": round(first_event_s * 1000, 1),
             "pause_ms": round(ctx.pause_s * 1000, 1) if ctx else None,
+            **_expected(ctx),
             "table": self._state.table.version if self._state.table else None,
         }
         late = ctx is not None and (
@@ -181,3 +182,15 @@
             holders=holders.same_software,
             other_holders=holders.other_software,
         )
+
+
+def _expected(ctx: RequestContext | None) -> dict[str, float | int]:
+    """Return the work that was expected at the last target, as fields of a line."""
+    if ctx is None or ctx.estimate is None or ctx.criteria.work is None:
+        return {}
+    work, estimate = ctx.criteria.work, ctx.estimate
+    return {
+        "cached_tokens": work.prompt_tokens - estimate.uncached_tokens,
+        "prefill_ms": round(estimate.prefill_s * 1000, 1),
+        "decode_ms": round(estimate.decode_s * 1000, 1),
+    }
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -2,8 +2,9 @@
 
 Targets have few slots and serve many short requests and streams. The cost of a
 target grows with its running requests, including those of other instances, and
-with the prompts that it has yet to read. Targets in another data centre and
-targets whose requests recently failed cost more.
+with the prompts that it has yet to read; for a request whose work is known, also with
+the work that is left there. Targets in another data centre and targets whose requests
+recently failed cost more.
 """
 
 from __future__ import annotations
@@ -11,13 +12,20 @@
 import random
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from marjoramstage.coordination.prefill_backlog import PrefillBacklog
 from marjoramstage.coordination.request_permits import RequestPermits
+from marjoramstage.coordination.target_assessment import (
+    Assessment,
+    Exclusion,
+    TargetCost,
+)
+from marjoramstage.coordination.target_backlog import Outlook, TargetBacklog
+from marjoramstage.coordination.target_criteria import HolderCounts, TargetCriteria
 from marjoramstage.coordination.target_health import TargetHealth
 from marjoramstage.coordination.target_notices import TargetNotices
-from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
+from marjoramstage.state.fleet import FleetTarget, Item
 
 # Costs are relative to a target with requests in all of its slots, which costs 1.
 REMOTE_DATA_CENTRE_COST = 0.15
@@ -35,57 +43,6 @@
 MAX_QUEUED_SHARE = 0.25
 
 
-@dataclass(frozen=True)
-class TargetCriteria:
-    """What a request requires of its target.
-
-    Attributes
-    ----------
-    tried : frozenset of str
-        Targets that this request has been sent to before.
-    tokens : int
-        Size of its prompt, in tokens.
-    pause_s : float
-        Longest wanted pause between events of an answer; 0 for no limit.
-    pacing_deadline_s : float
-        Until then, a target that is reading other prompts is passed over if one
-        more would pause its streams for too long.
-    software : str or None
-        Version of the program that has to serve it; None for any. An empty one is
-        unknown and matches no target.
-    """
-
-    service: str
-    item: Item | None = None
-    tried: frozenset[str] = frozenset()
-    tokens: int = 0
-    pause_s: float = 0.0
-    pacing_deadline_s: float = 0.0
-    software: str | None = None
-
-    @property
-    def item_version(self) -> ItemVersion | None:
-        """Return the item and the version that has to serve it; None if any may."""
-        if self.item is None or not self.software:
-            return None
-        return ItemVersion(self.item, self.software)
-
-
-@dataclass(frozen=True)
-class HolderCounts:
-    """Numbers of targets that hold what a request requires and aren't leaving.
-
-    Attributes
-    ----------
-    same_software, other_software : int
-        Those that run the version that the request requires, and the others. If it
-        requires none, all run the same.
-    """
-
-    same_software: int
-    other_software: int
-
-
 class ServableItems:
     """Items that requests may be sent for at each target.
 
@@ -166,7 +123,9 @@
 
     def running(self, target: str) -> int:
         """Return the number of requests at a target, from all instances."""
-        return self._local_by_target[target] + self._running_elsewhere.get(target, 0)
+        # Not by index: a counter looks up a missing key much more slowly.
+        local = self._local_by_target.get(target, 0)
+        return local + self._running_elsewhere.get(target, 0)
 
 
 def _runs(target: FleetTarget, software: str | None) -> bool:
@@ -185,6 +144,8 @@
         What targets said of themselves to this instance.
     permits : RequestPermits, optional
         Permits for targets that named a limit on the rate of requests.
+    backlog : TargetBacklog, optional
+        Outstanding work of targets, for requests whose work is known.
     """
 
     def __init__(
@@ -197,6 +158,7 @@
         rng: random.Random,
         notices: TargetNotices | None = None,
         permits: RequestPermits | None = None,
+        backlog: TargetBacklog | None = None,
     ):
         self._data_centre = data_centre
         self._servable_items = servable_items
@@ -206,21 +168,18 @@
         self._rng = rng
         self._notices = notices or TargetNotices()
         self._permits = permits
+        self._backlog = backlog
 
     def eligible(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
     ) -> list[FleetTarget]:
         """Return the reachable targets that can serve a request, full or not."""
-        found = []
-        for target in self._holders(criteria, targets):
-            if target.name in criteria.tried:
-                continue
-            if not self._health.is_reachable(target.name, now_s):
-                continue
-            if self._notices.pause_left_s(target, now_s) > 0:
-                continue
-            found.append(target)
-        return found
+        return [
+            target
+            for target in targets
+            if target.service == criteria.service
+            and self._unfit(criteria, target, now_s) is None
+        ]
 
     def shortest_pause_s(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
@@ -254,45 +213,153 @@
     ) -> FleetTarget | None:
         """Return the target with the lowest cost and room, or None."""
         best: tuple[float, FleetTarget] | None = None
-        for target in self.eligible(criteria, targets, now_s):
-            running = self._running_requests.running(target.name)
-            if running >= target.slots * (1 + MAX_QUEUED_SHARE):
+        outlook = self._outlook(criteria, targets, now_s)
+        for target in targets:
+            if target.service != criteria.service:
                 continue
-            if now_s < criteria.pacing_deadline_s and not self._prefill_backlog.admits(
-                target.name, criteria.tokens, criteria.pause_s, now_s
-            ):
+            if self._unfit(criteria, target, now_s) is not None:
                 continue
-            if self._permits is not None and not self._permits.admits(target, now_s):
+            running = self._running_requests.running(target.name)
+            if self._without_room(criteria, target, running, now_s, outlook):
                 continue
-            cost = self._cost(target, running, now_s)
+            cost = self._cost(target, running, now_s, outlook).total
+            cost += self._rng.random() * COST_JITTER
             if best is None or cost < best[0]:
                 best = (cost, target)
         return best[1] if best else None
 
+    def assess(
+        self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
+    ) -> list[Assessment]:
+        """Return how each target of the service looks, as `choose` decides.
+
+        The cheapest target without an exclusion comes first; `choose` may take one
+        that costs up to `COST_JITTER` more.
+        """
+        outlook = self._outlook(criteria, targets, now_s)
+        found = [
+            self._assess(criteria, target, now_s, outlook)
+            for target in targets
+            if target.service == criteria.service
+        ]
+        found.sort(key=lambda a: (a.exclusion is not None, a.cost.total, a.target.name))
+        return found
+
+    def _assess(
+        self,
+        criteria: TargetCriteria,
+        target: FleetTarget,
+        now_s: float,
+        outlook: Outlook | None,
+    ) -> Assessment:
+        running = self._running_requests.running(target.name)
+        exclusion = self._unfit(criteria, target, now_s) or self._without_room(
+            criteria, target, running, now_s, outlook
+        )
+        cached = work_s = None
+        if outlook is not None:
+            cached = outlook.cached_tokens(target)
+            work_s = self._backlog.work_s(target.name, now_s)
+        return Assessment(
+            target,
+            exclusion,
+            running,
+            self._cost(target, running, now_s, outlook),
+            self._prefill_backlog.backlog_s(target.name, now_s),
+            cached,
+            work_s,
+        )
+
+    def _outlook(
+        self, criteria: TargetCriteria, targets: Iterable[FleetTarget], now_s: float
+    ) -> Outlook | None:
+        if self._backlog is None or criteria.work is None:
+            return None
+        holders = self._holders(criteria, targets)
+        return self._backlog.outlook(criteria.work, holders, now_s)
+
     def _holders(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget]
     ) -> Iterator[FleetTarget]:
         """Yield the targets that have what a request requires."""
-        item = criteria.item
         for target in targets:
-            if target.leaving or target.service != criteria.service:
-                continue
-            # First what rules out most targets of a large service.
-            if item is not None and not self._holds(target, item):
-                continue
-            if not _runs(target, criteria.software):
+            if target.service != criteria.service:
                 continue
-            yield target
+            if self._lacks(criteria, target) is None:
+                yield target
+
+    def _lacks(self, criteria: TargetCriteria, target: FleetTarget) -> Exclusion | None:
+        """Return what of a request's needs a target of its service doesn't have."""
+        if target.leaving:
+            return Exclusion.LEAVING
+        item = criteria.item
+        # First what rules out most targets of a large service.
+        if item is not None and not self._holds(target, item):
+            return Exclusion.NOT_HELD
+        if not _runs(target, criteria.software):
+            return Exclusion.VERSION
+        return None
+
+    def _unfit(
+        self, criteria: TargetCriteria, target: FleetTarget, now_s: float
+    ) -> Exclusion | None:
+        """Return why a target of its service can't serve a request, full or not."""
+        lacks = self._lacks(criteria, target)
+        if lacks is not None:
+            return lacks
+        if target.name in criteria.tried:
+            return Exclusion.TRIED
+        if not self._health.is_reachable(target.name, now_s):
+            return Exclusion.UNREACHABLE
+        if self._notices.pause_left_s(target, now_s) > 0:
+            return Exclusion.PAUSED
+        return None
+
+    def _without_room(
+        self,
+        criteria: TargetCriteria,
+        target: FleetTarget,
+        running: int,
+        now_s: float,
+        outlook: Outlook | None,
+    ) -> Exclusion | None:
+        """Return why a target that could serve a request doesn't get it now."""
+        if running >= target.slots * (1 + MAX_QUEUED_SHARE):
+            return Exclusion.FULL
+        if now_s < criteria.pacing_deadline_s:
+            tokens = criteria.tokens
+            if outlook is not None:
+                tokens = outlook.uncached_tokens(target)
+            if not self._prefill_backlog.admits(
+                target.name, tokens, criteria.pause_s, now_s
+            ):
+                return Exclusion.PREFILL
+        if self._permits is not None and not self._permits.admits(target, now_s):
+            return Exclusion.LIMIT
+        return None
 
     def _holds(self, target: FleetTarget, item: Item) -> bool:
         return target.items is None or self._servable_items.holds(target, item)
 
-    def _cost(self, target: FleetTarget, running: int, now_s: float) -> float:
-        cost = running / target.slots + self._rng.random() * COST_JITTER
-        if target.data_centre != self._data_centre:
-            cost += REMOTE_DATA_CENTRE_COST
-        cost += FAILURE_COST * self._health.failure_rate(target.name, now_s)
-        if self._permits is not None and self._permits.is_needed(target):
-            cost -= PERMIT_GAIN
-        cost += PREFILL_COST_PER_S * self._prefill_backlog.backlog_s(target.name, now_s)
-        return cost
+    def _cost(
+        self,
+        target: FleetTarget,
+        running: int,
+        now_s: float,
+        outlook: Outlook | None,
+    ) -> TargetCost:
+        """Return the cost of a target that runs so many requests."""
+        busy = running / target.slots
+        prefill_s = self._prefill_backlog.backlog_s(target.name, now_s)
+        if outlook is not None:
+            busy = outlook.busy(target, running)
+            prefill_s += outlook.prefill_s(target)
+        is_remote = target.data_centre != self._data_centre
+        has_permit = self._permits is not None and self._permits.is_needed(target)
+        return TargetCost(
+            busy,
+            PREFILL_COST_PER_S * prefill_s,
+            REMOTE_DATA_CENTRE_COST if is_remote else 0.0,
+            FAILURE_COST * self._health.failure_rate(target.name, now_s),
+            -PERMIT_GAIN if has_permit else 0.0,
+        )
--- a/src/marjoramstage/coordination/target_health.py
+++ b/src/marjoramstage/coordination/target_health.py
@@ -43,7 +43,8 @@
 
         `PRIOR_REQUESTS` keep the rate low for a target with few requests.
         """
-        if target not in self._results:
+        results = self._results.get(target)
+        if results is None or results.failed == 0:
             return 0.0
         results = self._decayed(target, now_s)
         return results.failed / (results.finished + PRIOR_REQUESTS)
--- a/src/marjoramstage/coordination/target_notices.py
+++ b/src/marjoramstage/coordination/target_notices.py
@@ -104,6 +104,8 @@
 
     def pause_left_s(self, target: FleetTarget, now_s: float) -> float:
         """Return how much longer a target wants no requests; 0 if it takes some."""
+        if not self._pauses:
+            return 0.0
         until_s = self._pauses.get((target.name, target.incarnation), now_s)
         return max(0.0, until_s - now_s)
 
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict, MultiMapping
 
 from marjoramstage.state.fleet import Item, LimitNotice, TargetNotice
+from marjoramstage.state.prompts import PromptPart
 from marjoramstage.state.routes import MAX_URGENCY
 
 REQUEST_ID = "Request-Id"
@@ -19,8 +20,11 @@
 LAST_EVENT = "Last-Event-Id"
 RESUMES = "Resumes"
 PROMPT_PREFIX = "Prompt-Prefix"
+LENGTH_HINT = "Length-Hint"
 MAX_ID_CHARS = 128
 MAX_PARTS = 256
+# Leading parts of a prompt that are looked for at targets.
+MAX_LEADING_PARTS = 8
 STAMP = "Stamp"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -84,6 +88,10 @@
         Size of the prompt and limit on the tokens of the answer.
     parts : tuple of str
         Identities of the prompt's parts, in order.
+    leading_parts : tuple of PromptPart
+        The first of them with their sizes, without the last, which is the prompt's own.
+    length_hint : int
+        Tokens of the answer as the caller expects; 0 if it states none.
     last_event_id : str
         Id of the last event that the caller received of a stream; empty if none.
     resumes : str
@@ -99,6 +107,8 @@
     parts: tuple[str, ...] = ()
     last_event_id: str = ""
     resumes: str = ""
+    leading_parts: tuple[PromptPart, ...] = ()
+    length_hint: int = 0
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -155,6 +165,8 @@
         parts=_parse_parts(headers.get(PROMPT_PREFIX, "")),
         last_event_id=headers.get(LAST_EVENT, ""),
         resumes=headers.get(RESUMES, "")[:MAX_ID_CHARS],
+        leading_parts=_parse_leading_parts(headers.get(PROMPT_PREFIX, "")),
+        length_hint=max(0, _parse_tokens(headers.get(LENGTH_HINT, ""))[0]),
     )
 
 
@@ -264,3 +276,15 @@
     """Return the identities of a prompt's parts; they are hexadecimal numbers."""
     parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
     return tuple(part[:MAX_ID_CHARS] for part in parts if part)[-MAX_PARTS:]
+
+
+def _parse_leading_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the first parts but the last, up to one without a valid size."""
+    found = []
+    for part in text.split(",", MAX_LEADING_PARTS)[:-1]:
+        part_id, _, size = part.partition(":")
+        tokens = _parse_tokens(size)[0]
+        if not part_id.strip() or tokens <= 0:
+            break
+        found.append(PromptPart(part_id.strip().lower()[:MAX_ID_CHARS], tokens))
+    return tuple(found)
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -469,10 +469,12 @@
     thrift_spec = {  # noqa: RUF012
         1: (TType.STRING, "instance", False),
         2: (TType.MAP, "tokens", (TType.STRING, TType.I64), False),
+        3: (TType.MAP, "work_ms", (TType.STRING, TType.I64), False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
         ("tokens", None),
+        ("work_ms", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -470,11 +470,14 @@
     Attributes
     ----------
     tokens : Mapping
-        Prompt tokens, by target.
+        Prompt tokens that targets have to read, by target.
+    work_ms : Mapping
+        Likely decode time of those requests whose work is known, by target.
     """
 
     instance: str
     tokens: Mapping[str, int] = field(default_factory=dict)
+    work_ms: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -200,6 +200,7 @@
 struct PromptsSent {
   1: optional string instance
   2: optional map<string, i64> tokens
+  3: optional map<string, i64> work_ms
 }
 
 struct StreamOriginAsked {
--- a/src/marjoramstage/state/routes.py
+++ b/src/marjoramstage/state/routes.py
@@ -6,12 +6,15 @@
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 MAX_URGENCY = 9
 # Callers of streams wait at least this long for an event.
 MIN_FIRST_EVENT_TIMEOUT_S = 2.0
 # A swap is an unload and a load; together they take as long as this many loads.
 SWAP_DURATION_LOADS = 2.0
+# Speed of the largest models, relative to the smallest of a service.
+MIN_RELATIVE_SPEED = 0.23
 
 
 class RunPolicy(enum.Enum):
@@ -132,6 +135,20 @@
     models: Mapping[str, ModelSpec] = field(default_factory=dict)
     context_tokens: int = 0
 
+    def relative_speed(self, model: str) -> float:
+        """Return the likely speed of a model, relative to the smallest one.
+
+        The configuration states no speeds; larger models run slower.
+        """
+        memory_mb = self.models[model].memory_mb
+        if memory_mb <= 0:
+            return 1.0
+        return max(MIN_RELATIVE_SPEED, self._smallest_mb / memory_mb)
+
+    @cached_property
+    def _smallest_mb(self) -> float:
+        return min(model.memory_mb for model in self.models.values())
+
     def is_latency_critical(self, model: str, latency_goal_s: float) -> bool:
         """Whether a request is late if its model has to be swapped in first."""
         return latency_goal_s < SWAP_DURATION_LOADS * self.models[model].disk_load_s
@@ -184,6 +201,15 @@
             found.sort(key=lambda route: -len(route.prefix))
         self._by_host = by_host
 
+    def has_model(self, service: str, model: str) -> bool:
+        """Whether the targets of a service may hold a model."""
+        found = self.services.get(service)
+        return (
+            found is not None
+            and found.engine is not None
+            and model in found.engine.models
+        )
+
     def resumable_services(self) -> list[str]:
         """Return the services of routes whose streams may be taken up, sorted."""
         routes = (route for route in self.routes if route.resumable)
