An instance explains where a request would go and why

Cause: from outside it could not be seen why a request went to a target or waited.

`marjoramstage explain` asks a running instance on its metrics address. Dispatcher.choose and Dispatcher.assess share the functions that exclude a target and that sum up its cost, and the handler and the explainer the one that builds the criteria, so the answer can't differ from the choice but for the random part. Unknown parameters are ignored, so no key is repeated. QuotaReader is left for quotas.

--- /dev/null
+++ b/src/marjoramstage/_entry/explainer.py
@@ -0,0 +1,222 @@
+"""Explains where a request would go now and why; nothing is sent or counted."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, replace
+from typing import Any, Protocol
+
+from marjoramstage import platform
+from marjoramstage._entry.instance_state import InstanceState
+from marjoramstage._entry.request_criteria import (
+    NO_MODEL,
+    NO_ROUTE,
+    criteria_for,
+    requested_item,
+)
+from marjoramstage.coordination.dispatcher import COST_JITTER
+from marjoramstage.coordination.target_assessment import Assessment
+from marjoramstage.coordination.target_criteria import TargetCriteria
+from marjoramstage.state.routes import Route
+
+NO_ROUTES_YET = "no routes yet"
+QUARANTINED = "part of the prompt crashes targets"
+ALL_EXCLUDED = "no target takes it now"
+# Stands for a request that isn't sent; it also picks one of a route's services.
+REQUEST_ID = "explain"
+# Targets in an answer, so that it stays small in a large service.
+MAX_CANDIDATES = 200
+
+# Headers of a request that count, by the name of the parameter that stands for them.
+_HEADERS = {
+    "model": "Model",
+    "tokens": "Tokens",
+    "prefix": "Prompt-Prefix",
+    "hint": "Length-Hint",
+    "request_id": "Request-Id",
+}
+
+
+@dataclass(frozen=True)
+class QuotaState:
+    """Use of a customer's quota, as an instance knows it.
+
+    Attributes
+    ----------
+    admitted : bool
+        Whether a request of the cost would be admitted now.
+    used, limit : float
+        In the unit of the quota.
+    age_s : float or None
+        Age of what is known of other instances, in seconds; None if nothing is.
+    """
+
+    admitted: bool
+    used: float
+    limit: float
+    age_s: float | None
+
+
+class QuotaReader(Protocol):
+    """Tells how a request would fare with the quota of its customer."""
+
+    def quota_state(
+        self, customer: str, prompt_tokens: int, output_tokens: int, now_s: float
+    ) -> QuotaState | None:
+        """Return the state of a customer's quota; None if it has none."""
+        ...
+
+
+@dataclass(frozen=True)
+class Place:
+    """Place that a request would have in the wait queue.
+
+    Attributes
+    ----------
+    ahead, waiting : int
+        Requests with the same needs before it, and in all.
+    total : int
+        Requests that wait for any target.
+    """
+
+    ahead: int
+    waiting: int
+    total: int
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """Where a request would go now.
+
+    Attributes
+    ----------
+    target : str
+        The target with the lowest cost; empty if the request isn't sent now.
+    reason : str
+        Why it isn't; empty if it is.
+    known_work : bool
+        Whether targets are chosen by the work of the request.
+    jitter : float
+        Random cost that may decide between targets of similar cost.
+    view_age_s : float or None
+        Age of the counts of other instances' requests, in seconds; None if no view
+        came yet.
+    load_eta_s : float or None
+        Expected time until a target holds the model or adapter, if one is being loaded.
+    quota : QuotaState or None
+        None if the customer has no quota.
+    queue : Place or None
+        None if the request isn't queued.
+    """
+
+    target: str = ""
+    reason: str = ""
+    route: str = ""
+    service: str = ""
+    customer: str = ""
+    version: int | None = None
+    known_work: bool = False
+    jitter: float = COST_JITTER
+    view_age_s: float | None = None
+    load_eta_s: float | None = None
+    quota: QuotaState | None = None
+    queue: Place | None = None
+    candidates: tuple[dict[str, Any], ...] = ()
+
+    def to_json(self) -> dict[str, Any]:
+        """Return it as JSON data."""
+        return asdict(self)
+
+
+class Explainer:
+    """Explains how this instance would treat a request.
+
+    Parameters
+    ----------
+    quotas : QuotaReader, optional
+        None if no customer has a quota.
+    """
+
+    def __init__(self, state: InstanceState, quotas: QuotaReader | None = None):
+        self._state = state
+        self._quotas = quotas
+
+    def explain(self, query: Mapping[str, str]) -> Explanation:
+        """Explain a request that is described by the parameters of a query.
+
+        Unknown parameters are ignored and not shown.
+        """
+        state = self._state
+        table = state.table
+        if table is None:
+            return Explanation(reason=NO_ROUTES_YET)
+        host = query.get("host", "").partition(":")[0].lower()
+        route = table.match(host, query.get("path", "").partition("?")[0])
+        if route is None:
+            return Explanation(reason=NO_ROUTE, version=table.version)
+        named = {_HEADERS[name]: query[name] for name in _HEADERS if name in query}
+        headers = platform.caller_headers({"Request-Id": REQUEST_ID, **named})
+        service = route.service_for(headers.request_id)
+        customer = query.get("customer", "")
+        base = Explanation(
+            route=route.name, service=service, customer=customer, version=table.version
+        )
+        item = requested_item(table, service, headers)
+        if item is not None and not table.has_model(service, item.model):
+            return replace(base, reason=NO_MODEL)
+        now_s = state.clock.now()
+        if state.quarantine.find(headers.parts[:-1], now_s) is not None:
+            return replace(base, reason=QUARANTINED)
+        criteria = criteria_for(table, route, service, headers, now_s, customer)
+        if "software" in query:
+            criteria = replace(criteria, software=query["software"])
+        quota = self._quota(customer, criteria, headers.output_tokens, now_s)
+        return self._explain(replace(base, quota=quota), route, criteria)
+
+    def _explain(
+        self, base: Explanation, route: Route, criteria: TargetCriteria
+    ) -> Explanation:
+        state = self._state
+        found = state.assess(criteria)
+        best = found[0] if found and found[0].exclusion is None else None
+        queue, eta_s = None, None
+        if best is None:
+            deadline_s = state.clock.now() + route.timeout_s
+            ahead, waiting = state.wait_queue.place(criteria, route.rank, deadline_s)
+            queue = Place(ahead, waiting, len(state.wait_queue))
+            eta_s = state.eta_s(criteria) if criteria.item is not None else None
+        return replace(
+            base,
+            target=best.target.name if best is not None else "",
+            reason="" if best is not None else ALL_EXCLUDED,
+            known_work=criteria.work is not None,
+            view_age_s=state.backlog.age_s(state.clock.now()),
+            load_eta_s=eta_s,
+            queue=queue,
+            candidates=tuple(_candidate(entry) for entry in found[:MAX_CANDIDATES]),
+        )
+
+    def _quota(
+        self, customer: str, criteria: TargetCriteria, output_tokens: int, now_s: float
+    ) -> QuotaState | None:
+        if self._quotas is None or not customer:
+            return None
+        return self._quotas.quota_state(customer, criteria.tokens, output_tokens, now_s)
+
+
+def _candidate(found: Assessment) -> dict[str, Any]:
+    """Return an assessment as JSON data."""
+    target, cost = found.target, found.cost
+    return {
+        "target": target.name,
+        "data_centre": target.data_centre,
+        "excluded": found.exclusion.value if found.exclusion is not None else "",
+        "running": found.running,
+        "slots": target.slots,
+        "cost": round(cost.total, 4),
+        "cost_parts": {name: round(value, 4) for name, value in asdict(cost).items()},
+        "prefill_backlog_s": round(found.backlog_s, 4),
+        "own_work_s": None if found.work_s is None else round(found.work_s, 3),
+        "cached_tokens": found.cached_tokens,
+        "pause_left_s": round(found.pause_left_s, 3),
+    }
--- a/src/marjoramstage/_entry/prometheus_metrics.py
+++ b/src/marjoramstage/_entry/prometheus_metrics.py
@@ -74,6 +74,18 @@
             ("cause",),
             registry=self.registry,
         )
+        self.prompt_tokens = Gauge(
+            "marjoramstage_prompt_tokens",
+            "Tokens of prompts with known work since the start: sent, and of these "
+            "taken to be cached by their target.",
+            ("kind",),
+            registry=self.registry,
+        )
+        self.learned_costs = Gauge(
+            "marjoramstage_learned_costs",
+            "Values learnt of the length of answers and the speed of targets.",
+            registry=self.registry,
+        )
         self.limited_targets = Gauge(
             "marjoramstage_limited_targets",
             "Targets that named a limit on the rate of requests.",
--- a/src/marjoramstage/cli.py
+++ b/src/marjoramstage/cli.py
@@ -13,13 +13,14 @@
 from marjoramstage.exceptions import ConfigError
 
 # `entry` and `story` import only their own module; other commands import all.
-COMMAND_MODULES = {"entry": ("entry",), "story": ("story",)}
+COMMAND_MODULES = {"entry": ("entry",), "story": ("story",), "explain": ("explain",)}
 ALL_MODULES = (
     "serve",
     "entry",
     "story",
     "inventory",
     "operate",
+    "explain",
     "usage",
     "standin",
     "bench",
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -268,6 +268,7 @@
             self._prefill_backlog.backlog_s(target.name, now_s),
             cached,
             work_s,
+            self._notices.pause_left_s(target, now_s),
         )
 
     def _outlook(
--- a/src/marjoramstage/coordination/target_assessment.py
+++ b/src/marjoramstage/coordination/target_assessment.py
@@ -94,6 +94,8 @@
         request's work isn't known.
     work_s : float or None
         Decode time left of this instance's requests there, in seconds.
+    pause_left_s : float
+        How much longer it wants no requests of this instance, in seconds.
     """
 
     target: FleetTarget
@@ -103,3 +105,4 @@
     backlog_s: float
     cached_tokens: int | None = None
     work_s: float | None = None
+    pause_left_s: float = 0.0
--- a/src/marjoramstage/coordination/wait_queue.py
+++ b/src/marjoramstage/coordination/wait_queue.py
@@ -125,6 +125,22 @@
             group.add(1, waiter.joined_s)
         return groups
 
+    def place(
+        self, criteria: TargetCriteria, rank: int, deadline_s: float
+    ) -> tuple[int, int]:
+        """Return `position` of a request that would join now; the count is without it.
+
+        Parameters
+        ----------
+        deadline_s : float
+            When its final answer is due.
+        """
+        need = _need(criteria)
+        same = [w for w in self._waiters if _need(w.criteria) == need]
+        key = rank, deadline_s, self._number + 1
+        ahead = sum((w.rank, w.deadline_s, w.number) < key for w in same)
+        return ahead, len(same)
+
     def position(self, waiter: Waiter) -> tuple[int, int]:
         """Return how many requests with the same needs come before one, and in all."""
         need = _need(waiter.criteria)
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -15,6 +15,7 @@
 from marjoramstage._entry.caller_handler import CallerHandler
 from marjoramstage._entry.crash_observer import CrashObserver
 from marjoramstage._entry.event_log import EventLog
+from marjoramstage._entry.explainer import Explainer
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.limited_targets import SendKind
 from marjoramstage._entry.load_monitor import LoadMonitor
@@ -58,6 +59,7 @@
 BACKLOG = 1024
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
+EXPLAIN_PATH = "/explain"
 
 
 class EntryServer:
@@ -77,6 +79,7 @@
         self._events = EventLog(logs.component_logger("entry"), clock)
         self._state = InstanceState(settings, clock, self._events)
         self._metrics = PrometheusMetrics()
+        self._explainer = Explainer(self._state)
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
@@ -246,15 +249,27 @@
             self._metrics.waiting.set(len(self._state.wait_queue))
             for cause, count in self._state.targets_out.counts().items():
                 self._metrics.targets_out.labels(cause.value).set(count)
+            backlog = self._state.backlog
+            self._metrics.prompt_tokens.labels("sent").set(backlog.sent_tokens)
+            self._metrics.prompt_tokens.labels("cached").set(backlog.cached_tokens)
+            self._metrics.learned_costs.set(len(backlog.model))
             self._metrics.limited_targets.set(self._state.limited_targets.count())
             self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
             return web.Response(
                 body=self._metrics.exposition(), content_type="text/plain"
             )
+        if req.path == EXPLAIN_PATH and self._is_metrics_address(req):
+            explanation = self._explainer.explain(req.query)
+            return web.json_response(explanation.to_json())
         if req.path != platform.READY_PATH:
             return web.Response(status=404)
         return web.Response(status=200 if self._state.ready else 503)
 
+    def _is_metrics_address(self, req: web.BaseRequest) -> bool:
+        """Whether a request came in on the address for operators."""
+        name = req.transport.get_extra_info("sockname") if req.transport else None
+        return name is not None and name[1] == METRICS_PORT
+
     def _reload_settings(self) -> None:
         """Reload the settings; keep the current ones if the file is invalid."""
         try:
