--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.coordination.request_cost import WorkEstimate
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.customers import Customer
 from marjoramstage.state.routes import Route, RouteTable
@@ -62,6 +63,8 @@
         told of it; 0 is the most urgent.
     checked_table : RouteTable or None
         The routes under which its key was checked last.
+    estimate : WorkEstimate or None
+        Its likely work there, if known.
     """
 
     req: web.BaseRequest
@@ -92,6 +95,7 @@
     rank: int = 0
     urgency: int = 0
     checked_table: RouteTable | None = None
+    estimate: WorkEstimate | None = None
 
     @property
     def resumes_stream(self) -> bool:
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -10,6 +10,7 @@
 
 from marjoramstage.state.customers import Customer
 from marjoramstage.state.fleet import Item, LimitNotice, TargetNotice
+from marjoramstage.state.prompts import PromptPart
 from marjoramstage.state.request_ranks import MAX_URGENCY
 
 REQUEST_ID = "Request-Id"
@@ -24,8 +25,11 @@
 AUTH_SCHEME = "bearer"
 CUSTOMER = "Tenant"
 TOKENS = "Tokens"
+LENGTH_HINT = "Length-Hint"
 MAX_ID_CHARS = 128
 MAX_PARTS = 256
+# Leading parts of a prompt that are looked for at targets.
+MAX_LEADING_PARTS = 8
 STAMP = "Stamp"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -96,6 +100,10 @@
         Whether the caller told both of them.
     parts : tuple of str
         Identities of the prompt's parts, in order.
+    leading_parts : tuple of PromptPart
+        The first of them with their sizes, without the last, which is the prompt's own.
+    length_hint : int
+        Tokens of the answer as the caller expects; 0 if it states none.
     last_event_id : str
         Id of the last event that the caller received of a stream; empty if none.
     resumes : str
@@ -118,6 +126,8 @@
     states_tokens: bool = False
     key: str = field(default="", repr=False)
     key_headers: int = 0
+    leading_parts: tuple[PromptPart, ...] = ()
+    length_hint: int = 0
 
 
 def request_id_of(headers: Mapping[str, str]) -> str:
@@ -179,6 +189,8 @@
         states_tokens=_states_tokens(tokens),
         key=_parse_key(keys),
         key_headers=len(keys),
+        leading_parts=_parse_leading_parts(headers.get(PROMPT_PREFIX, "")),
+        length_hint=max(0, _parse_tokens(headers.get(LENGTH_HINT, ""))[0]),
     )
 
 
@@ -313,3 +325,15 @@
     """Return the identities of a prompt's parts; they are hexadecimal numbers."""
     parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
     return tuple(part[:MAX_ID_CHARS] for part in parts if part)[-MAX_PARTS:]
+
+
+def _parse_leading_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the first parts but the last, up to one without a valid size."""
+    found = []
+    for part in text.split(",", MAX_LEADING_PARTS)[:-1]:
+        part_id, _, size = part.partition(":")
+        tokens = _parse_tokens(size)[0]
+        if not part_id.strip() or tokens <= 0:
+            break
+        found.append(PromptPart(part_id.strip().lower()[:MAX_ID_CHARS], tokens))
+    return tuple(found)
