--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -325,10 +325,10 @@
     name = meta.get("name") if isinstance(meta, dict) else None
     if not isinstance(name, str) or not name:
         return None
-    rev = meta.get("rev")
-    if isinstance(rev, bool) or not isinstance(rev, int):
+    rev = str(meta.get("rev"))
+    if not rev.isdecimal():
         return PlatformObject(kind, name, None)
-    return PlatformObject(kind, name, data.get("spec"), str(rev))
+    return PlatformObject(kind, name, data.get("spec"), rev)
 
 
 def _page_params(after: str) -> dict[str, str]:
