Models held nowhere use idle targets; fewer extra replicas at small targets

Cause: with 14 slots a target, five requests at a replica (0.3 of the slots) called for another replica, and these loads displaced models in use. Evictions were chosen to leave little memory unused although all models need about the same (65.1 or 72.7 GB), so busy models gave way. A model held nowhere waited for the cheapest target while a third of the targets had no order. Its value was limited to 10, that of an extra replica to 18.

The choice of a target moved to target_choice.

--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -42,7 +42,13 @@
 
 @dataclass
 class Traffic:
-    """A class of requests with its rate, latency goals, value and sizes."""
+    """A class of requests with its rate, latency goals, value and sizes.
+
+    Attributes
+    ----------
+    one_model_bursts : bool
+        All requests of a burst are for the same model.
+    """
 
     name: str
     per_s: float
@@ -57,6 +63,7 @@
     models: tuple
     adapter_share: float = 0.0
     busy: int = 0
+    one_model_bursts: bool = False
 
 
 @dataclass(frozen=True)
@@ -98,6 +105,7 @@
     instance: int
     arrived_s: float = 0.0
     retried: bool = False
+    waited: bool = False
     first_s: float | None = None
     last_s: float = 0.0
     pause_s: float = 0.0
@@ -204,6 +212,7 @@
         eta_s = self.simulation.eta_s(req.criteria.item_version or req.item)
         decision = self.wait_policy.decide(reason, waited_s, remaining_s, eta_s)
         if not decision.refuse:
+            req.waited = True
             self.simulation.loop.after(
                 max(decision.wait_s, 0.001), self.decide_wait, req
             )
@@ -343,19 +352,25 @@
                 at_s += self.rng.expovariate(rate)
                 size = self.rng.randint(1, 2 * self.burst_size - 1)
                 instance = self.rng.randrange(self.instances)
+                name = None
+                if traffic.one_model_bursts:
+                    name = self._pick_model(traffic, at_s)
                 for _ in range(size):
                     when_s = at_s + self.rng.random() * 0.1
-                    self.loop.at(when_s, self._arrive, traffic, instance)
+                    self.loop.at(when_s, self._arrive, traffic, instance, name)
+
+    def _pick_model(self, traffic, at_s):
+        names, weights = self._shares(traffic, at_s)
+        return self.rng.choices(names, weights)[0]
 
     def _size(self, kind):
         mean, spread, most = kind
         value = self.rng.lognormvariate(math.log(mean) - spread**2 / 2, spread)
         return max(1, int(min(value, most)))
 
-    def _arrive(self, traffic, instance):
+    def _arrive(self, traffic, instance, name=None):
         now_s = self.loop.now_s
-        names, weights = self._shares(traffic, now_s)
-        name = self.rng.choices(names, weights)[0]
+        name = name or self._pick_model(traffic, now_s)
         adapters = self.spec.models[name].adapters
         adapter = ""
         if adapters and self.rng.random() < traffic.adapter_share:
--- a/features/simulated_engine.py
+++ b/features/simulated_engine.py
@@ -89,7 +89,8 @@
         self.running, self.queue = [], deque()
         self.up, self.stepping = True, False
         self.past_reports = deque(maxlen=KEPT_REPORTS)
-        self.store_loads = 0
+        self.store_loads = self.model_loads = 0
+        self.store_loads_s = []
         self.overcommitted = False
 
     def listing(self):
@@ -215,11 +216,13 @@
 
     def _load_s(self, model):
         spec = self.spec.models[model]
+        self.model_loads += 1
         if model in self.memory:
             return spec.memory_load_s
         if model in self.disk:
             return spec.disk_load_s
         self.store_loads += 1
+        self.store_loads_s.append(self.loop.now_s)
         return spec.load_s
 
     def cache_weights(self, model):
--- a/src/marjoramstage/coordination/placement_planner.py
+++ b/src/marjoramstage/coordination/placement_planner.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Mapping, Sequence
 
 from marjoramstage.coordination.adapter_planner import AdapterPlanner
@@ -18,7 +17,12 @@
 from marjoramstage.coordination.load_rate_limiter import LoadRateLimiter
 from marjoramstage.coordination.replica_index import ReplicaIndex
 from marjoramstage.coordination.replica_values import RESUME_VALUE, ReplicaValues
-from marjoramstage.coordination.target_state import UNLOAD_S, ItemState, TargetState
+from marjoramstage.coordination.target_choice import (
+    MIN_RESIDENCY_S,
+    TargetChooser,
+    drain_s,
+)
+from marjoramstage.coordination.target_state import UNLOAD_S, TargetState
 from marjoramstage.protocol.control import Order
 from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 from marjoramstage.state.routes import EngineSpec
@@ -34,9 +38,6 @@
 # Estimated time until an adapter can be used at a target that holds its model.
 ADAPTER_ETA_S = 0.06
 
-# A model is not evicted within this time after its load.
-MIN_RESIDENCY_S = 1.5
-
 # Scales the estimated time until a model that has no target yet is loaded.
 QUEUE_ETA_FACTOR = 1.0
 
@@ -44,14 +45,6 @@
 # others is at least this high.
 FETCH_MIN_UTILISATION = 1.33
 
-# Added to a load from the weight store, for each model on the target's disk: the
-# new weights displace cached ones that a later load there could have used.
-CACHE_DISPLACEMENT_S = 0.3
-
-# Cost of leaving all of a target's memory unused; a smaller part costs in
-# proportion. Free memory that is too small for another model is wasted.
-UNUSED_MEMORY_COST = 40.0
-
 # Share of the loads that the weight store allows that may be for models without
 # sustained latency-critical demand.
 DEFERRABLE_FETCH_SHARE = 0.125
@@ -62,20 +55,9 @@
 # order takes longer than this: a fetch elsewhere may then be quicker.
 MAX_CACHED_WAIT_S = 1.0
 
-# A new replica is expected to be needed for about this long.
-EXPECTED_USE_S = 8.0
-
 # A planned load moves to another target only if it is sooner there by this time.
 MIN_GAIN_S = 0.5
 
-# Expected time until a model's only request at a target ends.
-SINGLE_REQUEST_DRAIN_S = 2.0
-
-
-def _drain_s(runs: int) -> float:
-    """Return how long an unload is expected to wait for running requests."""
-    return SINGLE_REQUEST_DRAIN_S * (1.0 + math.log(runs)) if runs else 0.0
-
 
 class PlacementPlanner:
     """Plans the orders for all targets of one service.
@@ -124,6 +106,9 @@
         self._leaving: frozenset[tuple[str, int]] = frozenset()
         self._limited = LimitedReplicas({}, (), DemandSnapshot())
         self._index = ReplicaIndex((), {}, DemandSnapshot(), self._limited)
+        self._chooser = TargetChooser(
+            spec, self._values, self._blocked, self._planned, self._index
+        )
         loads_per_s = max(spec.loads_per_s, MIN_LOADS_PER_S)
         self._fetch_interval_s = 1 / (DEFERRABLE_FETCH_SHARE * loads_per_s)
         self._next_fetch_s = 0.0
@@ -154,9 +139,10 @@
                 target_state is None
                 or target_state.target.incarnation != target.incarnation
             ):
-                self.target_states[name] = TargetState(
-                    target, self.spec, self._first_report_s
-                )
+                restarted = TargetState(target, self.spec, self._first_report_s)
+                if target_state is not None:
+                    restarted.inherit_orders(target_state)
+                self.target_states[name] = restarted
                 self._planned.pop(name, None)
             else:
                 target_state.target = target
@@ -256,10 +242,10 @@
         if planned:
             # No other target can be sooner.
             candidates = [s for s in candidates if self._is_ready_for(s, item)]
-        found = self._cheapest_target(candidates, item, RESUME_VALUE, demand, now_s)
+        found = self._chooser.cheapest(candidates, item, RESUME_VALUE, demand, now_s)
         if found is None:
             return
-        delay_s = self._time_to_serve_s(found[0], item, found[1], demand, now_s)
+        delay_s = self._chooser.time_to_serve_s(found[0], item, found[1], demand, now_s)
         self._resume_etas_s[needed] = delay_s
         if not self._is_idle(found[0]):
             return
@@ -293,7 +279,7 @@
             demand.running_for_model_at(planned.target.name, m.model) for m in retiring
         ]
         planned_s = planned.load_s(item) + planned.remaining_order_s(now_s)
-        planned_s += max((_drain_s(count) for count in runs), default=0.0)
+        planned_s += max((drain_s(count) for count in runs), default=0.0)
         return delay_s + MIN_GAIN_S < planned_s
 
     def _may_load(
@@ -340,6 +326,8 @@
         usable = self._usable_targets()
         self._limited = LimitedReplicas(self.limits, usable, demand)
         self._index = ReplicaIndex(usable, self._planned, demand, self._limited)
+        self._chooser.index = self._index
+        self._chooser.usable_slots = self.usable_slots
 
     def _queue_eta_s(self, ahead: int) -> float:
         """Return when a model that no target can load now is likely to be loaded.
@@ -374,13 +362,6 @@
         blocked_s = self.blocked_for_s(item, now_s)
         return self._values.value_of_extra(item, demand, replicas, blocked_s)
 
-    def _replica_value(
-        self, target_state: TargetState, item: Item, demand: DemandSnapshot
-    ) -> float:
-        """Return the value of the replica at a target."""
-        name, replicas = target_state.target.name, self._index.ready[item.model]
-        return self._values.value_of_existing(item, demand, replicas, name)
-
     def _usable_targets(self, software: str | None = None) -> list[TargetState]:
         """Return the targets that can be used, perhaps only those of one version."""
         return [
@@ -447,15 +428,41 @@
         fetch_blocked = self._fetch_blocked(item, bool(cached), demand, now_s)
         if fetch_blocked is not None:
             target_states = cached
-        found = self._cheapest_target(target_states, item, gain, demand, now_s)
+        found = self._chooser.cheapest(target_states, item, gain, demand, now_s)
         if found is None:
             return fetch_blocked or BlockReason.NO_ROOM
         if self._is_free(found[0], item, demand):
             return found
+        idle = self._idle_instead(found, target_states, item, gain, demand, now_s)
+        if idle is not None:
+            return idle
         if not self._may_reserve(item, now_s):
             return BlockReason.TARGET_BUSY
         return self._reserve_target(target_states, item, gain, demand, now_s)
 
+    def _idle_instead(
+        self,
+        busy: tuple[TargetState, tuple[Item, ...]],
+        target_states: Sequence[TargetState],
+        item: Item,
+        gain: float,
+        demand: DemandSnapshot,
+        now_s: float,
+    ) -> tuple[TargetState, tuple[Item, ...]] | None:
+        """Return the cheapest idle target for a model that no target holds.
+
+        It is used unless the model is loaded sooner at the cheapest, busy target.
+        """
+        if self._index.ready[item.model]:
+            return None
+        idle = [s for s in target_states if self._is_free(s, item, demand)]
+        found = self._chooser.cheapest(idle, item, gain, demand, now_s)
+        if found is None:
+            return None
+        idle_s = self._chooser.time_to_serve_s(found[0], item, found[1], demand, now_s)
+        busy_s = self._chooser.time_to_serve_s(busy[0], item, busy[1], demand, now_s)
+        return found if idle_s <= busy_s else None
+
     def _may_reserve(self, item: Item, now_s: float) -> bool:
         """Whether a model that no target holds has waited for too long for one."""
         if self._index.ready[item.model] or not self._blocked.is_overdue(item, now_s):
@@ -476,7 +483,7 @@
             for s in target_states
             if not self._blocked.is_reserved_for_other(s.target.name, item)
         ]
-        found = self._cheapest_target(candidates, item, gain, demand, now_s)
+        found = self._chooser.cheapest(candidates, item, gain, demand, now_s)
         if found is None:
             return BlockReason.TARGET_BUSY
         if self._is_free(found[0], item, demand):
@@ -484,41 +491,6 @@
         self._blocked.reserve(item, found[0].target.name)
         return BlockReason.TARGET_BUSY
 
-    def _cheapest_target(
-        self,
-        target_states: list[TargetState],
-        item: Item,
-        gain: float,
-        demand: DemandSnapshot,
-        now_s: float,
-    ) -> tuple[TargetState, tuple[Item, ...]] | None:
-        """Return the target with the lowest cost and the models to evict there."""
-        best: tuple[float, TargetState, tuple[Item, ...]] | None = None
-        for target_state in target_states:
-            if item in target_state.items:
-                continue
-            victims = self._choose_victims(target_state, item, gain, demand, now_s)
-            if victims is None:
-                continue
-            delay_s = self._time_to_serve_s(target_state, item, victims, demand, now_s)
-            cost = gain * delay_s / EXPECTED_USE_S
-            cost += demand.running_at(target_state.target.name) / self.usable_slots
-            cost += sum(self._replica_value(target_state, v, demand) for v in victims)
-            cost += UNUSED_MEMORY_COST * self._unused_memory_share(
-                target_state, item, victims
-            )
-            if best is None or cost < best[0]:
-                best = (cost, target_state, victims)
-        return best[1:] if best else None
-
-    def _unused_memory_share(
-        self, target_state: TargetState, item: Item, victims: tuple[Item, ...]
-    ) -> float:
-        """Return the share of a target's memory that the swap leaves unused."""
-        free_mb = target_state.free_mb() - target_state.memory_mb(item)
-        free_mb += sum(target_state.memory_mb(victim) for victim in victims)
-        return free_mb / self.spec.memory_mb
-
     def _fetch_blocked(
         self, item: Item, cached: bool, demand: DemandSnapshot, now_s: float
     ) -> BlockReason | None:
@@ -568,117 +540,6 @@
             and target_state.pending is None
         )
 
-    def _time_to_serve_s(
-        self,
-        target_state: TargetState,
-        item: Item,
-        victims: tuple[Item, ...],
-        demand: DemandSnapshot,
-        now_s: float,
-    ) -> float:
-        """Return the expected time until a target can serve one more model."""
-        delay_s = target_state.load_s(item) + target_state.remaining_order_s(now_s)
-        if not target_state.has_weights_cached(item.model):
-            delay_s += CACHE_DISPLACEMENT_S * len(target_state.on_disk)
-        name = target_state.target.name
-        planned = self._planned.get(name)
-        if planned is not None:
-            delay_s += UNLOAD_S + target_state.load_s(planned)
-        runs = [demand.running_for_model_at(name, victim.model) for victim in victims]
-        return delay_s + max((_drain_s(count) for count in runs), default=0.0)
-
-    def _choose_victims(
-        self,
-        target_state: TargetState,
-        item: Item,
-        gain: float,
-        demand: DemandSnapshot,
-        now_s: float,
-    ) -> tuple[Item, ...] | None:
-        """Return the least valuable models whose eviction makes room for a load.
-
-        Returns
-        -------
-        tuple of Item or None
-            Empty if the model fits already; None if the models to evict are
-            worth at least as much as the new replica of ``item``.
-        """
-        lack_mb = target_state.memory_mb(item) - target_state.free_mb()
-        if lack_mb <= 0:
-            return ()
-        valued = []
-        for found in target_state.models():
-            held = target_state.items[found]
-            if held.state is not ItemState.HELD:
-                continue
-            if self._is_kept(found, target_state, item, demand):
-                continue
-            if now_s - held.since_s < MIN_RESIDENCY_S:
-                continue
-            if not self._may_displace(found, target_state, item, demand, now_s):
-                continue
-            valued.append((self._replica_value(target_state, found, demand), found))
-        valued.sort()
-        for value, found in valued:
-            if value < gain and target_state.memory_mb(found) >= lack_mb:
-                return (found,)
-        chosen: list[Item] = []
-        for value, found in valued:
-            gain -= value
-            lack_mb -= target_state.memory_mb(found)
-            chosen.append(found)
-            if gain <= 0:
-                return None
-            if lack_mb <= 0:
-                return tuple(chosen)
-        return None
-
-    def _is_kept(
-        self,
-        held: Item,
-        target_state: TargetState,
-        item: Item,
-        demand: DemandSnapshot,
-    ) -> bool:
-        """Whether a model is kept instead of ``item``, as requests wait for it.
-
-        Streams to be resumed have a claim to a replica that fewer requests wait for,
-        or whose model has another one.
-        """
-        waiting = demand.waiting.get(held, 0)
-        if not waiting or not demand.is_resumed(item):
-            return waiting > 0
-        if ItemVersion(held, target_state.target.software) in demand.resumed_models:
-            return True
-        others = self._index.ready[held.model] - 1
-        return others < 1 and waiting >= demand.resumed_count(item)
-
-    def _may_displace(
-        self,
-        victim: Item,
-        target_state: TargetState,
-        item: Item,
-        demand: DemandSnapshot,
-        now_s: float,
-    ) -> bool:
-        """Whether a load may evict a model, apart from what the two are worth.
-
-        A fetch keeps its target from other orders for long. Models without
-        sustained demand take turns in the memory of deferrable ones for it; if
-        there are none, an overdue fetch may displace any idle model.
-        """
-        if not demand.is_latency_critical(victim) or demand.is_active(item):
-            return True
-        if demand.is_resumed(item):
-            return True
-        if target_state.has_weights_cached(item.model):
-            return True
-        if self._index.ready[victim.model] > 1:
-            # The others serve a rise until more are loaded.
-            return True
-        overdue = self._blocked.is_overdue(item, now_s)
-        return overdue and not self._index.deferrable
-
     def _next_model_order(
         self,
         target_state: TargetState,
--- a/src/marjoramstage/coordination/replica_values.py
+++ b/src/marjoramstage/coordination/replica_values.py
@@ -15,6 +15,8 @@
 # Values are in requests a second that would find their model missing.
 # LAST_REPLICA_VALUE is above MAX_EXTRA_REPLICA_VALUE, so that the last replica of an
 # active latency-critical model is never evicted for an extra replica of another.
+# MAX_TURN_VALUE is between them: a model that waits for its turn for long takes the
+# place of an extra replica, however busy its model is.
 FIRST_REPLICA_VALUE = 30.0
 LAST_REPLICA_VALUE = 20.0
 MAX_EXTRA_REPLICA_VALUE = 18.0
@@ -22,7 +24,7 @@
 UTILISATION_EXPONENT = 2.0
 ADD_SECOND_REPLICA_VALUE = 2.0
 KEEP_SECOND_REPLICA_VALUE = 1.5
-MAX_DEFERRABLE_VALUE = 10.0
+MAX_TURN_VALUE = 19.5
 # Of a replica for streams that can be resumed nowhere else: what they have been
 # answered so far is lost without it.
 RESUME_VALUE = MAX_EXTRA_REPLICA_VALUE
@@ -40,6 +42,9 @@
 
 # Share of a target's slots that one model should use at most; utilisation 1.
 MAX_SLOT_SHARE = 0.3
+# The same as a number of slots, where targets have few. With 0.3 of 14 slots, five
+# requests at a replica called for another one, and loads displaced models in use.
+MIN_USED_SLOTS = 7
 
 # How often demand for one of the idle models is expected to rise, the share of
 # an active model's rate that it then has, and the weight of requests that miss.
@@ -126,7 +131,7 @@
             )
             value = demand.slow_rate(item) + each * waiting
             load_s = max(self._spec.models[item.model].load_s, MIN_AGING_S)
-            return min(value * (1 + blocked_s / load_s), MAX_DEFERRABLE_VALUE)
+            return min(value * (1 + blocked_s / load_s), MAX_TURN_VALUE)
         utilisation = self.utilisation(item, demand, replicas)
         if utilisation > 1.0:
             return _utilisation_value(utilisation)
@@ -143,7 +148,11 @@
         expected = demand.rate(item) * self._mean_run_s
         demand_now = max(demand.running_for_model(item.model), expected)
         demand_now += demand.waiting_by_model[item.model]
-        return demand_now / (replicas * MAX_SLOT_SHARE * self._usable_slots)
+        used_slots = max(
+            MAX_SLOT_SHARE * self._usable_slots,
+            min(MIN_USED_SLOTS, self._usable_slots),
+        )
+        return demand_now / (replicas * used_slots)
 
     def value_of_existing(
         self, item: Item, demand: DemandSnapshot, replicas: int, target: str
--- a/src/marjoramstage/coordination/target_state.py
+++ b/src/marjoramstage/coordination/target_state.py
@@ -23,6 +23,9 @@
 # For this time after an order was accepted, a report may still predate it.
 MAX_REPORT_AGE_S = 1.0
 UNLOAD_S = 0.7
+# An order that got no answer may reach the target within this time, also after a
+# restart, when its count may fit again.
+MAX_ORDER_DELAY_S = 6.0
 # Start of the state of items that were loaded before the first report.
 LONG_AGO_S = -math.inf
 
@@ -105,6 +108,18 @@
         self.in_memory: frozenset[str] = frozenset()
         self.on_disk: frozenset[str] = frozenset()
         self._last_order_s = 0.0
+        # Loads without an answer, and until when they may reach the target.
+        self._unanswered: dict[Item, float] = {}
+        # Those of them that were ordered before the target restarted.
+        self._stray: dict[Item, float] = {}
+
+    def inherit_orders(self, former: TargetState) -> None:
+        """Reserve room for loads that the target's former incarnation may not have got.
+
+        The former incarnation's loads that got no answer may reach this one, which
+        would accept them if its order count is the same by then.
+        """
+        self._stray = former._stray | former._unanswered
 
     # Items
 
@@ -139,13 +154,19 @@
 
     def free_mb(self) -> float:
         """Return the memory that is not taken up by any item."""
-        return self.spec.memory_mb - sum(self.memory_mb(item) for item in self.items)
+        items = self.items.keys() | self._stray.keys()
+        return self.spec.memory_mb - sum(self.memory_mb(item) for item in items)
 
     def fits(self, item: Item) -> bool:
         """Whether an item can be loaded without an unload first."""
-        if item.adapter and len(self.adapters()) >= self.spec.adapter_slots:
+        strays = self._stray.keys() - self.items.keys() - {item}
+        adapters = len(self.adapters()) + sum(bool(stray.adapter) for stray in strays)
+        if item.adapter and adapters >= self.spec.adapter_slots:
             return False
-        return self.memory_mb(item) <= self.free_mb()
+        free_mb = self.free_mb()
+        if item in self._stray:
+            free_mb += self.memory_mb(item)
+        return self.memory_mb(item) <= free_mb
 
     def has_weights_cached(self, model: str) -> bool:
         """Whether the target has the weights in its memory or on its disk."""
@@ -234,6 +255,8 @@
         if answer is OrderAnswer.UNKNOWN:
             self.next_report_s = now_s + RESEND_S
             self.items[item].since_s = now_s
+            if pending.order.load:
+                self._unanswered[item] = now_s + MAX_ORDER_DELAY_S
 
     def record_report(self, report: TargetReport, now_s: float) -> Order | None:
         """Process a report that was requested after the last answer.
@@ -294,7 +317,10 @@
         self.next_report_s = now_s + REPORT_LAG_S
 
     def tick(self, now_s: float) -> None:
-        """Complete the load of an accepted adapter once its load time is over."""
+        """Complete the load of an adapter, and forget orders that can't arrive now."""
+        for orders in (self._unanswered, self._stray):
+            for item in [i for i, until_s in orders.items() if until_s <= now_s]:
+                del orders[item]
         pending = self.pending
         if pending is None or not pending.accepted or not pending.order.item.adapter:
             return
