--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -53,6 +53,8 @@
         Tokens of the leading parts that prompts share; the first ones are most usual.
     hint_spread : float
         Spread of the callers' hints of the length of answers.
+    one_model_bursts : bool
+        All requests of a burst are for the same model.
     """
 
     name: str
@@ -70,6 +72,7 @@
     busy: int = 0
     prefixes: tuple = ()
     hint_spread: float = 0.0
+    one_model_bursts: bool = False
 
 
 @dataclass(frozen=True)
@@ -111,6 +114,7 @@
     instance: int
     arrived_s: float = 0.0
     retried: bool = False
+    waited: bool = False
     first_s: float | None = None
     last_s: float = 0.0
     pause_s: float = 0.0
@@ -230,6 +234,7 @@
         eta_s = self.simulation.eta_s(req.criteria.item_version or req.item)
         decision = self.wait_policy.decide(reason, waited_s, remaining_s, eta_s)
         if not decision.refuse:
+            req.waited = True
             self.simulation.loop.after(
                 max(decision.wait_s, 0.001), self.decide_wait, req
             )
@@ -377,19 +382,25 @@
                 at_s += self.rng.expovariate(rate)
                 size = self.rng.randint(1, 2 * self.burst_size - 1)
                 instance = self.rng.randrange(self.instances)
+                name = None
+                if traffic.one_model_bursts:
+                    name = self._pick_model(traffic, at_s)
                 for _ in range(size):
                     when_s = at_s + self.rng.random() * 0.1
-                    self.loop.at(when_s, self._arrive, traffic, instance)
+                    self.loop.at(when_s, self._arrive, traffic, instance, name)
+
+    def _pick_model(self, traffic, at_s):
+        names, weights = self._shares(traffic, at_s)
+        return self.rng.choices(names, weights)[0]
 
     def _size(self, kind):
         mean, spread, most = kind
         value = self.rng.lognormvariate(math.log(mean) - spread**2 / 2, spread)
         return max(1, int(min(value, most)))
 
-    def _arrive(self, traffic, instance):
+    def _arrive(self, traffic, instance, name=None):
         now_s = self.loop.now_s
-        names, weights = self._shares(traffic, now_s)
-        name = self.rng.choices(names, weights)[0]
+        name = name or self._pick_model(traffic, now_s)
         adapters = self.spec.models[name].adapters
         adapter = ""
         if adapters and self.rng.random() < traffic.adapter_share:
