--- a/features/client_floods.feature
+++ b/features/client_floods.feature
@@ -6,34 +6,41 @@
   connected while an ordinary request is made. Resident memory is checked alone, and
   together with the bytes that the kernel received for the instance.
 
-  Scenario Outline: <flood>, <count> connections, <memory> MB
-    Given an instance on a machine with <memory> MB and 400 descriptors
+  Scenario Outline: <flood>, <count> connections, <memory> MB, <fds> descriptors
+    Given an instance on a machine with <memory> MB and <fds> descriptors
     When <count> clients flood it with <flood> and stay connected
     Then an ordinary request is answered while they are connected
-    And the process lives and stayed below <memory> MB and 400 descriptors
+    And the process lives and stayed below <memory> MB and <fds> descriptors
     And an ordinary request is answered after they are gone
 
     Examples: bodies of legal size
-      | flood                        | count | memory |
-      | bodies without the last byte | 80    | 160    |
-      | bodies in pieces             | 120   | 120    |
-      | whole bodies                 | 120   | 112    |
-      | large chunks                 | 80    | 160    |
-      | chunks of one byte           | 80    | 72     |
-      | chunks of four bytes         | 80    | 100    |
+      | flood                        | count | memory | fds  |
+      | bodies without the last byte | 80    | 160    | 400  |
+      | bodies in pieces             | 120   | 120    | 400  |
+      | whole bodies                 | 120   | 112    | 400  |
+      | large chunks                 | 80    | 160    | 400  |
+      | chunks of one byte           | 80    | 72     | 400  |
+      | chunks of four bytes         | 80    | 100    | 400  |
 
     Examples: bodies far over the limit
-      | flood                        | count | memory |
-      | 50 times the limit announced | 80    | 160    |
-      | 20 times the limit in chunks | 80    | 160    |
+      | flood                        | count | memory | fds  |
+      | 50 times the limit announced | 80    | 160    | 400  |
+      | 20 times the limit in chunks | 80    | 160    | 400  |
 
     Examples: answers of 24 MB that are hardly read
-      | flood                        | count | memory |
-      | slow readers                 | 120   | 96     |
+      | flood                        | count | memory | fds  |
+      | slow readers                 | 120   | 96     | 400  |
 
     Examples: both
-      | flood                        | count | memory |
-      | slow readers and bodies      | 120   | 160    |
+      | flood                        | count | memory | fds  |
+      | slow readers and bodies      | 120   | 160    | 400  |
+
+    Examples: as above, where descriptors do not bound the crowd
+      | flood                        | count | memory | fds  |
+      | bodies in pieces             | 120   | 120    | 1638 |
+      | whole bodies                 | 120   | 112    | 1638 |
+      | slow readers                 | 120   | 96     | 1638 |
+      | slow readers and bodies      | 120   | 160    | 1638 |
 
   Scenario: more connections than the machine has descriptors
     Given an instance on a machine with 160 MB and 300 descriptors
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -227,6 +227,7 @@
         except BodyTooLargeError:
             raise RefusalError(413, "body too large") from None
         except NoMemoryError as exc:
+            req.protocol.close_unread()
             raise self._resource_error(exc.cause) from None
         except TimeoutError:
             raise RefusalError(408, "body not read in time") from None
--- a/src/marjoramstage/_entry/client_holdings.py
+++ b/src/marjoramstage/_entry/client_holdings.py
@@ -9,7 +9,7 @@
 from marjoramstage.transport.answer_buffers import AnswerBuffers
 from marjoramstage.transport.byte_budget import ByteBudget, Holding, budget_bytes
 from marjoramstage.transport.connection_limit import ConnectionLimit, max_connections
-from marjoramstage.transport.request_body import BodyReader
+from marjoramstage.transport.request_body import read_body
 
 
 class ClientHoldings:
@@ -48,8 +48,7 @@
         BodyTooLargeError, NoMemoryError, TimeoutError
             As for `BodyReader.read`.
         """
-        reader = BodyReader(req, max_bytes, self.budget, self._clock)
-        body = await reader.read(timeout_s)
+        body = await read_body(req, max_bytes, self.budget, self._clock, timeout_s)
         if body.holding is not None:
             self._bodies[req.protocol] = body.holding
         return body.data
--- a/src/marjoramstage/transport/answer_buffers.py
+++ b/src/marjoramstage/transport/answer_buffers.py
@@ -8,18 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
 from marjoramstage.clock import Clock
 from marjoramstage.transport.byte_budget import (
     FIRST_BYTES,
+    SMALL_BYTES,
     ByteBudget,
     EvictionCause,
     Holding,
     HoldingKind,
 )
 
+# What may be unsent of an answer without being accounted for: some events of a stream.
+FREE_UNSENT_BYTES = 16_384
 # The part of an answer in the budget grows by this much.
 STEP_BYTES = 262_144
 # The transport does not pause its writer below this; the budget decides before.
@@ -34,6 +38,8 @@
 
     Parameters
     ----------
+    on_hold : callable
+        Called when the answer gets a part of the budget.
     holding : Holding, optional
         Part of the budget that the answer has already.
     """
@@ -43,12 +49,14 @@
         transport: asyncio.Transport,
         budget: ByteBudget,
         clock: Clock,
+        on_hold: Callable[[AnswerWriter], None],
         holding: Holding | None = None,
     ):
         self._transport = transport
         self._budget = budget
         self._clock = clock
         self._holding = holding
+        self._on_hold = on_hold
         self._written_bytes = 0
         self._read_bytes = 0
         self._ended = False
@@ -72,6 +80,7 @@
         if holding is not None:
             holding.evict = self.evict
             self._holding = holding
+            self._on_hold(self)
 
     async def write(self, resp: web.StreamResponse, data: bytes) -> None:
         """Write a block; waits for the caller if the budget has no room for it."""
@@ -89,11 +98,11 @@
             self._transport.set_write_buffer_limits()
 
     def update(self, now_s: float) -> bool:
-        """Account for what the caller read; return whether the answer goes on."""
+        """Account for what the caller read; return whether anything is unsent."""
         unsent_bytes = self.unsent_bytes
         if not unsent_bytes:
             self.close()
-            return not self._ended
+            return False
         holding = self._holding
         if holding is None:
             return True
@@ -113,13 +122,14 @@
 
     def _has_room(self, size: int) -> bool:
         unsent_bytes = self.unsent_bytes
-        if not unsent_bytes:
+        if not unsent_bytes or unsent_bytes + size <= FREE_UNSENT_BYTES:
             return True
         if self._holding is None:
             self._holding = self._budget.overdraw(
                 HoldingKind.ANSWER, FIRST_BYTES, self._clock.now(), self.evict
             )
-        missing_bytes = unsent_bytes + size + FIRST_BYTES - self._holding.bytes
+            self._on_hold(self)
+        missing_bytes = unsent_bytes + size + SMALL_BYTES - self._holding.bytes
         if missing_bytes <= 0:
             return True
         return self._budget.try_grow(self._holding, max(missing_bytes, STEP_BYTES))
@@ -135,6 +145,7 @@
     def __init__(self, budget: ByteBudget, clock: Clock):
         self._budget = budget
         self._clock = clock
+        # Those of which something is unsent.
         self._writers: set[AnswerWriter] = set()
 
     @property
@@ -152,22 +163,25 @@
 
     def leave(self, holding: Holding, transport: asyncio.Transport) -> None:
         """Keep a holding until the answer, written next, was read by its caller."""
-        writer = AnswerWriter(transport, self._budget, self._clock, holding)
+        writer = AnswerWriter(
+            transport, self._budget, self._clock, self._writers.add, holding
+        )
         holding.evict = writer.evict
         writer.end()
         self._writers.add(writer)
 
     def open(self, transport: asyncio.Transport) -> AnswerWriter:
         """Return the writer of an answer whose head was sent."""
-        writer = AnswerWriter(transport, self._budget, self._clock)
+        writer = AnswerWriter(transport, self._budget, self._clock, self._writers.add)
         writer.start()
-        self._writers.add(writer)
         return writer
 
     def end(self, writer: AnswerWriter) -> None:
         """End a writer; its part of the budget is given back when all was read."""
         writer.end()
-        if not writer.update(self._clock.now()):
+        if writer.update(self._clock.now()):
+            self._writers.add(writer)
+        else:
             self._writers.discard(writer)
 
     def update(self) -> None:
--- a/src/marjoramstage/transport/byte_budget.py
+++ b/src/marjoramstage/transport/byte_budget.py
@@ -58,7 +58,7 @@
 }
 
 
-@dataclass(eq=False)
+@dataclass(eq=False, slots=True)
 class Holding:
     """Bytes that are held for one connection.
 
--- a/src/marjoramstage/transport/overhead.py
+++ b/src/marjoramstage/transport/overhead.py
@@ -13,11 +13,13 @@
 OVERHEAD_BYTES_PER_BODY_BYTE = 2
 # What is received at once, so that one peer does not hold up the event loop.
 RECEIVE_BYTES = 32_768
-# Half of what is read ahead of the handler of a body; then the connection isn't read.
-READ_AHEAD_BYTES = 32_768
-# Receive buffers of the kernel, which count as memory of the machine. They allow 64 MB
-# per second over a round trip of 1 ms.
-RECEIVE_BUFFER_BYTES = 65_536
+# Half of what is read ahead of the reader of a body; then the connection isn't read.
+REQUEST_AHEAD_BYTES = 16_384
+ANSWER_AHEAD_BYTES = 32_768
+# Receive buffers of the kernel, which count as memory of the machine. They allow 32 and
+# 64 MB per second over a round trip of 1 ms.
+REQUEST_RECEIVE_BUFFER_BYTES = 32_768
+ANSWER_RECEIVE_BUFFER_BYTES = 65_536
 
 
 def limit_receive_size(transport: asyncio.BaseTransport) -> None:
--- a/src/marjoramstage/transport/request_body.py
+++ b/src/marjoramstage/transport/request_body.py
@@ -25,6 +25,10 @@
 PIECE_BYTES = 65_536
 
 
+# Cause of a refusal for which nothing is left of the budget.
+NO_MEMORY = "no memory"
+
+
 class BodyTooLargeError(Exception):
     """A body is larger than the configuration allows."""
 
@@ -70,6 +74,30 @@
     holding: Holding | None
 
 
+async def read_body(
+    req: web.BaseRequest,
+    max_bytes: int,
+    budget: ByteBudget,
+    clock: Clock,
+    timeout_s: float,
+) -> HeldBody:
+    """Return the body of a request; raises as `BodyReader.read`."""
+    payload = req.content
+    if not payload.is_eof() or payload.total_bytes > min(SMALL_BYTES, max_bytes):
+        return await BodyReader(req, max_bytes, budget, clock).read(timeout_s)
+    # Nearly all bodies arrive with their head.
+    if not payload.total_bytes:
+        return HeldBody(b"", None)
+    holding = budget.open(HoldingKind.BODY, payload.total_bytes, clock.now(), None)
+    if holding is None:
+        raise NoMemoryError(NO_MEMORY)
+    try:
+        return HeldBody(payload.read_nowait(), holding)
+    except BaseException:
+        budget.close(holding)
+        raise
+
+
 class BodyReader:
     """Reads the body of one request; not read any further while others hold too much.
 
@@ -94,7 +122,6 @@
         self._timeout: asyncio.Timeout | None = None
         self._holding: Holding | None = None
         self._cause: EvictionCause | None = None
-        self._granted = asyncio.Event()
 
     async def read(self, timeout_s: float) -> HeldBody:
         """Return the body.
@@ -112,39 +139,47 @@
             raise BodyTooLargeError
         if self._payload.at_eof():
             return HeldBody(b"", None)
-        first_bytes = self._length or FIRST_BYTES
-        if first_bytes > SMALL_BYTES:
+        first_bytes = self._length or FIRST_BYTES + SMALL_BYTES
+        if self._length is not None and self._length > SMALL_BYTES:
             first_bytes = FIRST_BYTES
         holding = self._budget.open(
             HoldingKind.BODY, first_bytes, self._clock.now(), self._evict
         )
         if holding is None:
-            raise NoMemoryError("no memory")
+            raise NoMemoryError(NO_MEMORY)
         self._holding = holding
         try:
             async with asyncio.timeout(timeout_s) as self._timeout:
                 body = await self._read_all()
-            holding.evict = None
+            # A target may run the request from here on.
+            holding.evict, holding.evicted = None, False
             return HeldBody(body, holding)
         except BaseException as exc:
+            cause = self._cause
+            if holding.wanted_bytes:
+                cause = cause or EvictionCause.WAITED
             self._budget.close(holding)
-            if self._cause is not None and isinstance(exc, TimeoutError):
-                raise NoMemoryError(self._cause.value) from None
+            if cause is not None and isinstance(exc, TimeoutError):
+                raise NoMemoryError(cause.value) from None
             raise
 
     async def _read_all(self) -> bytes | bytearray:
         if self._length is not None and self._length <= SMALL_BYTES:
             return await self._read_small()
         # Large bodies are put together in place, as a join would hold them twice.
+        # While one waits, nothing more is taken out of its connection's buffer.
         body = bytearray()
+        if self._length is not None:
+            await self._grow(self._length + FIRST_BYTES)
         while chunk := await self._payload.readany():
             self._holding.progress_s = self._clock.now()
-            size = len(body) + len(chunk)
-            if size > self._max_bytes:
-                raise BodyTooLargeError
-            if size > self._holding.bytes:
-                await self._grow(size)
             body += chunk
+            del chunk
+            if len(body) > self._max_bytes:
+                raise BodyTooLargeError
+            if len(body) + FIRST_BYTES > self._holding.bytes:
+                largest = min(self._max_bytes, GROWTH_FACTOR * len(body))
+                await self._grow(largest + FIRST_BYTES)
         return body
 
     async def _read_small(self) -> bytes:
@@ -158,18 +193,14 @@
         return b"".join(chunks)
 
     async def _grow(self, size: int) -> None:
-        """Wait until the budget has room for ``size`` bytes of body."""
+        """Wait until the budget has room for ``size`` bytes in all."""
         holding = self._holding
-        wanted_bytes = self._length
-        if wanted_bytes is None:
-            wanted_bytes = min(self._max_bytes, GROWTH_FACTOR * size)
-        more_bytes = max(size, wanted_bytes) - holding.bytes
-        if self._budget.try_grow(holding, more_bytes):
+        more_bytes = size - holding.bytes
+        if more_bytes <= 0 or self._budget.try_grow(holding, more_bytes):
             return
-        self._granted.clear()
-        now_s = self._clock.now()
-        self._budget.ask(holding, more_bytes, now_s, self._granted.set)
-        await self._granted.wait()
+        granted = asyncio.Event()
+        self._budget.ask(holding, more_bytes, self._clock.now(), granted.set)
+        await granted.wait()
         holding.progress_s = self._clock.now()
 
     def _evict(self, cause: EvictionCause) -> None:
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -18,7 +18,7 @@
 from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.overhead import (
     MAX_BODY_BYTES,
-    READ_AHEAD_BYTES,
+    REQUEST_AHEAD_BYTES,
     OverheadMeter,
     limit_receive_size,
 )
@@ -100,6 +100,14 @@
         if self._meter.exceeded(body_bytes) or body_bytes > MAX_BODY_BYTES:
             self.force_close()
 
+    def close_unread(self) -> None:
+        """Close the connection after the answer, without reading the rest of a body.
+
+        Until then aiohttp reads and drops it for some seconds, and what it reads
+        ahead and the kernel received takes memory.
+        """
+        self._lingering_time = 0.0
+
     def _hold_ahead(self, size: int) -> None:
         """Account for bytes of a head that isn't complete, or of later requests."""
         self._ahead_bytes += size
@@ -161,7 +169,7 @@
         budget: ByteBudget | None = None,
         **kwargs: Any,
     ):
-        super().__init__(*args, read_bufsize=READ_AHEAD_BYTES, **kwargs)
+        super().__init__(*args, read_bufsize=REQUEST_AHEAD_BYTES, **kwargs)
         self._limit = limit
         self._budget = budget
 
--- a/src/marjoramstage/transport/sockets.py
+++ b/src/marjoramstage/transport/sockets.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-from marjoramstage.transport.overhead import RECEIVE_BUFFER_BYTES
+from marjoramstage.transport.overhead import REQUEST_RECEIVE_BUFFER_BYTES
 
 USER_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
@@ -35,7 +35,9 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit it.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, REQUEST_RECEIVE_BUFFER_BYTES
+        )
         sock.setblocking(False)
         sock.bind((host, port))
     except OSError:
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -21,9 +21,9 @@
 from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.framing import Framing
 from marjoramstage.transport.overhead import (
+    ANSWER_AHEAD_BYTES,
+    ANSWER_RECEIVE_BUFFER_BYTES,
     MAX_BODY_BYTES,
-    READ_AHEAD_BYTES,
-    RECEIVE_BUFFER_BYTES,
 )
 from marjoramstage.transport.request_body import sent_body
 from marjoramstage.transport.response_body import ResponseBody
@@ -276,7 +276,7 @@
 def _create_socket(addr_info) -> socket.socket:
     """Create a socket whose kernel buffer holds little of what isn't read."""
     sock = create_client_socket(addr_info)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ANSWER_RECEIVE_BUFFER_BYTES)
     return sock
 
 
@@ -293,7 +293,7 @@
         connector=connector,
         request_class=CheckedRequest,
         auto_decompress=False,
-        read_bufsize=READ_AHEAD_BYTES,
+        read_bufsize=ANSWER_AHEAD_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
