Known work: equal traffic in comparisons, announcements end with a view

The choices of a simulation can have a generator of their own; a view ends announcements; the preferred target is found with a multiplicative hash.

Ruled out: harm in a load with moves of models and without shared parts.

--- a/features/load_simulation.py
+++ b/features/load_simulation.py
@@ -150,7 +150,7 @@
             self.running_requests,
             self.health,
             self.prefill_backlog,
-            simulation.rng,
+            simulation.choice_rng or simulation.rng,
             backlog=self.backlog,
         )
         self.assignment_scheduled = False
@@ -286,6 +286,8 @@
     announces_prompts: bool = True
     versions: tuple = ("",)
     states_work: bool = False
+    # Of its own, so that other choices leave the sizes of later requests alone.
+    choice_rng: random.Random | None = None
 
     def __post_init__(self):
         self.rng, self.loop = random.Random(self.seed), VirtualLoop()
--- a/features/steps/request_cost.py
+++ b/features/steps/request_cost.py
@@ -95,6 +95,7 @@
                 announces_prompts=announced,
                 view_interval_s=0.1 if announced else 0.5,
                 states_work=known,
+                choice_rng=random.Random(seed),
             )
             simulation.run()
             runs.append(simulation)
--- a/src/marjoramstage/coordination/dispatcher.py
+++ b/src/marjoramstage/coordination/dispatcher.py
@@ -276,8 +276,14 @@
     ) -> Outlook | None:
         if self._backlog is None or criteria.work is None:
             return None
-        holders = self._holders(criteria, targets)
-        return self._backlog.outlook(criteria.work, holders, now_s)
+
+        def is_holder(target: FleetTarget) -> bool:
+            return (
+                target.service == criteria.service
+                and self._lacks(criteria, target) is None
+            )
+
+        return self._backlog.outlook(criteria.work, targets, is_holder, now_s)
 
     def _holders(
         self, criteria: TargetCriteria, targets: Iterable[FleetTarget]
--- a/src/marjoramstage/coordination/kept_prefixes.py
+++ b/src/marjoramstage/coordination/kept_prefixes.py
@@ -12,7 +12,7 @@
 
 import zlib
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from marjoramstage.state.fleet import FleetTarget, Item
@@ -28,6 +28,8 @@
 CACHE_SHARE = 0.3
 # Time for which the preferred target of a part is not looked up again, in seconds.
 HOME_S = 1.0
+# Multiplicative hash of 32 bits (2^32 over the golden ratio).
+WEIGHT_FACTOR, WEIGHT_MASK = 2_654_435_769, 0xFFFFFFFF
 
 TargetKey = tuple[str, int]
 
@@ -51,7 +53,7 @@
 class _Home:
     """Preferred target of a first part, and how long that isn't looked up again."""
 
-    target: TargetKey | None
+    target: TargetKey
     until_s: float
 
 
@@ -61,6 +63,8 @@
     def __init__(self):
         self._sent: dict[int, dict[str, _Sent]] = {}
         self._homes: dict[int, _Home] = {}
+        # Checksums of the targets' names.
+        self._numbers: dict[str, int] = {}
         self._tokens: Counter[str] = Counter()
 
     def record_sent(
@@ -91,28 +95,50 @@
         item: Item,
         part: PromptPart,
         targets: Iterable[FleetTarget],
+        is_holder: Callable[[FleetTarget], bool],
         now_s: float,
     ) -> TargetKey | None:
         """Return the target to which all instances send a first part by preference.
 
         Highest random weight: each instance finds the same target without a message,
         and another one only for the parts of a target that came or went.
+
+        Parameters
+        ----------
+        is_holder : callable
+            Whether a target holds the item. It is asked for few of them.
         """
         key = hash((hash(item), part.id))
         home = self._homes.get(key)
         if home is not None and now_s < home.until_s:
             return home.target
-        text = f"{item} {part.id} "
-        best = max(
-            targets, key=lambda t: zlib.crc32((text + t.name).encode()), default=None
-        )
+        target = self._heaviest(f"{item} {part.id}", targets, is_holder)
+        if target is None:
+            return None
         self._homes.pop(key, None)
-        target = None if best is None else (best.name, best.incarnation)
         self._homes[key] = _Home(target, now_s + HOME_S)
         if len(self._homes) > MAX_PREFIXES:
             del self._homes[next(iter(self._homes))]
         return target
 
+    def _heaviest(
+        self,
+        text: str,
+        targets: Iterable[FleetTarget],
+        is_holder: Callable[[FleetTarget], bool],
+    ) -> TargetKey | None:
+        """Return the holder with the highest weight for a text."""
+        number, best, most = zlib.crc32(text.encode()), None, -1
+        for target in targets:
+            name = target.name
+            own = self._numbers.get(name)
+            if own is None:
+                own = self._numbers[name] = zlib.crc32(name.encode())
+            weight = (number ^ own) * WEIGHT_FACTOR & WEIGHT_MASK
+            if weight > most and is_holder(target):
+                best, most = (name, target.incarnation), weight
+        return best
+
     def cached_tokens(
         self,
         item: Item,
@@ -152,5 +178,6 @@
     def forget(self, target: str) -> None:
         """Forget a target that is gone."""
         self._tokens.pop(target, None)
+        self._numbers.pop(target, None)
         for by_target in self._sent.values():
             by_target.pop(target, None)
--- a/src/marjoramstage/coordination/target_backlog.py
+++ b/src/marjoramstage/coordination/target_backlog.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from marjoramstage.coordination.kept_prefixes import KeptPrefixes
@@ -27,8 +27,8 @@
 # older lose half of their weight in each half-life, in seconds.
 FRESH_S = 1.0
 VIEW_HALF_LIFE_S = 2.0
-# Work that another instance announced counts less and less until the views include it,
-# in seconds.
+# Work that another instance announced counts until a view comes, and less and less if
+# none does, in seconds.
 ANNOUNCED_S = 0.5
 # Share of the cost that comes from the remaining work of a target's requests, and not
 # from how many there are.
@@ -212,8 +212,14 @@
         return unannounced
 
     def learn(self, now_s: float) -> None:
-        """Record that the running requests of all instances were told."""
+        """Record that the running requests of all instances were told.
+
+        Work that was announced before is part of them, but for what was sent since the
+        last reports (0.2 s).
+        """
         self._learned_s = now_s
+        for known in self.known.values():
+            known.announced_s = 0.0
 
     def age_s(self, now_s: float) -> float | None:
         """Return the age of what is known of other instances; None if nothing is."""
@@ -223,7 +229,8 @@
         self, work: RequestWork, target: FleetTarget, now_s: float
     ) -> WorkEstimate:
         """Return the likely work of a request at a target."""
-        return self.outlook(work, (), now_s).estimate(target)
+        outlook = self.outlook(work, (), lambda _: False, now_s)
+        return outlook.estimate(target)
 
     def work_s(self, target: str, now_s: float) -> float:
         """Return the likely remaining decode time of this instance's requests."""
@@ -233,21 +240,25 @@
         return max(0.0, known.end_sum_s - known.count * now_s)
 
     def outlook(
-        self, work: RequestWork, holders: Iterable[FleetTarget], now_s: float
+        self,
+        work: RequestWork,
+        targets: Iterable[FleetTarget],
+        is_holder: Callable[[FleetTarget], bool],
+        now_s: float,
     ) -> Outlook:
         """Return what tells the cost of a request at each target now.
 
         Parameters
         ----------
-        holders : iterable of FleetTarget
-            Targets that hold the item of the request.
+        targets, is_holder : iterable of FleetTarget, callable
+            Targets of the service, and whether one has what the request requires.
         """
         cached = self._prefixes.cached_tokens(
             work.item, work.parts, work.capacity_tokens, now_s
         )
         if work.parts:
             first = work.parts[0]
-            home = self._prefixes.home(work.item, first, holders, now_s)
+            home = self._prefixes.home(work.item, first, targets, is_holder, now_s)
             if home is not None:
                 cached.setdefault(home, int(HOME_SHARE * first.tokens))
         return Outlook(self, work, cached, now_s)
