Customers share the targets of a service while requests wait

Waiting requests are now served in turns in which each customer gets as much, by rank within a turn; a new request doesn't pass those that wait for the same targets. Without customers the order is as before.

Ruled out: tags on arrival, classes strictly before shares, turns of one request.

--- a/features/keyed_instance.py
+++ b/features/keyed_instance.py
@@ -10,7 +10,19 @@
 from marjoramstage.state.routes import CallerLimits, RouteTable, Service
 
 KEYS = {"good": ["KEY-good-1"], "other": ["KEY-other-1"]}
-RUN_S = 0.6
+# Requests that a target of the instance runs and queues at once.
+RUNNING = 10
+POLL_S = 0.01
+POLLS = 1000
+
+
+async def until(condition):
+    """Wait for a condition; the limit only ends a run that hangs."""
+    for _ in range(POLLS):
+        if condition():
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError("the condition does not hold")
 
 
 def routes_with(keys, version):
@@ -29,7 +41,7 @@
     Attributes
     ----------
     first : str
-        ``runs``, ``refuses`` (not run), ``breaks`` off or takes ``long``.
+        ``runs``, ``refuses`` (not run), ``breaks`` off, or runs until ``released``.
     on_request : callable
         Called with each request that arrives.
     """
@@ -37,6 +49,7 @@
     first: str = "runs"
     on_request: object = None
     requests: list = field(default_factory=list)
+    released: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(0))
 
     async def start(self):
         self._server = web.Server(self._answer, access_log=None)
@@ -49,6 +62,11 @@
         self._listener.close()
         await self._server.shutdown(0.1)
 
+    def release(self, count=2 * RUNNING + 2):
+        """Let so many requests end."""
+        for _ in range(count):
+            self.released.release()
+
     async def _answer(self, req):
         await req.read()
         request_id = req.headers["Request-Id"]
@@ -62,8 +80,8 @@
         if first == "breaks":
             req.transport.abort()
             return web.Response()
-        if self.first == "long":
-            await asyncio.sleep(RUN_S)
+        if self.first == "released":
+            await self.released.acquire()
         return web.Response(body=b"ran", headers=headers)
 
 
--- a/features/steps/customer_requests.py
+++ b/features/steps/customer_requests.py
@@ -10,9 +10,11 @@
 
 from features.keyed_instance import (
     KEYS,
+    RUNNING,
     KeyedInstance,
     KeyedTarget,
     routes_with,
+    until,
 )
 from features.relayed_store import LoopClock, RelayNet
 from features.virtual_asyncio import run_virtual
@@ -22,8 +24,6 @@
 from marjoramstage.protocol.peers import FleetView, StoreChanges, decode
 from marjoramstage.state.customers import Customer
 
-# Requests that fill the slots of a target and those that it may queue.
-BUSY = 12
 KEY = KEYS["good"][0]
 BEARER = f"Bearer {KEY}"
 CHANGES = {
@@ -32,40 +32,44 @@
     "kept": {**KEYS, "third": ["KEY-third"]},
     "required first": {},
 }
-SETTLE_S = 0.1
 
 
 async def _in_queue(change):
     """Change the keys while a request waits for one of the slots."""
-    target = KeyedTarget("long")
+    target = KeyedTarget("released")
     async with KeyedInstance([target]) as instance:
         key = f"Bearer {KEYS['other'][0]}"
         busy = [
             asyncio.create_task(instance.send("/any/x", f"b{n}", Authorization=key))
-            for n in range(BUSY)
+            for n in range(RUNNING)
         ]
-        await asyncio.sleep(SETTLE_S)
+        await until(lambda: len(target.requests) == RUNNING)
         waiting = asyncio.create_task(instance.send("/any/x", Authorization=BEARER))
-        await asyncio.sleep(SETTLE_S)
+        await until(lambda: len(instance.state.wait_queue) == 1)
         instance.set_keys(CHANGES[change])
+        if change != "removed":
+            target.release()
         received = await waiting
+        target.release()
         await asyncio.gather(*busy)
     return received, [h for h in target.requests if h["Request-Id"] == "r1"]
 
 
 async def _before_keys():
     """Require keys while a request of the time before waits for a slot."""
-    target = KeyedTarget("long")
+    target = KeyedTarget("released")
     async with KeyedInstance([target]) as instance:
         instance.state.table.customers = None
         busy = [
-            asyncio.create_task(instance.send("/any/x", f"b{n}")) for n in range(BUSY)
+            asyncio.create_task(instance.send("/any/x", f"b{n}"))
+            for n in range(RUNNING)
         ]
-        await asyncio.sleep(SETTLE_S)
+        await until(lambda: len(target.requests) == RUNNING)
         waiting = asyncio.create_task(instance.send("/any/x", Authorization="x"))
-        await asyncio.sleep(SETTLE_S)
+        await until(lambda: len(instance.state.wait_queue) == 1)
         instance.set_keys(KEYS)
         received = await waiting
+        target.release()
         await asyncio.gather(*busy)
     return received, [h for h in target.requests if h["Request-Id"] == "r1"]
 
@@ -81,7 +85,7 @@
             if len(sent) == 1:
                 instance.set_keys(CHANGES[change])
                 for target in targets:
-                    target.first = "runs" if first != "long" else first
+                    target.first = "runs"
 
         for target in targets:
             target.on_request = on_request
@@ -116,7 +120,7 @@
         case "may have run at a target":
             return _at_target("breaks", change)
         case "runs at a target":
-            return _at_target("long", change)
+            return _at_target("runs", change)
     return _before_writing(change)
 
 
@@ -146,18 +150,20 @@
     handler.setFormatter(_AllFields())
     logging.getLogger().addHandler(handler)
     texts = []
-    target = KeyedTarget("long")
+    target = KeyedTarget("released")
     try:
         async with KeyedInstance([target]) as instance:
             sent = [
                 instance.send("/any/x", f"r{n}", Authorization=key)
-                for n, key in enumerate([BEARER] * (BUSY + 2) + ["Bearer KEY-none"])
+                for n, key in enumerate([BEARER] * (RUNNING + 2) + ["Bearer KEY-none"])
             ]
             tasks = [asyncio.create_task(request) for request in sent]
-            await asyncio.sleep(SETTLE_S)
+            await until(lambda: len(instance.state.wait_queue) == 2)
             texts += _descriptions()
             assert any("RequestContext(" in text for text in texts)
             instance.set_keys(CHANGES["removed"])
+            await until(lambda: len(instance.state.wait_queue) == 0)
+            target.release()
             texts += [str(await task) for task in tasks]
             texts.append(instance.metrics.exposition().decode())
             texts += _descriptions()
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -34,6 +34,7 @@
 from marjoramstage.coordination.wait_queue import Waiter
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.platform import CallerHeaders
+from marjoramstage.state.customers import DEFAULT_PLAIN_TOKENS
 from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import Route, RunPolicy
 from marjoramstage.transport.sockets import reset_connection
@@ -193,6 +194,7 @@
             rank=rank,
             urgency=table.ranks.urgency(rank),
             checked_table=table,
+            share_cost=_share_cost(item, headers),
         )
         ctx.last_event_id = headers.last_event_id
         return ctx
@@ -337,17 +339,22 @@
         """Occupy a slot at a target, waiting for one if need be."""
         state = self._state
         state.note_wanted(ctx.criteria)
-        target = state.acquire_slot(ctx.criteria)
-        if target is not None:
-            return target
+        if not state.wait_queue.must_wait(ctx.criteria, ctx.claim):
+            target = state.acquire_slot(ctx.criteria)
+            if target is not None:
+                state.wait_queue.charge(ctx.criteria, ctx.claim)
+                return target
         joined_s = state.clock.now()
-        waiter = state.wait_queue.add(ctx.criteria, ctx.rank, ctx.deadline_s, joined_s)
+        waiter = state.wait_queue.add(
+            ctx.criteria, ctx.rank, ctx.deadline_s, joined_s, ctx.claim
+        )
         state.on_request_queued()
         state.schedule_assignment()
         try:
             return await self._wait_for_slot(ctx, waiter)
         finally:
             ctx.waited_s += state.clock.now() - joined_s
+            ctx.share_turn = waiter.turn
             state.wait_queue.remove(waiter)
             self._release_unused(waiter, ctx)
 
@@ -539,3 +546,12 @@
             else:
                 req.transport.close()
         return started or web.Response(status=502)
+
+
+def _share_cost(item: Item | None, headers: CallerHeaders) -> float:
+    """Return what a request is charged to its customer's share of a service."""
+    if item is None:
+        return 1.0
+    if not headers.states_tokens:
+        return DEFAULT_PLAIN_TOKENS
+    return float(max(1, headers.prompt_tokens + headers.output_tokens))
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.coordination.fair_shares import ShareClaim
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.customers import Customer
 from marjoramstage.state.routes import Route, RouteTable
@@ -59,6 +60,10 @@
         told of it; 0 is the most urgent.
     checked_table : RouteTable or None
         The routes under which its key was checked last.
+    share_cost : float
+        What it is charged to its customer's share; see `ShareClaim`.
+    share_turn : int
+        Turn of its customer in which it was when it last waited.
     """
 
     req: web.BaseRequest
@@ -88,6 +93,17 @@
     rank: int = 0
     urgency: int = 0
     checked_table: RouteTable | None = None
+    share_cost: float = 1.0
+    share_turn: int = 0
+
+    @property
+    def claim(self) -> ShareClaim | None:
+        """Return whose share it is charged to; None without customers."""
+        table = self.checked_table
+        if table is None or table.customers is None:
+            return None
+        name = self.customer.name if self.customer is not None else ""
+        return ShareClaim(name, table.ranks.level(self.rank), self.share_cost)
 
     @property
     def resumes_stream(self) -> bool:
--- a/src/marjoramstage/_entry/request_log.py
+++ b/src/marjoramstage/_entry/request_log.py
@@ -143,6 +143,7 @@
             "outcome": outcome,
             "took_ms": round(took_s * 1000, 1),
             "waited_ms": round(ctx.waited_s * 1000, 1) if ctx else None,
+            "turn": ctx.share_turn if ctx else None,
             "first_ms": round(first_event_s * 1000, 1),
             "pause_ms": round(ctx.pause_s * 1000, 1) if ctx else None,
             "table": self._state.table.version if self._state.table else None,
--- a/src/marjoramstage/coordination/wait_queue.py
+++ b/src/marjoramstage/coordination/wait_queue.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.coordination.fair_shares import FairShares, ShareClaim
 from marjoramstage.state.fleet import FleetTarget, Item, ItemVersion
 
 
@@ -17,6 +18,11 @@
     return TargetCriteria(criteria.service, criteria.item, software=criteria.software)
 
 
+def _items(criteria: TargetCriteria) -> tuple[str, Item | None, str | None]:
+    """Return what targets have to hold for a request, as the key of a count."""
+    return criteria.service, criteria.item, criteria.software
+
+
 @dataclass
 class WaitingGroup:
     """Waiting requests that could use the same targets.
@@ -40,8 +46,13 @@
 class Waiter:
     """A waiting request; waiters sort by rank, then by deadline.
 
+    With customers they sort by the customer's level, then by turn, and within a turn
+    by rank and start tag.
+
     Attributes
     ----------
+    level, turn, start_tag : int, int, float
+        See `fair_shares`; 0 without customers.
     number : int
         Order of arrival, for equal deadlines.
     joined_s : float
@@ -50,15 +61,21 @@
         Resolves to the target that was assigned.
     used : bool
         The request has taken the target from ``fut``.
+    claim : ShareClaim or None
+        Whose share it is charged to; None without customers.
     """
 
+    level: int
+    turn: int
     rank: int
+    start_tag: float
     deadline_s: float
     number: int
     joined_s: float = field(compare=False)
     criteria: TargetCriteria = field(compare=False)
     fut: asyncio.Future[FleetTarget] = field(compare=False)
     used: bool = field(compare=False, default=False)
+    claim: ShareClaim | None = field(compare=False, default=None)
 
 
 class WaitQueue:
@@ -75,24 +92,67 @@
         self._take = take
         self._waiters: list[Waiter] = []
         self._number = 0
+        self._shares: dict[str, FairShares] = {}
+        # Waiters by service, and by what targets have to hold for them.
+        self._by_service: Counter[str] = Counter()
+        self._by_items: Counter[tuple[str, Item | None, str | None]] = Counter()
 
     def __len__(self) -> int:
         return len(self._waiters)
 
     def add(
-        self, criteria: TargetCriteria, rank: int, deadline_s: float, now_s: float = 0.0
+        self,
+        criteria: TargetCriteria,
+        rank: int,
+        deadline_s: float,
+        now_s: float = 0.0,
+        claim: ShareClaim | None = None,
     ) -> Waiter:
         """Add a request to the queue."""
         self._number += 1
-        fut = asyncio.get_running_loop().create_future()
-        waiter = Waiter(rank, deadline_s, self._number, now_s, criteria, fut)
+        waiter = Waiter(
+            level=claim.level if claim is not None else 0,
+            turn=0,
+            rank=rank,
+            start_tag=0.0,
+            deadline_s=deadline_s,
+            number=self._number,
+            joined_s=now_s,
+            criteria=criteria,
+            fut=asyncio.get_running_loop().create_future(),
+            claim=claim,
+        )
         self._waiters.append(waiter)
+        self._count(waiter, 1)
         return waiter
 
+    def must_wait(self, criteria: TargetCriteria, claim: ShareClaim | None) -> bool:
+        """Whether a request that arrives has to leave free targets to others.
+
+        Those that wait for the same targets go first, and a customer that is ahead of
+        its share leaves them to any that wait for the service.
+        """
+        if claim is None:
+            return False
+        service = criteria.service
+        if self._by_service[service] == 0:
+            return False
+        if self._by_items[_items(criteria)]:
+            return True
+        return self._shares_of(service).is_ahead(claim)
+
+    def charge(self, criteria: TargetCriteria, claim: ShareClaim | None) -> None:
+        """Record that a request with such a claim is sent to a target."""
+        if claim is None:
+            return
+        others_wait = self._by_service[criteria.service] > 0
+        self._shares_of(criteria.service).charge(claim, others_wait)
+
     def remove(self, waiter: Waiter) -> None:
         """Remove a request from the queue."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
+            self._count(waiter, -1)
 
     def count_by_item(self) -> Counter[tuple[str, Item]]:
         """Return the number of waiting requests by service and item."""
@@ -128,6 +188,8 @@
     def position(self, waiter: Waiter) -> tuple[int, int]:
         """Return how many requests with the same needs come before one, and in all."""
         need = _need(waiter.criteria)
+        if waiter.claim is not None:
+            self._tag_waiters()
         same = [w for w in self._waiters if _need(w.criteria) == need]
         return sum(other < waiter for other in same), len(same)
 
@@ -135,13 +197,43 @@
         """Assign targets to as many waiting requests as possible."""
         if not self._waiters:
             return
-        remaining = []
-        for waiter in sorted(self._waiters):
+        self._tag_waiters()
+        try:
+            for waiter in sorted(self._waiters):
+                if waiter.fut.done():
+                    continue
+                target = self._take(waiter.criteria)
+                if target is not None:
+                    waiter.fut.set_result(target)
+                    self.charge(waiter.criteria, waiter.claim)
+        finally:
+            self._drop_assigned()
+
+    def _drop_assigned(self) -> None:
+        waiting = []
+        for waiter in self._waiters:
             if waiter.fut.done():
-                continue
-            target = self._take(waiter.criteria)
-            if target is None:
-                remaining.append(waiter)
-                continue
-            waiter.fut.set_result(target)
-        self._waiters = remaining
+                self._count(waiter, -1)
+            else:
+                waiting.append(waiter)
+        self._waiters = waiting
+
+    def _count(self, waiter: Waiter, change: int) -> None:
+        criteria = waiter.criteria
+        self._by_service[criteria.service] += change
+        items = _items(criteria)
+        self._by_items[items] += change
+        if not self._by_items[items]:
+            del self._by_items[items]
+
+    def _shares_of(self, service: str) -> FairShares:
+        return self._shares.setdefault(service, FairShares())
+
+    def _tag_waiters(self) -> None:
+        """Give the waiting requests of customers their turns."""
+        by_service: dict[str, list[Waiter]] = {}
+        for waiter in self._waiters:
+            if waiter.claim is not None and not waiter.fut.done():
+                by_service.setdefault(waiter.criteria.service, []).append(waiter)
+        for service, waiters in by_service.items():
+            self._shares_of(service).tag(waiters)
--- a/src/marjoramstage/state/request_ranks.py
+++ b/src/marjoramstage/state/request_ranks.py
@@ -43,6 +43,10 @@
         place = self._first_places[first] * len(self._route_places)
         return place + self._route_places[route_rank]
 
+    def level(self, rank: int) -> int:
+        """Return the place of the customer's priority in a rank."""
+        return 0 if self._by_route_alone else rank // len(self._route_places)
+
     def urgency(self, rank: int) -> int:
         """Return the urgency that engines are told, from 0 to `MAX_URGENCY`.
 
