--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from marjoramstage.coordination.dispatcher import TargetCriteria
+from marjoramstage.coordination.fair_shares import ShareClaim
 from marjoramstage.coordination.request_cost import WorkEstimate
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.state.customers import Customer
@@ -65,6 +66,10 @@
         The routes under which its key was checked last.
     estimate : WorkEstimate or None
         Its likely work there, if known.
+    share_cost : float
+        What it is charged to its customer's share; see `ShareClaim`.
+    share_turn : int
+        Turn of its customer in which it was when it last waited.
     """
 
     req: web.BaseRequest
@@ -96,6 +101,17 @@
     urgency: int = 0
     checked_table: RouteTable | None = None
     estimate: WorkEstimate | None = None
+    share_cost: float = 1.0
+    share_turn: int = 0
+
+    @property
+    def claim(self) -> ShareClaim | None:
+        """Return whose share it is charged to; None without customers."""
+        table = self.checked_table
+        if table is None or table.customers is None:
+            return None
+        name = self.customer.name if self.customer is not None else ""
+        return ShareClaim(name, table.ranks.level(self.rank), self.share_cost)
 
     @property
     def resumes_stream(self) -> bool:
