--- a/src/marjoramstage/platform/_settings.py
+++ b/src/marjoramstage/platform/_settings.py
@@ -97,5 +97,8 @@
         lease_s=figure("lease_ms", default.lease_s, MS),
         load_window_s=figure("ceiling_window_s", default.load_window_s),
         load_headroom=figure("ceiling_over", default.load_headroom),
+        quota_window_s=figure("quota_window_s", default.quota_window_s),
+        quota_over=figure("quota_over", default.quota_over),
+        quota_slack=figure("quota_slack", default.quota_slack),
         checks_fence=fields.get("bounds.checks_fence", "true") == "true",
     )
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -334,6 +334,78 @@
     ]
 
 
+class QuotaUse(TPayload):
+    """Struct ``QuotaUse`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "customer", False),
+        2: (TType.I64, "held", False),
+        3: (TType.I64, "used", False),
+        4: (TType.I64, "wanted", False),
+        5: (TType.I64, "asked", False),
+        6: (TType.I64, "largest", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("customer", None),
+        ("held", None),
+        ("used", None),
+        ("wanted", None),
+        ("asked", None),
+        ("largest", None),
+    ]
+
+
+class QuotaTotal(TPayload):
+    """Struct ``QuotaTotal`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "customer", False),
+        2: (TType.I64, "used", False),
+        3: (TType.I64, "free", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("customer", None),
+        ("used", None),
+        ("free", None),
+    ]
+
+
+class QuotaAllowance(TPayload):
+    """Struct ``QuotaAllowance`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "customer", False),
+        2: (TType.I64, "units", False),
+        3: (TType.I64, "free", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("customer", None),
+        ("units", None),
+        ("free", None),
+    ]
+
+
+class QuotaGrants(TPayload):
+    """Struct ``QuotaGrants`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "holder", False),
+        2: (TType.I64, "fence", False),
+        3: (TType.I64, "number", False),
+        4: (TType.I64, "sequence", False),
+        5: (TType.I64, "instances", False),
+        6: (TType.LIST, "allowances", (TType.STRUCT, QuotaAllowance), False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("holder", None),
+        ("fence", None),
+        ("number", None),
+        ("sequence", None),
+        ("instances", None),
+        ("allowances", None),
+    ]
+
+
 class EntryReport(TPayload):
     """Struct ``EntryReport`` of the IDL."""
 
@@ -352,6 +424,9 @@
         12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
         13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaUse), False),
+        16: (TType.I64, "quota_grant", False),
+        17: (TType.I64, "quota_instances", False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -368,6 +443,9 @@
         ("resuming", None),
         ("begun", None),
         ("limited", None),
+        ("quota_use", None),
+        ("quota_grant", None),
+        ("quota_instances", None),
     ]
 
 
@@ -445,6 +523,7 @@
         11: (TType.BOOL, "partial", False),
         13: (TType.BOOL, "keeps_origins", False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaTotal), False),
     }
     default_spec = [  # noqa: RUF012
         ("holder", None),
@@ -460,6 +539,7 @@
         ("partial", None),
         ("keeps_origins", None),
         ("limited", None),
+        ("quota_use", None),
     ]
 
 
@@ -592,6 +672,7 @@
         15: (TType.STRUCT, "parts_harmless", PartsHarmless, False),
         16: (TType.STRUCT, "parts_quarantined", PartsQuarantined, False),
         17: (TType.STRUCT, "permits_issued", PermitsIssued, False),
+        18: (TType.STRUCT, "quota_grants", QuotaGrants, False),
     }
     default_spec = [  # noqa: RUF012
         ("hello", None),
@@ -611,4 +692,5 @@
         ("parts_harmless", None),
         ("parts_quarantined", None),
         ("permits_issued", None),
+        ("quota_grants", None),
     ]
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -306,6 +306,86 @@
     permits: tuple[TargetPermits, ...] = ()
 
 
+@dataclass(frozen=True)
+class QuotaUse:
+    """An instance's part in the quota of one customer, in units of the quota.
+
+    Attributes
+    ----------
+    held : int
+        What it may have sent in any window, by its allowance or its use.
+    used : int
+        What it sent in the window that ends now, or is about to send.
+    wanted : int
+        What its requests in that window cost, refused ones too.
+    asked : int
+        What its requests cost that wait for a larger allowance.
+    largest : int
+        What the largest of its requests of late cost.
+    """
+
+    customer: str
+    held: int = 0
+    used: int = 0
+    wanted: int = 0
+    asked: int = 0
+    largest: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaTotal:
+    """Use of one customer's quota by all instances, in units of the quota.
+
+    Attributes
+    ----------
+    used : int
+        What was sent in the last window.
+    free : int
+        What no instance holds.
+    """
+
+    customer: str
+    used: int = 0
+    free: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaAllowance:
+    """What the receiver may send for one customer in any window.
+
+    Attributes
+    ----------
+    free : int
+        What no instance holds.
+    """
+
+    customer: str
+    units: int = 0
+    free: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaGrants:
+    """Allowances of the receiver, from the holder of the placement lease.
+
+    Attributes
+    ----------
+    number : int
+        Increases with each such message of a holder.
+    sequence : int
+        Of the report that it answers.
+    instances : int
+        Number of instances that may have allowances.
+    """
+
+    holder: str
+    fence: int
+    number: int
+    sequence: int
+    instances: int
+    allowances: tuple[QuotaAllowance, ...] = ()
+
+
 @dataclass(frozen=True)
 class EntryReport:
     """Report of an instance to the holder of the placement lease.
@@ -333,6 +413,12 @@
         Streams that the sender relayed recently, while several versions run.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    quota_use : tuple of QuotaUse
+        Its part in the quotas of customers with use.
+    quota_grant : int
+        Number of the last grants that it received of the current holder.
+    quota_instances : int
+        Number of instances as grants told last; 0 if none did.
     """
 
     instance: str
@@ -349,6 +435,9 @@
     resuming: Mapping[str, int] = field(default_factory=dict)
     begun: tuple[BegunStreams, ...] = ()
     limited: tuple[LimitedTarget, ...] = ()
+    quota_use: tuple[QuotaUse, ...] = ()
+    quota_grant: int = 0
+    quota_instances: int = 0
 
 
 @dataclass(frozen=True)
@@ -446,6 +535,8 @@
         Whether the sender stores the streams that reports name.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    quota_use : tuple of QuotaTotal
+        Use of the quotas of customers with use.
     """
 
     holder: str
@@ -461,6 +552,7 @@
     partial: bool = False
     keeps_origins: bool = False
     limited: tuple[LimitedTarget, ...] = ()
+    quota_use: tuple[QuotaTotal, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -593,6 +685,7 @@
     | PartsHarmless
     | PartsQuarantined
     | PermitsIssued
+    | QuotaGrants
 )
 
 _MESSAGES = {
@@ -613,6 +706,7 @@
     "parts_harmless": PartsHarmless,
     "parts_quarantined": PartsQuarantined,
     "permits_issued": PermitsIssued,
+    "quota_grants": QuotaGrants,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(_peers_structs, _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -140,6 +140,36 @@
   3: optional list<TargetPermits> permits
 }
 
+struct QuotaUse {
+  1: optional string customer
+  2: optional i64 held
+  3: optional i64 used
+  4: optional i64 wanted
+  5: optional i64 asked
+  6: optional i64 largest
+}
+
+struct QuotaTotal {
+  1: optional string customer
+  2: optional i64 used
+  3: optional i64 free
+}
+
+struct QuotaAllowance {
+  1: optional string customer
+  2: optional i64 units
+  3: optional i64 free
+}
+
+struct QuotaGrants {
+  1: optional string holder
+  2: optional i64 fence
+  3: optional i64 number
+  4: optional i64 sequence
+  5: optional i64 instances
+  6: optional list<QuotaAllowance> allowances
+}
+
 struct EntryReport {
   1: optional string instance
   2: optional string address
@@ -155,6 +185,9 @@
   12: optional map<string, i64> resuming
   13: optional list<BegunStreams> begun
   14: optional list<LimitedTarget> limited
+  15: optional list<QuotaUse> quota_use
+  16: optional i64 quota_grant
+  17: optional i64 quota_instances
 }
 
 struct HeldItems {
@@ -195,6 +228,7 @@
   11: optional bool partial
   13: optional bool keeps_origins
   14: optional list<LimitedTarget> limited
+  15: optional list<QuotaTotal> quota_use
 }
 
 struct PromptsSent {
@@ -258,4 +292,5 @@
   15: optional PartsHarmless parts_harmless
   16: optional PartsQuarantined parts_quarantined
   17: optional PermitsIssued permits_issued
+  18: optional QuotaGrants quota_grants
 }
--- a/src/marjoramstage/state/node_settings.py
+++ b/src/marjoramstage/state/node_settings.py
@@ -28,6 +28,10 @@
     load_window_s, load_headroom : float
         Sliding window for the rate of loads from the weight store, and the factor
         by which the rate may be exceeded.
+    quota_window_s, quota_over, quota_slack : float
+        Quotas of customers: in any window of so many seconds they may exceed their
+        rate and burst by the factor ``quota_over`` and, if they count tokens, by
+        ``quota_slack`` tokens.
     checks_fence : bool
         Targets reject orders that carry an older fencing number.
     """
@@ -41,6 +45,9 @@
     lease_s: float = 3.0
     load_window_s: float = 5.0
     load_headroom: float = 1.1
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 0.0
     checks_fence: bool = True
 
 
