--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -214,6 +214,7 @@
             quota_use=state.quota_sync.report(self._sequence),
             quota_grant=state.quota_sync.quotas.grant_number,
             quota_instances=state.quota_sync.quotas.instances,
+            config_version=state.config_versions.newest,
         )
 
     def _begun_streams(self, now_s: float) -> tuple[BegunStreams, ...]:
@@ -238,6 +239,7 @@
     def _receive(self, message: PeerMessage) -> None:
         match message:
             case EntryReport():
+                self._state.note_config_version(message.config_version)
                 if self._controller is not None:
                     self._controller.receive_report(message)
             case FleetView():
--- a/src/marjoramstage/_entry/view_sender.py
+++ b/src/marjoramstage/_entry/view_sender.py
@@ -100,6 +100,7 @@
             keeps_origins=self._state.keeps_origins(),
             limited=self._state.limited_targets.view(self._count_waiting),
             quota_use=self._quota_totals(),
+            config_version=self._state.config_versions.newest,
         )
         self._send_to_all(view, recipients, now_s)
 
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -426,7 +426,8 @@
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
         15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaUse), False),
         16: (TType.I64, "quota_grant", False),
-        17: (TType.I64, "quota_instances", False),
+        17: (TType.I64, "config_version", False),
+        18: (TType.I64, "quota_instances", False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -445,6 +446,7 @@
         ("limited", None),
         ("quota_use", None),
         ("quota_grant", None),
+        ("config_version", None),
         ("quota_instances", None),
     ]
 
@@ -524,6 +526,7 @@
         13: (TType.BOOL, "keeps_origins", False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
         15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaTotal), False),
+        17: (TType.I64, "config_version", False),
     }
     default_spec = [  # noqa: RUF012
         ("holder", None),
@@ -540,6 +543,7 @@
         ("keeps_origins", None),
         ("limited", None),
         ("quota_use", None),
+        ("config_version", None),
     ]
 
 
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -419,6 +419,9 @@
         Number of the last grants that it received of the current holder.
     quota_instances : int
         Number of instances as grants told last; 0 if none did.
+    config_version : int
+        Newest version of a configuration with customers that is known to be in
+        force anywhere; 0 if none.
     """
 
     instance: str
@@ -438,6 +441,7 @@
     quota_use: tuple[QuotaUse, ...] = ()
     quota_grant: int = 0
     quota_instances: int = 0
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
@@ -537,6 +541,8 @@
         Targets that name a limit or did so recently.
     quota_use : tuple of QuotaTotal
         Use of the quotas of customers with use.
+    config_version : int
+        As in reports.
     """
 
     holder: str
@@ -553,6 +559,7 @@
     keeps_origins: bool = False
     limited: tuple[LimitedTarget, ...] = ()
     quota_use: tuple[QuotaTotal, ...] = ()
+    config_version: int = 0
 
 
 @dataclass(frozen=True)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -187,7 +187,8 @@
   14: optional list<LimitedTarget> limited
   15: optional list<QuotaUse> quota_use
   16: optional i64 quota_grant
-  17: optional i64 quota_instances
+  17: optional i64 config_version
+  18: optional i64 quota_instances
 }
 
 struct HeldItems {
@@ -229,6 +230,7 @@
   13: optional bool keeps_origins
   14: optional list<LimitedTarget> limited
   15: optional list<QuotaTotal> quota_use
+  17: optional i64 config_version
 }
 
 struct PromptsSent {
