--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -62,3 +62,18 @@
       | refused for another reason       | admitted |
       | sent and surely not run          | admitted |
       | sent                             | refused  |
+
+  Scenario: a request that costs more than the whole limit
+    Given an instance that may send 1000 tokens in 8 s, and sent 400 at 0
+    When a request of 999999999 tokens comes at 1 s
+    Then it is refused, and does not count as demand
+
+  Scenario Outline: what instances report, <case>
+    When <case>
+    Then the uses are <result>
+
+    Examples:
+      | case                             | result         |
+      | two uses are packed and read     | the same       |
+      | a packed use is cut short        | not readable   |
+      | a packed name is not UTF-8       | not readable   |
--- a/features/quota_simulation.py
+++ b/features/quota_simulation.py
@@ -149,20 +149,19 @@
             return
         self.last_report_s = now_s
         self.sequence += 1
+        uses = self.quotas.report(self.sequence, now_s)
         report = EntryReport(
             self.name,
             self.name,
             str(self.incarnation),
             self.sequence,
-            quota_use=self.quotas.report(self.sequence, now_s),
             quota_grant=self.quotas.grant_number,
             quota_instances=self.quotas.instances,
         )
-        self.sim.report_bytes.append(len(report.quota_use))
         if not self.cut:
             # Messages of one connection arrive in order.
             self.sent_until_s = self.sim.post(
-                lambda: self.sim.receive(self, report), self.sent_until_s
+                lambda: self.sim.receive(self, report, uses), self.sent_until_s
             )
 
     def post(self, call):
@@ -192,7 +191,7 @@
         ]
         self.served = defaultdict(lambda: Served([], [], [], []))
         self.limit_changes = {}
-        self.report_bytes, self.grants_sent = [], 0
+        self.grants_sent = 0
         self.ledger, self.fence, self.has_holder = QuotaLedger(8.0), 0, True
         self.instances = [SimulatedInstance(self, n) for n in range(load.instances)]
         self.new_holder()
@@ -260,10 +259,10 @@
 
     # Messages
 
-    def receive(self, instance, report):
+    def receive(self, instance, report, uses):
         if not self.has_holder:
             return
-        grants = self.ledger.report(report, self.now_s)
+        grants = self.ledger.report(report, uses, self.now_s)
         if grants is not None and not instance.cut:
             self.grants_sent += 1
             instance.post(lambda: self._grant(instance, grants))
--- a/features/steps/customer_quotas.py
+++ b/features/steps/customer_quotas.py
@@ -13,7 +13,9 @@
 )
 from marjoramstage.coordination.customer_quotas import CustomerQuotas
 from marjoramstage.coordination.quota_rules import window_limit
-from marjoramstage.protocol.peers import QuotaAllowance, QuotaGrants
+from marjoramstage.exceptions import PeerError
+from marjoramstage.protocol import quota_uses
+from marjoramstage.protocol.peers import QuotaAllowance, QuotaGrants, QuotaUse
 from marjoramstage.state.customers import Customer, Quota, QuotaUnit
 
 EVENT_S = 20.0
@@ -178,3 +180,41 @@
 def check_result(context, cost, result):
     decision = context.quotas.admit(context.customer, cost, 1.2)
     assert decision.admitted == (result == "admitted"), decision
+
+
+@when("two uses are packed and read")
+def pack_uses(context):
+    context.uses = QuotaUse("c", 9, 7, 8, 2, 1), QuotaUse("caf\u00e9", 2**40)
+    context.content = quota_uses.pack(context.uses)
+
+
+@when("a packed use is cut short")
+def cut_use(context):
+    context.content = quota_uses.pack([QuotaUse("customer", 9)])[:-1]
+
+
+@when("a packed name is not UTF-8")
+def garble_use(context):
+    content = quota_uses.pack([QuotaUse("customer", 9)])
+    context.content = content.replace(b"cust", b"\xff\xff\xff\xff")
+
+
+@then("the uses are the same")
+def check_uses(context):
+    assert quota_uses.unpack(context.content) == context.uses
+
+
+@then("the uses are not readable")
+def check_unreadable(context):
+    try:
+        found = quota_uses.unpack(context.content)
+    except PeerError:
+        return
+    raise AssertionError(found)
+
+
+@then("it is refused, and does not count as demand")
+def check_not_demand(context):
+    assert not context.decision.admitted and not context.decision.may_wait
+    (use,) = context.quotas.report(9, 1.0)
+    assert (use.used, use.wanted, use.largest) == (400, 400, 400), use
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -41,7 +41,6 @@
     QuotaAllowance,
     QuotaGrants,
     QuotaTotal,
-    QuotaUse,
     Rumour,
     StoreChanges,
     StreamOriginAsked,
@@ -302,7 +301,7 @@
     StoreChanges("servers", 3, 41, 57, False, b"\x00\xff"),
     PermitsIssued("i2/x", 4, (TargetPermits("t", 7, 2),)),
     QuotaGrants("i2/x", 4, 2**34, 17, 80, (QuotaAllowance("c", 900, 40),)),
-    EntryReport("i", "a", "x", 1, quota_use=(QuotaUse("c", 9, 7, 8, 2, 1),)),
+    EntryReport("i", "a", "x", 1, quota_use=b"\xff\x00"),
     FleetView("i2/x", 4, 1, 80, quota_use=(QuotaTotal("c", 7, 2),)),
 )
 
--- a/src/marjoramstage/_entry/peer_link.py
+++ b/src/marjoramstage/_entry/peer_link.py
@@ -15,6 +15,7 @@
     report_interval_s,
 )
 from marjoramstage.metrics import LocalMetrics
+from marjoramstage.protocol import quota_uses
 from marjoramstage.protocol.peers import (
     BegunStreams,
     EntryReport,
@@ -211,7 +212,7 @@
             resuming={f"{service} {needed}": n for (service, needed), n in resuming},
             begun=self._begun_streams(now_s),
             limited=state.limited_targets.report(state.waiting_by_limited_target()),
-            quota_use=state.quota_sync.report(self._sequence),
+            quota_use=quota_uses.pack(state.quota_sync.report(self._sequence)),
             quota_grant=state.quota_sync.quotas.grant_number,
             quota_instances=state.quota_sync.quotas.instances,
             config_version=state.config_versions.newest,
--- a/src/marjoramstage/_entry/quota_sender.py
+++ b/src/marjoramstage/_entry/quota_sender.py
@@ -8,6 +8,8 @@
 from marjoramstage.coordination.leases import FENCES_PER_ERA
 from marjoramstage.coordination.quota_rules import window_limit
 from marjoramstage.coordination.quota_shares import QuotaLedger
+from marjoramstage.exceptions import PeerError
+from marjoramstage.protocol import quota_uses
 from marjoramstage.protocol.peers import EntryReport, QuotaGrants, QuotaTotal
 from marjoramstage.state.routes import RouteTable
 
@@ -57,7 +59,14 @@
         if not self._has_quotas:
             return
         now_s = self._state.clock.now()
-        grants = self._ledger.report(report, now_s)
+        try:
+            uses = quota_uses.unpack(report.quota_use)
+        except PeerError as exc:
+            self._state.events.event(
+                "invalid quota use ignored", sender=report.instance, reason=str(exc)
+            )
+            return
+        grants = self._ledger.report(report, uses, now_s)
         if grants is not None:
             self._send(report.address, grants)
         if now_s >= self._next_summary_s:
--- a/src/marjoramstage/_entry/quota_sync.py
+++ b/src/marjoramstage/_entry/quota_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable, Mapping
 
 from marjoramstage._entry.event_log import EventLog
@@ -16,7 +17,7 @@
 from marjoramstage.coordination.instance_reports import min_report_interval_s
 from marjoramstage.platform import CallerHeaders
 from marjoramstage.protocol.peers import QuotaGrants, QuotaTotal, QuotaUse
-from marjoramstage.state.customers import Customer
+from marjoramstage.state.customers import Customer, Quota
 from marjoramstage.state.node_settings import NodeBounds
 from marjoramstage.state.routes import RouteTable
 
@@ -234,9 +235,7 @@
             self.decision = ADMITTED
             return
         headers = self._headers
-        cost = customer.quota.cost_of(
-            headers.prompt_tokens, headers.output_tokens, headers.states_tokens
-        )
+        cost = _cost(customer.quota, headers)
         self._customer, self._cost = customer, cost
         self.decision = await self._sync.decide(customer, cost, remaining_s)
         self._is_reserved = self.decision.admitted
@@ -268,3 +267,13 @@
         if self._is_reserved:
             self._sync.quotas.give_back(self._customer, self._cost)
             self._is_reserved = False
+
+
+def _cost(quota: Quota, headers: CallerHeaders) -> float:
+    """Return what a request costs; infinity for numbers beyond a float's range."""
+    try:
+        return quota.cost_of(
+            headers.prompt_tokens, headers.output_tokens, headers.states_tokens
+        )
+    except OverflowError:
+        return math.inf
--- a/src/marjoramstage/coordination/customer_quotas.py
+++ b/src/marjoramstage/coordination/customer_quotas.py
@@ -150,6 +150,9 @@
         use = self._use(customer)
         if use is None:
             return ADMITTED
+        if cost > use.limit:
+            # Never admitted; it must not count as demand.
+            return self._refuse(use, now_s)
         use.wanted.add(cost, now_s)
         use.largest = max(use.largest, cost)
         return self._reserve(use, cost, now_s)
@@ -338,6 +341,17 @@
         retry_s = max(pace_s, self._retry_after_s(use, cost, cap, now_s))
         return QuotaDecision(False, retry_s, used, cap, age_s, use.limit, may_wait)
 
+    def _refuse(self, use: _Use, now_s: float) -> QuotaDecision:
+        """Return the decision on a request that costs more than the whole limit."""
+        return QuotaDecision(
+            False,
+            self._window_s,
+            self._used(use, now_s),
+            self._cap(use, now_s),
+            self.contact_age_s(now_s),
+            use.limit,
+        )
+
     def _pace_wait_s(self, use: _Use, cost: float, cap: float, now_s: float) -> float:
         """Return how long a paced customer has to wait for a request; 0 if not paced.
 
--- a/src/marjoramstage/coordination/quota_shares.py
+++ b/src/marjoramstage/coordination/quota_shares.py
@@ -11,7 +11,7 @@
 import heapq
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from marjoramstage.coordination.instance_reports import report_interval_s
@@ -195,15 +195,24 @@
         for name, pool in self._pools.items():
             pool.limit = limits[name]
 
-    def report(self, report: EntryReport, now_s: float) -> QuotaGrants | None:
-        """Take a report in; return the answer to it, if one is due."""
-        if not (report.quota_use or self._limits):
+    def report(
+        self, report: EntryReport, uses: Iterable[QuotaUse], now_s: float
+    ) -> QuotaGrants | None:
+        """Take a report in; return the answer to it, if one is due.
+
+        Parameters
+        ----------
+        uses : iterable of QuotaUse
+            Those in the report.
+        """
+        if not self._limits:
             return None
+        reported = {use.customer: use for use in uses}
         self._check_members(now_s)
-        member = self._member(report, now_s)
+        member = self._member(report, reported, now_s)
         if member is None:
             return None
-        self._take_uses(member, report, now_s)
+        self._take_uses(member, report, reported, now_s)
         return self._grants(member, report, now_s)
 
     def totals(self, now_s: float) -> tuple[QuotaTotal, ...]:
@@ -231,7 +240,9 @@
     def _times(self) -> QuotaTimes:
         return quota_times(self.instances, self._window_s)
 
-    def _member(self, report: EntryReport, now_s: float) -> _Member | None:
+    def _member(
+        self, report: EntryReport, reported: Mapping[str, QuotaUse], now_s: float
+    ) -> _Member | None:
         """Return the sender of a report; None while it doesn't hear this holder."""
         member = self._members.get(report.instance)
         if member is not None and member.incarnation != report.incarnation:
@@ -244,7 +255,7 @@
             remembers = report.quota_instances > 0
             member = _Member(report.incarnation, now_s, remembers)
             self._members[report.instance] = member
-            for use in report.quota_use:
+            for use in reported.values():
                 if (pool := self._pool(use.customer, now_s)) is not None:
                     pool.joined += use.held
         while member.sent and member.sent[0][0] <= report.quota_grant:
@@ -351,8 +362,13 @@
     def _free(self, pool: _Pool, now_s: float) -> int:
         return max(0, self._budget(pool, now_s) - pool.reserved)
 
-    def _take_uses(self, member: _Member, report: EntryReport, now_s: float) -> None:
-        reported = {use.customer: use for use in report.quota_use}
+    def _take_uses(
+        self,
+        member: _Member,
+        report: EntryReport,
+        reported: Mapping[str, QuotaUse],
+        now_s: float,
+    ) -> None:
         for name in member.claims.keys() | reported.keys():
             pool = self._pool(name, now_s)
             if pool is None:
@@ -377,7 +393,7 @@
     ) -> QuotaGrants | None:
         """Return new allowances for an instance, if they change or it has to hear."""
         since_s = now_s - member.granted_s
-        asks = any(use.asked for use in report.quota_use)
+        asks = any(claim.use.asked for claim in member.claims.values())
         interval_s = CHANGE_INTERVALS * report_interval_s(self.instances)
         if since_s < interval_s and not asks:
             return None
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -334,27 +334,6 @@
     ]
 
 
-class QuotaUse(TPayload):
-    """Struct ``QuotaUse`` of the IDL."""
-
-    thrift_spec = {  # noqa: RUF012
-        1: (TType.STRING, "customer", False),
-        2: (TType.I64, "held", False),
-        3: (TType.I64, "used", False),
-        4: (TType.I64, "wanted", False),
-        5: (TType.I64, "asked", False),
-        6: (TType.I64, "largest", False),
-    }
-    default_spec = [  # noqa: RUF012
-        ("customer", None),
-        ("held", None),
-        ("used", None),
-        ("wanted", None),
-        ("asked", None),
-        ("largest", None),
-    ]
-
-
 class QuotaTotal(TPayload):
     """Struct ``QuotaTotal`` of the IDL."""
 
@@ -424,7 +403,7 @@
         12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
         13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
-        15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaUse), False),
+        15: (TType.BINARY, "quota_use", False),
         16: (TType.I64, "quota_grant", False),
         17: (TType.I64, "config_version", False),
         18: (TType.I64, "quota_instances", False),
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -413,8 +413,8 @@
         Streams that the sender relayed recently, while several versions run.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
-    quota_use : tuple of QuotaUse
-        Its part in the quotas of customers with use.
+    quota_use : bytes
+        Its part in the quotas of customers with use, packed by `quota_uses`.
     quota_grant : int
         Number of the last grants that it received of the current holder.
     quota_instances : int
@@ -438,7 +438,7 @@
     resuming: Mapping[str, int] = field(default_factory=dict)
     begun: tuple[BegunStreams, ...] = ()
     limited: tuple[LimitedTarget, ...] = ()
-    quota_use: tuple[QuotaUse, ...] = ()
+    quota_use: bytes = b""
     quota_grant: int = 0
     quota_instances: int = 0
     config_version: int = 0
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -140,15 +140,6 @@
   3: optional list<TargetPermits> permits
 }
 
-struct QuotaUse {
-  1: optional string customer
-  2: optional i64 held
-  3: optional i64 used
-  4: optional i64 wanted
-  5: optional i64 asked
-  6: optional i64 largest
-}
-
 struct QuotaTotal {
   1: optional string customer
   2: optional i64 used
@@ -185,7 +176,7 @@
   12: optional map<string, i64> resuming
   13: optional list<BegunStreams> begun
   14: optional list<LimitedTarget> limited
-  15: optional list<QuotaUse> quota_use
+  15: optional binary quota_use
   16: optional i64 quota_grant
   17: optional i64 config_version
   18: optional i64 quota_instances
