--- a/src/marjoramstage/_entry/instance_state.py
+++ b/src/marjoramstage/_entry/instance_state.py
@@ -11,6 +11,7 @@
 from marjoramstage._entry.background_tasks import BackgroundTasks
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage._entry.limited_targets import LimitedTargets
+from marjoramstage._entry.quota_sync import QuotaSync
 from marjoramstage._entry.targets_out import TargetsOut
 from marjoramstage.clock import Clock
 from marjoramstage.coordination.config_versions import ConfigVersions
@@ -79,6 +80,8 @@
         Permits to send requests to such targets.
     limited_targets : LimitedTargets
         Takes note of them.
+    quota_sync : QuotaSync
+        Admits requests by the quotas of their customers.
     stopping : bool
         Shutdown has begun.
     stopping_s : float
@@ -131,6 +134,13 @@
             events,
             self._on_limits_changed,
         )
+        self.quota_sync = QuotaSync(
+            settings.bounds,
+            clock,
+            events,
+            lambda: self.table,
+            lambda: self.on_request_queued(),
+        )
         self.prefill_backlog = PrefillBacklog()
         self.backlog = TargetBacklog()
         self.demand = DemandRates()
--- a/src/marjoramstage/_entry/request_context.py
+++ b/src/marjoramstage/_entry/request_context.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from marjoramstage._entry.quota_sync import RequestQuota
 from marjoramstage.coordination.dispatcher import TargetCriteria
 from marjoramstage.coordination.fair_shares import ShareClaim
 from marjoramstage.coordination.request_cost import WorkEstimate
@@ -70,6 +71,8 @@
         What it is charged to its customer's share; see `ShareClaim`.
     share_turn : int
         Turn of its customer in which it was when it last waited.
+    quota : RequestQuota or None
+        What it takes of its customer's quota.
     """
 
     req: web.BaseRequest
@@ -100,6 +103,7 @@
     rank: int = 0
     urgency: int = 0
     checked_table: RouteTable | None = None
+    quota: RequestQuota | None = None
     estimate: WorkEstimate | None = None
     share_cost: float = 1.0
     share_turn: int = 0
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -30,6 +30,7 @@
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage._entry.quarantine_store import QuarantineStore
 from marjoramstage._entry.quarantine_sync import QuarantineSync
+from marjoramstage._entry.quota_sync import QuotaOutcome
 from marjoramstage._entry.resource_monitor import ResourceMonitor
 from marjoramstage._entry.store_relay import StoreRelay, max_confirmation_age_s
 from marjoramstage._entry.store_watchers import (
@@ -169,6 +170,7 @@
         self._state.store_progress = relay.progress
         self._state.targets_out.on_out = self._on_target_out
         self._state.limited_targets.on_sent = self._on_sent_to_limited
+        self._state.quota_sync.on_outcome = self._on_quota_outcome
         await self._listen(loop)
         await self._peer_link.start()
         routes = watch_routes(store, self._state, relay)
@@ -222,6 +224,10 @@
         self._failed = True
         self._stop_requested.set()
 
+    def _on_quota_outcome(self, outcome: QuotaOutcome) -> None:
+        """Count a request that its customer's quota did not admit at once."""
+        self._metrics.quota_outcomes.labels(outcome.value).inc()
+
     async def _listen(self, loop: asyncio.AbstractEventLoop) -> None:
         settings = self._state.settings
         self._caller_server = BoundedServer(
@@ -284,6 +290,8 @@
             self._metrics.prompt_tokens.labels("cached").set(backlog.cached_tokens)
             self._metrics.learned_costs.set(len(backlog.model))
             self._metrics.limited_targets.set(self._state.limited_targets.count())
+            age_s = self._state.quota_sync.contact_age_s
+            self._metrics.quota_contact_age_seconds.set(age_s)
             self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
             return web.Response(
                 body=self._metrics.exposition(), content_type="text/plain"
--- a/src/marjoramstage/protocol/_peers_structs.py
+++ b/src/marjoramstage/protocol/_peers_structs.py
@@ -334,6 +334,57 @@
     ]
 
 
+class QuotaTotal(TPayload):
+    """Struct ``QuotaTotal`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "customer", False),
+        2: (TType.I64, "used", False),
+        3: (TType.I64, "free", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("customer", None),
+        ("used", None),
+        ("free", None),
+    ]
+
+
+class QuotaAllowance(TPayload):
+    """Struct ``QuotaAllowance`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "customer", False),
+        2: (TType.I64, "units", False),
+        3: (TType.I64, "free", False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("customer", None),
+        ("units", None),
+        ("free", None),
+    ]
+
+
+class QuotaGrants(TPayload):
+    """Struct ``QuotaGrants`` of the IDL."""
+
+    thrift_spec = {  # noqa: RUF012
+        1: (TType.STRING, "holder", False),
+        2: (TType.I64, "fence", False),
+        3: (TType.I64, "number", False),
+        4: (TType.I64, "sequence", False),
+        5: (TType.I64, "instances", False),
+        6: (TType.LIST, "allowances", (TType.STRUCT, QuotaAllowance), False),
+    }
+    default_spec = [  # noqa: RUF012
+        ("holder", None),
+        ("fence", None),
+        ("number", None),
+        ("sequence", None),
+        ("instances", None),
+        ("allowances", None),
+    ]
+
+
 class EntryReport(TPayload):
     """Struct ``EntryReport`` of the IDL."""
 
@@ -352,7 +403,10 @@
         12: (TType.MAP, "resuming", (TType.STRING, TType.I64), False),
         13: (TType.LIST, "begun", (TType.STRUCT, BegunStreams), False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        15: (TType.BINARY, "quota_use", False),
+        16: (TType.I64, "quota_grant", False),
         17: (TType.I64, "config_version", False),
+        18: (TType.I64, "quota_instances", False),
     }
     default_spec = [  # noqa: RUF012
         ("instance", None),
@@ -369,7 +423,10 @@
         ("resuming", None),
         ("begun", None),
         ("limited", None),
+        ("quota_use", None),
+        ("quota_grant", None),
         ("config_version", None),
+        ("quota_instances", None),
     ]
 
 
@@ -447,6 +504,7 @@
         11: (TType.BOOL, "partial", False),
         13: (TType.BOOL, "keeps_origins", False),
         14: (TType.LIST, "limited", (TType.STRUCT, LimitedTarget), False),
+        15: (TType.LIST, "quota_use", (TType.STRUCT, QuotaTotal), False),
         17: (TType.I64, "config_version", False),
     }
     default_spec = [  # noqa: RUF012
@@ -463,6 +521,7 @@
         ("partial", None),
         ("keeps_origins", None),
         ("limited", None),
+        ("quota_use", None),
         ("config_version", None),
     ]
 
@@ -598,6 +657,7 @@
         15: (TType.STRUCT, "parts_harmless", PartsHarmless, False),
         16: (TType.STRUCT, "parts_quarantined", PartsQuarantined, False),
         17: (TType.STRUCT, "permits_issued", PermitsIssued, False),
+        18: (TType.STRUCT, "quota_grants", QuotaGrants, False),
     }
     default_spec = [  # noqa: RUF012
         ("hello", None),
@@ -617,4 +677,5 @@
         ("parts_harmless", None),
         ("parts_quarantined", None),
         ("permits_issued", None),
+        ("quota_grants", None),
     ]
--- a/src/marjoramstage/protocol/peers.py
+++ b/src/marjoramstage/protocol/peers.py
@@ -306,6 +306,86 @@
     permits: tuple[TargetPermits, ...] = ()
 
 
+@dataclass(frozen=True)
+class QuotaUse:
+    """An instance's part in the quota of one customer, in units of the quota.
+
+    Attributes
+    ----------
+    held : int
+        What it may have sent in any window, by its allowance or its use.
+    used : int
+        What it sent in the window that ends now, or is about to send.
+    wanted : int
+        What its requests in that window cost, refused ones too.
+    asked : int
+        What its requests cost that wait for a larger allowance.
+    largest : int
+        What the largest of its requests of late cost.
+    """
+
+    customer: str
+    held: int = 0
+    used: int = 0
+    wanted: int = 0
+    asked: int = 0
+    largest: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaTotal:
+    """Use of one customer's quota by all instances, in units of the quota.
+
+    Attributes
+    ----------
+    used : int
+        What was sent in the last window.
+    free : int
+        What no instance holds.
+    """
+
+    customer: str
+    used: int = 0
+    free: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaAllowance:
+    """What the receiver may send for one customer in any window.
+
+    Attributes
+    ----------
+    free : int
+        What no instance holds.
+    """
+
+    customer: str
+    units: int = 0
+    free: int = 0
+
+
+@dataclass(frozen=True)
+class QuotaGrants:
+    """Allowances of the receiver, from the holder of the placement lease.
+
+    Attributes
+    ----------
+    number : int
+        Increases with each such message of a holder.
+    sequence : int
+        Of the report that it answers.
+    instances : int
+        Number of instances that may have allowances.
+    """
+
+    holder: str
+    fence: int
+    number: int
+    sequence: int
+    instances: int
+    allowances: tuple[QuotaAllowance, ...] = ()
+
+
 @dataclass(frozen=True)
 class EntryReport:
     """Report of an instance to the holder of the placement lease.
@@ -333,6 +413,12 @@
         Streams that the sender relayed recently, while several versions run.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    quota_use : bytes
+        Its part in the quotas of customers with use, packed by `quota_uses`.
+    quota_grant : int
+        Number of the last grants that it received of the current holder.
+    quota_instances : int
+        Number of instances as grants told last; 0 if none did.
     config_version : int
         Newest version of a configuration with customers that is known to be in
         force anywhere; 0 if none.
@@ -352,6 +438,9 @@
     resuming: Mapping[str, int] = field(default_factory=dict)
     begun: tuple[BegunStreams, ...] = ()
     limited: tuple[LimitedTarget, ...] = ()
+    quota_use: bytes = b""
+    quota_grant: int = 0
+    quota_instances: int = 0
     config_version: int = 0
 
 
@@ -450,6 +539,8 @@
         Whether the sender stores the streams that reports name.
     limited : tuple of LimitedTarget
         Targets that name a limit or did so recently.
+    quota_use : tuple of QuotaTotal
+        Use of the quotas of customers with use.
     config_version : int
         As in reports.
     """
@@ -467,6 +558,7 @@
     partial: bool = False
     keeps_origins: bool = False
     limited: tuple[LimitedTarget, ...] = ()
+    quota_use: tuple[QuotaTotal, ...] = ()
     config_version: int = 0
 
 
@@ -603,6 +695,7 @@
     | PartsHarmless
     | PartsQuarantined
     | PermitsIssued
+    | QuotaGrants
 )
 
 _MESSAGES = {
@@ -623,6 +716,7 @@
     "parts_harmless": PartsHarmless,
     "parts_quarantined": PartsQuarantined,
     "permits_issued": PermitsIssued,
+    "quota_grants": QuotaGrants,
 }
 _STRUCT_NAMES = {DemandEntry: "ItemDemand"}
 _CODEC = StructCodec(_peers_structs, _MESSAGES, _STRUCT_NAMES)
--- a/src/marjoramstage/protocol/peers.thrift
+++ b/src/marjoramstage/protocol/peers.thrift
@@ -140,6 +140,27 @@
   3: optional list<TargetPermits> permits
 }
 
+struct QuotaTotal {
+  1: optional string customer
+  2: optional i64 used
+  3: optional i64 free
+}
+
+struct QuotaAllowance {
+  1: optional string customer
+  2: optional i64 units
+  3: optional i64 free
+}
+
+struct QuotaGrants {
+  1: optional string holder
+  2: optional i64 fence
+  3: optional i64 number
+  4: optional i64 sequence
+  5: optional i64 instances
+  6: optional list<QuotaAllowance> allowances
+}
+
 struct EntryReport {
   1: optional string instance
   2: optional string address
@@ -155,7 +176,10 @@
   12: optional map<string, i64> resuming
   13: optional list<BegunStreams> begun
   14: optional list<LimitedTarget> limited
+  15: optional binary quota_use
+  16: optional i64 quota_grant
   17: optional i64 config_version
+  18: optional i64 quota_instances
 }
 
 struct HeldItems {
@@ -196,6 +220,7 @@
   11: optional bool partial
   13: optional bool keeps_origins
   14: optional list<LimitedTarget> limited
+  15: optional list<QuotaTotal> quota_use
   17: optional i64 config_version
 }
 
@@ -261,4 +286,5 @@
   15: optional PartsHarmless parts_harmless
   16: optional PartsQuarantined parts_quarantined
   17: optional PermitsIssued permits_issued
+  18: optional QuotaGrants quota_grants
 }
