--- a/features/customer_quotas_path.feature
+++ b/features/customer_quotas_path.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Quotas of customers on the whole path
   Separate processes. Each instance sees a part of a customer's requests; a fault here
   sends targets more than the customer's quota, or refuses customers below theirs.
