--- a/features/scarce_capacity.feature
+++ b/features/scarce_capacity.feature
@@ -34,3 +34,8 @@
       | sizes      | cost |
       | 70, 70     | 0    |
       | 34.3, 72.7 | 20   |
+
+  Scenario: a restarted target keeps room for a load that may still reach it
+    Given a target that did not answer an order to load a model
+    When it restarts
+    Then there is room for 2 other models, and for 3 after 6 s
--- a/features/steps/scarce_capacity.py
+++ b/features/steps/scarce_capacity.py
@@ -6,7 +6,9 @@
 from marjoramstage.coordination.demand_snapshot import DemandSnapshot
 from marjoramstage.coordination.replica_values import ReplicaValues
 from marjoramstage.coordination.target_choice import unused_memory_cost
-from marjoramstage.state.fleet import Item
+from marjoramstage.coordination.target_state import MAX_ORDER_DELAY_S, TargetState
+from marjoramstage.protocol.control import OrderAnswer
+from marjoramstage.state.fleet import FleetTarget, Item
 from marjoramstage.state.routes import EngineSpec, ModelSpec
 
 WINDOW_S, HEADROOM, BURST = 5.0, 1.1, 3
@@ -82,3 +84,32 @@
 @then("leaving half of a target's memory unused costs {cost:g}")
 def check_unused(context, cost):
     assert unused_memory_cost(context.spec) / 2 == cost
+
+
+def _target(incarnation):
+    spec = _spec(14, (70, 70, 70, 70))
+    target = FleetTarget("t0", incarnation, "s", "10.0.0.1:80", "a", 14)
+    return TargetState(target, spec)
+
+
+@given("a target that did not answer an order to load a model")
+def leave_unanswered(context):
+    context.state = _target(1)
+    context.state.begin_order(Item("m0"), True, 0.0)
+    context.state.record_answer(OrderAnswer.UNKNOWN, 0.0)
+
+
+@when("it restarts")
+def restart(context):
+    former, context.state = context.state, _target(2)
+    context.state.inherit_orders(former)
+
+
+@then("there is room for {first:d} other models, and for {last:d} after 6 s")
+def check_room(context, first, last):
+    state = context.state
+    room_mb = []
+    for now_s in (1.0, MAX_ORDER_DELAY_S):
+        state.tick(now_s)
+        room_mb.append(state.free_mb())
+    assert [mb // 70_000 for mb in room_mb] == [first, last], room_mb
