--- a/features/customer_quotas.feature
+++ b/features/customer_quotas.feature
@@ -63,6 +63,11 @@
       | sent and surely not run          | admitted |
       | sent                             | refused  |
 
+  Scenario: an explanation takes nothing of a quota
+    Given an instance that may send 1000 tokens in 8 s, and sent 400 at 0
+    When a request of 600 tokens is only assessed
+    Then a request of 600 tokens is admitted
+
   Scenario: a request that costs more than the whole limit
     Given an instance that may send 1000 tokens in 8 s, and sent 400 at 0
     When a request of 999999999 tokens comes at 1 s
--- a/features/steps/customer_quotas.py
+++ b/features/steps/customer_quotas.py
@@ -176,6 +176,11 @@
         quotas.give_back(customer, cost)
 
 
+@when("a request of {cost:d} tokens is only assessed")
+def assess_only(context, cost):
+    assert context.quotas.assess(context.customer, cost, 1.0).admitted
+
+
 @then("a request of {cost:d} tokens is {result}")
 def check_result(context, cost, result):
     decision = context.quotas.admit(context.customer, cost, 1.2)
--- a/src/marjoramstage/_entry/explainer.py
+++ b/src/marjoramstage/_entry/explainer.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import asdict, dataclass, replace
-from typing import Any, Protocol
+from typing import Any
 
 from multidict import CIMultiDict
 
@@ -19,6 +19,8 @@
 from marjoramstage.coordination.dispatcher import COST_JITTER
 from marjoramstage.coordination.target_assessment import Assessment
 from marjoramstage.coordination.target_criteria import TargetCriteria
+from marjoramstage.platform import CallerHeaders
+from marjoramstage.state.customers import Customer
 from marjoramstage.state.routes import Route
 
 NO_ROUTES_YET = "no routes yet"
@@ -48,25 +50,15 @@
     admitted : bool
         Whether a request of the cost would be admitted now.
     used, limit : float
-        In the unit of the quota.
-    age_s : float or None
-        Age of what is known of other instances, in seconds; None if nothing is.
+        What this instance sent in the window and may send, in the unit of the quota.
+    age_s : float
+        Time since the lease holder last answered a report, in seconds.
     """
 
     admitted: bool
     used: float
     limit: float
-    age_s: float | None
-
-
-class QuotaReader(Protocol):
-    """Tells how a request would fare with the quota of its customer."""
-
-    def quota_state(
-        self, customer: str, prompt_tokens: int, output_tokens: int, now_s: float
-    ) -> QuotaState | None:
-        """Return the state of a customer's quota; None if it has none."""
-        ...
+    age_s: float
 
 
 @dataclass(frozen=True)
@@ -131,17 +123,10 @@
 
 
 class Explainer:
-    """Explains how this instance would treat a request.
-
-    Parameters
-    ----------
-    quotas : QuotaReader, optional
-        None if no customer has a quota.
-    """
+    """Explains how this instance would treat a request."""
 
-    def __init__(self, state: InstanceState, quotas: QuotaReader | None = None):
+    def __init__(self, state: InstanceState):
         self._state = state
-        self._quotas = quotas
 
     def explain(self, query: Mapping[str, str]) -> Explanation:
         """Explain a request that is described by the parameters of a query.
@@ -174,7 +159,7 @@
         criteria = criteria_for(table, route, service, headers, now_s, customer)
         if "software" in query:
             criteria = replace(criteria, software=query["software"])
-        quota = self._quota(customer, criteria, headers.output_tokens, now_s)
+        quota = self._quota(customer, headers, now_s)
         return self._explain(replace(base, quota=quota), route, criteria)
 
     def _explain(
@@ -201,18 +186,27 @@
             candidates=tuple(_candidate(entry) for entry in found[:MAX_CANDIDATES]),
         )
 
+    def _customer(self, name: str) -> Customer | None:
+        table = self._state.table
+        return (
+            table.customers.by_name.get(name) if table.customers is not None else None
+        )
+
     def _rank(self, route: Route, customer: str) -> int:
         """Return the rank of a customer's requests on a route."""
-        table = self._state.table
-        known = table.customers.by_name if table.customers is not None else {}
-        return table.ranks.rank(route.rank, known.get(customer))
+        return self._state.table.ranks.rank(route.rank, self._customer(customer))
 
     def _quota(
-        self, customer: str, criteria: TargetCriteria, output_tokens: int, now_s: float
+        self, name: str, headers: CallerHeaders, now_s: float
     ) -> QuotaState | None:
-        if self._quotas is None or not customer:
+        customer = self._customer(name)
+        if customer is None or customer.quota is None:
             return None
-        return self._quotas.quota_state(customer, criteria.tokens, output_tokens, now_s)
+        cost = customer.quota.cost_of(
+            headers.prompt_tokens, headers.output_tokens, headers.states_tokens
+        )
+        found = self._state.quota_sync.quotas.assess(customer, cost, now_s)
+        return QuotaState(found.admitted, found.used, found.limit, found.age_s)
 
 
 def _candidate(found: Assessment) -> dict[str, Any]:
--- a/src/marjoramstage/coordination/customer_quotas.py
+++ b/src/marjoramstage/coordination/customer_quotas.py
@@ -157,6 +157,15 @@
         use.largest = max(use.largest, cost)
         return self._reserve(use, cost, now_s)
 
+    def assess(self, customer: Customer, cost: float, now_s: float) -> QuotaDecision:
+        """Return what `admit` would decide now; nothing is reserved or counted."""
+        use = self._use(customer)
+        if use is None:
+            return ADMITTED
+        if cost > use.limit:
+            return self._refuse(use, now_s)
+        return self._decide(use, cost, now_s)
+
     def admit_waiting(
         self, customer: Customer, cost: float, now_s: float
     ) -> QuotaDecision:
@@ -324,12 +333,17 @@
         return use.allowance
 
     def _reserve(self, use: _Use, cost: float, now_s: float) -> QuotaDecision:
+        decision = self._decide(use, cost, now_s)
+        if decision.admitted:
+            use.reserved += cost
+            use.level -= cost
+        return decision
+
+    def _decide(self, use: _Use, cost: float, now_s: float) -> QuotaDecision:
         used, cap = self._used(use, now_s), self._cap(use, now_s)
         age_s = self.contact_age_s(now_s)
         pace_s = self._pace_wait_s(use, cost, cap, now_s)
         if used + cost <= cap and pace_s <= 0:
-            use.reserved += cost
-            use.level -= cost
             return QuotaDecision(True, 0.0, used, cap, age_s, use.limit)
         free_is_known = now_s - use.free_s < FREE_TTL_S
         may_wait = (
