--- a/src/marjoramstage/_commands/explain.py
+++ b/src/marjoramstage/_commands/explain.py
@@ -40,7 +40,7 @@
     ("path", "path of the request"),
     ("model", "header Model: a model, or MODEL/ADAPTER"),
     ("tokens", "header Tokens: PROMPT,OUTPUT"),
-    ("prefix", "header Prompt-Prefix: ID:TOKENS,ID:TOKENS,..."),
+    ("prefix", "parts of the prompt, ID:TOKENS,ID:TOKENS,..."),
     ("hint", "header Length-Hint: expected tokens of the answer"),
     ("customer", "name of the customer (not its key)"),
     ("software", "version of the engine that began a stream to go on with"),
--- a/src/marjoramstage/_entry/explainer.py
+++ b/src/marjoramstage/_entry/explainer.py
@@ -6,8 +6,6 @@
 from dataclasses import asdict, dataclass, replace
 from typing import Any
 
-from multidict import CIMultiDict
-
 from marjoramstage import platform
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.request_criteria import (
@@ -31,15 +29,6 @@
 # Targets in an answer, so that it stays small in a large service.
 MAX_CANDIDATES = 200
 
-# Headers of a request that count, by the name of the parameter that stands for them.
-_HEADERS = {
-    "model": "Model",
-    "tokens": "Tokens",
-    "prefix": "Prompt-Prefix",
-    "hint": "Length-Hint",
-    "request_id": "Request-Id",
-}
-
 
 @dataclass(frozen=True)
 class QuotaState:
@@ -141,10 +130,7 @@
         route = table.match(host, query.get("path", "").partition("?")[0])
         if route is None:
             return Explanation(reason=NO_ROUTE, version=table.version)
-        named = {_HEADERS[name]: query[name] for name in _HEADERS if name in query}
-        headers = platform.caller_headers(
-            CIMultiDict({"Request-Id": REQUEST_ID, **named})
-        )
+        headers = platform.described_headers(query, REQUEST_ID)
         service = route.service_for(headers.request_id)
         customer = query.get("customer", "")
         base = Explanation(
--- a/src/marjoramstage/platform/_headers.py
+++ b/src/marjoramstage/platform/_headers.py
@@ -80,6 +80,15 @@
 )
 
 
+# Headers of a request that is only described, by the name that stands for each.
+_DESCRIBED_HEADERS = {
+    "model": "Model",
+    "tokens": TOKENS,
+    "prefix": PROMPT_PREFIX,
+    "hint": LENGTH_HINT,
+    "request_id": REQUEST_ID,
+}
+
 # Headers that tell a target whose request it is; from this system alone once keys
 # are required.
 _CUSTOMER_HEADERS = frozenset((AUTHORIZATION.lower(), CUSTOMER.lower()))
@@ -195,6 +204,24 @@
     )
 
 
+def described_headers(fields: Mapping[str, str], request_id: str) -> CallerHeaders:
+    """Return the headers of a request that isn't sent; unknown fields are ignored.
+
+    Parameters
+    ----------
+    fields : Mapping
+        Values of headers by `_DESCRIBED_HEADERS`.
+    request_id : str
+        Its id, unless a field states one.
+    """
+    named = {
+        header: fields[name]
+        for name, header in _DESCRIBED_HEADERS.items()
+        if name in fields
+    }
+    return caller_headers(CIMultiDict({REQUEST_ID: request_id, **named}))
+
+
 def target_headers(
     headers: Iterable[tuple[str, str]],
     connection: str,
