--- a/src/marjoramstage/_entry/quota_sync.py
+++ b/src/marjoramstage/_entry/quota_sync.py
@@ -24,8 +24,9 @@
 OVER_QUOTA = "over the quota"
 
 # How long a request waits for a larger allowance, beyond the time until the next
-# report; and the most of the caller's time. An exchange takes 0.04 s in the median.
-MAX_WAIT_S = 0.3
+# report; and the most of the caller's time. An exchange takes 0.04 s in the median, two
+# if the holder has to lower the allowance of another instance first.
+MAX_WAIT_S = 0.8
 MAX_WAIT_SHARE = 0.25
 
 # Refusals that are logged each second, as a customer far above its quota would fill
--- a/src/marjoramstage/coordination/customer_quotas.py
+++ b/src/marjoramstage/coordination/customer_quotas.py
@@ -34,6 +34,10 @@
 # above its quota would use all in two seconds and be refused for the other six.
 PACED_SHARE = 0.9
 
+# Up to this part of the limit, in use by all, a request waits for allowances that lie
+# idle at other instances.
+IDLE_SHARE = 0.9
+
 # Requests that are admitted at once when they are paced.
 PACED_AT_ONCE = 2.0
 
@@ -350,11 +354,18 @@
             used + cost > cap
             and cost <= use.limit
             and not self._is_silent(now_s)
-            and (not free_is_known or use.free >= cost)
+            and (not free_is_known or use.free >= cost or self._lies_idle(use, cost))
         )
         retry_s = max(pace_s, self._retry_after_s(use, cost, cap, now_s))
         return QuotaDecision(False, retry_s, used, cap, age_s, use.limit, may_wait)
 
+    def _lies_idle(self, use: _Use, cost: float) -> bool:
+        """Whether other instances hold allowances that they don't use.
+
+        The holder lowers these for a request that waits.
+        """
+        return use.total_used + cost <= IDLE_SHARE * use.limit
+
     def _refuse(self, use: _Use, now_s: float) -> QuotaDecision:
         """Return the decision on a request that costs more than the whole limit."""
         return QuotaDecision(
