--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins_2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 from world import BROKEN, HELD, NOT_RUN, Worker, World, config, main, route, service
 
@@ -70,4 +70,4 @@
     return BROKEN if len(never) >= 20 and 2 * len(never) > len(late) else HELD
 
 
-main(str(Path(__file__).parent), play)
+main(play)
--- a/review/standins_2/world.py
+++ b/review/common/world.py
@@ -555,8 +555,8 @@
 class World:
     """The store, the workers, the instances and the record of one run."""
 
-    def __init__(self, folder: Path):
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path):
+        self.record = Record(record)
         self.store = Store()
         self.workers: list[Worker] = []
         self.instances: list[Instance] = []
@@ -611,12 +611,15 @@
         self._temp.cleanup()
 
 
-def main(folder: str, play: Callable[[World, bool], Awaitable[int]]) -> None:
-    """Run a script and exit with what it found."""
+def main(play: Callable[[World, bool], Awaitable[int]]) -> None:
+    """Run a script and exit with what it found.
+
+    Its arguments are TROUBLE, 0 or 1, and the path of the record.
+    """
 
     async def run() -> int:
-        world = World(Path(folder))
-        trouble = os.environ.get("TROUBLE", "1") != "0"
+        world = World(Path(sys.argv[2]))
+        trouble = sys.argv[1] != "0"
         world.record.write(f"trouble: {trouble}")
         code = NOT_RUN
         try:
