--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,11 +2,7 @@
 
 import asyncio
 import json
-import sys
 import time
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 from world import BROKEN, HELD, NOT_RUN, Worker, World, config, main, route, service
 
