Log entries and answers of the store that hold up the event loop

Change: a line 'slow entry' names the entry, the step and the time when handling it takes 0.1 s or longer; 'slow answer' does so for the answers of the store.

--- a/src/marjoramstage/_entry/store_watchers.py
+++ b/src/marjoramstage/_entry/store_watchers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from result import Err, Ok
@@ -19,6 +21,8 @@
 MISSING_CHECK_INTERVAL_S = 0.3
 # Characters of an exception that are logged.
 MAX_REASON = 200
+# An entry that holds up the event loop for this long is logged.
+SLOW_ENTRY_S = 0.1
 
 
 def watch_routes(
@@ -29,11 +33,13 @@
     customers: CustomerTable | None = None
 
     def seal(obj: PlatformObject) -> PlatformObject:
-        return replace(obj, spec=sealer.seal(obj.spec))
+        with _slow_entry_logged(state, "seal", obj):
+            return replace(obj, spec=sealer.seal(obj.spec))
 
     def on_put(obj: PlatformObject) -> None:
         try:
-            apply(obj)
+            with _slow_entry_logged(state, "apply", obj):
+                apply(obj)
         except Exception as exc:
             _log_not_applied(state, obj, exc)
 
@@ -75,7 +81,8 @@
 
     def on_put(obj: PlatformObject) -> None:
         try:
-            apply(obj)
+            with _slow_entry_logged(state, "apply", obj):
+                apply(obj)
         except Exception as exc:
             # A fault of this program costs the one entry; it names no target.
             _log_not_applied(state, obj, exc)
@@ -103,6 +110,10 @@
             on_put(obj)
         state.targets_listed = True
 
+    def matters(before: PlatformObject, after: PlatformObject) -> bool:
+        with _slow_entry_logged(state, "compare", after):
+            return _is_other_target(before, after)
+
     watcher = ObjectWatcher(
         platform.TARGETS,
         store,
@@ -111,11 +122,30 @@
         on_remove,
         on_list,
         relay,
-        matters=_is_other_target,
+        matters=matters,
     )
     return watcher
 
 
+@contextmanager
+def _slow_entry_logged(
+    state: InstanceState, step: str, obj: PlatformObject
+) -> Iterator[None]:
+    """Log an entry whose handling holds up the event loop for long."""
+    began_s = state.clock.now()
+    yield
+    took_s = state.clock.now() - began_s
+    if took_s < SLOW_ENTRY_S:
+        return
+    state.events.event(
+        "slow entry",
+        kind=obj.kind.plural,
+        object=obj.name,
+        step=step,
+        took_ms=round(took_s * 1000, 1),
+    )
+
+
 def _log_not_applied(state: InstanceState, obj: PlatformObject, exc: Exception) -> None:
     state.events.event(
         "entry not applied",
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -43,6 +44,8 @@
 
 STORE_ERA = "Store-Era"
 MAX_ERA_DIGITS = 9
+# An answer whose decoding holds up the event loop for this long is logged.
+SLOW_ANSWER_S = 0.1
 # Names of entries that can't be read in a log line, and characters of each.
 MAX_LOGGED_NAMES = 5
 MAX_LOGGED_CHARS = 80
@@ -247,7 +250,7 @@
                         return Err(error)
                 if resp.status >= 300:
                     return Err(_refusal(method, resp.status, payload))
-                return Ok(_json.loads(payload) if payload else None)
+                return Ok(_decode_answer(url, payload) if payload else None)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             return Err(_unavailable(Verdict.NOT_RUN, exc))
         except (BodyTooLargeError, UnexpectedBytesError) as exc:
@@ -304,6 +307,21 @@
     return PlatformError(fault, verdict, f"status {status} {payload[:80]!r}")
 
 
+def _decode_answer(url: str, payload: bytes) -> Any:
+    """Return the JSON of an answer, and log one that takes long."""
+    began_s = time.monotonic()
+    try:
+        return _json.loads(payload)
+    finally:
+        took_s = time.monotonic() - began_s
+        if took_s >= SLOW_ANSWER_S:
+            took_ms = round(took_s * 1000, 1)
+            size = len(payload)
+            log.warning(
+                "slow answer", extra={"url": url, "bytes": size, "took_ms": took_ms}
+            )
+
+
 def _decode(found: Result[Any, PlatformError], read) -> Result[Any, PlatformError]:
     """Decode a body with ``read``; return an error if it is malformed."""
     if isinstance(found, Err):
