Show that endless answers stay bounded for a crowd and for control calls

The tests here had two requests at once, and only reports without end of body. Change: 100 requests at once; reports and orders with endless heads, interim responses, chunk lines and bodies. No change in the product.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -30,6 +30,20 @@
     And no attempt was ended by its timeout
     And the instance never took more than 300 MB of memory and still serves
 
+  # Guards against answers that are bounded one by one, and together end the process.
+  Scenario: answers of targets to a crowd
+    Given an instance with a target whose answers have no end
+    When 100 requests at once get each kind of endless answer
+      | kind              | path     | most MB |
+      | header            | /once/x  | 10      |
+      | interim responses | /once/x  | 10      |
+      | body              | /once/x  | 80      |
+      | small chunks      | /once/x  | 80      |
+      | event             | /chat/x  | 10      |
+      | events            | /chat/x  | 80      |
+    Then no more of each was taken and its connections are closed
+    And the instance never took more than 300 MB of memory and still serves
+
   Scenario: requests of callers
     Given an instance with a target whose answers have no end
     When 4 callers at once send each kind of endless request
@@ -69,6 +83,22 @@
     When an engine joins whose reports have no end
     Then the instance took at most 100 MB in reports within 4 s and still serves
 
+  # Guards against control calls whose answers are read to their end.
+  Scenario Outline: answers to <call> are an endless <kind>
+    Given an instance with a target whose answers have no end
+    When an engine joins whose answers to <call> are an endless <kind>
+    And a model that it lacks is asked for, for 4 s
+    Then the instance took at most 100 MB in these answers and still serves
+
+    Examples:
+      | call    | kind              |
+      | reports | header lines      |
+      | reports | interim responses |
+      | reports | chunks            |
+      | orders  | header lines      |
+      | orders  | body              |
+      | orders  | chunk extension   |
+
   Scenario: answers on the product's own interface
     When 2 requests at once get each kind of endless answer on the product's interface
       | kind               | request | most MB |
--- a/features/endless_bytes.py
+++ b/features/endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections import Counter
 from dataclasses import dataclass
 
@@ -101,6 +102,37 @@
         return headers.get("x-endless") or path
 
 
+class EndlessEngine(EndlessTarget):
+    """An engine whose answers to one control call have no end.
+
+    Parameters
+    ----------
+    path : str
+        Path of that call.
+    kind : str
+        What its answers are made of.
+    report : dict
+        The answer to the other calls.
+    """
+
+    def __init__(self, path, kind, report):
+        super().__init__()
+        self._path = path
+        self._kind = kind
+        self._report = json.dumps(report).encode()
+
+    async def _serve(self, reader, writer):
+        _, path, _ = await read_request(reader)
+        if path == self._path:
+            self.open += 1
+            self.sent[path] += await send_endless(writer, ANSWERS[self._kind])
+            self.open -= 1
+            return
+        length = f"Content-Length: {len(self._report)}\r\nConnection: close\r\n\r\n"
+        writer.write(HEAD + length.encode() + self._report)
+        writer.close()
+
+
 class EndlessProductTarget(ScriptedTarget):
     """A target of the product's own interface whose answers have no end."""
 
--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -11,6 +11,7 @@
 
 from features.endless_bytes import (
     ANSWERS,
+    EndlessEngine,
     EndlessProductTarget,
     EndlessStore,
     EndlessTarget,
@@ -34,6 +35,8 @@
 # Memory of a machine.
 MACHINE_MB = 300
 STREAM_ROUTE = "/chat/"
+MODEL_ROUTE = "/model/"
+CONTROL_PATHS = {"reports": "/api/report", "orders": "/api/order"}
 
 
 @given("an instance with a target whose answers have no end")
@@ -54,6 +57,7 @@
         route("once", "/once/", "unsafe", "plain", attempts=1),
         route("any", "/any/", "safe", "plain", attempts=1),
         route("chat", STREAM_ROUTE, "stream", "plain", attempts=1),
+        route("model", MODEL_ROUTE, "stream", "engine", attempts=1),
         route("sound", "/sound/", "safe", "sound"),
     ]
     data["services"].append(
@@ -201,6 +205,31 @@
     check_taken(context, context.engine, most)
 
 
+@when("an engine joins whose answers to {call} are an endless {kind}")
+def join_engine_with(context, call, kind):
+    start_target(context, "e1", "engine", {"m1"})
+    target = context.targets["e1"]
+    context.engine = EndlessEngine(CONTROL_PATHS[call], kind, target._report())
+    context.thread.call(context.engine.start())
+    put(context, "servers", "e1", {**target.spec(), "addr": context.engine.address})
+
+
+@when("a model that it lacks is asked for, for {seconds:d} s")
+def ask_for_model(context, seconds):
+    headers = {"Deadline-Ms": str(seconds * 1000)}
+    ends_s = time.monotonic() + seconds
+    while time.monotonic() < ends_s:
+        send(context, "POST", MODEL_ROUTE, "m2", headers=headers)
+        time.sleep(0.1)
+
+
+@then("the instance took at most {most:d} MB in these answers and still serves")
+def check_control_answers(context, most):
+    assert context.engine.sent or context.engine.open
+    check_serving(context)
+    check_taken(context, context.engine, most)
+
+
 @when(
     "{count:d} requests at once get each kind of endless answer on the product's "
     "interface"
