Cut long texts in log lines

What operators saw: nothing yet; found while looking for what else an odd entry can do. Why an entry is invalid is logged with the value at fault, so a state or a limit of 1,000,000 characters gave a line of as many, for each instance and event; the reader's pipe then holds up the rest of the log, which is dropped. Change: the event log cuts texts of over 500 characters, wherever a line comes from.

--- a/features/event_logs.feature
+++ b/features/event_logs.feature
@@ -23,6 +23,19 @@
     When 1000 events and 5 summaries are logged in 5 s
     Then each summary was written
 
+  # Guards against an entry of the store that fills the log with one line.
+  Scenario Outline: a field that is <value> gives a line of at most 2000 bytes
+    Given an event log of 40 lines a second
+    When an event is logged with a field that is <value>
+    Then its line has at most 2000 bytes, and begins the field as it is
+
+    Examples:
+      | value                            |
+      | a text of 1000000 characters     |
+      | a list of texts of that length   |
+      | the reason of an invalid target  |
+      | the reason of an invalid table   |
+
   Scenario: the story command prints the log lines of one request
     Given a log file with lines of two requests, collector prefixes and invalid JSON
     When the story of the first request is printed
--- a/features/steps/event_logs.py
+++ b/features/steps/event_logs.py
@@ -6,8 +6,9 @@
 import tempfile
 
 from behave import given, then, when
+from pythonjsonlogger.json import JsonFormatter
 
-from marjoramstage import logs
+from marjoramstage import logs, platform
 from marjoramstage._commands import exits
 from marjoramstage._entry.event_log import EventLog
 from marjoramstage.cli import main
@@ -108,6 +109,43 @@
     assert written + sum(told) == context.count, (written, told)
 
 
+LONG = "x" * 1_000_000
+_LONG_ROUTE = {
+    "name": "r",
+    "host": "h",
+    "path_prefix": "/",
+    "service": "s",
+    "timeout_ms": LONG,
+}
+LONG_FIELDS = {
+    "a text of 1000000 characters": LONG,
+    "a list of texts of that length": [LONG],
+    "the reason of an invalid target": platform.decode_target(
+        "t1", {"state": LONG}
+    ).err_value,
+    "the reason of an invalid table": platform.decode_table(
+        {"version": 1, "services": [], "routes": [_LONG_ROUTE]}
+    ).err_value,
+}
+
+
+@when("an event is logged with a field that is {value}")
+def log_long_field(context, value):
+    context.field = LONG_FIELDS[value]
+    context.events.event("invalid", field=context.field)
+
+
+@then("its line has at most {most:d} bytes, and begins the field as it is")
+def check_line_size(context, most):
+    (record,) = context.record.lines
+    line = JsonFormatter("%(message)s").format(record)
+    assert len(line) <= most, len(line)
+    begin = context.field if isinstance(context.field, str) else context.field[0]
+    found = record.field if isinstance(record.field, str) else record.field[0]
+    assert begin.startswith(found.removesuffix("…")), found
+    assert len(found) >= min(100, len(begin)), found
+
+
 @when("{count:d} events and {summaries:d} summaries are logged in {span:d} s")
 def log_summaries(context, count, summaries, span):
     context.summaries = summaries
--- a/src/marjoramstage/_entry/event_log.py
+++ b/src/marjoramstage/_entry/event_log.py
@@ -10,13 +10,16 @@
 
 LINES_PER_S = 40
 SAMPLE_EVERY = 50
+# Characters of a text in a field; texts of other programs may have any length.
+MAX_TEXT_CHARS = 500
+CUT_MARK = "…"
 
 
 class EventLog:
     """Writes one structured log line for each event, up to a rate limit.
 
     Lines over the limit are dropped; the next line that is written carries their
-    number as ``lines_dropped``.
+    number as ``lines_dropped``. Long texts are cut.
 
     Parameters
     ----------
@@ -68,4 +71,14 @@
     def _write(self, name: str, fields: dict[str, Any]) -> None:
         if self._lines_dropped:
             fields["lines_dropped"], self._lines_dropped = self._lines_dropped, 0
-        self._log.info(name, extra={"event": name, **fields})
+        bounded = {field: _bounded(value) for field, value in fields.items()}
+        self._log.info(name, extra={"event": name, **bounded})
+
+
+def _bounded(value: Any) -> Any:
+    """Return the value of a field with long texts cut, also those in a list."""
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        return value[:MAX_TEXT_CHARS] + CUT_MARK
+    if isinstance(value, list | tuple):
+        return [_bounded(item) for item in value]
+    return value
