Take an entry whose revision has too many digits as unreadable

A revision of 5,000 digits passed as a number, and comparing it raised: the entry named a target, and each event for it ended the watch ('watch failed') and began another list. Change: over 18 digits a revision can't be read, as one of another type. Test: store_lists, 'a revision that is a text of 5000 digits'; failed before, passes now.

--- a/features/steps/store_lists.py
+++ b/features/steps/store_lists.py
@@ -319,6 +319,8 @@
         del obj["meta"]["name"]
     elif odd == "no revision":
         del obj["meta"]["rev"]
+    elif odd == "a revision that is a text of 5000 digits":
+        obj["meta"]["rev"] = "7" * 5000
     elif odd == "null instead of the entry":
         store.odd[json.dumps(obj)] = b"null"
     else:
--- a/features/store_lists.feature
+++ b/features/store_lists.feature
@@ -48,6 +48,7 @@
       | a number for its name                     |
       | no name                                   |
       | no revision                               |
+      | a revision that is a text of 5000 digits  |
       | null instead of the entry                 |
       | a value that this program fails to handle |
 
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -44,6 +44,7 @@
 
 STORE_ERA = "Store-Era"
 MAX_ERA_DIGITS = 9
+MAX_REVISION_DIGITS = 18
 # An answer whose decoding holds up the event loop for this long is logged.
 SLOW_ANSWER_S = 0.1
 # Names of entries that can't be read in a log line, and characters of each.
@@ -284,11 +285,16 @@
 
 def _parse_era(text: str | None) -> int | None:
     """Return the era that a header names; None if it is missing or no number."""
-    if text is None or not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+    if text is None or not _is_number(text, MAX_ERA_DIGITS):
         return None
     return int(text)
 
 
+def _is_number(text: str, max_digits: int) -> bool:
+    """Whether a text is a whole number of at most so many digits."""
+    return text.isdecimal() and len(text) <= max_digits
+
+
 def _oversize(method: str, is_watch: bool, exc: Exception) -> PlatformError:
     """Return the error for an answer that was not read to its end.
 
@@ -344,7 +350,7 @@
     if not isinstance(name, str) or not name:
         return None
     rev = str(meta.get("rev"))
-    if not rev.isdecimal():
+    if not _is_number(rev, MAX_REVISION_DIGITS):
         return PlatformObject(kind, name, None)
     return PlatformObject(kind, name, data.get("spec"), rev)
 
