Move the handling of single entries of the store to a class of its own

Cause: store_watchers.py handled faults and, since 'slow entry', times twice, for routes and for targets; entry.py set the metrics that are taken when asked for inside the handler of probes. Change: EntryGuard (_entry/entry_guard.py) applies an entry, keeps a fault to it and times it; EntryServer._update_gauges. No behaviour changes. Measured: entry_decoding, store_lists, odd_entries, observing, config_changes pass.

--- a/src/marjoramstage/_entry/store_watchers.py
+++ b/src/marjoramstage/_entry/store_watchers.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import replace
 
 from result import Err, Ok
 
 from marjoramstage import platform
+from marjoramstage._entry.entry_guard import EntryGuard
 from marjoramstage._entry.instance_state import InstanceState
 from marjoramstage._entry.object_watcher import ObjectWatcher
 from marjoramstage._entry.store_relay import StoreRelay
@@ -19,10 +18,6 @@
 
 # How often it is checked whether missing targets can be dropped.
 MISSING_CHECK_INTERVAL_S = 0.3
-# Characters of an exception that are logged.
-MAX_REASON = 200
-# An entry that holds up the event loop for this long is logged.
-SLOW_ENTRY_S = 0.1
 
 
 def watch_routes(
@@ -30,18 +25,15 @@
 ) -> ObjectWatcher:
     """Return the watcher of the operator's configuration."""
     sealer = platform.ConfigSealer()
+    guard = EntryGuard(state.clock, state.events)
     customers: CustomerTable | None = None
 
     def seal(obj: PlatformObject) -> PlatformObject:
-        with _slow_entry_logged(state, "seal", obj):
+        with guard.timed("seal", obj):
             return replace(obj, spec=sealer.seal(obj.spec))
 
     def on_put(obj: PlatformObject) -> None:
-        try:
-            with _slow_entry_logged(state, "apply", obj):
-                apply(obj)
-        except Exception as exc:
-            _log_not_applied(state, obj, exc)
+        guard.apply(obj, apply)
 
     def apply(obj: PlatformObject) -> None:
         nonlocal customers
@@ -78,14 +70,11 @@
     store: Platform, state: InstanceState, relay: StoreRelay | None = None
 ) -> ObjectWatcher:
     """Return the watcher of the objects with which targets register."""
+    guard = EntryGuard(state.clock, state.events)
 
     def on_put(obj: PlatformObject) -> None:
-        try:
-            with _slow_entry_logged(state, "apply", obj):
-                apply(obj)
-        except Exception as exc:
-            # A fault of this program costs the one entry; it names no target.
-            _log_not_applied(state, obj, exc)
+        if not guard.apply(obj, apply):
+            # It names no target.
             on_remove(obj.name)
 
     def apply(obj: PlatformObject) -> None:
@@ -111,7 +100,7 @@
         state.targets_listed = True
 
     def matters(before: PlatformObject, after: PlatformObject) -> bool:
-        with _slow_entry_logged(state, "compare", after):
+        with guard.timed("compare", after):
             return _is_other_target(before, after)
 
     watcher = ObjectWatcher(
@@ -127,34 +116,6 @@
     return watcher
 
 
-@contextmanager
-def _slow_entry_logged(
-    state: InstanceState, step: str, obj: PlatformObject
-) -> Iterator[None]:
-    """Log an entry whose handling holds up the event loop for long."""
-    began_s = state.clock.now()
-    yield
-    took_s = state.clock.now() - began_s
-    if took_s < SLOW_ENTRY_S:
-        return
-    state.events.event(
-        "slow entry",
-        kind=obj.kind.plural,
-        object=obj.name,
-        step=step,
-        took_ms=round(took_s * 1000, 1),
-    )
-
-
-def _log_not_applied(state: InstanceState, obj: PlatformObject, exc: Exception) -> None:
-    state.events.event(
-        "entry not applied",
-        kind=obj.kind.plural,
-        object=obj.name,
-        reason=repr(exc)[:MAX_REASON],
-    )
-
-
 def _is_other_target(before: PlatformObject, after: PlatformObject) -> bool:
     """Whether more has changed than what a target holds, which views carry."""
     try:
--- a/src/marjoramstage/entry.py
+++ b/src/marjoramstage/entry.py
@@ -281,18 +281,7 @@
 
     async def _handle_probe(self, req: web.BaseRequest) -> web.Response:
         if req.path == METRICS_PATH:
-            self._resources.update_gauges()
-            self._metrics.waiting.set(len(self._state.wait_queue))
-            for cause, count in self._state.targets_out.counts().items():
-                self._metrics.targets_out.labels(cause.value).set(count)
-            backlog = self._state.backlog
-            self._metrics.prompt_tokens.labels("sent").set(backlog.sent_tokens)
-            self._metrics.prompt_tokens.labels("cached").set(backlog.cached_tokens)
-            self._metrics.learned_costs.set(len(backlog.model))
-            self._metrics.limited_targets.set(self._state.limited_targets.count())
-            age_s = self._state.quota_sync.contact_age_s
-            self._metrics.quota_contact_age_seconds.set(age_s)
-            self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
+            self._update_gauges()
             return web.Response(
                 body=self._metrics.exposition(), content_type="text/plain"
             )
@@ -303,6 +292,21 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._state.ready else 503)
 
+    def _update_gauges(self) -> None:
+        """Set the metrics that are taken when they are asked for."""
+        self._resources.update_gauges()
+        self._metrics.waiting.set(len(self._state.wait_queue))
+        for cause, count in self._state.targets_out.counts().items():
+            self._metrics.targets_out.labels(cause.value).set(count)
+        backlog = self._state.backlog
+        self._metrics.prompt_tokens.labels("sent").set(backlog.sent_tokens)
+        self._metrics.prompt_tokens.labels("cached").set(backlog.cached_tokens)
+        self._metrics.learned_costs.set(len(backlog.model))
+        self._metrics.limited_targets.set(self._state.limited_targets.count())
+        age_s = self._state.quota_sync.contact_age_s
+        self._metrics.quota_contact_age_seconds.set(age_s)
+        self._metrics.holds_lease.set(1 if self._controller.may_send_orders else 0)
+
     def _is_metrics_address(self, req: web.BaseRequest) -> bool:
         """Whether a request came in on the address for operators."""
         name = req.transport.get_extra_info("sockname") if req.transport else None
