--- a/features/steps/entry_decoding.py
+++ b/features/steps/entry_decoding.py
@@ -98,30 +98,32 @@
         return self.now_s
 
 
+# What is made slow, and the function of the watcher that calls it.
+SLOW_STEPS = {
+    ("servers", "apply"): (platform, "decode_target", "_on_put"),
+    ("config", "apply"): (platform, "decode_table", "_on_put"),
+    ("config", "seal"): (platform.ConfigSealer, "seal", "_conceal"),
+}
+
+
 @when("an entry of kind {kind} takes {ms:d} ms to {step}")
 def handle_slow_entry(context, kind, ms, step):
     clock = SetClock()
-    state = make_state(clock)
+    watch = {"servers": watch_targets, "config": watch_routes}[kind]
+    owner, name, function = SLOW_STEPS[kind, step]
 
     def take_long(*args):
         clock.now_s += ms / 1000
         return Err("slow")
 
-    name = {"apply": f"decode_{'target' if kind == 'servers' else 'table'}"}.get(step)
-    slow = (
-        mock.patch.object(platform, name, take_long)
-        if name
-        else mock.patch.object(platform.ConfigSealer, "seal", take_long)
-    )
-    watch = watch_targets if kind == "servers" else watch_routes
     handler = logging.handlers.BufferingHandler(100)
     logger = logging.getLogger("marjoramstage.entry")
     logger.addHandler(handler)
     try:
-        with slow:
-            watcher = watch(None, state)
+        with mock.patch.object(owner, name, take_long):
+            watcher = watch(None, make_state(clock))
             obj = PlatformObject(watcher.kind, "main", {}, "1")
-            {"apply": watcher._on_put, "seal": watcher._conceal}[step](obj)
+            getattr(watcher, function)(obj)
     finally:
         logger.removeHandler(handler)
     context.lines = [r for r in handler.buffer if r.event == "slow entry"]
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -41,8 +41,10 @@
 
 def _endless_text(size):
     """Return a document that was encoded twice and cut off, as JSON."""
-    listed = [{"name": f"m{n}", "version": 1, "adapters": []} for n in range(size)]
-    text = json.dumps(json.dumps(listed))[:size]
+    model = {"name": "m1", "version": 1, "adapters": []}
+    count = size // len(json.dumps(model))
+    text = json.dumps(json.dumps([model] * count))[:size]
+    assert len(text) == size
     return json.dumps(text)
 
 
--- a/src/marjoramstage/_entry/entry_guard.py
+++ b/src/marjoramstage/_entry/entry_guard.py
@@ -44,8 +44,12 @@
     def timed(self, step: str, obj: PlatformObject) -> Iterator[None]:
         """Log an entry if a step of its handling holds up the event loop for long."""
         began_s = self._clock.now()
-        yield
-        took_s = self._clock.now() - began_s
+        try:
+            yield
+        finally:
+            self._log_if_slow(step, obj, self._clock.now() - began_s)
+
+    def _log_if_slow(self, step: str, obj: PlatformObject, took_s: float) -> None:
         if took_s < SLOW_ENTRY_S:
             return
         self._events.event(
