--- a/features/entry_decoding.feature
+++ b/features/entry_decoding.feature
@@ -47,3 +47,8 @@
   # is left out.
   Scenario: texts beside an array that is nested too deeply
     Then texts of any kind beside an array of 4000 levels are read as they are
+
+  # Guards against log lines that name no event, which readers of the log rely on.
+  Scenario: an answer of the store that takes long to decode
+    When an answer of the store takes 150 ms to decode
+    Then the log has one line of the event slow answer
--- a/features/steps/entry_decoding.py
+++ b/features/steps/entry_decoding.py
@@ -15,7 +15,7 @@
 from features.notice_machine import make_state
 from marjoramstage import platform
 from marjoramstage._entry.store_watchers import watch_routes, watch_targets
-from marjoramstage.platform import _json
+from marjoramstage.platform import _json, _store
 from marjoramstage.protocol.objects import PlatformObject
 
 DEEP = "[" * 4000 + "]" * 4000
@@ -134,3 +134,22 @@
 def check_slow_entries(context, count):
     found = [(r.kind, r.object, r.step, r.took_ms) for r in context.lines]
     assert found == [context.wanted] * count, found
+
+
+@when("an answer of the store takes {ms:d} ms to decode")
+def decode_slow_answer(context, ms):
+    handler = logging.handlers.BufferingHandler(100)
+    logger = logging.getLogger("marjoramstage.store")
+    logger.addHandler(handler)
+    try:
+        with mock.patch.object(_store.time, "monotonic", side_effect=[0.0, ms / 1000]):
+            _store._decode_answer("http://store/x", b"[1]")
+    finally:
+        logger.removeHandler(handler)
+    context.lines = handler.buffer
+
+
+@then("the log has one line of the event slow answer")
+def check_slow_answer(context):
+    found = [(r.event, r.url, r.bytes, r.took_ms) for r in context.lines]
+    assert found == [("slow answer", "http://store/x", 3, 150.0)], found
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -321,10 +321,14 @@
     finally:
         took_s = time.monotonic() - began_s
         if took_s >= SLOW_ANSWER_S:
-            took_ms = round(took_s * 1000, 1)
-            size = len(payload)
             log.warning(
-                "slow answer", extra={"url": url, "bytes": size, "took_ms": took_ms}
+                "slow answer",
+                extra={
+                    "event": "slow answer",
+                    "url": url,
+                    "bytes": len(payload),
+                    "took_ms": round(took_s * 1000, 1),
+                },
             )
 
 
@@ -394,6 +398,7 @@
     log.warning(
         "unreadable entries",
         extra={
+            "event": "unreadable entries",
             "kind": kind.plural,
             "count": len(unreadable),
             "names": names[:MAX_LOGGED_NAMES],
