Name the event of each component's log line in one place

Change: ComponentLogger gives each line its message as the event unless its fields name another; the two calls and the event log no longer do it themselves. Lines of other components gain the field; none loses one.

--- a/features/event_logs.feature
+++ b/features/event_logs.feature
@@ -23,6 +23,17 @@
     When 1000 events and 5 summaries are logged in 5 s
     Then each summary was written
 
+  # Guards against lines that readers of the log can't tell apart.
+  Scenario Outline: a line of a component <case> has the event <event>
+    When a component logs "peer connection closed" <case>
+    Then its line has the event <event>
+
+    Examples:
+      | case                 | event                  |
+      | without fields       | peer connection closed |
+      | with fields          | peer connection closed |
+      | with its own event   | own                    |
+
   # Guards against an entry of the store that fills the log with one line.
   Scenario Outline: a field that is <value> gives a line of at most 2000 bytes
     Given an event log of 40 lines a second
--- a/features/steps/event_logs.py
+++ b/features/steps/event_logs.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from pythonjsonlogger.json import JsonFormatter
 
+from features.recorded_logs import RecordingHandler, recorded_logs
 from marjoramstage import logs, platform
 from marjoramstage._commands import exits
 from marjoramstage._entry.event_log import EventLog
@@ -27,17 +28,6 @@
 """
 
 
-class RecordingHandler(logging.Handler):
-    """Keeps all log records."""
-
-    def __init__(self):
-        super().__init__()
-        self.lines = []
-
-    def emit(self, record):
-        self.lines.append(record)
-
-
 @given("a log whose reader has stopped reading")
 def make_pipe(context):
     context.reader, context.writer = os.pipe()
@@ -109,6 +99,25 @@
     assert written + sum(told) == context.count, (written, told)
 
 
+FIELDS = {
+    "without fields": {},
+    "with fields": {"extra": {"reason": "cut"}},
+    "with its own event": {"extra": {"event": "own"}},
+}
+
+
+@when('a component logs "{message}" {case}')
+def log_message(context, message, case):
+    with recorded_logs("bounded") as context.lines:
+        logs.component_logger("bounded").warning(message, **FIELDS[case])
+
+
+@then("its line has the event {event}")
+def check_event(context, event):
+    (line,) = context.lines
+    assert line.event == event, line.event
+
+
 LONG = "x" * 1_000_000
 _LONG_ROUTE = {
     "name": "r",
--- a/src/marjoramstage/_entry/event_log.py
+++ b/src/marjoramstage/_entry/event_log.py
@@ -72,7 +72,7 @@
         if self._lines_dropped:
             fields["lines_dropped"], self._lines_dropped = self._lines_dropped, 0
         bounded = {field: _bounded(value) for field, value in fields.items()}
-        self._log.info(name, extra={"event": name, **bounded})
+        self._log.info(name, extra=bounded)
 
 
 def _bounded(value: Any) -> Any:
--- a/src/marjoramstage/logs.py
+++ b/src/marjoramstage/logs.py
@@ -14,13 +14,17 @@
 
 
 class ComponentLogger(logging.LoggerAdapter):
-    """A logger that puts the name of its component before each message."""
+    """A logger that puts the name of its component before each message.
+
+    Each line has the message as its ``event``, unless its fields name another.
+    """
 
     def process(
         self, msg: str, kwargs: MutableMapping[str, Any]
     ) -> tuple[str, MutableMapping[str, Any]]:
-        """Add the prefix; fields given as ``extra`` are kept."""
-        return f"{self.extra['component']}: {msg}", kwargs
+        """Add the prefix and the event; fields given as ``extra`` are kept."""
+        fields = {"event": msg, **(kwargs.get("extra") or {})}
+        return f"{self.extra['component']}: {msg}", {**kwargs, "extra": fields}
 
 
 def component_logger(component: str) -> ComponentLogger:
--- a/src/marjoramstage/platform/_store.py
+++ b/src/marjoramstage/platform/_store.py
@@ -324,7 +324,6 @@
             log.warning(
                 "slow answer",
                 extra={
-                    "event": "slow answer",
                     "url": url,
                     "bytes": len(payload),
                     "took_ms": round(took_s * 1000, 1),
@@ -398,7 +397,6 @@
     log.warning(
         "unreadable entries",
         extra={
-            "event": "unreadable entries",
             "kind": kind.plural,
             "count": len(unreadable),
             "names": names[:MAX_LOGGED_NAMES],
