Share what two tests of endless bytes and two of log lines wrote twice

Cause: read again, EndlessEngine repeated the connection of its base class without its error handling; two steps checked the same; two steps recorded log lines beside the handler that event_logs has; SetClock stood beside VirtualClock. Change: EndlessTarget._answer, add_engine, one check for both texts, recorded_logs, VirtualClock. The check that an endless answer was asked for counts answers that were begun: before, an open connection was enough. Bounds and assertions stay.

--- a/features/endless_bytes.py
+++ b/features/endless_bytes.py
@@ -75,11 +75,22 @@
 
 
 class EndlessTarget:
-    """A target whose answers have no end; a header of the request says how."""
+    """A target whose answers have no end; a header of the request says how.
+
+    Attributes
+    ----------
+    sent : Counter
+        Bytes that were taken of the answers that ended, by kind.
+    open : int
+        Connections that are open.
+    begun : int
+        Answers without end that were begun.
+    """
 
     def __init__(self):
         self.sent = Counter()
         self.open = 0
+        self.begun = 0
 
     async def start(self, host="127.0.0.1", port=0):
         self._server = await asyncio.start_server(self._serve, host, port)
@@ -90,14 +101,18 @@
         self.open += 1
         try:
             _, path, headers = await read_request(reader)
-            kind = self._kind_of(path, headers)
-            sent = await send_endless(writer, ANSWERS.get(kind, ANSWERS["body"]))
-            self.sent[kind] += sent
+            await self._answer(writer, path, headers)
         except (ConnectionError, asyncio.IncompleteReadError):
             writer.close()
         finally:
             self.open -= 1
 
+    async def _answer(self, writer, path, headers):
+        self.begun += 1
+        kind = self._kind_of(path, headers)
+        sent = await send_endless(writer, ANSWERS.get(kind, ANSWERS["body"]))
+        self.sent[kind] += sent
+
     def _kind_of(self, path, headers):
         return headers.get("x-endless") or path
 
@@ -121,17 +136,17 @@
         self._kind = kind
         self._report = json.dumps(report).encode()
 
-    async def _serve(self, reader, writer):
-        _, path, _ = await read_request(reader)
+    async def _answer(self, writer, path, headers):
         if path == self._path:
-            self.open += 1
-            self.sent[path] += await send_endless(writer, ANSWERS[self._kind])
-            self.open -= 1
+            await super()._answer(writer, path, headers)
             return
         length = f"Content-Length: {len(self._report)}\r\nConnection: close\r\n\r\n"
         writer.write(HEAD + length.encode() + self._report)
         writer.close()
 
+    def _kind_of(self, path, headers):
+        return self._kind
+
 
 class EndlessProductTarget(ScriptedTarget):
     """A target of the product's own interface whose answers have no end."""
--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -190,26 +190,21 @@
 
 @when("an engine joins whose reports have no end")
 def join_engine(context):
-    context.engine = EndlessTarget()
-    context.thread.call(context.engine.start())
-    start_target(context, "e1", "engine", {"m1"})
-    spec = {**context.targets["e1"].spec(), "addr": context.engine.address}
-    put(context, "servers", "e1", spec)
+    add_engine(context, lambda report: EndlessTarget())
     time.sleep(4)
 
 
-@then("the instance took at most {most:d} MB in reports within 4 s and still serves")
-def check_reports(context, most):
-    check_serving(context)
-    assert context.engine.sent or context.engine.open
-    check_taken(context, context.engine, most)
-
-
 @when("an engine joins whose answers to {call} are an endless {kind}")
 def join_engine_with(context, call, kind):
+    path = CONTROL_PATHS[call]
+    add_engine(context, lambda report: EndlessEngine(path, kind, report))
+
+
+def add_engine(context, make_engine):
+    """List an engine; the peer that ``make_engine`` returns is at its address."""
     start_target(context, "e1", "engine", {"m1"})
     target = context.targets["e1"]
-    context.engine = EndlessEngine(CONTROL_PATHS[call], kind, target._report())
+    context.engine = make_engine(target._report())
     context.thread.call(context.engine.start())
     put(context, "servers", "e1", {**target.spec(), "addr": context.engine.address})
 
@@ -223,10 +218,11 @@
         time.sleep(0.1)
 
 
+@then("the instance took at most {most:d} MB in reports within 4 s and still serves")
 @then("the instance took at most {most:d} MB in these answers and still serves")
 def check_control_answers(context, most):
-    assert context.engine.sent or context.engine.open
     check_serving(context)
+    assert context.engine.begun
     check_taken(context, context.engine, most)
 
 
--- a/features/steps/entry_decoding.py
+++ b/features/steps/entry_decoding.py
@@ -1,9 +1,8 @@
 """Steps about decoding entries of the store, and the time that it takes."""
 
 import json
-import logging
-import logging.handlers
 import time
+from types import SimpleNamespace
 from unittest import mock
 
 from behave import then, when
@@ -13,8 +12,10 @@
 from result import Err
 
 from features.notice_machine import make_state
+from features.recorded_logs import recorded_logs
 from marjoramstage import platform
 from marjoramstage._entry.store_watchers import watch_routes, watch_targets
+from marjoramstage.clock import VirtualClock
 from marjoramstage.platform import _json, _store
 from marjoramstage.protocol.objects import PlatformObject
 
@@ -88,16 +89,6 @@
 # The log of what takes long
 
 
-class SetClock:
-    """A clock that the test sets."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def time(self):
-        return self.now_s
-
-
 # What is made slow, and the function of the watcher that calls it.
 SLOW_STEPS = {
     ("servers", "apply"): (platform, "decode_target", "_on_put"),
@@ -108,25 +99,22 @@
 
 @when("an entry of kind {kind} takes {ms:d} ms to {step}")
 def handle_slow_entry(context, kind, ms, step):
-    clock = SetClock()
+    clock = VirtualClock()
     watch = {"servers": watch_targets, "config": watch_routes}[kind]
     owner, name, function = SLOW_STEPS[kind, step]
 
     def take_long(*args):
-        clock.now_s += ms / 1000
+        clock.advance(ms / 1000)
         return Err("slow")
 
-    handler = logging.handlers.BufferingHandler(100)
-    logger = logging.getLogger("marjoramstage.entry")
-    logger.addHandler(handler)
-    try:
-        with mock.patch.object(owner, name, take_long):
-            watcher = watch(None, make_state(clock))
-            obj = PlatformObject(watcher.kind, "main", {}, "1")
-            getattr(watcher, function)(obj)
-    finally:
-        logger.removeHandler(handler)
-    context.lines = [r for r in handler.buffer if r.event == "slow entry"]
+    with (
+        mock.patch.object(owner, name, take_long),
+        recorded_logs("entry") as lines,
+    ):
+        watcher = watch(None, make_state(SimpleNamespace(time=clock.now)))
+        obj = PlatformObject(watcher.kind, "main", {}, "1")
+        getattr(watcher, function)(obj)
+    context.lines = [line for line in lines if line.event == "slow entry"]
     context.wanted = (kind, "main", step, float(ms))
 
 
@@ -138,15 +126,12 @@
 
 @when("an answer of the store takes {ms:d} ms to decode")
 def decode_slow_answer(context, ms):
-    handler = logging.handlers.BufferingHandler(100)
-    logger = logging.getLogger("marjoramstage.store")
-    logger.addHandler(handler)
-    try:
-        with mock.patch.object(_store.time, "monotonic", side_effect=[0.0, ms / 1000]):
-            _store._decode_answer("http://store/x", b"[1]")
-    finally:
-        logger.removeHandler(handler)
-    context.lines = handler.buffer
+    times_s = [0.0, ms / 1000]
+    with (
+        mock.patch.object(_store.time, "monotonic", side_effect=times_s),
+        recorded_logs("store") as context.lines,
+    ):
+        _store._decode_answer("http://store/x", b"[1]")
 
 
 @then("the log has one line of the event slow answer")
