Take an answer whose head is not valid HTTP for a failed attempt

A control character in a value or a reason closed the caller's connection without an answer, or gave a 500, and a request that may be repeated was not.

Cause: aiohttp parses responses leniently, and what it accepted was passed on. Calls of the store (a write with status 000 counted as done) and control calls read answers the same way. Ruled out: names with a blank or a control character inside or behind are refused by the parser; they reached no caller. Only a blank before the first name was dropped and the line passed on. Change: ClientConnection, which all HTTP clients share, checks each head before it is parsed (ResponseHeadCheck). An invalid one fails the attempt as one that may have run. What HTTP allows, such as bare line feeds, HTTP/1.0 or an empty reason, is passed on as before.

Test: broken_heads.

--- /dev/null
+++ b/features/broken_heads.py
@@ -0,0 +1,147 @@
+"""Targets on raw sockets whose answers have a given, perhaps broken head."""
+
+import asyncio
+from dataclasses import dataclass
+
+BODY = b"{}"
+EVENT = b"id: 1\ndata: ok\n\n"
+STATUS_LINE = b"HTTP/1.1 200 OK"
+# An interim response may stand before each answer.
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+# Parts of an answer that are sent one by one, in bytes.
+PIECE_BYTES = 7
+
+# Escapes in the tables of the features.
+ESCAPES = {
+    "<TAB>": b"\t",
+    "<NUL>": b"\x00",
+    "<SOH>": b"\x01",
+    "<LF>": b"\n",
+    "<VT>": b"\x0b",
+    "<CR>": b"\r",
+    "<ESC>": b"\x1b",
+    "<SP>": b" ",
+    "<DEL>": b"\x7f",
+    "<80>": b"\x80",
+    "<E9>": b"\xe9",
+}
+
+
+def decode(text):
+    """Return the bytes that a cell of a table stands for."""
+    data = text.encode()
+    for name, value in ESCAPES.items():
+        data = data.replace(name.encode(), value)
+    return data
+
+
+@dataclass(frozen=True)
+class Head:
+    """The head of an answer, as a row of a table gives it.
+
+    Attributes
+    ----------
+    status_line : bytes
+        Without its line break.
+    first, last : bytes
+        Lines before and after the other headers; empty for none.
+    line_break : bytes
+        The end of each line.
+    has_body : bool
+        Whether the answer has a body.
+    """
+
+    status_line: bytes = STATUS_LINE
+    first: bytes = b""
+    last: bytes = b""
+    line_break: bytes = b"\r\n"
+    has_body: bool = True
+
+    def encode(self, request_id, stream):
+        """Return an answer with this head and a sound body."""
+        body = (EVENT if stream else BODY) if self.has_body else b""
+        kind = b"text/event-stream" if stream else b"text/plain"
+        lines = [
+            self.status_line,
+            self.first,
+            b"Request-Id: " + request_id,
+            b"Content-Type: " + kind,
+            b"Content-Length: %d" % len(body),
+            self.last,
+        ]
+        lines = [line for line in lines if line]
+        return self.line_break.join([*lines, b"", body])
+
+
+def head_of(part, text):
+    """Return a head of which one part is as given, and all else is sound."""
+    data = decode(text)
+    if part == "status line":
+        return Head(status_line=data)
+    if part == "first line":
+        return Head(first=data)
+    return Head(last=data)
+
+
+class BrokenHeadTarget:
+    """A target whose answers have a given head.
+
+    Parameters
+    ----------
+    heads : list of Head
+        Of the next answers, which several targets may share; later ones have a sound
+        head.
+    way : str
+        How it sends them: ``at once``, ``in pieces`` or ``after early hints``.
+
+    Attributes
+    ----------
+    used : list of int
+        Number of the connection of each request that it ran.
+    """
+
+    def __init__(self, heads, way="at once"):
+        self._heads = heads
+        self._way = way
+        self.used = []
+        self._opened = 0
+
+    @property
+    def runs(self):
+        return len(self.used)
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self._opened += 1
+        number = self._opened
+        try:
+            while True:
+                await self._answer(reader, writer, number)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer, number):
+        request = await reader.readuntil(b"\r\n\r\n")
+        line, *lines = request.decode().split("\r\n")
+        headers = dict(row.lower().split(": ", 1) for row in lines if row)
+        await reader.readexactly(int(headers.get("content-length", 0)))
+        self.used.append(number)
+        head = self._heads.pop(0) if self._heads else Head()
+        request_id = headers.get("request-id", "r1").encode()
+        answer = head.encode(request_id, "stream" in line)
+        if self._way == "after early hints":
+            answer = EARLY_HINTS + answer
+        size = PIECE_BYTES if self._way == "in pieces" else len(answer)
+        for start in range(0, len(answer), size):
+            writer.write(answer[start : start + size])
+            await writer.drain()
+            await asyncio.sleep(0)
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -70,6 +70,12 @@
     headers: dict = field(default_factory=dict)
 
 
+def old_http_request(path):
+    """Return a request over HTTP/1.0, whose answer ends with its connection."""
+    head = f"POST {path}x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: r1\r\n"
+    return [head.encode() + b"Content-Length: 3\r\n\r\nabc"]
+
+
 class EntryInstance:
     """Serves callers with real sockets; routes and targets are given.
 
--- a/features/steps/answer_framing.py
+++ b/features/steps/answer_framing.py
@@ -6,7 +6,13 @@
 
 from behave import given, then, when
 
-from features.entry_caller import HOST, ROUTES, SERVICE, EntryInstance
+from features.entry_caller import (
+    HOST,
+    ROUTES,
+    SERVICE,
+    EntryInstance,
+    old_http_request,
+)
 from features.framed_answers import (
     BODY_BLOCKS,
     EVENT_BLOCKS,
@@ -86,11 +92,6 @@
     return f"{path} {script}: {problem}, got {received}" if problem else ""
 
 
-def old_http_request(path):
-    head = f"POST {path}x HTTP/1.0\r\nHost: {HOST}\r\nRequest-Id: r1\r\n"
-    return [head.encode() + b"Content-Length: 3\r\n\r\nabc"]
-
-
 @when("a caller sends a chunk that is none, after its head was read")
 def send_broken_chunk(context):
     send_body(context, b"3\r\nabc\r\nzz\r\n")
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -1,4 +1,4 @@
-"""An HTTP client's connection: how its peer ended it, and how much it may send."""
+"""An HTTP client's connection: how its peer ended it, and what it may send."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
+from marjoramstage.transport.response_head import InvalidHeadError, ResponseHeadCheck
 
 
 class ConnectionEnd(enum.Enum):
@@ -38,7 +39,7 @@
 
 
 class ClientConnection(ResponseHandler):
-    """Records how the connection ended, and bounds what the peer may send.
+    """Records how the connection ended; checks and bounds what the peer sends.
 
     aiohttp takes a body that has neither a length nor chunks for complete
     when the connection ends, even when it was reset or closed by this side. It
@@ -61,12 +62,14 @@
     ):
         super().__init__(loop=loop)
         self._meter = OverheadMeter()
+        self._head_check = ResponseHeadCheck()
         self._answered = False
         self._limit = limit
 
     def set_response_params(self, **kwargs: Any) -> None:
         """Prepare for the response to a request that is about to be sent."""
         self._meter.restart()
+        self._head_check.restart()
         self._answered = False
         self.requests += 1
         super().set_response_params(**kwargs)
@@ -88,8 +91,15 @@
         """Pass on received bytes unless there are too many."""
         payload = self._payload
         if self._answered and (payload is None or payload.is_eof()):
-            self._refuse("bytes after the end of the response")
+            self._refuse(UnexpectedBytesError("bytes after the end of the response"))
             return
+        # Bytes that arrive before any request come again with the first one.
+        if self.requests:
+            try:
+                self._head_check.feed(data)
+            except InvalidHeadError as exc:
+                self._refuse(exc)
+                return
         self._meter.add(len(data))
         super().data_received(data)
         # While reading is paused, bytes of the body may not be parsed yet.
@@ -97,7 +107,7 @@
             return
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
         if self._meter.exceeded(body_bytes):
-            self._refuse("too many bytes that are no body")
+            self._refuse(UnexpectedBytesError("too many bytes that are no body"))
 
     def eof_received(self) -> None:
         """Record that the peer will send nothing more."""
@@ -117,9 +127,8 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _refuse(self, reason: str) -> None:
+    def _refuse(self, exc: aiohttp.ClientError) -> None:
         """Fail the response that is being read, if any, and the connection."""
-        exc = UnexpectedBytesError(reason)
         self.set_exception(exc)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(exc)
