Take an answer in a foreign transfer coding for a failed attempt

Cause: aiohttp decodes a last coding of chunked and takes any other for a body that ends with its connection; the header is hop-by-hop and was dropped. No request names a coding that it accepts, so such an answer is not HTTP as asked for. Change: ClientConnection refuses a head with another coding than a single chunked; identity stays.

--- a/features/broken_heads.feature
+++ b/features/broken_heads.feature
@@ -69,6 +69,16 @@
       | last line  | Stamp: a<SOH>b      |
       | last line  | Stamp: a<CR><LF><SP>b |
 
+  # Guards against a coded body that is passed on without the name of its coding.
+  Scenario: transfer codings
+    Then no caller gets an answer with one of these heads
+      | part   | text             |
+      | coding | gzip             |
+      | coding | xchunked         |
+      | coding | chunked, gzip    |
+      | coding | gzip, chunked    |
+      | coding | chunked, chunked |
+
   # Guards against checks that refuse what HTTP allows.
   Scenario: unusual heads that are sound
     Then each of these heads reaches the caller as an answer
@@ -85,6 +95,9 @@
       | first line  | x!#$%&'*+-.^_`~9: 1           | 200    |
       | last line   | X: a<TAB>b<E9>                | 200    |
       | last line   | X: a, b: c<SP><SP>            | 200    |
+      | coding      | chunked                       | 200    |
+      | coding      | Chunked                       | 200    |
+      | coding      | identity                      | 200    |
 
   Scenario: sound heads whose lines end without a carriage return
     Then a head with bare line feeds reaches the caller as an answer
--- a/features/broken_heads.py
+++ b/features/broken_heads.py
@@ -49,6 +49,8 @@
         The end of each line.
     has_body : bool
         Whether the answer has a body.
+    coding : bytes
+        Value of ``Transfer-Encoding``, in place of a length; empty for none.
     """
 
     status_line: bytes = STATUS_LINE
@@ -56,6 +58,7 @@
     last: bytes = b""
     line_break: bytes = b"\r\n"
     has_body: bool = True
+    coding: bytes = b""
 
     def encode(self, request_id, stream):
         """Return an answer with this head and a sound body."""
@@ -66,12 +69,28 @@
             self.first,
             b"Request-Id: " + request_id,
             b"Content-Type: " + kind,
-            b"Content-Length: %d" % len(body),
+            self._framing(len(body)),
             self.last,
         ]
         lines = [line for line in lines if line]
+        if self.is_chunked:
+            body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
         return self.line_break.join([*lines, b"", body])
 
+    @property
+    def is_chunked(self):
+        return self.coding.lower().split(b", ")[-1] == b"chunked"
+
+    @property
+    def closes(self):
+        """Whether the body ends with the connection."""
+        return bool(self.coding) and not self.is_chunked
+
+    def _framing(self, size):
+        if self.coding:
+            return b"Transfer-Encoding: " + self.coding
+        return b"Content-Length: %d" % size
+
 
 def head_of(part, text):
     """Return a head of which one part is as given, and all else is sound."""
@@ -80,6 +99,8 @@
         return Head(status_line=data)
     if part == "first line":
         return Head(first=data)
+    if part == "coding":
+        return Head(coding=data)
     return Head(last=data)
 
 
@@ -145,3 +166,5 @@
             writer.write(answer[start : start + size])
             await writer.drain()
             await asyncio.sleep(0)
+        if head.closes:
+            raise ConnectionAbortedError
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -12,6 +12,7 @@
 from aiohttp.http import RawResponseMessage
 
 from marjoramstage.transport.connection_limit import ConnectionLimit
+from marjoramstage.transport.framing import has_foreign_coding
 from marjoramstage.transport.overhead import OverheadMeter, limit_receive_size
 from marjoramstage.transport.response_head import InvalidHeadError, ResponseHeadCheck
 
@@ -78,6 +79,9 @@
         """Queue a response head; called by aiohttp."""
         message, _ = data
         self._answered = message.code >= HTTPStatus.OK
+        if has_foreign_coding(message.headers):
+            self._refuse(InvalidHeadError("foreign transfer coding"))
+            return
         super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/marjoramstage/transport/framing.py
+++ b/src/marjoramstage/transport/framing.py
@@ -5,7 +5,11 @@
 import enum
 from collections.abc import Mapping
 
+from multidict import MultiMapping
+
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# `identity` stands for a body that isn't coded.
+_KNOWN_CODINGS = frozenset(("", "chunked", "identity"))
 
 
 class Framing(enum.Enum):
@@ -30,6 +34,15 @@
     CONNECTION = "connection"
 
 
+def has_foreign_coding(headers: MultiMapping[str]) -> bool:
+    """Whether a body is coded in a way that this client does not decode.
+
+    No request allows for another coding than a single ``chunked``.
+    """
+    codings = ",".join(headers.getall("Transfer-Encoding", ())).lower()
+    return codings.strip() not in _KNOWN_CODINGS
+
+
 def response_framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
     """Return how a response marks the end of its body."""
     if method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
