List that no connection is used again after an answer with a body

Cause: the test of a broken head on a kept connection found none that was kept. aiohttp 3.14.5 calls data_received(b"") after each read of a body (BaseProtocol.resume_reading); ClientConnection takes that for bytes after the end of the answer and aborts the connection. No answer is lost by it; each call opens a connection.

--- a/features/broken_heads.py
+++ b/features/broken_heads.py
@@ -104,7 +104,7 @@
     return Head(last=data)
 
 
-class BrokenHeadTarget:
+class HeadTarget:
     """A target whose answers have a given head.
 
     Parameters
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -1,6 +1,7 @@
 """Steps for answers of targets and of the store whose head is broken."""
 
 import asyncio
+import functools
 import itertools
 import logging
 
@@ -8,7 +9,7 @@
 from behave import then
 from result import Err
 
-from features.broken_heads import BODY, EVENT, BrokenHeadTarget, Head, head_of
+from features.broken_heads import BODY, EVENT, Head, HeadTarget, head_of
 from features.entry_caller import ROUTES, EntryInstance, old_http_request
 from features.request_faults import FaultCell, FaultScript, ScriptedTarget
 from features.steps.request_faults import whole_body
@@ -60,6 +61,11 @@
     return [head_of(row["part"], row["text"]) for row in table]
 
 
+def repeatable():
+    """Return the routes whose requests may use a connection that was used before."""
+    return [r for r in ROUTES if r.run_policy is RunPolicy.REPEATABLE]
+
+
 def sound_body(path):
     return EVENT if "stream" in path else BODY
 
@@ -73,7 +79,7 @@
 async def run_broken(head, route, way):
     """Send a request whose first answer has a broken head."""
     answers = [head]
-    targets = [BrokenHeadTarget(answers, way), BrokenHeadTarget(answers)]
+    targets = [HeadTarget(answers, way), HeadTarget(answers)]
     async with EntryInstance(targets) as instance:
         received = await instance.send_raw(old_http_request(route.prefix))
     runs = sum(target.runs for target in targets)
@@ -103,7 +109,7 @@
 
 
 async def run_sound(head, status, route, way):
-    target = BrokenHeadTarget([head], way)
+    target = HeadTarget([head], way)
     async with EntryInstance([target]) as instance:
         received = await instance.send_raw(old_http_request(route.prefix))
     right = (received.status, received.body) == (status, sound_body(route.prefix))
@@ -113,13 +119,13 @@
 
 @then("the second answer on a connection with one of these heads is not passed on")
 def check_kept(context):
-    routes = [r for r in ROUTES if r.run_policy is RunPolicy.REPEATABLE]
-    check([run_kept(*cell) for cell in itertools.product(heads(context.table), routes)])
+    cells = itertools.product(heads(context.table), repeatable())
+    check([run_kept(*cell) for cell in cells])
 
 
 async def run_kept(head, route):
     # An answer without a body surely leaves its connection in the pool.
-    target = BrokenHeadTarget([Head(has_body=False), head])
+    target = HeadTarget([Head(has_body=False), head])
     async with EntryInstance([target]) as instance:
         path = route.prefix + "x"
         received = [await instance.send(path, f"r{n}") for n in (1, 2, 3)]
@@ -232,7 +238,7 @@
 
 
 async def run_client(head, client, way):
-    target = BrokenHeadTarget([head], way)
+    target = HeadTarget([head], way)
     await target.start()
     try:
         failed = await client(target.address)
@@ -240,3 +246,36 @@
         await target.stop()
     right = failed and target.runs == 1
     return "" if right else f"{head}, {client.__name__}, {way}"
+
+
+async def send_as_caller(target, route, count):
+    """Send requests through an instance, one after the other."""
+    async with EntryInstance([target]) as instance:
+        for number in range(count):
+            await instance.send(route.prefix + "x", f"r{number}")
+
+
+async def read_store(target, count):
+    """Read from the users' store as often, one read after the other."""
+    await target.start()
+    async with client_session() as session:
+        store = platform.ObjectStore(session, target.address)
+        for _ in range(count):
+            await store.get(platform.LEASES, "l1")
+    await target.stop()
+
+
+@then("{count:d} requests to {to}, one after the other, use one connection")
+def check_reuse(context, count, to):
+    callers = [functools.partial(send_as_caller, route=route) for route in repeatable()]
+    calls = {"a target": callers, "the store": [read_store]}[to]
+    codings = (b"", b"chunked")
+    cells = itertools.product(calls, codings, WAYS)
+    check([run_reuse(*cell, count) for cell in cells])
+
+
+async def run_reuse(call, coding, way, count):
+    target = HeadTarget([Head(coding=coding)] * count, way)
+    await call(target, count=count)
+    right = target.used == [1] * count
+    return "" if right else f"{call}, {coding}, {way}: connections {target.used}"
