Share what tests of raw targets and of many small plays wrote twice

Cause: read again, the stand-in of broken heads repeated the listener and the reader of requests of framed_answers; its steps repeated the runner of repeated_answers and imported from other steps. Change: SocketTarget, read_request, check_cells, REPEATABLE_ROUTES, and whole_body beside the bodies. Both targets of a play send in its way; before, one of two did. Assertions stay.

--- a/features/broken_heads.py
+++ b/features/broken_heads.py
@@ -3,12 +3,14 @@
 import asyncio
 from dataclasses import dataclass
 
+from features.framed_answers import SocketTarget, read_request
+
 BODY = b"{}"
 EVENT = b"id: 1\ndata: ok\n\n"
 STATUS_LINE = b"HTTP/1.1 200 OK"
-# An interim response may stand before each answer.
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
-# Parts of an answer that are sent one by one, in bytes.
+# How an answer is sent.
+WAYS = ("at once", "in pieces", "after early hints")
 PIECE_BYTES = 7
 
 # Escapes in the tables of the features.
@@ -104,7 +106,7 @@
     return Head(last=data)
 
 
-class HeadTarget:
+class HeadTarget(SocketTarget):
     """A target whose answers have a given head.
 
     Parameters
@@ -113,7 +115,7 @@
         Of the next answers, which several targets may share; later ones have a sound
         head.
     way : str
-        How it sends them: ``at once``, ``in pieces`` or ``after early hints``.
+        How it sends them, one of `WAYS`.
 
     Attributes
     ----------
@@ -131,14 +133,6 @@
     def runs(self):
         return len(self.used)
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def stop(self):
-        self._server.close()
-
     async def _serve(self, reader, writer):
         self._opened += 1
         number = self._opened
@@ -151,14 +145,11 @@
             writer.close()
 
     async def _answer(self, reader, writer, number):
-        request = await reader.readuntil(b"\r\n\r\n")
-        line, *lines = request.decode().split("\r\n")
-        headers = dict(row.lower().split(": ", 1) for row in lines if row)
-        await reader.readexactly(int(headers.get("content-length", 0)))
+        _, path, headers = await read_request(reader)
         self.used.append(number)
         head = self._heads.pop(0) if self._heads else Head()
         request_id = headers.get("request-id", "r1").encode()
-        answer = head.encode(request_id, "stream" in line)
+        answer = head.encode(request_id, "stream" in path)
         if self._way == "after early hints":
             answer = EARLY_HINTS + answer
         size = PIECE_BYTES if self._way == "in pieces" else len(answer)
--- a/features/entry_caller.py
+++ b/features/entry_caller.py
@@ -49,6 +49,8 @@
         timeout_s=TIMEOUT_S,
     ),
 )
+# Their requests may use a connection that was used before.
+REPEATABLE_ROUTES = tuple(r for r in ROUTES if r.run_policy is RunPolicy.REPEATABLE)
 
 
 class KnownOrigins:
--- a/features/framed_answers.py
+++ b/features/framed_answers.py
@@ -153,11 +153,8 @@
     return EVENT_BLOCKS if script.content == "from the start" else EVENT_BLOCKS[after:]
 
 
-class FramedTarget:
-    """A target that answers by the scripts of `Runs`."""
-
-    def __init__(self, runs):
-        self.runs = runs
+class SocketTarget:
+    """A target on a raw socket; ``_serve`` answers on a connection."""
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -167,6 +164,13 @@
     async def stop(self):
         self._server.close()
 
+
+class FramedTarget(SocketTarget):
+    """A target that answers by the scripts of `Runs`."""
+
+    def __init__(self, runs):
+        self.runs = runs
+
     async def _serve(self, reader, writer):
         try:
             _, path, headers = await read_request(reader)
@@ -183,7 +187,7 @@
 
 
 @dataclass
-class PartialHeadTarget:
+class PartialHeadTarget(SocketTarget):
     """A target that ends its connection within the head of each answer.
 
     Attributes
@@ -197,14 +201,6 @@
     part: str
     end: str
 
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def stop(self):
-        self._server.close()
-
     async def _serve(self, reader, writer):
         try:
             _, _, headers = await read_request(reader)
--- a/features/request_faults.py
+++ b/features/request_faults.py
@@ -80,6 +80,14 @@
     return b'id: %d\ndata: {"text": "w%d "}\n\n' % (number, number)
 
 
+def whole_body(kind):
+    """Return the complete body that a caller gets of an answer."""
+    if kind == "stream":
+        chunks = [chunk(number) for number in range(CHUNKS)]
+        return b"".join(chunks) + DONE + RAN
+    return COMPLETION_BODY if kind == "whole" else BOOKING_BODY
+
+
 @dataclass
 class FaultScript:
     """Fault of a target: ``fault`` occurs ``times`` times at ``step``."""
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -1,30 +1,33 @@
 """Steps for answers of targets and of the store whose head is broken."""
 
-import asyncio
-import functools
 import itertools
-import logging
 
 import aiohttp
 from behave import then
 from result import Err
 
-from features.broken_heads import BODY, EVENT, Head, HeadTarget, head_of
-from features.entry_caller import ROUTES, EntryInstance, old_http_request
-from features.request_faults import FaultCell, FaultScript, ScriptedTarget
-from features.steps.request_faults import whole_body
+from features.broken_heads import BODY, EVENT, WAYS, Head, HeadTarget, head_of
+from features.cells import check_cells
+from features.entry_caller import (
+    REPEATABLE_ROUTES,
+    ROUTES,
+    EntryInstance,
+    old_http_request,
+)
+from features.request_faults import (
+    FaultCell,
+    FaultScript,
+    ScriptedTarget,
+    whole_body,
+)
 from marjoramstage import platform
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.protocol.objects import DOCUMENT
-from marjoramstage.state.routes import RunPolicy
 from marjoramstage.transport.client_connection import client_session
 from marjoramstage.transport.platform import PlatformClient
 from marjoramstage.transport.target_client import TargetClient, TargetRequest
 from marjoramstage.transport.targets import TargetCall, UpstreamClient
 
-WAYS = ("at once", "in pieces", "after early hints")
-MAX_CONCURRENT_CELLS = 24
-CELL_TIMEOUT_S = 20.0
 MAX_REPLY_BYTES = 1000
 # Requests of the product's callers, and whether they are sent again.
 PRODUCT_KINDS = {
@@ -36,36 +39,10 @@
 }
 
 
-def check(cells):
-    """Run cells, some of them at the same time; fail with the problems found."""
-    logging.disable(logging.CRITICAL)
-    try:
-        found = asyncio.run(gather(cells))
-    finally:
-        logging.disable(logging.NOTSET)
-    wrong = [problem for problem in found if problem]
-    assert not wrong, f"\n{len(wrong)} of {len(found)}:\n" + "\n".join(wrong)
-
-
-async def gather(cells):
-    gate = asyncio.Semaphore(MAX_CONCURRENT_CELLS)
-
-    async def one(cell):
-        async with gate, asyncio.timeout(CELL_TIMEOUT_S):
-            return await cell
-
-    return await asyncio.gather(*(one(cell) for cell in cells))
-
-
 def heads(table):
     return [head_of(row["part"], row["text"]) for row in table]
 
 
-def repeatable():
-    """Return the routes whose requests may use a connection that was used before."""
-    return [r for r in ROUTES if r.run_policy is RunPolicy.REPEATABLE]
-
-
 def sound_body(path):
     return EVENT if "stream" in path else BODY
 
@@ -73,17 +50,17 @@
 @then("no caller gets an answer with one of these heads")
 def check_broken(context):
     cells = itertools.product(heads(context.table), ROUTES, WAYS)
-    check([run_broken(*cell) for cell in cells])
+    check_cells([run_broken(*cell) for cell in cells])
 
 
 async def run_broken(head, route, way):
     """Send a request whose first answer has a broken head."""
     answers = [head]
-    targets = [HeadTarget(answers, way), HeadTarget(answers)]
+    targets = [HeadTarget(answers, way) for _ in range(2)]
     async with EntryInstance(targets) as instance:
         received = await instance.send_raw(old_http_request(route.prefix))
     runs = sum(target.runs for target in targets)
-    if route.run_policy is RunPolicy.REPEATABLE:
+    if route in REPEATABLE_ROUTES:
         right = (received.status, received.body) == (200, sound_body(route.prefix))
         right = right and runs == 2
     else:
@@ -95,13 +72,13 @@
 def check_sound(context):
     statuses = [int(row["status"]) for row in context.table]
     rows = zip(heads(context.table), statuses, strict=True)
-    check([run_sound(*row, *cell) for row in rows for cell in ways_of_routes()])
+    check_cells([run_sound(*row, *cell) for row in rows for cell in ways_of_routes()])
 
 
 @then("a head with bare line feeds reaches the caller as an answer")
 def check_line_feeds(context):
     head = Head(line_break=b"\n")
-    check([run_sound(head, 200, *cell) for cell in ways_of_routes()])
+    check_cells([run_sound(head, 200, *cell) for cell in ways_of_routes()])
 
 
 def ways_of_routes():
@@ -119,8 +96,8 @@
 
 @then("the second answer on a connection with one of these heads is not passed on")
 def check_kept(context):
-    cells = itertools.product(heads(context.table), repeatable())
-    check([run_kept(*cell) for cell in cells])
+    cells = itertools.product(heads(context.table), REPEATABLE_ROUTES)
+    check_cells([run_kept(*cell) for cell in cells])
 
 
 async def run_kept(head, route):
@@ -157,7 +134,7 @@
 @then("no caller of the product's interface gets an answer with one of these heads")
 def check_product(context):
     cells = itertools.product(heads(context.table), PRODUCT_KINDS.items())
-    check([run_product(head, *kind) for head, kind in cells])
+    check_cells([run_product(head, *kind) for head, kind in cells])
 
 
 async def run_product(head, kind, is_repeated):
@@ -234,7 +211,7 @@
 @then("each client fails on an answer with one of these heads")
 def check_clients(context):
     cells = itertools.product(heads(context.table), CLIENTS, WAYS)
-    check([run_client(*cell) for cell in cells])
+    check_cells([run_client(*cell) for cell in cells])
 
 
 async def run_client(head, client, way):
@@ -246,36 +223,3 @@
         await target.stop()
     right = failed and target.runs == 1
     return "" if right else f"{head}, {client.__name__}, {way}"
-
-
-async def send_as_caller(target, route, count):
-    """Send requests through an instance, one after the other."""
-    async with EntryInstance([target]) as instance:
-        for number in range(count):
-            await instance.send(route.prefix + "x", f"r{number}")
-
-
-async def read_store(target, count):
-    """Read from the users' store as often, one read after the other."""
-    await target.start()
-    async with client_session() as session:
-        store = platform.ObjectStore(session, target.address)
-        for _ in range(count):
-            await store.get(platform.LEASES, "l1")
-    await target.stop()
-
-
-@then("{count:d} requests to {to}, one after the other, use one connection")
-def check_reuse(context, count, to):
-    callers = [functools.partial(send_as_caller, route=route) for route in repeatable()]
-    calls = {"a target": callers, "the store": [read_store]}[to]
-    codings = (b"", b"chunked")
-    cells = itertools.product(calls, codings, WAYS)
-    check([run_reuse(*cell, count) for cell in cells])
-
-
-async def run_reuse(call, coding, way, count):
-    target = HeadTarget([Head(coding=coding)] * count, way)
-    await call(target, count=count)
-    right = target.used == [1] * count
-    return "" if right else f"{call}, {coding}, {way}: connections {target.used}"
--- a/features/steps/repeated_answers.py
+++ b/features/steps/repeated_answers.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import itertools
-import logging
 
 from behave import then
 
+from features.cells import check_cells
 from features.entry_caller import EntryInstance
 from features.repeating_target import Answer, RepeatingTarget, body_of
 
@@ -22,20 +22,6 @@
         yield from itertools.product(*(row[name].split(", ") for name in names))
 
 
-def check(work):
-    logging.disable(logging.CRITICAL)
-    try:
-        found = asyncio.run(gather(work))
-    finally:
-        logging.disable(logging.NOTSET)
-    wrong = [problem for problem in found if problem]
-    assert not wrong, "\n" + "\n".join(wrong)
-
-
-async def gather(work):
-    return await asyncio.gather(*work)
-
-
 def repeated_answer(kind, carries, body):
     content = STREAM_BODY if body == "a length" else b""
     # The copy carries the id of the first request, or none.
@@ -50,7 +36,7 @@
 @then("the caller of the next request on each route gets as stated")
 def check_next(context):
     names = ("route", "first", "repeated with", "body", "when", "gets")
-    check([run_next(*cell) for cell in cells(context.table, *names)])
+    check_cells([run_next(*cell) for cell in cells(context.table, *names)])
 
 
 async def run_next(route, kind, carries, body, when, gets):
@@ -71,7 +57,7 @@
 @then("a refused request on each route is refused by the instance")
 def check_honest(context):
     names = ("route", "refusal", "carries", "connection")
-    check([run_honest(*cell) for cell in cells(context.table, *names)])
+    check_cells([run_honest(*cell) for cell in cells(context.table, *names)])
 
 
 async def run_honest(route, kind, carries, connection):
@@ -92,7 +78,7 @@
 
 @then("each of these routes relays a 400 without an id from a new connection")
 def check_bad_request(context):
-    check([run_bad_request(*cell) for cell in cells(context.table, "route")])
+    check_cells([run_bad_request(*cell) for cell in cells(context.table, "route")])
 
 
 async def run_bad_request(route):
@@ -106,7 +92,7 @@
 @then("no request follows such an answer on its connection")
 def check_connections(context):
     names = ("route", "first", "repeated with", "body")
-    check([run_connections(*cell) for cell in cells(context.table, *names)])
+    check_cells([run_connections(*cell) for cell in cells(context.table, *names)])
 
 
 async def run_connections(route, kind, carries, body):
--- a/features/steps/request_faults.py
+++ b/features/steps/request_faults.py
@@ -8,13 +8,10 @@
 
 from features.request_faults import (
     BOOKING_BODY,
-    CHUNKS,
-    COMPLETION_BODY,
-    DONE,
-    RAN,
     FaultCell,
     FaultScript,
     chunk,
+    whole_body,
 )
 
 MAX_CONCURRENT_CELLS = 48
@@ -107,13 +104,6 @@
         yield "truncated without an error"
 
 
-def whole_body(kind):
-    if kind == "stream":
-        chunks = [chunk(number) for number in range(CHUNKS)]
-        return b"".join(chunks) + DONE + RAN
-    return COMPLETION_BODY if kind == "whole" else BOOKING_BODY
-
-
 def check_repeat(cell, got, runs, repeated):
     """Return the problems of a repeat of the key at the other instance."""
     if cell.runs > max(runs, 1) or (runs and cell.runs != runs):
