Play answers with a broken head against instances as processes

Change: a scenario of field_failures: 20 lookups and 20 bookings at two instances whose only service answers with broken heads get 502 each, and each ran once.

--- a/features/field_failures.feature
+++ b/features/field_failures.feature
@@ -12,6 +12,12 @@
     Then each caller got the answer to its own request or a failure
     And at least 10 of them were answered
 
+  # Guards against an answer that is none, whose status or names are wrong.
+  Scenario: answers with a broken head of a service in trouble
+    Given service s3 answers with broken heads, and the others are gone
+    When 20 lookups and as many bookings are sent to both instances
+    Then each caller got 502, and s3 ran each request once
+
   Scenario: a planned stop under load cuts off no accepted request
     When 8 callers send bookings on kept connections and instance i1 is stopped
     Then each request that reached a target was answered
--- a/features/steps/field_failures.py
+++ b/features/steps/field_failures.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 
+from features.broken_heads import Head, HeadTarget
 from features.entry_deployment import (
     HOST,
     WAIT_S,
@@ -25,6 +26,13 @@
 STOP_LOAD_S = 6.0
 DEADLINE_MS = "4000"
 THAW_S = 0.3
+BROKEN_HEADS = (
+    Head(status_line=b"HTTP/1.1 000 OK"),
+    Head(status_line=b"HTTP/1.1 101 OK"),
+    Head(first=b" X: 1"),
+    Head(last=b"X\x01Y: 1"),
+)
+MAX_BROKEN_ANSWERS = 100
 
 
 class CopyingService:
@@ -63,13 +71,40 @@
     host, port = free_address().split(":")
     service = CopyingService()
     context.thread.call(asyncio.start_server(service.serve, host, int(port)))
+    replace_services(context, f"{host}:{port}")
+
+
+@given("service s3 answers with broken heads, and the others are gone")
+def start_broken(context):
+    context.broken = HeadTarget(list(BROKEN_HEADS) * MAX_BROKEN_ANSWERS)
+    context.thread.call(context.broken.start())
+    replace_services(context, context.broken.address)
+
+
+def replace_services(context, address):
+    """List a service at an address, and remove the others."""
     spec = context.targets["s1"].spec()
-    put(context, "servers", "s3", {**spec, "addr": f"{host}:{port}"})
+    put(context, "servers", "s3", {**spec, "addr": address})
     for name in ("s1", "s2"):
         context.thread.call(context.store.remove("servers", name))
     time.sleep(2.5)
 
 
+@when("{count:d} lookups and as many bookings are sent to both instances")
+def send_both(context, count):
+    context.answers = []
+    for number in range(count):
+        instance = f"i{number % 2 + 1}"
+        for method, path in (("GET", "/any/x"), ("POST", "/once/x")):
+            context.answers.append(send(context, method, path, instance=instance))
+
+
+@then("each caller got 502, and s3 ran each request once")
+def check_broken(context):
+    assert {answer.status for answer in context.answers} == {502}
+    assert context.broken.runs == len(context.answers), context.broken.runs
+
+
 @when("{count:d} lookups are sent to instance i1, one after the other")
 def send_lookups(context, count):
     context.pairs = []
