Use connections to targets and the store again after an answer

Cause: after a body was read, aiohttp 3.14.5 resumes reading and calls data_received(b"") to parse what it had held back. ClientConnection took the call for bytes after the end of the response and aborted the connection, so none was used twice: a new one for each request to a target and each call of the store. Ruled out: Connection: close in the answers, and the timeout of idle connections. Change: bytes after the end are refused only if there are any.

--- a/features/slow_connect.py
+++ b/features/slow_connect.py
@@ -26,6 +26,8 @@
 class GatedTarget:
     """A target that counts requests; it answers the first ones when it is let.
 
+    Like all targets, it echoes the id of a request.
+
     Parameters
     ----------
     status, headers
@@ -66,6 +68,9 @@
         return self._reply(req, self._status, self._headers)
 
     def _reply(self, req, status, headers):
+        request_id = req.headers.get("Request-Id")
+        if request_id is not None:
+            headers = {**headers, "Request-Id": request_id}
         if status == 200 and "stream" in req.path:
             text, kind = "id: 1\ndata: x\n\n", "text/event-stream"
             return web.Response(text=text, content_type=kind, headers=headers)
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -92,9 +92,13 @@
             self._limit.outgoing += 1
 
     def data_received(self, data: bytes) -> None:
-        """Pass on received bytes unless there are too many."""
+        """Pass on received bytes unless there are too many.
+
+        aiohttp calls this without bytes, too, when reading goes on after a pause.
+        """
         payload = self._payload
-        if self._answered and (payload is None or payload.is_eof()):
+        is_over = self._answered and (payload is None or payload.is_eof())
+        if data and is_over:
             self._refuse(UnexpectedBytesError("bytes after the end of the response"))
             return
         # Bytes that arrive before any request come again with the first one.
