Refuse a response that follows the final one in the same bytes

Seen by a test, now that connections are used again: a target that sends a whole further answer with the end of a body (PROTOCOL: additional bytes belong to no request). Cause: aiohttp puts the connection into its pool inside the parser, when the body ends, and queues the second head right after. Only bytes of a later read were checked. Change: ClientConnection.feed_data refuses a head after the final one and aborts the connection, so the pool drops it. Ruled out as a further way: a part of an answer, which goes with the parser of its request.

--- a/features/broken_heads.py
+++ b/features/broken_heads.py
@@ -11,7 +11,10 @@
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
 # How an answer is sent.
 WAYS = ("at once", "in pieces", "after early hints")
+BODY_LATER = "body later"
 PIECE_BYTES = 7
+# Time for the head of an answer to be read before its body comes.
+BODY_PAUSE_S = 0.05
 
 # Escapes in the tables of the features.
 ESCAPES = {
@@ -53,6 +56,8 @@
         Whether the answer has a body.
     coding : bytes
         Value of ``Transfer-Encoding``, in place of a length; empty for none.
+    extra : bytes
+        What is sent with the end of the answer and is no part of it.
     """
 
     status_line: bytes = STATUS_LINE
@@ -61,6 +66,7 @@
     line_break: bytes = b"\r\n"
     has_body: bool = True
     coding: bytes = b""
+    extra: bytes = b""
 
     def encode(self, request_id, stream):
         """Return an answer with this head and a sound body."""
@@ -77,7 +83,7 @@
         lines = [line for line in lines if line]
         if self.is_chunked:
             body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-        return self.line_break.join([*lines, b"", body])
+        return self.line_break.join([*lines, b"", body]) + self.extra
 
     @property
     def is_chunked(self):
@@ -115,7 +121,7 @@
         Of the next answers, which several targets may share; later ones have a sound
         head.
     way : str
-        How it sends them, one of `WAYS`.
+        How it sends them, one of `WAYS` or `BODY_LATER`.
 
     Attributes
     ----------
@@ -152,10 +158,24 @@
         answer = head.encode(request_id, "stream" in path)
         if self._way == "after early hints":
             answer = EARLY_HINTS + answer
+        if self._way == BODY_LATER:
+            await self._send_body_later(writer, answer)
+        else:
+            await self._send(writer, answer)
+        if head.closes:
+            raise ConnectionAbortedError
+
+    async def _send(self, writer, answer):
         size = PIECE_BYTES if self._way == "in pieces" else len(answer)
         for start in range(0, len(answer), size):
             writer.write(answer[start : start + size])
             await writer.drain()
             await asyncio.sleep(0)
-        if head.closes:
-            raise ConnectionAbortedError
+
+    async def _send_body_later(self, writer, answer):
+        head, _, rest = answer.partition(b"\r\n\r\n")
+        writer.write(head + b"\r\n\r\n")
+        await writer.drain()
+        await asyncio.sleep(BODY_PAUSE_S)
+        writer.write(rest)
+        await writer.drain()
--- a/features/kept_connections.feature
+++ b/features/kept_connections.feature
@@ -11,3 +11,16 @@
       | to        |
       | a target  |
       | the store |
+
+  # Guards against an answer that nothing asked for, read as that to the next request.
+  Scenario Outline: <more> with the end of an answer to <to>
+    Then after <more> with the end of an answer, a request to <to> gets its own answer
+
+    Examples:
+      | more                   | to        |
+      | a whole answer         | a target  |
+      | a whole answer         | the store |
+      | an interim answer      | a target  |
+      | an interim answer      | the store |
+      | a part of an answer    | a target  |
+      | a part of an answer    | the store |
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -78,6 +78,10 @@
     def feed_data(self, data: tuple[RawResponseMessage, Any], size: int = 0) -> None:
         """Queue a response head; called by aiohttp."""
         message, _ = data
+        # A pool may hand out the connection as soon as a body has ended.
+        if self._answered:
+            self._refuse(UnexpectedBytesError("a response after the final one"))
+            return
         self._answered = message.code >= HTTPStatus.OK
         if has_foreign_coding(message.headers):
             self._refuse(InvalidHeadError("foreign transfer coding"))
