Time out attempts to connect by their sockets, not by the event loop alone

Cause: the instance parsed for 0.3 s and more at a time. The timeout of 0.6 s of an attempt to connect ran out in a pass of the event loop that had not yet seen that the connection was up, so the target counted as unreachable for a second: an instance that is busy, or was stopped for a moment, took its own delay for that of its targets. The check whether a target is up, which decides whether one crashed, had the same timeout. Ruled out: the backlog of the target's listener (connects succeed in the kernel: the fix, which asks for just that, ends it). Change: TimedSocket ends an attempt to connect when its time is up only if the kernel has no connection. Both uses of TargetClient have it. Timeouts towards the store and other instances stay: there an attempt is repeated and nobody is judged by it.

--- a/features/connecting.feature
+++ b/features/connecting.feature
@@ -46,3 +46,29 @@
       | orders  | pauses 3 | none |
       | reports | leaves   | all  |
       | reports | pauses 3 | none |
+
+  # Guards against an instance that takes its own delay for that of its targets.
+  Scenario Outline: an instance that is busy for <busy> s while it opens a connection
+    When an instance is busy for <busy> s after each connect call for a request to <path>
+    Then the request is answered 200, and its only target stays reachable
+
+    Examples:
+      | busy | path                 |
+      | 0.7  | /once/x              |
+      | 0.7  | /any/x               |
+      | 0.7  | /resumable-stream/x  |
+      | 2.0  | /once/x              |
+
+  Scenario: an instance that is busy while it checks whether a target is up
+    Then an instance that is busy for 0.7 s finds that a target accepts connections
+
+  # Guards against a busy instance that waits for a target that is gone.
+  Scenario Outline: a request to <path> while its only target does not answer connects
+    When a request to <path> meets a target that does not answer attempts to connect
+    Then it is refused after 0.6 to 1.6 s, and the target is unreachable and not up
+
+    Examples:
+      | path                |
+      | /once/x             |
+      | /any/x              |
+      | /resumable-stream/x |
--- a/features/slow_connect.py
+++ b/features/slow_connect.py
@@ -1,6 +1,8 @@
 """An event loop and a target whose connections are opened late, when a test says so."""
 
 import asyncio
+import socket
+import time
 from contextlib import suppress
 
 from aiohttp import web
@@ -23,6 +25,57 @@
         return await super().sock_connect(sock, address)
 
 
+class BusyLoop(asyncio.SelectorEventLoop):
+    """Event loop that is busy for a while just after each connect call to a port.
+
+    Parameters
+    ----------
+    busy_s : float
+        For how long.
+
+    Attributes
+    ----------
+    port : int or None
+        The port, once it is known.
+    connects : int
+        Number of these calls.
+    """
+
+    def __init__(self, busy_s):
+        super().__init__()
+        self._busy_s = busy_s
+        self.port = None
+        self.connects = 0
+
+    async def sock_connect(self, sock, address):
+        """Connect a socket; run nothing else for a while if it is to the port."""
+        if address[1] == self.port:
+            self.connects += 1
+            # Runs when this call has begun to connect.
+            self.call_soon(time.sleep, self._busy_s)
+        return await super().sock_connect(sock, address)
+
+
+class SilentTarget:
+    """A target whose machine answers no attempt to connect."""
+
+    async def start(self):
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.port = self._listener.getsockname()[1]
+        # The kernel drops what comes after the one that may wait to be accepted.
+        self._first = socket.create_connection(self._listener.getsockname())
+
+    async def stop(self):
+        self._first.close()
+        self._listener.close()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+
 class GatedTarget:
     """A target that counts requests; it answers the first ones when it is let.
 
--- a/features/steps/connecting.py
+++ b/features/steps/connecting.py
@@ -8,7 +8,12 @@
 from behave import given, then, when
 
 from features.entry_caller import SERVICE, EntryInstance
-from features.slow_connect import GatedTarget, SlowConnectLoop
+from features.slow_connect import (
+    BusyLoop,
+    GatedTarget,
+    SilentTarget,
+    SlowConnectLoop,
+)
 from marjoramstage._entry.target_control import TargetControl
 from marjoramstage.protocol.control import Order, OrderAnswer
 from marjoramstage.state.fleet import FleetTarget, Item
@@ -33,10 +38,15 @@
 @when("t0 answers while connections to it are being opened, and {others} serves")
 def answer_meanwhile(context, others):
     loop = SlowConnectLoop()
+    run_on(loop, run(context, loop, others == "another"))
+
+
+def run_on(loop, coro):
+    """Run a coroutine on an event loop, without logs; return its result."""
     asyncio.set_event_loop(loop)
     logging.disable(logging.CRITICAL)
     try:
-        loop.run_until_complete(run(context, loop, others == "another"))
+        return loop.run_until_complete(coro)
     finally:
         logging.disable(logging.NOTSET)
         asyncio.set_event_loop(None)
@@ -160,3 +170,83 @@
     assert least <= times_s[0] and times_s[-1] <= most, (times_s[0], times_s[-1])
     crowds = [sum(at <= x < at + 0.1 for x in times_s) for at in times_s]
     assert max(crowds) <= crowd, max(crowds)
+
+
+@when(
+    "an instance is busy for {busy_s:g} s after each connect call "
+    "for a request to {path}"
+)
+def ask_busy(context, busy_s, path):
+    loop = BusyLoop(busy_s)
+    context.answer, context.reachable = run_on(loop, ask_once(loop, path))
+    assert loop.connects, "no connection was opened"
+
+
+async def ask_once(loop, path):
+    """Send a request; return its answer and whether its target stays reachable."""
+    target = GatedTarget(gated=0)
+    async with EntryInstance((target,)) as instance:
+        loop.port = target.port
+        answer = await instance.send(path, "r1")
+        health = instance.state.health
+        return answer, health.is_reachable("t0", instance.state.clock.now())
+
+
+@then("the request is answered 200, and its only target stays reachable")
+def check_answered_in_time(context):
+    assert context.answer.status == 200, (context.answer.status, context.answer.body)
+    assert context.reachable
+
+
+@then(
+    "an instance that is busy for {busy_s:g} s finds that a target accepts connections"
+)
+def check_up(context, busy_s):
+    loop = BusyLoop(busy_s)
+    assert run_on(loop, check_once(loop))
+    assert loop.connects, "no connection was opened"
+
+
+async def check_once(loop):
+    """Return whether a target that serves is found to accept connections."""
+    target = GatedTarget()
+    await target.start()
+    loop.port = target.port
+    client = TargetClient()
+    is_up = await client.accepts_connections(target.address)
+    await client.stop()
+    await target.stop()
+    return is_up
+
+
+@when("a request to {path} meets a target that does not answer attempts to connect")
+def ask_silent(context, path):
+    logging.disable(logging.CRITICAL)
+    try:
+        asyncio.run(meet_silent(context, path))
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+async def meet_silent(context, path):
+    target, client = SilentTarget(), TargetClient()
+    async with EntryInstance((target,)) as instance:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        context.answer = await instance.send(path, "r1")
+        context.took_s = loop.time() - begun_s
+        health = instance.state.health
+        context.reachable = health.is_reachable("t0", instance.state.clock.now())
+        context.is_up = await client.accepts_connections(target.address)
+    await client.stop()
+
+
+@then(
+    "it is refused after {least:g} to {most:g} s, "
+    "and the target is unreachable and not up"
+)
+def check_silent(context, least, most):
+    assert context.answer.status == 503, (context.answer.status, context.answer.body)
+    assert least <= context.took_s <= most, context.took_s
+    assert not context.reachable
+    assert not context.is_up
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -33,7 +33,8 @@
     WithdrawnError,
     send_once,
 )
-from marjoramstage.transport.sockets import create_client_socket
+from marjoramstage.transport.sockets import detect_dead_peer
+from marjoramstage.transport.timed_socket import TimedSocket
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_TIMEOUT_S = 4.0
@@ -182,12 +183,12 @@
     async def accepts_connections(self, address: str) -> bool:
         """Whether a target can be connected to."""
         host, port = split_address(address)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, port)
-        except OSError:
-            return False
-        writer.close()
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        with TimedSocket(CONNECT_TIMEOUT_S, family, socket.SOCK_STREAM) as sock:
+            try:
+                await asyncio.get_running_loop().sock_connect(sock, (host, port))
+            except OSError:
+                return False
         return True
 
     async def fetch(
@@ -275,7 +276,9 @@
 
 def _create_socket(addr_info) -> socket.socket:
     """Create a socket whose kernel buffer holds little of what isn't read."""
-    sock = create_client_socket(addr_info)
+    family, type_, proto, _, _ = addr_info
+    sock = TimedSocket(CONNECT_TIMEOUT_S, family, type_, proto)
+    detect_dead_peer(sock)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ANSWER_RECEIVE_BUFFER_BYTES)
     return sock
 
@@ -296,7 +299,8 @@
         read_bufsize=ANSWER_AHEAD_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        # Its sockets have the timeout of attempts to connect.
+        timeout=aiohttp.ClientTimeout(total=None),
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
