Print what failed at the end of a test run

Change: run_tests.py prints the failing step and the end of its report beside the scenario's name, after all other output. Nothing else of a verdict changes. Measured: by hand with a scenario that fails.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import textwrap
 from concurrent.futures import ThreadPoolExecutor, as_completed
 from dataclasses import dataclass
 from pathlib import Path
@@ -29,6 +30,9 @@
 # Scenarios of one feature that run in one process. Loading all steps takes two to
 # three seconds, a played load up to a minute.
 MAX_BATCH = 6
+# Part of a failed step's report that is printed again at the end, as the output before
+# it may be cut off where the tests ran.
+MAX_PROBLEM_CHARS = 1_500
 # Statuses of scenarios that a run did not select.
 NOT_SELECTED = ("untested", "skipped")
 
@@ -43,10 +47,13 @@
         Name of the feature and of the scenario.
     status : str
         Status given by behave; all but ``passed`` are failures.
+    problem : str
+        What behave reported of the step that failed.
     """
 
     name: str
     status: str
+    problem: str = ""
 
 
 @dataclass(frozen=True)
@@ -140,6 +147,17 @@
     return f"{feature['name']} / {element['name']}".strip()
 
 
+def problem_of(element):
+    """Return what a report says of the step that failed in a scenario."""
+    for step in element.get("steps", ()):
+        message = step.get("result", {}).get("error_message")
+        if not message:
+            continue
+        text = message if isinstance(message, str) else "\n".join(message)
+        return f"{step['name']}\n{text[-MAX_PROBLEM_CHARS:]}"
+    return ""
+
+
 def scenario_results(run):
     """Return every scenario of a run, and an entry if the run itself failed."""
     found = []
@@ -147,7 +165,8 @@
         for element in scenario_elements(feature):
             status = element.get("status", "failed")
             if status not in NOT_SELECTED:
-                found.append(Scenario(scenario_name(feature, element), status))
+                name = scenario_name(feature, element)
+                found.append(Scenario(name, status, problem_of(element)))
     if run.code != 0 and all(scenario.status == "passed" for scenario in found):
         found.append(Scenario("behave", f"exit code {run.code} outside a scenario"))
     return found
@@ -206,6 +225,7 @@
             passed += 1
             continue
         print(f"{scenario.status}: {scenario.name}")
+        print(textwrap.indent(scenario.problem, "  "))
         failed += 1
     names = {scenario.name for scenario in scenarios}
     for name in sorted((known | flaky) - names if full_run else ()):
