Let bodies that have stalled give way when descriptors run short

Ordinary clients are closed unanswered for 13 s and more, while the instance says that it is ready. Cause: beyond the limit only idle connections closed, and a request whose body has stopped counted as served, with a second descriptor for a target that it can't need yet. Bodies that stalled ended only when bytes were short. Change: ConnectionLimit keeps the connections whose body is incomplete in the order in which they last went on. When descriptors are short and none is idle, the one that stopped first and 2 s ago or longer gets 503 and closes; not if it is the instance that doesn't read it. A request counts as one connection to a target from its complete body on, and is then checked again. The log line `idle connections closed` is `connections gave way` now, with both figures. Nine rows of the decision alone in byte_budget.feature. Left of the issue's third point: readiness when no connection can be taken.

--- a/features/byte_budget.feature
+++ b/features/byte_budget.feature
@@ -49,3 +49,23 @@
       | 252  | 20 callers     | 0       | c1     |
       | 252  | 20 callers     | 3       | c1 c2 c3 c4 |
       | 252  | 20 busy callers | 0      | none   |
+
+  # Guards against bodies that stop short and keep all other callers out.
+  Scenario Outline: bodies that have stalled give way when descriptors run short
+    Given a limit of 252 descriptors and callers <callers>
+    And bodies that went on <ago> s ago, of callers <reading>
+    When <serving> requests are served and a caller connects
+    Then callers <closed> are closed
+    And the bodies of callers <ended> end
+
+    Examples: 232 descriptors are kept for other uses
+      | callers         | reading       | ago          | serving | closed | ended |
+      | 20 busy callers | c3, c2        | 9, 3         | 0       | none   | c3    |
+      | 20 busy callers | c3, c2        | 9, 3         | 1       | none   | c3 c2 |
+      | 20 busy callers | c3, c2        | 9, 3         | 5       | none   | c3 c2 |
+      | 20 busy callers | c3, c2        | 1.9, 1       | 0       | none   | none  |
+      | 20 callers      | c1, c2        | 9, 9         | 0       | c3     | none  |
+      | 20 busy callers | c3 unread, c2 | 9, 3         | 0       | none   | c2    |
+      | 20 busy callers | c3 unread     | 9            | 0       | none   | none  |
+      | 20 busy callers | c3, c2, c3    | 9, 3, 1      | 0       | none   | c2    |
+      | 20 busy callers | c3, c2 ended  | 9, 3         | 5       | none   | c3    |
--- a/features/client_floods.feature
+++ b/features/client_floods.feature
@@ -49,6 +49,14 @@
     And the process lives and stayed below 160 MB and 300 descriptors
     And an ordinary request is answered after they are gone
 
+  # Guards against bodies that stop short and keep all other callers out.
+  Scenario: more bodies that stop short than the machine has descriptors
+    Given an instance on a machine with 160 MB and 500 descriptors
+    When 600 clients flood it with small bodies without the last byte and stay connected
+    Then 20 ordinary requests are answered within 5 s while they are connected
+    And the process lives and stayed below 160 MB and 500 descriptors
+    And an ordinary request is answered after they are gone
+
   Scenario: a client that reads slowly does not make a target cut its answer
     Given an instance on a machine with 160 MB and 400 descriptors
     When a client asks for 24 MB and begins to read after the target would have cut
--- a/features/client_floods.py
+++ b/features/client_floods.py
@@ -11,6 +11,7 @@
 from features.processes import wait_for
 
 BODY_LIMIT = 4_194_304
+SMALL_BODY = 60_000
 PIECE_BYTES = 65_536
 LARGE_ANSWER_BYTES = 24_000_000
 # A target cuts an answer of which nothing was read for this time.
@@ -70,6 +71,9 @@
 SHORT = pieces(BODY_LIMIT - 1)
 FLOODS = {
     "bodies without the last byte": Flood(LENGTH, [b"".join(SHORT)], b"a"),
+    "small bodies without the last byte": Flood(
+        (f"Content-Length: {SMALL_BODY}",), [b"a" * (SMALL_BODY - 1)], b"a"
+    ),
     "bodies in pieces": Flood(LENGTH, SHORT, b"a", pause_s=0.005),
     "whole bodies": Flood(LENGTH, SHORT, b"a", ends=True),
     "large chunks": Flood(CHUNKED, chunked(BODY_LIMIT, PIECE_BYTES), b"0\r\n\r\n"),
--- a/features/steps/byte_budget.py
+++ b/features/steps/byte_budget.py
@@ -117,11 +117,16 @@
 class Caller:
     name: str
     is_idle: bool = True
+    is_paused: bool = False
     closed: bool = False
+    ended: bool = False
 
     def force_close(self):
         self.closed = True
 
+    def end_stalled(self):
+        self.ended = True
+
 
 @given("a limit of {most:d} descriptors and callers {callers}")
 def connect_callers(context, most, callers):
@@ -134,14 +139,33 @@
         context.limit.add(caller)
 
 
+@given("bodies that went on {ago} s ago, of callers {reading}")
+def read_bodies(context, ago, reading):
+    by_name = {caller.name: caller for caller in context.callers}
+    for text, ago_s in zip(reading.split(", "), numbers(ago), strict=True):
+        name, _, state = text.partition(" ")
+        caller = by_name[name]
+        caller.is_idle = False
+        caller.is_paused = state == "unread"
+        context.limit.note_body(caller, NOW_S - ago_s)
+        if state == "ended":
+            context.limit.end_body(caller)
+
+
 @when("{serving:d} requests are served and a caller connects")
 def connect(context, serving):
     context.limit.serving = serving
     context.limit.add(Caller("new", is_idle=False))
-    context.limit.close_idle()
+    context.limit.make_room(NOW_S)
 
 
 @then("callers {closed} are closed")
 def check_closed(context, closed):
     found = [caller.name for caller in context.callers if caller.closed]
     assert found == ([] if closed == "none" else closed.split()), found
+
+
+@then("the bodies of callers {ended} end")
+def check_ended(context, ended):
+    found = {caller.name for caller in context.callers if caller.ended}
+    assert found == ({*ended.split()} - {"none"}), found
--- a/features/steps/client_floods.py
+++ b/features/steps/client_floods.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import time
 
 from behave import given, then, when
 
@@ -87,6 +88,18 @@
     wait_until_answered(lambda: send_ordinary(context))
 
 
+@then(
+    "{count:d} ordinary requests are answered within {most:g} s "
+    "while they are connected"
+)
+def check_all_answered(context, count, most):
+    began_s = time.monotonic()
+    for _ in range(count):
+        wait_until_answered(lambda: send_ordinary(context))
+    took_s = time.monotonic() - began_s
+    assert took_s <= most, f"{took_s:.1f} s"
+
+
 def send_ordinary(context):
     try:
         return send(context, "POST", "/any/x", body=b"a" * 2_000)
--- a/src/marjoramstage/_entry/caller_handler.py
+++ b/src/marjoramstage/_entry/caller_handler.py
@@ -46,6 +46,7 @@
 from marjoramstage.state.routes import Route, RouteTable, RunPolicy
 from marjoramstage.transport.byte_budget import RETRY_AFTER_S
 from marjoramstage.transport.request_body import BodyTooLargeError, NoMemoryError
+from marjoramstage.transport.server_connection import BodyStalledError
 from marjoramstage.transport.sockets import reset_connection
 from marjoramstage.transport.target_client import (
     BROKEN,
@@ -70,6 +71,7 @@
 # Callers refused for these come back for a model that could be loaded meanwhile.
 RETRIED_REASONS = (NoTargetReason.NOT_HELD, NoTargetReason.RATE_LIMITED)
 
+NO_DESCRIPTORS = "no descriptors"
 GRACE_OVER = "stopped before the answer"
 QUARANTINED = "part of the prompt crashes targets"
 
@@ -128,12 +130,10 @@
         self._busy_conns[conn] = asyncio.current_task()
         ctx: RequestContext | None = None
         outcome = "cancelled"
-        self._holdings.connections.serving += 1
         try:
             ctx = await self._build_context(req, arrived_s)
-            if ctx.resumes_stream:
-                await self._choose_software(ctx)
-            resp = await self._run_attempts(ctx)
+            with self._holdings.connections.serve():
+                resp = await self._serve(ctx)
             outcome = ANSWERED
         except RefusalError as exc:
             resp = self._refusal(exc)
@@ -157,9 +157,20 @@
             resp.force_close()
         return resp
 
+    async def _serve(self, ctx: RequestContext) -> web.StreamResponse:
+        """Serve a request that has been read."""
+        self._check_descriptors()
+        if ctx.resumes_stream:
+            await self._choose_software(ctx)
+        return await self._run_attempts(ctx)
+
+    def _check_descriptors(self) -> None:
+        """Raise unless a connection to a target may be opened."""
+        if not self._holdings.has_descriptors():
+            raise self._resource_error(NO_DESCRIPTORS)
+
     def _release_holdings(self, conn: object, ctx: RequestContext | None) -> None:
         """Give back what was held for a request; an unsent answer stays accounted."""
-        self._holdings.connections.serving -= 1
         self._holdings.release(conn)
         if ctx is not None and ctx.answer_writer is not None:
             self._holdings.answers.end(ctx.answer_writer)
@@ -181,8 +192,7 @@
         customer = self._key_check.admit(table, route, headers)
         if not headers.request_id:
             raise RefusalError(400, "no request id")
-        if not self._holdings.has_descriptors():
-            raise self._resource_error("no descriptors")
+        self._check_descriptors()
         wait_s = (
             headers.timeout_s if headers.timeout_s is not None else DEFAULT_TIMEOUT_S
         )
@@ -292,6 +302,8 @@
         except NoMemoryError as exc:
             req.protocol.close_unread()
             raise self._resource_error(exc.cause) from None
+        except BodyStalledError:
+            raise self._resource_error(NO_DESCRIPTORS) from None
         except TimeoutError:
             raise RefusalError(408, "body not read in time") from None
         except (
--- a/src/marjoramstage/_entry/client_holdings.py
+++ b/src/marjoramstage/_entry/client_holdings.py
@@ -60,6 +60,6 @@
             self.budget.close(holding)
 
     def has_descriptors(self) -> bool:
-        """Whether a connection to a target may be opened; closes idle callers."""
-        self.connections.close_idle()
+        """Whether a connection to a target may be opened; others may give way."""
+        self.connections.make_room(self._clock.now())
         return not self.connections.exceeded
--- a/src/marjoramstage/_entry/resource_monitor.py
+++ b/src/marjoramstage/_entry/resource_monitor.py
@@ -34,6 +34,7 @@
         self._pressure_s: float | None = None
         self._began_s = 0.0
         self._closed = 0
+        self._stalled = 0
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -74,13 +75,16 @@
 
     def _record_closed(self) -> None:
         closed = self._connections.closed - self._closed
-        if not closed:
+        stalled = self._connections.stalled - self._stalled
+        if not closed and not stalled:
             return
         self._closed += closed
-        self._metrics.connections_closed.inc(closed)
+        self._stalled += stalled
+        self._metrics.connections_closed.inc(closed + stalled)
         self._events.event(
-            "idle connections closed",
+            "connections gave way",
             closed=closed,
+            stalled=stalled,
             accepted=self._connections.accepted,
             outgoing=self._connections.outgoing,
             most=self._connections.max_connections,
--- a/src/marjoramstage/transport/connection_limit.py
+++ b/src/marjoramstage/transport/connection_limit.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 # Descriptors that are kept for files and other sockets.
@@ -13,6 +15,8 @@
 MIN_CONNECTIONS = 16
 # Connections that are looked at to find an idle one.
 MAX_LOOKED_AT = 64
+# A body that has not gone on for this time gives way to a new connection.
+STALL_S = 2.0
 
 
 class CallerConnection(Protocol):
@@ -22,9 +26,16 @@
     def is_idle(self) -> bool:
         """Whether no request is being read or served."""
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether this process does not read what the caller sends."""
+
     def force_close(self) -> None:
         """Close the connection."""
 
+    def end_stalled(self) -> None:
+        """Refuse the request whose body does not go on."""
+
 
 def max_connections(max_descriptors: int) -> int:
     """Return how many connections a process with these descriptors may have."""
@@ -34,7 +45,8 @@
 class ConnectionLimit:
     """Decides which connections of callers close when descriptors run short.
 
-    Connections that have been idle for longest close first.
+    Connections that have been idle for longest close first. Then requests end whose
+    body has stalled, the ones that stopped first before the others.
 
     Parameters
     ----------
@@ -46,9 +58,11 @@
     outgoing : int
         Open connections to targets.
     serving : int
-        Requests that are being served; each may need a connection to a target.
+        Requests whose body is complete; each may need a connection to a target.
     closed : int
-        Connections that were closed so far because descriptors ran short.
+        Idle connections that were closed so far because descriptors ran short.
+    stalled : int
+        Requests that ended so far for the same reason, as their body had stalled.
     """
 
     def __init__(self, max_descriptors: int):
@@ -56,8 +70,11 @@
         self.outgoing = 0
         self.serving = 0
         self.closed = 0
+        self.stalled = 0
         # Oldest activity first; the values are not used.
         self._accepted: OrderedDict[CallerConnection, None] = OrderedDict()
+        # When a body last went on, of connections whose body isn't complete.
+        self._bodies: OrderedDict[CallerConnection, float] = OrderedDict()
 
     @property
     def accepted(self) -> int:
@@ -70,6 +87,15 @@
         outgoing = max(self.outgoing, self.serving)
         return len(self._accepted) + outgoing > self.max_connections
 
+    @contextmanager
+    def serve(self) -> Iterator[None]:
+        """Count a request that is being served meanwhile."""
+        self.serving += 1
+        try:
+            yield
+        finally:
+            self.serving -= 1
+
     def add(self, conn: CallerConnection) -> None:
         """Record a connection that was accepted."""
         self._accepted[conn] = None
@@ -79,19 +105,35 @@
         if conn in self._accepted:
             self._accepted.move_to_end(conn)
 
+    def note_body(self, conn: CallerConnection, now_s: float) -> None:
+        """Record that a body went on and isn't complete."""
+        self._bodies[conn] = now_s
+        self._bodies.move_to_end(conn)
+
+    def end_body(self, conn: CallerConnection) -> None:
+        """Record that no body of a connection is incomplete; may be called again."""
+        self._bodies.pop(conn, None)
+
     def remove(self, conn: CallerConnection) -> None:
         """Record that a connection closed."""
         self._accepted.pop(conn, None)
+        self._bodies.pop(conn, None)
 
-    def close_idle(self) -> None:
-        """Close the connections idle for longest, until there are few enough."""
+    def make_room(self, now_s: float) -> None:
+        """Close or end what gives way, until there are few enough connections."""
         while self.exceeded:
             conn = self._find_idle()
+            if conn is not None:
+                self.remove(conn)
+                self.closed += 1
+                conn.force_close()
+                continue
+            conn = self._find_stalled(now_s)
             if conn is None:
                 return
             self.remove(conn)
-            self.closed += 1
-            conn.force_close()
+            self.stalled += 1
+            conn.end_stalled()
 
     def _find_idle(self) -> CallerConnection | None:
         for _ in range(min(MAX_LOOKED_AT, len(self._accepted))):
@@ -100,3 +142,14 @@
                 return conn
             self._accepted.move_to_end(conn)
         return None
+
+    def _find_stalled(self, now_s: float) -> CallerConnection | None:
+        while self._bodies:
+            conn, progress_s = next(iter(self._bodies.items()))
+            if now_s - progress_s < STALL_S:
+                return None
+            if not conn.is_paused:
+                return conn
+            # It can't go on while it isn't read.
+            self.note_body(conn, now_s)
+        return None
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -31,6 +31,10 @@
 FREE_AHEAD_BYTES = 8_192
 
 
+class BodyStalledError(Exception):
+    """A body did not go on, and its connection has to give way to others."""
+
+
 class ServerConnection(RequestHandler):
     """Ends connections over which bytes without end come.
 
@@ -59,7 +63,7 @@
         limit_receive_size(transport)
         if self._limit is not None:
             self._limit.add(self)
-            self._limit.close_idle()
+            self._limit.make_room(self._loop.time())
             if self._limit.exceeded:
                 self._limit.closed += 1
                 self.force_close()
@@ -90,19 +94,34 @@
             self._meter.restart()
             if self._limit is not None:
                 self._limit.touch(self)
+        if self._limit is not None:
+            self._note_body()
         if self._budget is not None:
             if was_idle and self._request_count != requests_before:
                 self._release_ahead()
             elif not reads_body:
                 self._hold_ahead(len(data))
         # While reading is paused, bytes of a body may not be parsed yet.
-        if self._reading_paused or self._buffer_paused:
+        if self.is_paused:
             return
         body = self._newest_body
         body_bytes = body.total_bytes if body is not None else 0
         if self._meter.exceeded(body_bytes) or body_bytes > MAX_BODY_BYTES:
             self.force_close()
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether what the peer sends is not read for now."""
+        return self._reading_paused or self._buffer_paused
+
+    def end_stalled(self) -> None:
+        """Fail the body that is being read, so that its request is refused."""
+        self.close_unread()
+        if self._current_request is None:
+            self.force_close()
+            return
+        self._newest_body.set_exception(BodyStalledError())
+
     def close_unread(self) -> None:
         """Close the connection after the answer, without reading the rest of a body.
 
@@ -111,6 +130,14 @@
         """
         self._lingering_time = 0.0
 
+    def _note_body(self) -> None:
+        """Tell the limit whether a body is incomplete."""
+        body = self._newest_body
+        if body is None or body.is_eof():
+            self._limit.end_body(self)
+        else:
+            self._limit.note_body(self, self._loop.time())
+
     def _hold_ahead(self, size: int) -> None:
         """Account for bytes of a head that isn't complete, or of later requests."""
         self._ahead_bytes += size
