Account for requests beside their bodies, and keep no finished answers

Cause: the byte budget accounted for bodies and for heads that aren't complete. Of a request whose head was complete nothing was: 800 connections of each state take, beside 6 KB for an open one, 10 KB for a request with a short head and 79 KB for one with 15.6 KB. Idle connections kept the last answer (72 KB after 60 KB) and the last head (81 KB after 15.6 KB), as aiohttp keeps both until the next request. Change: ServerConnection charges a request and the small body it announces when its head is complete, until its answer was sent. While nothing is left for a small holding, the next request of a connection is answered 503 without being parsed. A finished answer's body is dropped, and a connection with a long head closes after the answer. Ruled out, by trials: charging in the handler alone (191 MB of 160: a burst is parsed before any handler runs), and charging the part of the body that came with the head (166 MB: bodies that are refused later are held meanwhile).

--- a/features/client_floods.feature
+++ b/features/client_floods.feature
@@ -42,6 +42,19 @@
       | slow readers                 | 120   | 96     | 1638 |
       | slow readers and bodies      | 120   | 160    | 1638 |
 
+    # Guards against what a request takes beside its body, and what its connection keeps.
+    Examples: as above, small or finished requests
+      | flood                                             | count | memory | fds  |
+      | long heads and small bodies without the last byte | 1000  | 160    | 1638 |
+      | long heads that are answered                      | 1300  | 128    | 1638 |
+
+  # Guards against what a connection keeps of its last request.
+  Scenario: answers that were read are not kept for their connections
+    Given an instance on a machine with 128 MB and 1638 descriptors
+    When 1300 clients, 20 at a time, get small answers and stay connected
+    Then an ordinary request is answered while they are connected
+    And the process lives and stayed below 128 MB and 1638 descriptors
+
   Scenario: more connections than the machine has descriptors
     Given an instance on a machine with 160 MB and 300 descriptors
     When 400 clients flood it with nothing and stay connected
--- a/features/client_floods.py
+++ b/features/client_floods.py
@@ -12,6 +12,8 @@
 
 BODY_LIMIT = 4_194_304
 SMALL_BODY = 60_000
+# Some 15.6 KB, within the limit of 16 KB.
+LONG_FIELDS = tuple(f"X-Field-{number}: {'v' * 120}" for number in range(116))
 PIECE_BYTES = 65_536
 LARGE_ANSWER_BYTES = 24_000_000
 # A target cuts an answer of which nothing was read for this time.
@@ -56,6 +58,8 @@
         Pause between two blocks, in seconds.
     end : bytes
         Ends the message; not sent by clients that stop before their end.
+    reads_bytes : int
+        What each client reads of the answer.
     """
 
     fields: tuple[str, ...]
@@ -64,6 +68,7 @@
     path: str = "/any/x"
     pause_s: float = 0.0
     ends: bool = False
+    reads_bytes: int = 0
 
 
 CHUNKED = ("Transfer-Encoding: chunked",)
@@ -74,6 +79,19 @@
     "small bodies without the last byte": Flood(
         (f"Content-Length: {SMALL_BODY}",), [b"a" * (SMALL_BODY - 1)], b"a"
     ),
+    "long heads and small bodies without the last byte": Flood(
+        (*LONG_FIELDS, f"Content-Length: {SMALL_BODY}"),
+        [b"a" * (SMALL_BODY - 1)],
+        b"a",
+    ),
+    "small answers": Flood(
+        (f"Content-Length: {SMALL_BODY}",),
+        [b"a" * (SMALL_BODY - 1)],
+        b"a",
+        ends=True,
+        reads_bytes=SMALL_BODY,
+    ),
+    "long heads that are answered": Flood(LONG_FIELDS, [], ends=True, reads_bytes=1),
     "bodies in pieces": Flood(LENGTH, SHORT, b"a", pause_s=0.005),
     "whole bodies": Flood(LENGTH, SHORT, b"a", ends=True),
     "large chunks": Flood(CHUNKED, chunked(BODY_LIMIT, PIECE_BYTES), b"0\r\n\r\n"),
@@ -123,9 +141,9 @@
                 self._writers.append(writer)
 
     async def _client(self, number, flood):
-        with contextlib.suppress(OSError, TimeoutError):
+        with contextlib.suppress(OSError, TimeoutError, EOFError):
             async with asyncio.timeout(SEND_TIMEOUT_S):
-                _, writer = await open_slow_connection(self._ip)
+                reader, writer = await open_slow_connection(self._ip)
                 self._writers.append(writer)
                 writer.write(request_head(flood.path, f"f{number}", *flood.fields))
                 for block in flood.blocks:
@@ -135,6 +153,7 @@
                 if flood.ends:
                     writer.write(flood.end)
                     await writer.drain()
+                await reader.readexactly(flood.reads_bytes)
 
     async def leave(self):
         """Close all connections."""
--- a/features/steps/client_floods.py
+++ b/features/steps/client_floods.py
@@ -83,6 +83,15 @@
     print(f"{rest_kb // KB} MB at rest")
 
 
+@when("{count:d} clients, {batch:d} at a time, get {kind} and stay connected")
+def get_answers(context, count, batch, kind):
+    ip, pid = context.instances["i1"], context.deployment.processes["i1"].pid
+    context.crowd = crowd = Crowd(ip, pid)
+    for _ in range(0, count, batch):
+        context.thread.call(crowd.send([FLOODS[kind]] * batch), 60)
+    crowd.sample()
+
+
 @then("an ordinary request is answered while they are connected")
 def check_answered(context):
     wait_until_answered(lambda: send_ordinary(context))
--- a/src/marjoramstage/_entry/resource_monitor.py
+++ b/src/marjoramstage/_entry/resource_monitor.py
@@ -9,6 +9,7 @@
 from marjoramstage._entry.prometheus_metrics import PrometheusMetrics
 from marjoramstage.clock import Clock
 from marjoramstage.transport.byte_budget import HoldingKind
+from marjoramstage.transport.request_body import NO_MEMORY
 
 INTERVAL_S = 0.25
 # Pressure has ended when nobody has waited for bytes for this time.
@@ -35,6 +36,7 @@
         self._began_s = 0.0
         self._closed = 0
         self._stalled = 0
+        self._refused = 0
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -61,6 +63,7 @@
                 idle_s=round(now_s - holding.progress_s, 2),
             )
             holding.evict(eviction.cause)
+        self._record_refused()
         self._record_closed()
         self._log_pressure(now_s, bool(evictions) or self._budget.is_short)
 
@@ -73,6 +76,11 @@
         self._metrics.budget_waiting.set(self._budget.waiting)
         self._metrics.caller_connections.set(self._connections.accepted)
 
+    def _record_refused(self) -> None:
+        refused = self._budget.refused_unread - self._refused
+        self._refused += refused
+        self._metrics.resource_refusals.labels(NO_MEMORY).inc(refused)
+
     def _record_closed(self) -> None:
         closed = self._connections.closed - self._closed
         stalled = self._connections.stalled - self._stalled
--- a/src/marjoramstage/transport/byte_budget.py
+++ b/src/marjoramstage/transport/byte_budget.py
@@ -113,11 +113,17 @@
     ----------
     limit_bytes : int
         Size of the budget.
+
+    Attributes
+    ----------
+    refused_unread : int
+        Requests that were refused so far before they were read.
     """
 
     def __init__(self, limit_bytes: int):
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
+        self.refused_unread = 0
         self.bytes_by_kind: Counter[HoldingKind] = Counter()
         self._holdings: set[Holding] = set()
         self._large: set[Holding] = set()
@@ -126,7 +132,12 @@
     @property
     def is_short(self) -> bool:
         """Whether somebody waits for bytes, or nothing is left for small holdings."""
-        return bool(self._queue) or self._missing_for_small() > 0
+        return bool(self._queue) or self.is_full
+
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing is left for a small holding."""
+        return self._missing_for_small() > 0
 
     @property
     def waiting(self) -> int:
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -4,15 +4,20 @@
 
 import asyncio
 import logging
+from collections import deque
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import BadHttpMethod
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstage.transport.byte_budget import (
     FIRST_BYTES,
+    RETRY_AFTER_S,
+    SMALL_BYTES,
     ByteBudget,
     EvictionCause,
     Holding,
@@ -25,16 +30,52 @@
     OverheadMeter,
     limit_receive_size,
 )
+from marjoramstage.transport.request_cost import head_bytes, request_bytes
 
 # What a connection may send of a head, or ahead of the answer to its last request,
 # without being accounted for: a few heads of 1 to 2 KB.
 FREE_AHEAD_BYTES = 8_192
+# Memory of parsed headers beyond which a connection closes after the answer, as aiohttp
+# keeps its last request until the next one.
+MAX_KEPT_HEAD_BYTES = 16_384
+
+
+# Answer to a request that isn't read, as there is no memory for it.
+NO_MEMORY_TEXT = b"no memory\n"
+NO_MEMORY_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Retry-After: %.2f\r\n"
+    b"Content-Type: text/plain; charset=utf-8\r\n"
+    b"Content-Length: %d\r\n"
+    b"Connection: close\r\n\r\n%s"
+) % (RETRY_AFTER_S, len(NO_MEMORY_TEXT), NO_MEMORY_TEXT)
 
 
 class BodyStalledError(Exception):
     """A body did not go on, and its connection has to give way to others."""
 
 
+@dataclass
+class _RequestHolding:
+    """What is held for a request and its body, before the body's reader has begun.
+
+    Attributes
+    ----------
+    body_bytes : int
+        The part of it that is held for the body.
+    """
+
+    holding: Holding
+    body_bytes: int
+
+
+def _first_body_bytes(message: RawRequestMessage, body: StreamReader) -> int:
+    """Return how much of a body to account for when its head has arrived."""
+    length = int(message.headers.get("Content-Length", 0))
+    small_bytes = length if length <= SMALL_BYTES else 0
+    return max(small_bytes, body.total_bytes)
+
+
 class ServerConnection(RequestHandler):
     """Ends connections over which bytes without end come.
 
@@ -54,6 +95,8 @@
         self._budget = budget
         self._ahead_bytes = 0
         self._ahead_holding: Holding | None = None
+        # Of the requests that were received and not yet answered, oldest first.
+        self._requests: deque[_RequestHolding] = deque()
         self._meter = OverheadMeter()
         self._newest_body: StreamReader | None = None
 
@@ -73,6 +116,8 @@
         if self._limit is not None:
             self._limit.remove(self)
         self._release_ahead()
+        while self._requests:
+            self._budget.close(self._requests.popleft().holding)
         super().connection_lost(exc)
 
     @property
@@ -82,6 +127,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass on received bytes unless there are too many."""
+        if self._is_new_request() and self._budget.is_full:
+            self._refuse_unread()
+            return
         requests_before = self._request_count
         was_idle = self.is_idle
         body = self._newest_body
@@ -97,6 +145,7 @@
         if self._limit is not None:
             self._note_body()
         if self._budget is not None:
+            self._hold_requests(self._request_count - requests_before)
             if was_idle and self._request_count != requests_before:
                 self._release_ahead()
             elif not reads_body:
@@ -122,6 +171,22 @@
             return
         self._newest_body.set_exception(BodyStalledError())
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response, and keep neither its body nor a long head after it."""
+        if head_bytes(request.raw_headers) > MAX_KEPT_HEAD_BYTES:
+            resp.force_close()
+        result = await super().finish_response(request, resp, start_time)
+        if self._requests:
+            self._budget.close(self._requests.popleft().holding)
+        if isinstance(resp, web.Response):
+            resp.body = None
+        return result
+
     def close_unread(self) -> None:
         """Close the connection after the answer, without reading the rest of a body.
 
@@ -130,6 +195,45 @@
         """
         self._lingering_time = 0.0
 
+    def give_back_ahead(self) -> None:
+        """Give back what was held for the body of the oldest request.
+
+        Its reader accounts for it from here on.
+        """
+        if not self._requests:
+            return
+        request = self._requests[0]
+        self._budget.shrink(request.holding, request.body_bytes)
+        request.body_bytes = 0
+
+    def _is_new_request(self) -> bool:
+        """Whether bytes that arrive now begin a request that may be refused."""
+        body = self._newest_body
+        reads_body = body is not None and not body.is_eof()
+        starts = self.is_idle and not self._ahead_bytes and not reads_body
+        return self._budget is not None and starts
+
+    def _refuse_unread(self) -> None:
+        """Refuse a request without parsing it, which would take memory."""
+        self._budget.refused_unread += 1
+        self.transport.write(NO_MEMORY_RESPONSE)
+        self.transport.close()
+
+    def _hold_requests(self, count: int) -> None:
+        """Account for the newest requests, whose heads are complete."""
+        now_s = self._loop.time()
+        for pos in range(-count, 0):
+            message, body = self._messages[pos]
+            size, body_bytes = 0, 0
+            # A request that could not be parsed has no headers.
+            if isinstance(message, RawRequestMessage):
+                size = request_bytes(message.raw_headers)
+                body_bytes = _first_body_bytes(message, body)
+            holding = self._budget.overdraw(
+                HoldingKind.HEAD, size + body_bytes, now_s, None
+            )
+            self._requests.append(_RequestHolding(holding, body_bytes))
+
     def _note_body(self) -> None:
         """Tell the limit whether a body is incomplete."""
         body = self._newest_body
