Split what a connection holds off its protocol; one coding in response_framing

Cause: ServerConnection had grown by the accounting for requests, beside parsing and limits. Reading its diff found one fault: aiohttp calls data_received(b"") when reading goes on, and with a budget that is used up an idle connection would have been sent a 503 that nothing asked for. Change: transport/connection_memory.py has what is held for one connection; ServerConnection tells it what arrived. Only bytes that arrived are refused unread. response_framing looks for the one coding that has_foreign_coding lets through, not for the last of several.

--- a/src/marjoramstage/_entry/client_holdings.py
+++ b/src/marjoramstage/_entry/client_holdings.py
@@ -48,7 +48,7 @@
         BodyTooLargeError, NoMemoryError, TimeoutError
             As for `BodyReader.read`.
         """
-        req.protocol.give_back_ahead()
+        req.protocol.release_body()
         body = await read_body(req, max_bytes, self.budget, self._clock, timeout_s)
         if body.holding is not None:
             self._bodies[req.protocol] = body.holding
--- a/src/marjoramstage/transport/framing.py
+++ b/src/marjoramstage/transport/framing.py
@@ -44,11 +44,11 @@
 
 
 def response_framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
-    """Return how a response marks the end of its body."""
+    """Return how a response without a foreign coding marks the end of its body."""
     if method == "HEAD" or status in _STATUSES_WITHOUT_BODY:
         return Framing.NO_BODY
     coding = headers.get("Transfer-Encoding")
     if coding is not None:
-        last = coding.rpartition(",")[2].strip().lower()
-        return Framing.CHUNKED if last == "chunked" else Framing.CONNECTION
+        is_chunked = coding.strip().lower() == "chunked"
+        return Framing.CHUNKED if is_chunked else Framing.CONNECTION
     return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -4,37 +4,28 @@
 
 import asyncio
 import logging
-from collections import deque
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 from aiohttp import StreamReader, web
-from aiohttp.http import RawRequestMessage
 from aiohttp.http_exceptions import BadHttpMethod
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstage.transport.byte_budget import (
-    FIRST_BYTES,
     RETRY_AFTER_S,
-    SMALL_BYTES,
     ByteBudget,
     EvictionCause,
-    Holding,
-    HoldingKind,
 )
 from marjoramstage.transport.connection_limit import ConnectionLimit
+from marjoramstage.transport.connection_memory import ConnectionMemory
 from marjoramstage.transport.overhead import (
     MAX_BODY_BYTES,
     REQUEST_AHEAD_BYTES,
     OverheadMeter,
     limit_receive_size,
 )
-from marjoramstage.transport.request_cost import head_bytes, request_bytes
+from marjoramstage.transport.request_cost import head_bytes
 
-# What a connection may send of a head, or ahead of the answer to its last request,
-# without being accounted for: a few heads of 1 to 2 KB.
-FREE_AHEAD_BYTES = 8_192
 # Memory of parsed headers beyond which a connection closes after the answer, as aiohttp
 # keeps its last request until the next one.
 MAX_KEPT_HEAD_BYTES = 16_384
@@ -55,27 +46,6 @@
     """A body did not go on, and its connection has to give way to others."""
 
 
-@dataclass
-class _RequestHolding:
-    """What is held for a request and its body, before the body's reader has begun.
-
-    Attributes
-    ----------
-    body_bytes : int
-        The part of it that is held for the body.
-    """
-
-    holding: Holding
-    body_bytes: int
-
-
-def _first_body_bytes(message: RawRequestMessage, body: StreamReader) -> int:
-    """Return how much of a body to account for when its head has arrived."""
-    length = int(message.headers.get("Content-Length", 0))
-    small_bytes = length if length <= SMALL_BYTES else 0
-    return max(small_bytes, body.total_bytes)
-
-
 class ServerConnection(RequestHandler):
     """Ends connections over which bytes without end come.
 
@@ -92,11 +62,9 @@
     ):
         super().__init__(*args, **kwargs)
         self._limit = limit
-        self._budget = budget
-        self._ahead_bytes = 0
-        self._ahead_holding: Holding | None = None
-        # Of the requests that were received and not yet answered, oldest first.
-        self._requests: deque[_RequestHolding] = deque()
+        self._memory: ConnectionMemory | None = None
+        if budget is not None:
+            self._memory = ConnectionMemory(budget, self._evict)
         self._meter = OverheadMeter()
         self._newest_body: StreamReader | None = None
 
@@ -115,9 +83,8 @@
         """Clean up a connection that ended."""
         if self._limit is not None:
             self._limit.remove(self)
-        self._release_ahead()
-        while self._requests:
-            self._budget.close(self._requests.popleft().holding)
+        if self._memory is not None:
+            self._memory.release_all()
         super().connection_lost(exc)
 
     @property
@@ -126,17 +93,22 @@
         return self._current_request is None and not self._messages
 
     def data_received(self, data: bytes) -> None:
-        """Pass on received bytes unless there are too many."""
-        if self._is_new_request() and self._budget.is_full:
-            self._refuse_unread()
+        """Pass on received bytes unless there are too many.
+
+        aiohttp calls this without bytes, too, when reading goes on after a pause.
+        """
+        if data and self._is_refused():
+            # Parsing it would take memory.
+            self.transport.write(NO_MEMORY_RESPONSE)
+            self.transport.close()
             return
         requests_before = self._request_count
         was_idle = self.is_idle
-        body = self._newest_body
-        reads_body = body is not None and not body.is_eof()
+        reads_body = self._reads_body
         self._meter.add(len(data))
         super().data_received(data)
-        if self._request_count != requests_before:
+        received = self._request_count - requests_before
+        if received:
             self._fail_unfinished_body()
             self._newest_body = self._messages[-1][1]
             self._meter.restart()
@@ -144,10 +116,10 @@
                 self._limit.touch(self)
         if self._limit is not None:
             self._note_body()
-        if self._budget is not None:
-            self._hold_requests(self._request_count - requests_before)
-            if was_idle and self._request_count != requests_before:
-                self._release_ahead()
+        if self._memory is not None:
+            self._hold_requests(received)
+            if was_idle and received:
+                self._memory.release_ahead()
             elif not reads_body:
                 self._hold_ahead(len(data))
         # While reading is paused, bytes of a body may not be parsed yet.
@@ -181,8 +153,8 @@
         if head_bytes(request.raw_headers) > MAX_KEPT_HEAD_BYTES:
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        if self._requests:
-            self._budget.close(self._requests.popleft().holding)
+        if self._memory is not None:
+            self._memory.release_request()
         if isinstance(resp, web.Response):
             resp.body = None
         return result
@@ -195,78 +167,43 @@
         """
         self._lingering_time = 0.0
 
-    def give_back_ahead(self) -> None:
-        """Give back what was held for the body of the oldest request.
+    def release_body(self) -> None:
+        """Account no longer for the body of the request that is being served."""
+        if self._memory is not None:
+            self._memory.release_body()
 
-        Its reader accounts for it from here on.
-        """
-        if not self._requests:
-            return
-        request = self._requests[0]
-        self._budget.shrink(request.holding, request.body_bytes)
-        request.body_bytes = 0
-
-    def _is_new_request(self) -> bool:
-        """Whether bytes that arrive now begin a request that may be refused."""
+    @property
+    def _reads_body(self) -> bool:
+        """Whether the body of the newest request is incomplete."""
         body = self._newest_body
-        reads_body = body is not None and not body.is_eof()
-        starts = self.is_idle and not self._ahead_bytes and not reads_body
-        return self._budget is not None and starts
+        return body is not None and not body.is_eof()
 
-    def _refuse_unread(self) -> None:
-        """Refuse a request without parsing it, which would take memory."""
-        self._budget.refused_unread += 1
-        self.transport.write(NO_MEMORY_RESPONSE)
-        self.transport.close()
+    def _is_refused(self) -> bool:
+        """Whether bytes that arrive now begin a request for which is no memory."""
+        if self._memory is None or self._memory.has_ahead:
+            return False
+        if self._reads_body or not self.is_idle:
+            return False
+        return self._memory.refuses_request()
 
     def _hold_requests(self, count: int) -> None:
-        """Account for the newest requests, whose heads are complete."""
+        """Account for the newest requests."""
         now_s = self._loop.time()
         for pos in range(-count, 0):
             message, body = self._messages[pos]
-            size, body_bytes = 0, 0
-            # A request that could not be parsed has no headers.
-            if isinstance(message, RawRequestMessage):
-                size = request_bytes(message.raw_headers)
-                body_bytes = _first_body_bytes(message, body)
-            holding = self._budget.overdraw(
-                HoldingKind.HEAD, size + body_bytes, now_s, None
-            )
-            self._requests.append(_RequestHolding(holding, body_bytes))
+            self._memory.hold_request(message, body, now_s)
 
     def _note_body(self) -> None:
         """Tell the limit whether a body is incomplete."""
-        body = self._newest_body
-        if body is None or body.is_eof():
-            self._limit.end_body(self)
-        else:
+        if self._reads_body:
             self._limit.note_body(self, self._loop.time())
+        else:
+            self._limit.end_body(self)
 
     def _hold_ahead(self, size: int) -> None:
         """Account for bytes of a head that isn't complete, or of later requests."""
-        self._ahead_bytes += size
-        if self._ahead_bytes <= FREE_AHEAD_BYTES:
-            return
-        now_s = self._loop.time()
-        holding = self._ahead_holding
-        if holding is None:
-            holding = self._ahead_holding = self._budget.open(
-                HoldingKind.HEAD, FIRST_BYTES, now_s, self._evict
-            )
-        elif self._ahead_bytes > holding.bytes and not self._budget.try_grow(
-            holding, FIRST_BYTES
-        ):
-            holding = None
-        if holding is None:
+        if not self._memory.hold_ahead(size, self._loop.time()):
             self.force_close()
-            return
-        holding.progress_s = now_s
-
-    def _release_ahead(self) -> None:
-        self._ahead_bytes = 0
-        if self._ahead_holding is not None:
-            self._budget.close(self._ahead_holding)
-            self._ahead_holding = None
 
     def _evict(self, cause: EvictionCause) -> None:
         self.force_close()
@@ -277,9 +214,9 @@
         aiohttp queues an error then, but leaves the handler that reads the body
         waiting for the rest.
         """
-        body = self._newest_body
-        if body is None or body.is_eof():
+        if not self._reads_body:
             return
+        body = self._newest_body
         body.set_exception(web.RequestPayloadError("the body is badly framed"))
         body.feed_eof()
         self.close()
