Forget silent instances only on evidence of contact

Cause: PeerLiveness forgot instances that were silent for 10 s, and less than half of none is false. Change: silent instances are forgotten while most others are heard from, or when the lease was renewed. However long most are silent, contact stays lost.

--- a/features/prefill_backlog.feature
+++ b/features/prefill_backlog.feature
@@ -35,3 +35,34 @@
       | 6     | 4    | lost  |
       | 6     | 6    | lost  |
       | 0     | 0    | kept  |
+
+  # Guards against an instance that is cut off for long and takes itself for connected.
+  Scenario Outline: <lost> of <known> other instances are silent for <silent> s
+    Given <known> instances were heard from and <lost> fell silent for <silent> s
+    When contact was checked each second meanwhile, then <then>
+    Then contact is <state>
+
+    Examples: nobody is forgotten while most are silent
+      | known | lost | silent | then                             | state |
+      | 6     | 6    | 5      | nothing                          | lost  |
+      | 6     | 6    | 12     | nothing                          | lost  |
+      | 6     | 6    | 22     | nothing                          | lost  |
+      | 6     | 6    | 60     | nothing                          | lost  |
+      | 6     | 6    | 600    | nothing                          | lost  |
+      | 2     | 2    | 22     | nothing                          | lost  |
+      | 6     | 4    | 22     | nothing                          | lost  |
+      | 6     | 4    | 600    | nothing                          | lost  |
+
+    Examples: those that left are forgotten while most others are heard from
+      | known | lost | silent | then                             | state |
+      | 6     | 2    | 22     | nothing                          | kept  |
+      | 6     | 2    | 22     | 2 of the rest are lost           | kept  |
+      | 6     | 2    | 5      | 2 of the rest are lost           | lost  |
+      | 6     | 2    | 22     | 3 of the rest are lost           | lost  |
+
+    Examples: a lease that is renewed shows that they left
+      | known | lost | silent | then                             | state |
+      | 6     | 4    | 22     | the lease is renewed             | kept  |
+      | 6     | 4    | 5      | the lease is renewed             | lost  |
+      | 6     | 6    | 22     | 3 others are heard from          | lost  |
+      | 6     | 6    | 22     | 6 others are heard from          | kept  |
--- a/src/marjoramstage/_entry/placement_controller.py
+++ b/src/marjoramstage/_entry/placement_controller.py
@@ -300,6 +300,8 @@
     def _on_lease_held(self, fence: int) -> None:
         self._fence = fence
         self._suspended = False
+        # The store shows that this instance isn't the one that is cut off.
+        self._peer_liveness.forget_silent(seconds_since_boot())
         if self._unrenewed_until_s:
             self._unrenewed_until_s = 0.0
             self._state.events.event("lease renewed late", fence=fence)
