Use the field's words for progress and stalls; one constant for a stall

Cause: read again, comments said 'goes on' where the field says resumes or makes progress, make_room hid that it closes connections, and the 2 s of a stall stood in two modules. Change: words, ConnectionLimit.close_excess, one STALL_S.

--- a/features/steps/byte_budget.py
+++ b/features/steps/byte_budget.py
@@ -156,7 +156,7 @@
 def connect(context, serving):
     context.limit.serving = serving
     context.limit.add(Caller("new", is_idle=False))
-    context.limit.make_room(NOW_S)
+    context.limit.close_excess(NOW_S)
 
 
 @then("callers {closed} are closed")
--- a/src/marjoramstage/_entry/client_holdings.py
+++ b/src/marjoramstage/_entry/client_holdings.py
@@ -62,5 +62,5 @@
 
     def has_descriptors(self) -> bool:
         """Whether a connection to a target may be opened; others may give way."""
-        self.connections.make_room(self._clock.now())
+        self.connections.close_excess(self._clock.now())
         return not self.connections.exceeded
--- a/src/marjoramstage/transport/byte_budget.py
+++ b/src/marjoramstage/transport/byte_budget.py
@@ -26,7 +26,8 @@
 # What is held for a connection that isn't read: what was read ahead of its handler,
 # and what the kernel received.
 FIRST_BYTES = 2 * SMALL_BYTES
-# A holding without progress for this time ends if others wait for its bytes.
+# A holding without progress for this time ends if others wait for its bytes, or if
+# connections are short.
 STALL_S = 2.0
 # A body that waits this long for others is refused.
 MAX_WAIT_S = 5.0
--- a/src/marjoramstage/transport/client_connection.py
+++ b/src/marjoramstage/transport/client_connection.py
@@ -98,7 +98,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass on received bytes unless there are too many.
 
-        aiohttp calls this without bytes, too, when reading goes on after a pause.
+        aiohttp calls this without bytes, too, when reading resumes.
         """
         payload = self._payload
         is_over = self._answered and (payload is None or payload.is_eof())
--- a/src/marjoramstage/transport/connection_limit.py
+++ b/src/marjoramstage/transport/connection_limit.py
@@ -7,6 +7,8 @@
 from contextlib import contextmanager
 from typing import Protocol
 
+from marjoramstage.transport.byte_budget import STALL_S
+
 # Descriptors that are kept for files and other sockets.
 RESERVED_DESCRIPTORS = 200
 # A caller's request may need a connection to a target, and connections are accepted
@@ -15,8 +17,6 @@
 MIN_CONNECTIONS = 16
 # Connections that are looked at to find an idle one.
 MAX_LOOKED_AT = 64
-# A body that has not gone on for this time gives way to a new connection.
-STALL_S = 2.0
 
 
 class CallerConnection(Protocol):
@@ -34,7 +34,7 @@
         """Close the connection."""
 
     def end_stalled(self) -> None:
-        """Refuse the request whose body does not go on."""
+        """Refuse the request whose body has stalled."""
 
 
 def max_connections(max_descriptors: int) -> int:
@@ -73,7 +73,7 @@
         self.stalled = 0
         # Oldest activity first; the values are not used.
         self._accepted: OrderedDict[CallerConnection, None] = OrderedDict()
-        # When a body last went on, of connections whose body isn't complete.
+        # When a body last made progress, of connections whose body isn't complete.
         self._bodies: OrderedDict[CallerConnection, float] = OrderedDict()
 
     @property
@@ -106,7 +106,7 @@
             self._accepted.move_to_end(conn)
 
     def note_body(self, conn: CallerConnection, now_s: float) -> None:
-        """Record that a body went on and isn't complete."""
+        """Record progress of a body that isn't complete yet."""
         self._bodies[conn] = now_s
         self._bodies.move_to_end(conn)
 
@@ -119,7 +119,7 @@
         self._accepted.pop(conn, None)
         self._bodies.pop(conn, None)
 
-    def make_room(self, now_s: float) -> None:
+    def close_excess(self, now_s: float) -> None:
         """Close or end what gives way, until there are few enough connections."""
         while self.exceeded:
             conn = self._find_idle()
@@ -150,6 +150,6 @@
                 return None
             if not conn.is_paused:
                 return conn
-            # It can't go on while it isn't read.
+            # It makes no progress while it isn't read.
             self.note_body(conn, now_s)
         return None
--- a/src/marjoramstage/transport/connection_memory.py
+++ b/src/marjoramstage/transport/connection_memory.py
@@ -76,7 +76,7 @@
         Returns
         -------
         bool
-            Whether there is room for them.
+            Whether the budget allows for them.
         """
         self._ahead_bytes += size
         if self._ahead_bytes <= FREE_AHEAD_BYTES:
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -43,7 +43,7 @@
 
 
 class BodyStalledError(Exception):
-    """A body did not go on, and its connection has to give way to others."""
+    """A body has stalled, and its connection has to give way to others."""
 
 
 class ServerConnection(RequestHandler):
@@ -74,7 +74,7 @@
         limit_receive_size(transport)
         if self._limit is not None:
             self._limit.add(self)
-            self._limit.make_room(self._loop.time())
+            self._limit.close_excess(self._loop.time())
             if self._limit.exceeded:
                 self._limit.closed += 1
                 self.force_close()
@@ -95,7 +95,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass on received bytes unless there are too many.
 
-        aiohttp calls this without bytes, too, when reading goes on after a pause.
+        aiohttp calls this without bytes, too, when reading resumes.
         """
         if data and self._is_refused():
             # Parsing it would take memory.
--- a/src/marjoramstage/transport/timed_socket.py
+++ b/src/marjoramstage/transport/timed_socket.py
@@ -46,7 +46,7 @@
         return super().getsockopt(level, option, *args)
 
     def _check_connected(self) -> None:
-        """End the attempt to connect if it still goes on."""
+        """End the attempt to connect if it has not succeeded."""
         is_closed = self.fileno() < 0
         if is_closed or self._is_connected():
             return
