End attempts to connect by their task, not by shutdown of the socket

Change: ConnectTimeout, an asyncio timeout around the request, ends the attempt; TimedSocket starts and cancels its timer, which asks whether the kernel has a connection.

--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -18,6 +18,11 @@
 from marjoramstage.addresses import split_address
 from marjoramstage.exceptions import TargetError, Verdict
 from marjoramstage.transport.client_connection import ConnectionEnd, client_connector
+from marjoramstage.transport.connect_timeout import (
+    ConnectTimeout,
+    ConnectTimeoutError,
+    TimedSocket,
+)
 from marjoramstage.transport.connection_limit import ConnectionLimit
 from marjoramstage.transport.framing import Framing
 from marjoramstage.transport.overhead import (
@@ -34,7 +39,6 @@
     send_once,
 )
 from marjoramstage.transport.sockets import detect_dead_peer
-from marjoramstage.transport.timed_socket import TimedSocket
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_TIMEOUT_S = 4.0
@@ -184,10 +188,11 @@
         """Whether a target can be connected to."""
         host, port = split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        with TimedSocket(CONNECT_TIMEOUT_S, family, socket.SOCK_STREAM) as sock:
+        with TimedSocket(family, socket.SOCK_STREAM) as sock:
             try:
-                await asyncio.get_running_loop().sock_connect(sock, (host, port))
-            except OSError:
+                async with ConnectTimeout(CONNECT_TIMEOUT_S):
+                    await asyncio.get_running_loop().sock_connect(sock, (host, port))
+            except (OSError, ConnectTimeoutError):
                 return False
         return True
 
@@ -236,19 +241,20 @@
         session = self._fresh if request.new_connection else self._pooled
         url = yarl.URL(f"http://{request.address}{request.path}", encoded=True)
         try:
-            resp = await session.request(
-                request.method,
-                url,
-                headers=request.headers,
-                data=sent_body(request.body),
-                allow_redirects=False,
-                middlewares=(_check_with(may_send), send_once),
-            )
+            async with ConnectTimeout(CONNECT_TIMEOUT_S):
+                resp = await session.request(
+                    request.method,
+                    url,
+                    headers=request.headers,
+                    data=sent_body(request.body),
+                    allow_redirects=False,
+                    middlewares=(_check_with(may_send), send_once),
+                )
         except WithdrawnError as exc:
             raise TargetError(
                 "withdrawn before it was sent", Verdict.NOT_RUN, None, WITHDRAWN
             ) from exc
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        except (aiohttp.ClientConnectorError, ConnectTimeoutError) as exc:
             raise TargetError(
                 f"could not connect: {exc}", Verdict.NOT_RUN, None, UNREACHED
             ) from exc
@@ -277,7 +283,7 @@
 def _create_socket(addr_info) -> socket.socket:
     """Create a socket whose kernel buffer holds little of what isn't read."""
     family, type_, proto, _, _ = addr_info
-    sock = TimedSocket(CONNECT_TIMEOUT_S, family, type_, proto)
+    sock = TimedSocket(family, type_, proto)
     detect_dead_peer(sock)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ANSWER_RECEIVE_BUFFER_BYTES)
     return sock
@@ -299,7 +305,7 @@
         read_bufsize=ANSWER_AHEAD_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        # Its sockets have the timeout of attempts to connect.
+        # Requests have a `ConnectTimeout`, and their routes' timeouts.
         timeout=aiohttp.ClientTimeout(total=None),
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
