Call what stood already: sockets, the refusal's text, plays on a loop

ServerConnection.data_received did two jobs, and asked for the time and an empty loop with each piece of a body. ConnectionMemory.refuses_request answered and counted at once. Change: create_client_socket takes the class; address_family; _begin_requests does what a complete head brings, only then; is_full and note_refused in place of refuses_request. Tests keep their steps, checks and bounds. No behaviour is meant to change.

--- a/features/client_floods.py
+++ b/features/client_floods.py
@@ -74,22 +74,16 @@
 CHUNKED = ("Transfer-Encoding: chunked",)
 LENGTH = (f"Content-Length: {BODY_LIMIT}",)
 SHORT = pieces(BODY_LIMIT - 1)
+SMALL_LENGTH = (f"Content-Length: {SMALL_BODY}",)
+SHORT_SMALL = pieces(SMALL_BODY - 1)
 FLOODS = {
     "bodies without the last byte": Flood(LENGTH, [b"".join(SHORT)], b"a"),
-    "small bodies without the last byte": Flood(
-        (f"Content-Length: {SMALL_BODY}",), [b"a" * (SMALL_BODY - 1)], b"a"
-    ),
+    "small bodies without the last byte": Flood(SMALL_LENGTH, SHORT_SMALL, b"a"),
     "long heads and small bodies without the last byte": Flood(
-        (*LONG_FIELDS, f"Content-Length: {SMALL_BODY}"),
-        [b"a" * (SMALL_BODY - 1)],
-        b"a",
+        (*LONG_FIELDS, *SMALL_LENGTH), SHORT_SMALL, b"a"
     ),
     "small answers": Flood(
-        (f"Content-Length: {SMALL_BODY}",),
-        [b"a" * (SMALL_BODY - 1)],
-        b"a",
-        ends=True,
-        reads_bytes=SMALL_BODY,
+        SMALL_LENGTH, SHORT_SMALL, b"a", ends=True, reads_bytes=SMALL_BODY
     ),
     "long heads that are answered": Flood(LONG_FIELDS, [], ends=True, reads_bytes=1),
     "bodies in pieces": Flood(LENGTH, SHORT, b"a", pause_s=0.005),
--- a/features/steps/connecting.py
+++ b/features/steps/connecting.py
@@ -221,11 +221,7 @@
 
 @when("a request to {path} meets a target that does not answer attempts to connect")
 def ask_silent(context, path):
-    logging.disable(logging.CRITICAL)
-    try:
-        asyncio.run(meet_silent(context, path))
-    finally:
-        logging.disable(logging.NOTSET)
+    run_on(asyncio.new_event_loop(), meet_silent(context, path))
 
 
 async def meet_silent(context, path):
--- a/features/steps/prefill_backlog.py
+++ b/features/steps/prefill_backlog.py
@@ -51,25 +51,21 @@
 
 @given("{known:d} instances were heard from and {lost:d} fell silent")
 def hear(context, known, lost):
-    context.peer_liveness = PeerLiveness()
+    context.peer_liveness, context.now_s = PeerLiveness(), NOW_S
+    context.live = [f"i{number}" for number in range(known)]
     if known:
         # One left while the others were heard from.
         context.peer_liveness.heard("long gone", NOW_S - FORGET_AFTER_S - 1.0)
-        hear_all(context, known, 2.0)
+        hear_live(context, NOW_S - 2.0)
         assert not context.peer_liveness.is_isolated(NOW_S - 1.0)
     for number in range(known):
         silent_s = LIVE_S + 0.1 if number < lost else 0.1
         context.peer_liveness.heard(f"i{number}", NOW_S - silent_s)
 
 
-def hear_all(context, known, ago_s):
-    for number in range(known):
-        context.peer_liveness.heard(f"i{number}", NOW_S - ago_s)
-
-
 @given("{known:d} instances were heard from and {lost:d} fell silent for {silent:d} s")
 def hear_long_ago(context, known, lost, silent):
-    context.peer_liveness = PeerLiveness()
+    context.peer_liveness, context.now_s = PeerLiveness(), NOW_S
     context.silent_s = silent
     context.live = [f"i{number}" for number in range(lost, known)]
     for number in range(lost):
@@ -96,7 +92,6 @@
 
 
 def check_each_second(context):
-    context.now_s = NOW_S
     for ago_s in range(context.silent_s, -1, -1):
         hear_live(context, NOW_S - ago_s)
         context.peer_liveness.is_isolated(NOW_S - ago_s)
@@ -109,5 +104,4 @@
 
 @then("contact is {state}")
 def check_contact(context, state):
-    now_s = getattr(context, "now_s", NOW_S)
-    assert context.peer_liveness.is_isolated(now_s) == (state == "lost")
+    assert context.peer_liveness.is_isolated(context.now_s) == (state == "lost")
--- a/src/marjoramstage/transport/connect_timeout.py
+++ b/src/marjoramstage/transport/connect_timeout.py
@@ -63,10 +63,7 @@
 class TimedSocket(socket.socket):
     """A non-blocking socket whose attempt to connect a `ConnectTimeout` bounds."""
 
-    def __init__(self, *args: int):
-        super().__init__(*args)
-        self.setblocking(False)
-        self._timer: asyncio.TimerHandle | None = None
+    _timer: asyncio.TimerHandle | None = None
 
     def connect(self, address) -> None:
         """Begin to connect; asyncio waits until the socket can be written to."""
--- a/src/marjoramstage/transport/connection_memory.py
+++ b/src/marjoramstage/transport/connection_memory.py
@@ -63,12 +63,14 @@
         """Whether a part of a head was received, or a request ahead of an answer."""
         return self._ahead_bytes > 0
 
-    def refuses_request(self) -> bool:
-        """Whether there is no memory for another request; counts it if so."""
-        if not self._budget.is_full:
-            return False
+    @property
+    def is_full(self) -> bool:
+        """Whether there is no memory for another request."""
+        return self._budget.is_full
+
+    def note_refused(self) -> None:
+        """Count a request that was refused before it was read."""
         self._budget.refused_unread += 1
-        return True
 
     def hold_ahead(self, size: int, now_s: float) -> bool:
         """Account for bytes of a head that isn't complete, or of later requests.
--- a/src/marjoramstage/transport/server_connection.py
+++ b/src/marjoramstage/transport/server_connection.py
@@ -24,6 +24,7 @@
     OverheadMeter,
     limit_receive_size,
 )
+from marjoramstage.transport.request_body import NO_MEMORY
 from marjoramstage.transport.request_cost import head_bytes
 
 # Memory of parsed headers beyond which a connection closes after the answer, as aiohttp
@@ -32,7 +33,7 @@
 
 
 # Answer to a request that isn't read, as there is no memory for it.
-NO_MEMORY_TEXT = b"no memory\n"
+NO_MEMORY_TEXT = f"{NO_MEMORY}\n".encode()
 NO_MEMORY_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Retry-After: %.2f\r\n"
@@ -98,9 +99,7 @@
         aiohttp calls this without bytes, too, when reading resumes.
         """
         if data and self._is_refused():
-            # Parsing it would take memory.
-            self.transport.write(NO_MEMORY_RESPONSE)
-            self.transport.close()
+            self._refuse_unread()
             return
         requests_before = self._request_count
         was_idle = self.is_idle
@@ -109,15 +108,10 @@
         super().data_received(data)
         received = self._request_count - requests_before
         if received:
-            self._fail_unfinished_body()
-            self._newest_body = self._messages[-1][1]
-            self._meter.restart()
-            if self._limit is not None:
-                self._limit.touch(self)
+            self._begin_requests(received)
         if self._limit is not None:
             self._note_body()
         if self._memory is not None:
-            self._hold_requests(received)
             if was_idle and received:
                 self._memory.release_ahead()
             elif not reads_body:
@@ -184,10 +178,23 @@
             return False
         if self._reads_body or not self.is_idle:
             return False
-        return self._memory.refuses_request()
-
-    def _hold_requests(self, count: int) -> None:
-        """Account for the newest requests."""
+        return self._memory.is_full
+
+    def _refuse_unread(self) -> None:
+        """Refuse a request without parsing it, which would take memory."""
+        self._memory.note_refused()
+        self.transport.write(NO_MEMORY_RESPONSE)
+        self.transport.close()
+
+    def _begin_requests(self, count: int) -> None:
+        """Take note of the newest requests, whose heads are complete."""
+        self._fail_unfinished_body()
+        self._newest_body = self._messages[-1][1]
+        self._meter.restart()
+        if self._limit is not None:
+            self._limit.touch(self)
+        if self._memory is None:
+            return
         now_s = self._loop.time()
         for pos in range(-count, 0):
             message, body = self._messages[pos]
--- a/src/marjoramstage/transport/sockets.py
+++ b/src/marjoramstage/transport/sockets.py
@@ -28,10 +28,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def address_family(host: str) -> socket.AddressFamily:
+    """Return the family of an IP address."""
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 def listening_socket(host: str, port: int) -> socket.socket:
     """Return a bound socket; the kernel holds little for its connections."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock = socket.socket(address_family(host), socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit it.
@@ -46,10 +50,12 @@
     return sock
 
 
-def create_client_socket(addr_info) -> socket.socket:
+def create_client_socket(
+    addr_info, socket_class: type[socket.socket] = socket.socket
+) -> socket.socket:
     """Create a socket for an aiohttp connector (its ``socket_factory``)."""
     family, type_, proto, _, _ = addr_info
-    sock = socket.socket(family, type_, proto)
+    sock = socket_class(family, type_, proto)
     sock.setblocking(False)
     detect_dead_peer(sock)
     return sock
--- a/src/marjoramstage/transport/target_client.py
+++ b/src/marjoramstage/transport/target_client.py
@@ -38,7 +38,7 @@
     WithdrawnError,
     send_once,
 )
-from marjoramstage.transport.sockets import detect_dead_peer
+from marjoramstage.transport.sockets import address_family, create_client_socket
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_TIMEOUT_S = 4.0
@@ -187,8 +187,8 @@
     async def accepts_connections(self, address: str) -> bool:
         """Whether a target can be connected to."""
         host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        with TimedSocket(family, socket.SOCK_STREAM) as sock:
+        with TimedSocket(address_family(host), socket.SOCK_STREAM) as sock:
+            sock.setblocking(False)
             try:
                 async with ConnectTimeout(CONNECT_TIMEOUT_S):
                     await asyncio.get_running_loop().sock_connect(sock, (host, port))
@@ -282,9 +282,7 @@
 
 def _create_socket(addr_info) -> socket.socket:
     """Create a socket whose kernel buffer holds little of what isn't read."""
-    family, type_, proto, _, _ = addr_info
-    sock = TimedSocket(family, type_, proto)
-    detect_dead_peer(sock)
+    sock = create_client_socket(addr_info, TimedSocket)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ANSWER_RECEIVE_BUFFER_BYTES)
     return sock
 
