--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -323,6 +323,15 @@
         if self._beat is not None:
             self._beat.cancel()
         self.cut()
+        self._lapse = asyncio.create_task(self.lapse())
+
+    async def lapse(self) -> None:
+        """Have its entry removed after three beats, unless it has started again."""
+        born = self.born
+        await asyncio.sleep(3 * BEAT_S)
+        if self.born == born and self.store.mode == "up":
+            self._record(f"the entry of {self.name} lapses")
+            self.store.remove("servers", self.name)
 
     def entry(self) -> dict:
         """Return what it writes to the store."""
@@ -623,13 +632,12 @@
 
 def has_trouble() -> bool:
     """Whether the disruption is to be brought about."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    return sys.argv[1] != "0"
 
 
 def main(run) -> None:
     """Run a case; exit with 1 if the rule was broken, 2 if it couldn't run."""
-    folder = Path(sys.argv[1]).resolve()
-    record = Record(folder / "record.txt")
+    record = Record(Path(sys.argv[2]))
     try:
         with workspace() as temporary:
             code = asyncio.run(asyncio.wait_for(run(record, temporary), 110))
